workspace: lay out the packages and the shared value types

Names, numbers and messages are types of their own from the start, because every later package speaks in them.

--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! To be described.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,17 @@
+//! The pure part of medlarspur: values, the bundle, the tables and the
+//! protocols between instances, all without I/O, threads or a clock.
+//!
+//! Time enters as [`time::Millis`], messages enter as values, and every state
+//! machine answers with values that say what to do. The crates around this one
+//! do the I/O. See `docs/architecture.md` for the life of a packet.
+
+#[macro_use]
+mod derives;
+
+pub mod bundle;
+pub mod collections;
+pub mod ids;
+pub mod members;
+pub mod message;
+pub mod packet;
+pub mod time;
--- /dev/null
+++ b/lib/src/message.rs
@@ -0,0 +1,120 @@
+//! What instances say to each other over the control connections.
+//!
+//! Every message is idempotent and its merge does not depend on order, because
+//! messages are lost, repeated and overtaken. The wire form lives in the
+//! package `medlarspur-peer`.
+
+use crate::{
+    ids::{Bucket, FlowId, Incarnation, InstanceName, ServiceName, TargetName, Version},
+    members::Member,
+};
+use std::sync::Arc;
+
+/// The blake3 digest of a signed bundle or of a part of one.
+pub type Digest = [u8; 32];
+
+value! {
+    /// Says that the sender lives and what it has; carries news of others.
+    pub struct Heartbeat {
+        /// The sender as it sees itself.
+        pub sender: Member,
+        /// The digest of the bundle that the sender has in force.
+        pub digest: Digest,
+        /// A digest over the plans of all services that the sender follows.
+        pub plans: u64,
+        /// A digest over the bucket history that the sender knows.
+        pub history: u64,
+        /// Changes of other members that the sender learned lately.
+        pub rumours: Vec<Member>,
+    }
+
+    /// Asks for the bundle in force, naming what the asker has already.
+    pub struct BundleRequest {
+        /// The version that the asker has in force.
+        pub version: Version,
+        /// The digests of the services that the asker has.
+        pub have: Vec<Digest>,
+    }
+
+    /// A bundle as the difference to what the asker said that it has.
+    pub struct BundleDelta {
+        /// The version of the whole.
+        pub version: Version,
+        /// The digest of the whole signed text.
+        pub digest: Digest,
+        /// The signed text in pieces, in order.
+        pub pieces: Vec<Piece>,
+    }
+
+    /// The moved buckets of one service. The larger (sequence, author) wins.
+    pub struct ServicePlan {
+        /// The service that it is about.
+        pub service: ServiceName,
+        /// Counts the plans of the service.
+        pub sequence: u64,
+        /// The instance that made it.
+        pub author: InstanceName,
+        /// Where buckets go that do not go where the table says.
+        pub moves: Vec<(Bucket, TargetName)>,
+    }
+
+    /// Flows that a keeper of their bucket has to know.
+    pub struct Advert {
+        /// The instance that tells.
+        pub sender: InstanceName,
+        /// The service of the flows.
+        pub service: ServiceName,
+        /// The flows, each with the target that it goes to.
+        pub flows: Vec<(FlowId, TargetName)>,
+        /// The table epoch up to which the sender has told all, once it has.
+        pub told: Option<u64>,
+    }
+
+    /// Earlier owners of buckets that may still hold flows.
+    pub struct History {
+        /// The service of the buckets.
+        pub service: ServiceName,
+        /// Bucket, earlier owner, and how many milliseconds ago it lost it.
+        pub owners: Vec<(Bucket, TargetName, u64)>,
+    }
+
+    /// Says that an instance leaves by plan and hands over.
+    pub struct Leave {
+        /// The instance that leaves.
+        pub sender: InstanceName,
+        /// Which of its lives this is about.
+        pub incarnation: Incarnation,
+    }
+}
+
+/// A piece of a bundle's text in a [`BundleDelta`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Piece {
+    /// A piece that the asker has, by its digest.
+    Known(Digest),
+    /// The text of a piece that it lacks.
+    Text(Arc<str>),
+}
+
+/// Any message on a control connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Message {
+    /// See [`Heartbeat`].
+    Heartbeat(Box<Heartbeat>),
+    /// See [`BundleRequest`].
+    BundleRequest(BundleRequest),
+    /// See [`BundleDelta`].
+    BundleDelta(BundleDelta),
+    /// Asks for the plans of all services.
+    PlanRequest,
+    /// See [`ServicePlan`].
+    Plan(ServicePlan),
+    /// See [`Advert`].
+    Advert(Advert),
+    /// Asks for the history of all services.
+    HistoryRequest,
+    /// See [`History`].
+    History(History),
+    /// See [`Leave`].
+    Leave(Leave),
+}
--- /dev/null
+++ b/lib/src/time.rs
@@ -0,0 +1,45 @@
+//! Time as a value: milliseconds of a monotonic clock that the caller reads.
+
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+number! {
+    /// Milliseconds since the process started, or a span of them.
+    Millis: u64,
+}
+
+impl Millis {
+    /// Makes a span from whole seconds.
+    pub const fn secs(secs: u64) -> Millis {
+        Millis(secs * 1000)
+    }
+
+    /// The time from `earlier` to `self`, zero if `earlier` is the later one.
+    pub fn since(self, earlier: Millis) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add for Millis {
+    type Output = Millis;
+
+    fn add(self, rhs: Millis) -> Millis {
+        Millis(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl Sub for Millis {
+    type Output = Millis;
+
+    fn sub(self, rhs: Millis) -> Millis {
+        self.since(rhs)
+    }
+}
+
+impl From<Duration> for Millis {
+    fn from(span: Duration) -> Millis {
+        Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Holds the integration tests that need more than one package.
--- /dev/null
+++ b/tests/tests/runner.rs
@@ -0,0 +1,1 @@
+//! One runner, so that the integration tests link once.
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around an instance, and fixtures for tests.
