--- a/lib/src/packet.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! To be described.
--- /dev/null
+++ b/lib/src/packet/craft.rs
@@ -0,0 +1,103 @@
+//! Packets that an instance makes itself: refusals towards a caller.
+
+use super::{ACK, FIN, IP_HEADER, Packet, RST, SYN, TCP_HEADER};
+use std::net::SocketAddrV4;
+
+const TIME_TO_LIVE: u8 = 64;
+const DONT_FRAGMENT: u8 = 0x40;
+const HEADERS: usize = IP_HEADER + TCP_HEADER;
+const WINDOW: u16 = 4096;
+const PUSH: u8 = 0x08;
+
+/// A TCP segment from a service to a caller.
+struct Segment<'a> {
+    from: SocketAddrV4,
+    to: SocketAddrV4,
+    sequence: u32,
+    acknowledged: u32,
+    flags: u8,
+    payload: &'a [u8],
+}
+
+/// The reset that tells a caller at once that nothing was run. `None` if the
+/// packet is a reset itself or no TCP, which must not be answered.
+pub fn reset(packet: &Packet<'_>) -> Option<Vec<u8>> {
+    let (sequence, acknowledged) = packet.numbers()?;
+    if packet.mark() == super::Mark::Abort {
+        return None;
+    }
+    let key = packet.key();
+    let (flags, sequence, acknowledged) = if packet.acknowledges() {
+        (RST, acknowledged, 0)
+    } else {
+        (RST | ACK, 0, sequence.wrapping_add(packet.length()))
+    };
+    let (from, to) = (key.service, key.caller);
+    Some(build(&Segment { from, to, sequence, acknowledged, flags, payload: &[] }))
+}
+
+/// The answer to a SYN by which an instance completes the handshake itself, to
+/// turn the caller away in words. `cookie` becomes the sequence number.
+pub fn syn_ack(packet: &Packet<'_>, cookie: u32) -> Option<Vec<u8>> {
+    let (sequence, _) = packet.numbers()?;
+    let key = packet.key();
+    let acknowledged = sequence.wrapping_add(1);
+    let (from, to, flags) = (key.service, key.caller, SYN | ACK);
+    Some(build(&Segment { from, to, sequence: cookie, acknowledged, flags, payload: &[] }))
+}
+
+/// The refusal in words and the end of the connection, in one segment, as the
+/// answer to the first segment with data or the bare ACK of the handshake.
+pub fn answer(packet: &Packet<'_>, payload: &[u8]) -> Option<Vec<u8>> {
+    let (sequence, acknowledged) = packet.numbers()?;
+    let key = packet.key();
+    let (from, to) = (key.service, key.caller);
+    let flags = FIN | ACK | PUSH;
+    let next = sequence.wrapping_add(packet.length());
+    Some(build(&Segment { from, to, sequence: acknowledged, acknowledged: next, flags, payload }))
+}
+
+fn build(segment: &Segment<'_>) -> Vec<u8> {
+    let total = HEADERS + segment.payload.len();
+    let mut bytes = vec![0; total];
+    bytes[0] = 0x45;
+    bytes[2..4].copy_from_slice(&(total as u16).to_be_bytes());
+    bytes[6] = DONT_FRAGMENT;
+    bytes[8] = TIME_TO_LIVE;
+    bytes[9] = super::PROTOCOL_TCP;
+    bytes[12..16].copy_from_slice(&segment.from.ip().octets());
+    bytes[16..20].copy_from_slice(&segment.to.ip().octets());
+    let sum = checksum(0, &bytes[..IP_HEADER]);
+    bytes[10..12].copy_from_slice(&sum.to_be_bytes());
+    let tcp = &mut bytes[IP_HEADER..];
+    tcp[0..2].copy_from_slice(&segment.from.port().to_be_bytes());
+    tcp[2..4].copy_from_slice(&segment.to.port().to_be_bytes());
+    tcp[4..8].copy_from_slice(&segment.sequence.to_be_bytes());
+    tcp[8..12].copy_from_slice(&segment.acknowledged.to_be_bytes());
+    tcp[12] = ((TCP_HEADER / 4) as u8) << 4;
+    tcp[13] = segment.flags;
+    tcp[14..16].copy_from_slice(&WINDOW.to_be_bytes());
+    tcp[TCP_HEADER..].copy_from_slice(segment.payload);
+    let sum = checksum(pseudo_header(segment, tcp.len()), tcp);
+    tcp[16..18].copy_from_slice(&sum.to_be_bytes());
+    bytes
+}
+
+/// The part of TCP's checksum that covers the addresses.
+fn pseudo_header(segment: &Segment<'_>, length: usize) -> u32 {
+    let halves = |address: u32| (address >> 16) + (address & 0xffff);
+    let addresses = halves((*segment.from.ip()).into()) + halves((*segment.to.ip()).into());
+    addresses + u32::from(super::PROTOCOL_TCP) + length as u32
+}
+
+fn checksum(start: u32, bytes: &[u8]) -> u16 {
+    let mut sum = start;
+    for pair in bytes.chunks(2) {
+        let low = pair.get(1).copied().unwrap_or(0);
+        sum += u32::from(u16::from_be_bytes([pair[0], low]));
+    }
+    while sum > 0xffff {
+        sum = (sum >> 16) + (sum & 0xffff);
+    }
+    !(sum as u16)
+}
--- /dev/null
+++ b/lib/src/packet/mod.rs
@@ -0,0 +1,192 @@
+//! Callers' packets, read just as far as forwarding needs.
+//!
+//! Everything here comes from outside, so every length is checked before a
+//! byte is read, and a packet that does not fit is a [`PacketError`] to count,
+//! never a panic. Nothing is copied: [`Packet`] borrows what was received.
+
+mod craft;
+mod flow;
+
+pub use craft::{answer, reset, syn_ack};
+pub use flow::{FlowKey, FlowKeyError, Hasher};
+
+use crate::bundle::Protocol;
+use snafu::Snafu;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+const VERSION_4: u8 = 4;
+const IP_HEADER: usize = 20;
+const TCP_HEADER: usize = 20;
+const UDP_HEADER: usize = 8;
+const PROTOCOL_TCP: u8 = 6;
+const PROTOCOL_UDP: u8 = 17;
+/// The bits of the fragment field that tell that this is a part of a packet:
+/// "more fragments" and the offset.
+const FRAGMENT_BITS: u16 = 0x3fff;
+
+/// Why a datagram from the fabric is no packet that can be forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Snafu)]
+pub enum PacketError {
+    /// Shorter than its headers say.
+    #[snafu(display("the packet is shorter than its headers"))]
+    Truncated,
+    /// Not IP version 4.
+    #[snafu(display("the packet is not IPv4"))]
+    NotIpv4,
+    /// A fragment: the ports are only in the first, so the others can't be
+    /// sent where the first went.
+    #[snafu(display("the packet is a fragment"))]
+    Fragment,
+    /// Neither TCP nor UDP.
+    #[snafu(display("the packet is neither TCP nor UDP"))]
+    Transport,
+    /// A TCP segment with flags that no well-formed one has.
+    #[snafu(display("the TCP flags contradict each other"))]
+    Flags,
+}
+
+impl PacketError {
+    /// The label under which it is counted.
+    pub fn label(self) -> &'static str {
+        match self {
+            PacketError::Truncated => "truncated",
+            PacketError::NotIpv4 => "not_ipv4",
+            PacketError::Fragment => "fragment",
+            PacketError::Transport => "transport",
+            PacketError::Flags => "flags",
+        }
+    }
+}
+
+value! {
+    /// What a packet means for its flow.
+    pub enum Mark {
+        /// Opens a flow: a SYN without an ACK.
+        Open,
+        /// Belongs to a flow that is open, or to a UDP flow.
+        Middle,
+        /// The caller closes its half of the flow.
+        Close,
+        /// The caller gives the flow up at once.
+        Abort,
+    }
+}
+
+/// A packet from a caller: a borrowed, well-formed IPv4 packet.
+#[derive(Debug, Clone, Copy)]
+pub struct Packet<'a> {
+    bytes: &'a [u8],
+    key: FlowKey,
+    mark: Mark,
+    transport: usize,
+}
+
+impl<'a> Packet<'a> {
+    /// Reads the headers. Bytes behind the packet's own length are dropped,
+    /// because a link may have padded it.
+    pub fn parse(bytes: &'a [u8]) -> Result<Packet<'a>, PacketError> {
+        let Some(ip) = bytes.first_chunk::<IP_HEADER>() else {
+            return TruncatedSnafu.fail();
+        };
+        if ip[0] >> 4 != VERSION_4 {
+            return NotIpv4Snafu.fail();
+        }
+        let header = usize::from(ip[0] & 0x0f) * 4;
+        let total = usize::from(u16::from_be_bytes([ip[2], ip[3]]));
+        if header < IP_HEADER || total < header || bytes.len() < total {
+            return TruncatedSnafu.fail();
+        }
+        if u16::from_be_bytes([ip[6], ip[7]]) & FRAGMENT_BITS != 0 {
+            return FragmentSnafu.fail();
+        }
+        let bytes = &bytes[..total];
+        let (protocol, mark) = transport(ip[9], &bytes[header..])?;
+        let port = |at| u16::from_be_bytes([bytes[header + at], bytes[header + at + 1]]);
+        let source = Ipv4Addr::new(ip[12], ip[13], ip[14], ip[15]);
+        let destination = Ipv4Addr::new(ip[16], ip[17], ip[18], ip[19]);
+        let key = FlowKey {
+            protocol,
+            caller: SocketAddrV4::new(source, port(0)),
+            service: SocketAddrV4::new(destination, port(2)),
+        };
+        Ok(Packet { bytes, key, mark, transport: header })
+    }
+
+    /// The whole packet.
+    pub fn bytes(&self) -> &'a [u8] {
+        self.bytes
+    }
+
+    /// The flow that it belongs to.
+    pub fn key(&self) -> FlowKey {
+        self.key
+    }
+
+    /// What it means for its flow.
+    pub fn mark(&self) -> Mark {
+        self.mark
+    }
+
+    /// The TCP header and what follows; empty for UDP.
+    fn segment(&self) -> &'a [u8] {
+        match self.key.protocol {
+            Protocol::Tcp => &self.bytes[self.transport..],
+            Protocol::Udp => &[],
+        }
+    }
+
+    /// The sequence and acknowledgement numbers of a TCP segment.
+    pub fn numbers(&self) -> Option<(u32, u32)> {
+        let segment = self.segment();
+        let word = |at: usize| segment.get(at..at + 4)?.try_into().ok().map(u32::from_be_bytes);
+        Some((word(4)?, word(8)?))
+    }
+
+    /// How many bytes of the sequence space a TCP segment takes.
+    pub fn length(&self) -> u32 {
+        let segment = self.segment();
+        let Some(head) = segment.first_chunk::<TCP_HEADER>() else {
+            return 0;
+        };
+        let offset = usize::from(head[12] >> 4) * 4;
+        let marks = u32::from(head[13] & FIN != 0) + u32::from(head[13] & SYN != 0);
+        segment.len().saturating_sub(offset) as u32 + marks
+    }
+
+    /// Whether a TCP segment acknowledges something.
+    pub fn acknowledges(&self) -> bool {
+        self.segment().get(13).is_some_and(|flags| flags & ACK != 0)
+    }
+}
+
+const FIN: u8 = 0x01;
+const SYN: u8 = 0x02;
+const RST: u8 = 0x04;
+const ACK: u8 = 0x10;
+
+fn transport(protocol: u8, bytes: &[u8]) -> Result<(Protocol, Mark), PacketError> {
+    match protocol {
+        PROTOCOL_TCP => Ok((Protocol::Tcp, tcp_mark(bytes)?)),
+        PROTOCOL_UDP if bytes.len() >= UDP_HEADER => Ok((Protocol::Udp, Mark::Middle)),
+        PROTOCOL_UDP => TruncatedSnafu.fail(),
+        _ => TransportSnafu.fail(),
+    }
+}
+
+fn tcp_mark(bytes: &[u8]) -> Result<Mark, PacketError> {
+    let Some(head) = bytes.first_chunk::<TCP_HEADER>() else {
+        return TruncatedSnafu.fail();
+    };
+    let offset = usize::from(head[12] >> 4) * 4;
+    if offset < TCP_HEADER || bytes.len() < offset {
+        return TruncatedSnafu.fail();
+    }
+    match head[13] & (FIN | SYN | RST | ACK) {
+        SYN => Ok(Mark::Open),
+        flags if flags & SYN != 0 => FlagsSnafu.fail(),
+        flags if flags & RST != 0 => Ok(Mark::Abort),
+        flags if flags & FIN != 0 => Ok(Mark::Close),
+        ACK => Ok(Mark::Middle),
+        _ => FlagsSnafu.fail(),
+    }
+}
