--- /dev/null
+++ b/target/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be described.
