--- a/fabric/src/lib.rs
+++ b/fabric/src/lib.rs
@@ -1,1 +1,20 @@
-//! To be described.
+//! The fabric as a peer: callers' packets come from it in UDP datagrams and
+//! go on to targets in the same wrapping.
+//!
+//! At hundreds of thousands of packets a second a system call a packet costs
+//! more than deciding where the packet goes, so everything here moves batches.
+//! [`Wire`] is the boundary: the packet thread is written against it, and tests
+//! and benchmarks put memory in the place of a socket. The reasons for passing
+//! packets on instead of terminating connections are in `docs/design/edge.md`.
+
+mod batch;
+mod counts;
+mod memory;
+mod socket;
+mod wire;
+
+pub use batch::{BATCH, Batch, MAX_DATAGRAM, Received};
+pub use counts::Counts;
+pub use memory::{Memory, MemoryError};
+pub use socket::{Listener, Socket, SocketError};
+pub use wire::{Datagram, Wire};
--- /dev/null
+++ b/fabric/src/memory.rs
@@ -0,0 +1,58 @@
+//! A wire without a socket, for tests and benchmarks of the packet thread.
+
+use crate::{Batch, Counts, Datagram, MAX_DATAGRAM, Wire, batch::NOBODY};
+use std::{collections::VecDeque, net::SocketAddrV4, time::Duration};
+
+/// Hands out the datagrams that were put in and keeps those that were sent.
+#[derive(Debug, Default)]
+pub struct Memory {
+    arriving: VecDeque<Vec<u8>>,
+    sent: Vec<(SocketAddrV4, Vec<u8>)>,
+    counts: Counts,
+}
+
+/// There is no error of memory.
+#[derive(Debug, snafu::Snafu)]
+pub enum MemoryError {}
+
+impl Memory {
+    /// Lets a datagram arrive.
+    pub fn arrive(&mut self, bytes: &[u8]) {
+        self.arriving.push_back(bytes.to_vec());
+    }
+
+    /// Takes what was sent since the last call.
+    pub fn take_sent(&mut self) -> Vec<(SocketAddrV4, Vec<u8>)> {
+        std::mem::take(&mut self.sent)
+    }
+}
+
+impl Wire for Memory {
+    type Error = MemoryError;
+
+    fn receive(&mut self, batch: &mut Batch, _timeout: Duration) -> Result<usize, MemoryError> {
+        batch.clear();
+        while let Some(bytes) = self.arriving.front() {
+            if bytes.is_empty() {
+                self.counts.empty += 1;
+            } else if bytes.len() > MAX_DATAGRAM {
+                self.counts.oversize += 1;
+            } else if !batch.push(NOBODY, bytes) {
+                break;
+            }
+            self.arriving.pop_front();
+        }
+        self.counts.received += batch.len() as u64;
+        Ok(batch.len())
+    }
+
+    fn send(&mut self, datagrams: &[Datagram<'_>]) -> usize {
+        self.sent.extend(datagrams.iter().map(|it| (it.to, it.bytes.to_vec())));
+        self.counts.sent += datagrams.len() as u64;
+        datagrams.len()
+    }
+
+    fn counts(&self) -> Counts {
+        self.counts
+    }
+}
--- /dev/null
+++ b/fabric/tests/runner.rs
@@ -0,0 +1,4 @@
+//! Runs the tests of the package in one binary.
+
+mod test_memory;
+mod test_socket;
--- /dev/null
+++ b/fabric/tests/test_memory.rs
@@ -0,0 +1,40 @@
+use medlarspur_fabric::{BATCH, Batch, Datagram, MAX_DATAGRAM, Memory, Wire};
+use proptest::prelude::*;
+use std::{net::SocketAddrV4, time::Duration};
+
+fn target() -> SocketAddrV4 {
+    SocketAddrV4::new([127, 0, 0, 1].into(), 5555)
+}
+
+#[test]
+fn sent_datagrams_are_kept_in_order() {
+    let mut wire = Memory::default();
+
+    let first = Datagram { to: target(), bytes: b"one" };
+    let second = Datagram { to: target(), bytes: b"two" };
+    let taken = wire.send(&[first, second]);
+
+    assert_eq!(taken, 2);
+    let expected = vec![(target(), b"one".to_vec()), (target(), b"two".to_vec())];
+    assert_eq!(wire.take_sent(), expected);
+}
+
+proptest! {
+    #[test]
+    fn every_datagram_is_received_or_counted(sizes in prop::collection::vec(0..2 * MAX_DATAGRAM, 0..200)) {
+        let mut wire = Memory::default();
+        sizes.iter().for_each(|&size| wire.arrive(&vec![7; size]));
+
+        let mut batch = Batch::new();
+        let mut received = Vec::new();
+        while wire.receive(&mut batch, Duration::ZERO).unwrap() > 0 {
+            prop_assert!(batch.len() <= BATCH);
+            received.extend(batch.iter().map(|it| it.bytes.len()));
+        }
+
+        let fits = |&size: &usize| (1..=MAX_DATAGRAM).contains(&size);
+        prop_assert_eq!(received, sizes.iter().copied().filter(fits).collect::<Vec<_>>());
+        let counts = wire.counts();
+        prop_assert_eq!(counts.received + counts.oversize + counts.empty, sizes.len() as u64);
+    }
+}
