control: join members, bundle spread and plans in one state machine

An instance's control side is one sans-I/O state machine, so that tests play many of them in virtual time.

BundleRequest names the whole text that the asker has in place of a digest a service: 3,400 digests of 32 bytes at each change would be 108 KB, more than 13 s of the 8 KB/s budget.

--- /dev/null
+++ b/lib/src/control/mod.rs
@@ -0,0 +1,297 @@
+//! One instance's part in the fleet: members, bundle and plans joined into
+//! one state machine without I/O.
+//!
+//! The control thread feeds it events and carries out its actions. Messages
+//! may be lost, doubled and overtaken: everything is said again by the
+//! heartbeats, so no action has to succeed. See `docs/design/members.md`,
+//! `docs/design/bundle-spread.md` and `docs/design/plan.md`.
+
+mod beat;
+mod event;
+mod start;
+
+pub use self::{
+    beat::HEARTBEAT,
+    event::{Action, Event},
+    start::{READY_LIMIT, START_WAIT},
+};
+
+use self::{beat::Beat, start::Start};
+use crate::{
+    ids::{InstanceName, ServiceName},
+    members::{Candidate, Member, Roster},
+    message::{Message, PlanRequest, ServicePlan},
+    plan::{self, Moves, Plans},
+    spread::{Check, Refusal, SignedText, Spread, reads},
+    time::Millis,
+};
+use std::{net::SocketAddrV4, sync::Arc};
+
+/// How often [`Event::Tick`] is expected.
+pub const TICK: Millis = Millis(100);
+/// A gap between ticks that means that the process slept. A busy machine
+/// delays a tick by less; a longer gap makes others suspect this instance.
+pub const SLEPT: Millis = Millis(2_000);
+/// How long an instance that slept distrusts its view, unless it hears from
+/// most of its neighbours before.
+pub const DISTRUST: Millis = Millis(5_000);
+/// How many bytes of plans answer one request. What is left over follows with
+/// the next heartbeats, so that a healed partition doesn't burst the budget.
+const PLAN_BYTES: usize = 4_096;
+/// How often plans are asked for at most.
+const PLAN_PAUSE: Millis = Millis(1_000);
+
+/// What a controller has to know from the settings.
+#[derive(Debug, Clone)]
+pub struct ControlSettings {
+    /// This instance, with an incarnation later than any before: the wall
+    /// clock at the start will do, since a wrong one is corrected by refuting.
+    pub me: Member,
+    /// Control addresses to ask when nobody else is known.
+    pub seeds: Vec<SocketAddrV4>,
+}
+
+/// The state machine of one instance.
+#[derive(Debug)]
+pub struct Controller<C> {
+    roster: Roster,
+    spread: Spread<C>,
+    plans: Plans,
+    beat: Beat,
+    start: Start,
+    seeds: Vec<SocketAddrV4>,
+    candidates: Vec<Candidate>,
+    history: u64,
+    reading: bool,
+    ticked: Option<Millis>,
+    /// Until when the own view is distrusted after a sleep.
+    distrust: Option<Millis>,
+    /// Neighbours heard since the sleep.
+    heard: Vec<InstanceName>,
+    asked_plans: Option<Millis>,
+    actions: Vec<Action>,
+}
+
+impl<C: Check> Controller<C> {
+    /// Starts with nobody known and no bundle.
+    pub fn new(settings: ControlSettings, checker: C) -> Controller<C> {
+        Controller {
+            beat: Beat::new(&settings.me.name),
+            roster: Roster::new(settings.me),
+            spread: Spread::new(checker),
+            plans: Plans::new(),
+            start: Start::new(),
+            seeds: settings.seeds,
+            candidates: Vec::new(),
+            history: 0,
+            reading: false,
+            ticked: None,
+            distrust: None,
+            heard: Vec::new(),
+            asked_plans: None,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes one event in and says what to do.
+    pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::PlatformBundle(text) => self.platform_bundle(&text),
+            Event::PlatformList(list) => self.candidates = list,
+            Event::Peer(message) => self.peer(now, message),
+            Event::SetLeaving => self.leave(),
+            Event::SetProgress { told, history } => self.set_progress(told, history),
+            Event::Propose { service, moves } => self.propose(&service, moves),
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The bundle in force.
+    pub fn current(&self) -> Option<&Arc<SignedText>> {
+        self.spread.current()
+    }
+
+    /// The bundle and its exchange, for counters and status.
+    pub fn spread(&self) -> &Spread<C> {
+        &self.spread
+    }
+
+    /// The members, for counters and status.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// The plans that this instance follows.
+    pub fn plans(&self) -> &Plans {
+        &self.plans
+    }
+
+    /// Whether the view of the others may be old, because this process slept.
+    pub fn distrusts(&self) -> bool {
+        self.distrust.is_some()
+    }
+
+    /// Whether this instance is ready to serve.
+    pub fn ready(&self) -> bool {
+        self.start.ready()
+    }
+
+    fn tick(&mut self, now: Millis) {
+        self.watch_clock(now);
+        self.roster.expire(now);
+        self.publish_members();
+        self.beat(now);
+        self.choose_readers();
+        self.check_ready(now);
+    }
+
+    /// A process that slept sees all others silent and would suspect them,
+    /// and would plan and hand out duties by an old picture. It notices by
+    /// its own clock, starts all waiting anew and holds back until refreshed.
+    fn watch_clock(&mut self, now: Millis) {
+        let gap = self.ticked.map_or(Millis(0), |t| now.since(t));
+        self.ticked = Some(now);
+        if gap >= SLEPT {
+            self.roster.wake(now);
+            self.beat.wake();
+            self.heard.clear();
+            self.distrust = Some(now + DISTRUST);
+            self.actions.push(Action::Slept { gap });
+        }
+        let refreshed = 2 * self.heard.len() > self.roster.neighbours().len();
+        if self.distrust.is_some_and(|until| refreshed || now >= until) {
+            self.distrust = None;
+            self.actions.push(Action::Refreshed);
+        }
+    }
+
+    fn publish_members(&mut self) {
+        let changed = self.roster.refresh();
+        if changed || self.roster.take_progress() {
+            self.actions.push(Action::Members(self.roster.members().cloned().collect()));
+        }
+    }
+
+    /// An instance that starts reads too, so that it may learn the highest
+    /// bundle from both sides.
+    fn choose_readers(&mut self) {
+        let reading = !self.start.ready() || reads(self.roster.me(), self.roster.members());
+        if reading != self.reading {
+            self.reading = reading;
+            self.actions.push(Action::ReadPlatform(reading));
+        }
+    }
+
+    fn check_ready(&mut self, now: Millis) {
+        let alone = self.seeds.is_empty() && self.candidates.is_empty();
+        let behind = self.beat.claims().any(|order| self.spread.wants(order));
+        if self.start.check(now, self.spread.current().is_some(), alone, behind) {
+            self.beat.forget_claims();
+            self.actions.push(Action::Ready);
+        }
+    }
+
+    fn platform_bundle(&mut self, text: &str) {
+        self.start.platform();
+        let offered = self.spread.offer(text);
+        self.take_offer(offered);
+    }
+
+    fn take_offer(&mut self, offered: Result<Option<Arc<SignedText>>, Refusal>) {
+        match offered {
+            Ok(None) | Err(Refusal::Repeated) => {}
+            Ok(Some(signed)) => {
+                self.roster.set_progress(signed.version, self.roster.me().told);
+                self.actions.push(Action::Accepted(signed));
+                self.tell_neighbours();
+            }
+            Err(reason) => self.actions.push(Action::Refused { reason }),
+        }
+    }
+
+    fn peer(&mut self, now: Millis, message: Message) {
+        match message {
+            Message::Heartbeat(beat) => self.heartbeat(now, &beat),
+            Message::BundleRequest(request) => {
+                if let Some(answer) = self.spread.answer(&request) {
+                    self.send(request.sender, answer);
+                }
+            }
+            Message::BundleDelta(delta) => {
+                let offered = self.spread.apply(&delta);
+                self.take_offer(offered);
+            }
+            Message::PlanRequest(request) => self.answer_plans(&request),
+            Message::Plan(plan) => self.follow(plan),
+            Message::Leave(leave) => self.hear_leave(now, &leave),
+            Message::Advert(_) | Message::HistoryRequest(_) | Message::History(_) => {
+                self.actions.push(Action::Pass(message));
+            }
+        }
+    }
+
+    fn follow(&mut self, plan: ServicePlan) {
+        if self.plans.merge(plan.clone()) {
+            self.spread_plan(&plan);
+            self.actions.push(Action::Plan(plan));
+        }
+    }
+
+    fn spread_plan(&mut self, plan: &ServicePlan) {
+        for to in self.neighbour_addrs() {
+            self.send(to, Message::Plan(plan.clone()));
+        }
+    }
+
+    /// Makes a plan, if this instance is the one that plans for the service.
+    /// One that slept may only believe so and waits until it is refreshed.
+    fn propose(&mut self, service: &ServiceName, moves: Moves) {
+        let me = &self.roster.me().name;
+        if self.distrusts() || !plan::authors(me, service, self.roster.members()) {
+            return;
+        }
+        let next = self.plans.next(me, service, moves);
+        self.follow(next);
+    }
+
+    fn answer_plans(&mut self, request: &PlanRequest) {
+        let mut left = PLAN_BYTES;
+        let mut answers = Vec::new();
+        for plan in self.plans.differing(&request.groups) {
+            let Some(rest) = left.checked_sub(plan.size()) else { break };
+            left = rest;
+            answers.push(Message::Plan(plan.clone()));
+        }
+        for answer in answers {
+            self.send(request.sender, answer);
+        }
+    }
+
+    fn compare_plans(&mut self, now: Millis, theirs: u64, to: SocketAddrV4) {
+        let due = self.asked_plans.is_none_or(|t| now.since(t) >= PLAN_PAUSE);
+        if theirs == self.plans.digest() || !due {
+            return;
+        }
+        self.asked_plans = Some(now);
+        let sender = self.roster.me().addresses.control;
+        let groups = self.plans.groups().to_vec();
+        self.send(to, Message::PlanRequest(PlanRequest { sender, groups }));
+    }
+
+    fn set_progress(&mut self, told: u64, history: u64) {
+        self.history = history;
+        self.roster.set_progress(self.roster.me().version, told);
+    }
+
+    fn send(&mut self, to: SocketAddrV4, message: Message) {
+        if to != self.roster.me().addresses.control {
+            self.actions.push(Action::Send { to, message });
+        }
+    }
+
+    fn neighbour_addrs(&self) -> Vec<SocketAddrV4> {
+        let names = self.roster.neighbours().iter();
+        names.filter_map(|name| self.roster.get(name)).map(|m| m.addresses.control).collect()
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,10 +10,13 @@
 
 pub mod bundle;
 pub mod collections;
+pub mod control;
 pub mod document;
 pub mod ids;
 pub mod members;
 pub mod message;
 pub mod packet;
+pub mod plan;
 pub mod settings;
+pub mod spread;
 pub mod time;
--- a/lib/src/members.rs
+++ b/lib/src/members/mod.rs
@@ -1,5 +1,21 @@
 //! Who takes part: the instances that this one believes to be live.
+//!
+//! Views differ between instances and processes wake up with old ones, so a
+//! belief about a member is ordered by (incarnation, state) and merged by
+//! taking the larger: the result does not depend on the order of messages.
+//! See `docs/design/members.md`.
 
+mod neighbours;
+mod rank;
+mod roster;
+mod rumours;
+
+pub use self::{
+    neighbours::neighbours,
+    rank::{rank, top},
+    roster::{ACK_LIMIT, Roster, TOMBSTONE, suspicion},
+    rumours::MAX_RUMOURS,
+};
 use crate::ids::{DomainName, Incarnation, InstanceName, Version};
 use std::net::SocketAddrV4;
 
@@ -32,6 +48,35 @@
         /// The table epoch up to which it has told keepers all its exceptions.
         pub told: u64,
     }
+
+    /// One line of the platform's lagging list: a hint where to ask, no more.
+    pub struct Candidate {
+        /// Its name.
+        pub name: InstanceName,
+        /// Its failure domain.
+        pub domain: DomainName,
+        /// Where its control connections are accepted.
+        pub control: SocketAddrV4,
+        /// Whether the platform says that it leaves.
+        pub leaving: bool,
+    }
+}
+
+impl Member {
+    /// What orders beliefs about one instance: the larger is the later one.
+    pub fn order(&self) -> (Incarnation, MemberState) {
+        (self.incarnation, self.state)
+    }
+
+    /// Whether it takes part, as far as is known.
+    pub fn present(&self) -> bool {
+        self.state != MemberState::Dead
+    }
+
+    /// Whether it may take new duties: to read the platform, to plan.
+    pub fn eligible(&self) -> bool {
+        self.state == MemberState::Live
+    }
 }
 
 value! {
--- /dev/null
+++ b/lib/src/members/rank.rs
@@ -0,0 +1,28 @@
+//! Rendezvous hashing: instances agree on who does what without asking.
+
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// Ranks `name` for the duty `key`. All instances compute the same rank, so
+/// the hash is fixed and unkeyed; no caller chooses either argument.
+pub fn rank(key: &str, name: &str) -> u64 {
+    let mut h = SipHasher13::new();
+    h.write(key.as_bytes());
+    h.write_u8(0xff);
+    h.write(name.as_bytes());
+    h.finish()
+}
+
+/// The `n` of `items` that rank highest for the duty `key`, highest first.
+/// When one of them goes, only its place is filled anew.
+pub fn top<T>(
+    key: &str,
+    n: usize,
+    items: impl Iterator<Item = T>,
+    name: impl Fn(&T) -> &str,
+) -> Vec<T> {
+    let mut ranked: Vec<(u64, T)> = items.map(|item| (rank(key, name(&item)), item)).collect();
+    ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| name(&a.1).cmp(name(&b.1))));
+    ranked.truncate(n);
+    ranked.into_iter().map(|(_, item)| item).collect()
+}
--- /dev/null
+++ b/lib/src/members/roster.rs
@@ -0,0 +1,318 @@
+//! The members as one instance believes them to be, and how beliefs change.
+
+use super::{
+    Candidate, MAX_RUMOURS, Member, MemberState, neighbours, rank::rank, rumours::Rumours,
+};
+use crate::{
+    ids::{Incarnation, InstanceName, Version},
+    time::Millis,
+};
+use std::{collections::BTreeMap, net::SocketAddrV4, ops::Bound};
+
+/// How long a probe may stay unanswered before its target is suspected: three
+/// heartbeats, so that one lost or late one changes nothing.
+pub const ACK_LIMIT: Millis = Millis(3_000);
+/// How long a dead member is remembered. News older than its death that is
+/// still under way must not revive it, and after a partition of many minutes
+/// the sides find each other by asking the dead.
+pub const TOMBSTONE: Millis = Millis::secs(3_600);
+
+/// How long a suspected member has to refute, in a fleet of `fleet` members:
+/// time for the suspicion to reach it and for the refutation to come back,
+/// which takes hops that grow with the logarithm of the fleet.
+pub fn suspicion(fleet: usize) -> Millis {
+    Millis(2_000 + 400 * u64::from((fleet + 1).ilog2()))
+}
+
+/// The members that one instance knows, itself apart.
+#[derive(Debug)]
+pub struct Roster {
+    me: Member,
+    others: BTreeMap<InstanceName, Entry>,
+    rumours: Rumours,
+    neighbours: Vec<InstanceName>,
+    cursor: Option<InstanceName>,
+    digest: u64,
+    dirty: bool,
+    progress: bool,
+    /// Times that this instance refuted a wrong belief about itself.
+    pub refuted: u64,
+}
+
+#[derive(Debug)]
+struct Entry {
+    member: Member,
+    /// Since when a probe is unanswered.
+    asked: Option<Millis>,
+    /// When the belief last changed.
+    changed: Millis,
+    /// Whether its view of the members differs from ours.
+    differs: bool,
+}
+
+impl Roster {
+    /// Starts with nobody known but `me`.
+    pub fn new(me: Member) -> Roster {
+        let digest = fingerprint(&me);
+        Roster {
+            me,
+            others: BTreeMap::new(),
+            rumours: Rumours::default(),
+            neighbours: Vec::new(),
+            cursor: None,
+            digest,
+            dirty: true,
+            progress: false,
+            refuted: 0,
+        }
+    }
+
+    /// This instance as it sees itself.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Records what this instance has in force and has told its keepers.
+    pub fn set_progress(&mut self, version: Version, told: u64) {
+        self.me.version = version;
+        self.me.told = told;
+    }
+
+    /// Records that this instance leaves; it never takes that back.
+    pub fn set_leaving(&mut self) {
+        self.change_me(|me| me.state = MemberState::Leaving);
+    }
+
+    /// All that take part or did lately, this instance included.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        std::iter::once(&self.me).chain(self.others.values().map(|e| &e.member))
+    }
+
+    /// What is believed of `name`, unless it is this instance.
+    pub fn get(&self, name: &InstanceName) -> Option<&Member> {
+        self.others.get(name).map(|e| &e.member)
+    }
+
+    /// Those that this instance sends heartbeats.
+    pub fn neighbours(&self) -> &[InstanceName] {
+        &self.neighbours
+    }
+
+    /// A digest of the members that take part; alike wherever the view is.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Whether somebody is known at the control address `addr`.
+    pub fn known(&self, addr: SocketAddrV4) -> bool {
+        addr == self.me.addresses.control
+            || self.others.values().any(|e| e.member.present() && at(&e.member, addr))
+    }
+
+    /// Those of `candidates` with whom there is no contact.
+    pub fn strangers<'a>(
+        &self,
+        candidates: &'a [Candidate],
+    ) -> impl Iterator<Item = &'a Candidate> {
+        candidates
+            .iter()
+            .filter(|c| c.name != self.me.name && !self.get(&c.name).is_some_and(Member::present))
+    }
+
+    /// Where the members are reached that are believed dead.
+    pub fn graves(&self) -> Vec<SocketAddrV4> {
+        self.others
+            .values()
+            .filter(|e| !e.member.present())
+            .map(|e| e.member.addresses.control)
+            .collect()
+    }
+
+    /// Merges a belief, from whomever it comes. Returns whether it was news.
+    pub fn learn(&mut self, now: Millis, news: &Member) -> bool {
+        if news.name == self.me.name {
+            return self.hear_of_me(news);
+        }
+        match self.others.get_mut(&news.name) {
+            Some(e) if news.order() > e.member.order() => {
+                let progress = if news.incarnation == e.member.incarnation {
+                    (news.version.max(e.member.version), news.told.max(e.member.told))
+                } else {
+                    (news.version, news.told)
+                };
+                self.digest ^= fingerprint(&e.member) ^ fingerprint(news);
+                e.member = Member { version: progress.0, told: progress.1, ..news.clone() };
+                e.changed = now;
+                e.asked = None;
+            }
+            Some(e) => {
+                if news.incarnation == e.member.incarnation {
+                    e.member.version = e.member.version.max(news.version);
+                    self.progress |= news.told > e.member.told;
+                    e.member.told = e.member.told.max(news.told);
+                }
+                return false;
+            }
+            // Nobody is missed who was dead before we heard of it.
+            None if news.state == MemberState::Dead => return false,
+            None => {
+                self.digest ^= fingerprint(news);
+                let entry =
+                    Entry { member: news.clone(), asked: None, changed: now, differs: false };
+                self.others.insert(news.name.clone(), entry);
+            }
+        }
+        self.rumours.add(&news.name);
+        self.dirty = true;
+        true
+    }
+
+    /// A wrong belief about this instance is refuted by a later incarnation.
+    /// Without it a pause of seconds would exclude an instance for good.
+    fn hear_of_me(&mut self, news: &Member) -> bool {
+        if news.order() <= self.me.order() {
+            return false;
+        }
+        self.refuted += 1;
+        let next = Incarnation(news.incarnation.0.saturating_add(1));
+        self.change_me(|me| me.incarnation = next);
+        true
+    }
+
+    fn change_me(&mut self, change: impl FnOnce(&mut Member)) {
+        self.digest ^= fingerprint(&self.me);
+        change(&mut self.me);
+        self.digest ^= fingerprint(&self.me);
+        self.dirty = true;
+    }
+
+    /// Records that `name` spoke to us directly and how it sees the members.
+    pub fn heard(&mut self, name: &InstanceName, digest: u64) {
+        let differs = digest != self.digest;
+        if let Some(e) = self.others.get_mut(name) {
+            e.asked = None;
+            e.differs = differs;
+        }
+    }
+
+    /// Records that a probe went to `name`.
+    pub fn asked(&mut self, now: Millis, name: &InstanceName) {
+        if let Some(e) = self.others.get_mut(name) {
+            e.asked.get_or_insert(now);
+        }
+    }
+
+    /// Suspects, buries and forgets whose time is up.
+    pub fn expire(&mut self, now: Millis) {
+        let patience = suspicion(self.others.len());
+        let mut fallen = Vec::new();
+        for e in self.others.values() {
+            if let Some(state) = fallen_to(e, now, patience) {
+                fallen.push(Member { state, ..e.member.clone() });
+            }
+        }
+        for news in fallen {
+            self.learn(now, &news);
+        }
+        self.others.retain(|_, e| e.member.present() || now.since(e.changed) < TOMBSTONE);
+    }
+
+    /// Starts all waiting anew: after a sleep, the silence was our own.
+    pub fn wake(&mut self, now: Millis) {
+        for e in self.others.values_mut() {
+            e.asked = None;
+            if e.member.state == MemberState::Suspect {
+                e.changed = now;
+            }
+        }
+    }
+
+    /// Chooses the neighbours anew after changes. Returns whether there were
+    /// any since the last call.
+    pub fn refresh(&mut self) -> bool {
+        if !std::mem::take(&mut self.dirty) {
+            return false;
+        }
+        let chosen = neighbours(&self.me, self.others.values().map(|e| &e.member));
+        for (name, e) in &mut self.others {
+            // Nobody is blamed for an answer that we no longer ask for.
+            if !chosen.contains(name) {
+                e.asked = None;
+            }
+        }
+        self.neighbours = chosen;
+        true
+    }
+
+    /// Whether somebody has told its keepers more since the last call.
+    pub fn take_progress(&mut self) -> bool {
+        std::mem::take(&mut self.progress)
+    }
+
+    /// The news for a heartbeat to `name`: what we hold of it, if that is not
+    /// that it lives, so that it can refute; then rumours; then, if its view
+    /// differs, some of all members in turn, which repairs what rumours missed.
+    pub fn news_for(&mut self, name: Option<&InstanceName>) -> Vec<Member> {
+        let fleet = self.others.len();
+        let others = &self.others;
+        let mut news = self.rumours.take(fleet, |n| others.get(n).map(|e| &e.member));
+        let entry = name.and_then(|n| self.others.get(n));
+        if let Some(e) = entry
+            && e.member.state != MemberState::Live
+        {
+            news.insert(0, e.member.clone());
+        }
+        if entry.is_some_and(|e| e.differs) {
+            self.fill(&mut news);
+        }
+        news
+    }
+
+    fn fill(&mut self, news: &mut Vec<Member>) {
+        while news.len() < MAX_RUMOURS {
+            let Some(next) = self.next_in_turn() else { return };
+            if news.iter().any(|m| m.name == next.name) {
+                return;
+            }
+            news.push(next);
+        }
+    }
+
+    fn next_in_turn(&mut self) -> Option<Member> {
+        let after =
+            self.cursor.as_ref().map_or(Bound::Unbounded, |name| Bound::Excluded(name.clone()));
+        let next = self
+            .others
+            .range((after, Bound::Unbounded))
+            .next()
+            .or_else(|| self.others.iter().next());
+        let member = next.map(|(_, e)| e.member.clone())?;
+        self.cursor = Some(member.name.clone());
+        Some(member)
+    }
+}
+
+fn at(member: &Member, addr: SocketAddrV4) -> bool {
+    member.addresses.control == addr
+}
+
+fn fallen_to(e: &Entry, now: Millis, patience: Millis) -> Option<MemberState> {
+    let silent = e.asked.is_some_and(|t| now.since(t) >= ACK_LIMIT);
+    match e.member.state {
+        MemberState::Live if silent => Some(MemberState::Suspect),
+        MemberState::Leaving if silent => Some(MemberState::Dead),
+        MemberState::Suspect if now.since(e.changed) >= patience => Some(MemberState::Dead),
+        _ => None,
+    }
+}
+
+/// Suspicion comes and goes and is left out, or views would seem to differ
+/// whenever somebody is slow.
+fn fingerprint(member: &Member) -> u64 {
+    let state = match member.state {
+        MemberState::Live | MemberState::Suspect => "live",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => return 0,
+    };
+    rank(state, member.name.as_str()) ^ member.incarnation.0.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -8,7 +8,7 @@
     ids::{Bucket, FlowId, Incarnation, InstanceName, ServiceName, TargetName, Version},
     members::Member,
 };
-use std::sync::Arc;
+use std::{net::SocketAddrV4, sync::Arc};
 
 /// The blake3 digest of a signed bundle or of a part of one.
 pub type Digest = [u8; 32];
@@ -18,8 +18,12 @@
     pub struct Heartbeat {
         /// The sender as it sees itself.
         pub sender: Member,
+        /// Whether the sender waits for a heartbeat in return.
+        pub probe: bool,
         /// The digest of the bundle that the sender has in force.
         pub digest: Digest,
+        /// A digest over the members that the sender believes in.
+        pub members: u64,
         /// A digest over the plans of all services that the sender follows.
         pub plans: u64,
         /// A digest over the bucket history that the sender knows.
@@ -28,24 +32,40 @@
         pub rumours: Vec<Member>,
     }
 
-    /// Asks for the bundle in force, naming what the asker has already.
+    /// Asks for the bundle in force, naming the text that the asker has.
     pub struct BundleRequest {
-        /// The version that the asker has in force.
-        pub version: Version,
-        /// The digests of the services that the asker has.
-        pub have: Vec<Digest>,
+        /// Where the answer goes.
+        pub sender: SocketAddrV4,
+        /// The digest of the whole text that the asker has, if it has any.
+        pub base: Option<Digest>,
     }
 
-    /// A bundle as the difference to what the asker said that it has.
+    /// A bundle as the difference to a text that the asker said that it has.
     pub struct BundleDelta {
         /// The version of the whole.
         pub version: Version,
         /// The digest of the whole signed text.
         pub digest: Digest,
+        /// The digest of the text that [`Piece::Copy`] refers to.
+        pub base: Option<Digest>,
         /// The signed text in pieces, in order.
         pub pieces: Vec<Piece>,
     }
 
+    /// Asks for the plans in which the asker and the asked differ.
+    pub struct PlanRequest {
+        /// Where the answers go.
+        pub sender: SocketAddrV4,
+        /// The asker's digests over its plans, one a group of services.
+        pub groups: Vec<u64>,
+    }
+
+    /// Asks for the history of all services.
+    pub struct HistoryRequest {
+        /// Where the answers go.
+        pub sender: SocketAddrV4,
+    }
+
     /// The moved buckets of one service. The larger (sequence, author) wins.
     pub struct ServicePlan {
         /// The service that it is about.
@@ -87,12 +107,17 @@
     }
 }
 
-/// A piece of a bundle's text in a [`BundleDelta`].
+/// A part of a bundle's text in a [`BundleDelta`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Piece {
-    /// A piece that the asker has, by its digest.
-    Known(Digest),
-    /// The text of a piece that it lacks.
+    /// A run of the pieces of the base.
+    Copy {
+        /// The position of the first piece of the run.
+        first: u32,
+        /// How many pieces the run has.
+        count: u32,
+    },
+    /// Text that the base lacks.
     Text(Arc<str>),
 }
 
@@ -105,14 +130,14 @@
     BundleRequest(BundleRequest),
     /// See [`BundleDelta`].
     BundleDelta(BundleDelta),
-    /// Asks for the plans of all services.
-    PlanRequest,
+    /// See [`PlanRequest`].
+    PlanRequest(PlanRequest),
     /// See [`ServicePlan`].
     Plan(ServicePlan),
     /// See [`Advert`].
     Advert(Advert),
-    /// Asks for the history of all services.
-    HistoryRequest,
+    /// See [`HistoryRequest`].
+    HistoryRequest(HistoryRequest),
     /// See [`History`].
     History(History),
     /// See [`Leave`].
--- /dev/null
+++ b/lib/src/plan.rs
@@ -0,0 +1,120 @@
+//! Moved buckets: where flows go that do not go where the table says.
+//!
+//! Whoever ranks first for a service plans for it. Several may believe at
+//! once that they do, and a paused one may wake up and still believe it:
+//! plans are ordered and everyone follows the highest, so two authors cost
+//! some balance and never a flow. See `docs/design/plan.md`.
+
+use crate::{
+    collections::Map,
+    ids::{InstanceName, ServiceName},
+    members::{Member, rank, top},
+    message::ServicePlan,
+};
+use siphasher::sip::SipHasher13;
+use std::{cmp::Ordering, hash::Hasher};
+
+/// Into how many groups services are hashed when plans are compared: enough
+/// that a difference leads to a few services of the 3,400, and few enough
+/// that a request stays near half a kilobyte.
+pub const GROUPS: usize = 64;
+
+/// Whether `me` is the one that plans for `service`.
+pub fn authors<'a>(
+    me: &InstanceName,
+    service: &ServiceName,
+    members: impl Iterator<Item = &'a Member>,
+) -> bool {
+    let live: Vec<&InstanceName> = members.filter(|m| m.eligible()).map(|m| &m.name).collect();
+    top(service.as_str(), 1, live.into_iter(), |name| name.as_str()).first() == Some(&me)
+}
+
+/// Orders two plans of one service. The moves come last: an author that lost
+/// its memory may use a sequence twice, and even then all must agree.
+pub fn order(a: &ServicePlan, b: &ServicePlan) -> Ordering {
+    (a.sequence, &a.author, &a.moves).cmp(&(b.sequence, &b.author, &b.moves))
+}
+
+/// The plans that one instance follows.
+#[derive(Debug, Default, Clone)]
+pub struct Plans {
+    plans: Map<ServiceName, ServicePlan>,
+    groups: Vec<u64>,
+}
+
+impl Plans {
+    /// Starts with nothing moved.
+    pub fn new() -> Plans {
+        Plans { plans: Map::default(), groups: vec![0; GROUPS] }
+    }
+
+    /// The plan of `service`.
+    pub fn get(&self, service: &ServiceName) -> Option<&ServicePlan> {
+        self.plans.get(service)
+    }
+
+    /// Follows `plan` if it is the higher one. Returns whether it is.
+    pub fn merge(&mut self, plan: ServicePlan) -> bool {
+        let held = self.plans.get(&plan.service);
+        if held.is_some_and(|held| order(&plan, held).is_le()) {
+            return false;
+        }
+        let group = group(&plan.service);
+        self.groups[group] ^= held.map_or(0, fingerprint) ^ fingerprint(&plan);
+        self.plans.insert(plan.service.clone(), plan);
+        true
+    }
+
+    /// Makes the plan that follows the one held.
+    pub fn next(&self, author: &InstanceName, service: &ServiceName, moves: Moves) -> ServicePlan {
+        let sequence = self.get(service).map_or(0, |p| p.sequence).saturating_add(1);
+        ServicePlan { service: service.clone(), sequence, author: author.clone(), moves }
+    }
+
+    /// A digest over all plans; alike wherever they are alike.
+    pub fn digest(&self) -> u64 {
+        self.groups.iter().fold(0, |all, g| all.rotate_left(1) ^ g)
+    }
+
+    /// A digest a group of services.
+    pub fn groups(&self) -> &[u64] {
+        &self.groups
+    }
+
+    /// The plans in the groups whose digest differs from the asker's.
+    pub fn differing<'a>(&'a self, groups: &'a [u64]) -> impl Iterator<Item = &'a ServicePlan> {
+        let differs = |plan: &&ServicePlan| {
+            let group = group(&plan.service);
+            groups.get(group) != Some(&self.groups[group])
+        };
+        self.plans.values().filter(differs)
+    }
+}
+
+impl ServicePlan {
+    /// About how many bytes it takes on the wire.
+    pub fn size(&self) -> usize {
+        let moves: usize = self.moves.iter().map(|(_, target)| target.as_str().len() + 5).sum();
+        self.service.as_str().len() + self.author.as_str().len() + 14 + moves
+    }
+}
+
+/// Buckets with the targets that they go to.
+pub type Moves = Vec<(crate::ids::Bucket, crate::ids::TargetName)>;
+
+fn group(service: &ServiceName) -> usize {
+    (rank("plan", service.as_str()) % GROUPS as u64) as usize
+}
+
+fn fingerprint(plan: &ServicePlan) -> u64 {
+    let mut h = SipHasher13::new();
+    h.write(plan.service.as_str().as_bytes());
+    h.write_u64(plan.sequence);
+    h.write(plan.author.as_str().as_bytes());
+    for (bucket, target) in &plan.moves {
+        h.write_u16(bucket.0);
+        h.write(target.as_str().as_bytes());
+        h.write_u8(0xff);
+    }
+    h.finish()
+}
--- /dev/null
+++ b/lib/tests/fleet.rs
@@ -0,0 +1,8 @@
+//! Several instances' control state machines in virtual time.
+
+#[path = "fleet/net.rs"]
+mod net;
+#[path = "fleet/test_members.rs"]
+mod test_members;
+#[path = "fleet/test_spread.rs"]
+mod test_spread;
