--- /dev/null
+++ b/testutils/src/server.rs
@@ -0,0 +1,384 @@
+//! The work of a target, on a [`Host`] and without I/O.
+//!
+//! It counts how often each request ran and which packets were not its own:
+//! that is how the tests see a request run twice or a packet cross services.
+
+use crate::{
+    host::{Conn, Host, Stage},
+    packet::Ends,
+};
+use medlarspur_lib::{
+    bundle::Class,
+    collections::{Map, Set},
+    time::Millis,
+};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    net::Ipv4Addr,
+};
+
+/// What a target is and how it behaves.
+#[derive(Debug, Clone)]
+pub struct Profile {
+    /// Its name, which every answer tells.
+    pub name: String,
+    /// The service that it serves, which every answer tells.
+    pub service: String,
+    /// The address of the service.
+    pub address: Ipv4Addr,
+    /// The ports that it serves.
+    pub ports: Vec<(u16, Class)>,
+    /// How many requests and uploads it works on at once.
+    pub slots: usize,
+    /// How many connections it holds at once.
+    pub connections: usize,
+    /// The time between two lines of a feed.
+    pub interval: Millis,
+    /// How long a request takes once it has a slot.
+    pub work: Millis,
+    /// How long after its start a request takes ten times as long.
+    pub cold: Millis,
+    /// How many wait for a slot before it sheds the next one.
+    pub waiting: usize,
+    /// The bytes of the answer to a request after its first line.
+    pub answer: usize,
+}
+
+impl Profile {
+    /// A target with the sizes of the first sites and little work.
+    pub fn new(name: &str, service: &str, address: Ipv4Addr, ports: &[(u16, Class)]) -> Self {
+        Self {
+            name: name.into(),
+            service: service.into(),
+            address,
+            ports: ports.to_vec(),
+            slots: 2,
+            connections: 2000,
+            interval: Millis(500),
+            work: Millis(5),
+            cold: Millis(0),
+            waiting: 64,
+            answer: 2000,
+        }
+    }
+}
+
+/// What a target has seen.
+#[derive(Debug, Default, Clone, serde::Serialize)]
+pub struct Seen {
+    /// How often each request id ran.
+    pub runs: Map<String, u32>,
+    /// How many uploads were stored whole.
+    pub stored: u64,
+    /// How many connections it accepted.
+    pub opened: u64,
+    /// How many it shed.
+    pub shed: u64,
+    /// Openings that arrived while it was leaving.
+    pub late: u64,
+    /// Packets for an address or port that is not its own.
+    pub strays: u64,
+}
+
+/// How a cold start slows the work.
+const COLD_FACTOR: u64 = 10;
+
+/// A target: one host that serves the ports of one service.
+pub struct Server {
+    /// What it is; may be changed while it runs.
+    pub profile: Profile,
+    /// What it has seen so far.
+    pub seen: Seen,
+    /// While set, it turns away every opening.
+    pub draining: bool,
+    host: Host,
+    sessions: Map<Conn, Session>,
+    alarms: BTreeSet<(Millis, Conn)>,
+    queue: VecDeque<Conn>,
+    busy: Set<Conn>,
+    now: Millis,
+    started: Option<Millis>,
+}
+
+struct Session {
+    class: Class,
+    input: Vec<u8>,
+    output: VecDeque<u8>,
+    id: Option<String>,
+    lines: u64,
+    expected: Option<usize>,
+    answered: bool,
+}
+
+impl Server {
+    /// Starts a target.
+    pub fn new(profile: Profile) -> Self {
+        let host = Host::new(profile.address);
+        Self {
+            profile,
+            host,
+            seen: Seen::default(),
+            draining: false,
+            sessions: Map::default(),
+            alarms: BTreeSet::new(),
+            queue: VecDeque::new(),
+            busy: Set::default(),
+            now: Millis(0),
+            started: None,
+        }
+    }
+
+    /// How many connections it holds.
+    pub fn connections(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Its load: the fuller of its slots and its connections, from 0 to 1.
+    pub fn load(&self) -> f64 {
+        let part = |used: usize, all: usize| used as f64 / all.max(1) as f64;
+        let slots = part(self.busy.len(), self.profile.slots);
+        slots.max(part(self.sessions.len(), self.profile.connections)).min(1.0)
+    }
+
+    /// Takes in a packet that an instance sent here.
+    pub fn receive(&mut self, packet: &[u8]) {
+        let Some(ends) = Ends::parse(packet) else {
+            self.seen.strays += 1;
+            return;
+        };
+        let own = self.profile.ports.iter().any(|&(port, _)| port == ends.dst.port());
+        if !own || *ends.dst.ip() != self.profile.address {
+            self.seen.strays += 1;
+            return;
+        }
+        if self.draining && ends.kind == crate::packet::Kind::Opening {
+            self.seen.late += 1;
+        }
+        self.open_ports();
+        self.host.receive(packet);
+    }
+
+    /// Does the work due at `now` and takes the packets for callers.
+    pub fn poll(&mut self, now: Millis) -> Vec<Vec<u8>> {
+        self.now = self.now.max(now);
+        self.started.get_or_insert(now);
+        let mut packets = self.host.poll(self.now);
+        self.work();
+        packets.extend(self.host.poll(self.now));
+        packets
+    }
+
+    /// When the next poll has work, if nothing is received before.
+    pub fn next(&self) -> Option<Millis> {
+        let alarm = self.alarms.first().map(|&(due, _)| due);
+        [alarm, self.host.next()].into_iter().flatten().min()
+    }
+
+    fn open_ports(&mut self) {
+        let open = !self.draining && self.sessions.len() < self.profile.connections;
+        for &(port, _) in &self.profile.ports {
+            match open {
+                true => self.host.listen(port),
+                false => self.host.unlisten(port),
+            }
+        }
+    }
+
+    fn work(&mut self) {
+        for conn in self.host.ready() {
+            self.serve(conn);
+        }
+        while let Some(&(due, conn)) = self.alarms.first()
+            && due <= self.now
+        {
+            self.alarms.remove(&(due, conn));
+            self.ring(conn);
+        }
+    }
+
+    fn serve(&mut self, conn: Conn) {
+        match self.host.stage(conn) {
+            Stage::Opening => return,
+            Stage::Refused | Stage::Broken => return self.forget(conn),
+            Stage::Open | Stage::Finished => {}
+        }
+        if !self.sessions.contains_key(&conn) {
+            let Some(class) = self.class(conn.port) else {
+                return;
+            };
+            self.seen.opened += 1;
+            self.sessions.insert(conn, Session::new(class));
+        }
+        let bytes = self.host.recv(conn);
+        let Some(session) = self.sessions.get_mut(&conn) else {
+            return;
+        };
+        session.input.extend(bytes);
+        match session.class {
+            Class::Feed => self.serve_feed(conn),
+            Class::Request | Class::Upload => self.serve_once(conn),
+        }
+        self.flush(conn);
+    }
+
+    fn class(&self, port: u16) -> Option<Class> {
+        self.profile.ports.iter().find(|&&(number, _)| number == port).map(|&(_, class)| class)
+    }
+
+    fn serve_feed(&mut self, conn: Conn) {
+        let Some(session) = self.sessions.get_mut(&conn) else {
+            return;
+        };
+        while let Some(line) = session.line() {
+            match &session.id {
+                Some(_) => session.say(&format!("ECHO {line}\n")),
+                None => {
+                    let Profile { name, service, .. } = &self.profile;
+                    session.say(&format!("HELLO {line} {name} {service}\n"));
+                    session.id = Some(line);
+                    self.alarms.insert((self.now + self.profile.interval, conn));
+                }
+            }
+        }
+        if self.host.stage(conn) == Stage::Finished {
+            self.host.close(conn);
+        }
+    }
+
+    fn serve_once(&mut self, conn: Conn) {
+        let Some(session) = self.sessions.get_mut(&conn) else {
+            return;
+        };
+        if session.id.is_none() && !session.read_head() {
+            return;
+        }
+        let whole = session.expected.is_some_and(|expected| session.input.len() >= expected);
+        let known = session.answered || self.busy.contains(&conn) || self.queue.contains(&conn);
+        if !whole || known {
+            return;
+        }
+        if self.queue.len() >= self.profile.waiting {
+            self.seen.shed += 1;
+            self.host.abort(conn);
+            return self.forget(conn);
+        }
+        self.queue.push_back(conn);
+        self.fill_slots();
+    }
+
+    fn fill_slots(&mut self) {
+        while self.busy.len() < self.profile.slots
+            && let Some(conn) = self.queue.pop_front()
+        {
+            let cold = self.now.since(self.started.unwrap_or_default()) < self.profile.cold;
+            let factor = if cold { COLD_FACTOR } else { 1 };
+            self.busy.insert(conn);
+            self.alarms.insert((self.now + Millis(self.profile.work.0 * factor), conn));
+        }
+    }
+
+    fn ring(&mut self, conn: Conn) {
+        let Some(session) = self.sessions.get_mut(&conn) else {
+            return;
+        };
+        match session.class {
+            Class::Feed => {
+                let line = format!("STRIKE {}\n", session.lines);
+                session.lines += 1;
+                session.say(&line);
+                self.alarms.insert((self.now + self.profile.interval, conn));
+            }
+            Class::Request | Class::Upload => self.answer(conn),
+        }
+        self.flush(conn);
+    }
+
+    fn answer(&mut self, conn: Conn) {
+        let Some(session) = self.sessions.get_mut(&conn) else {
+            return;
+        };
+        let id = session.id.clone().unwrap_or_default();
+        let Profile { name, service, answer, .. } = &self.profile;
+        if session.class == Class::Request {
+            session.say(&format!("DONE {id} {name} {service} {answer}\n"));
+            session.output.extend(body(&id, *answer));
+            *self.seen.runs.entry(id).or_default() += 1;
+        } else {
+            let hash = blake3::hash(&session.input).to_hex();
+            let count = session.input.len();
+            session.say(&format!("STORED {id} {name} {service} {count} {hash}\n"));
+            self.seen.stored += 1;
+        }
+        session.answered = true;
+        self.busy.remove(&conn);
+        self.fill_slots();
+    }
+
+    fn flush(&mut self, conn: Conn) {
+        let Some(session) = self.sessions.get_mut(&conn) else {
+            return;
+        };
+        let sent = self.host.send(conn, session.output.make_contiguous());
+        session.output.drain(..sent);
+        if session.answered && session.output.is_empty() {
+            self.host.close(conn);
+        }
+        if self.host.is_over(conn) {
+            self.forget(conn);
+        }
+    }
+
+    /// Drops a connection that has ended. What has a slot keeps it to its end,
+    /// since a target can't know that its caller has gone.
+    fn forget(&mut self, conn: Conn) {
+        self.sessions.remove(&conn);
+        self.queue.retain(|&other| other != conn);
+        if self.busy.remove(&conn) {
+            self.fill_slots();
+        }
+        self.host.remove_over(conn);
+    }
+}
+
+impl Session {
+    fn new(class: Class) -> Self {
+        Self {
+            class,
+            input: Vec::new(),
+            output: VecDeque::new(),
+            id: None,
+            lines: 0,
+            expected: None,
+            answered: false,
+        }
+    }
+
+    fn say(&mut self, line: &str) {
+        self.output.extend(line.bytes());
+    }
+
+    fn line(&mut self) -> Option<String> {
+        let end = self.input.iter().position(|&byte| byte == b'\n')?;
+        let line = self.input.drain(..=end).collect::<Vec<_>>();
+        Some(String::from_utf8_lossy(&line[..end]).into_owned())
+    }
+
+    /// Reads `REQ id` or `UP id length`.
+    fn read_head(&mut self) -> bool {
+        let Some(line) = self.line() else {
+            return false;
+        };
+        let mut words = line.split(' ').skip(1);
+        self.id = Some(words.next().unwrap_or_default().into());
+        self.expected = Some(words.next().and_then(|word| word.parse().ok()).unwrap_or(0));
+        true
+    }
+}
+
+/// The bytes that answer or fill the work `id`; both ends can compute them.
+pub fn body(id: &str, len: usize) -> Vec<u8> {
+    let mut reader = blake3::Hasher::new().update(id.as_bytes()).finalize_xof();
+    let mut bytes = vec![0; len];
+    reader.fill(&mut bytes);
+    bytes
+}
--- /dev/null
+++ b/testutils/tests/runner.rs
@@ -0,0 +1,3 @@
+//! One runner, so that the tests link once.
+
+mod test_host;
--- /dev/null
+++ b/testutils/tests/test_host.rs
@@ -0,0 +1,119 @@
+//! Feeds, requests and uploads between two hosts in virtual time.
+
+use medlarspur_lib::{bundle::Class, time::Millis};
+use medlarspur_testutils::{
+    client::{Client, End, Outcome, Patience, Work},
+    server::{Profile, Server},
+};
+use proptest::prelude::*;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+const SERVICE: Ipv4Addr = Ipv4Addr::new(10, 90, 0, 1);
+const CALLER: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
+const PORTS: [(u16, Class); 3] = [(1, Class::Feed), (2, Class::Request), (3, Class::Upload)];
+
+fn server() -> Server {
+    Server::new(Profile::new("a", "alertdesk", SERVICE, &PORTS))
+}
+
+fn client() -> Client {
+    let patience = Patience { opening: Millis::secs(100), silence: Millis::secs(100) };
+    Client::new(CALLER, patience)
+}
+
+fn work(id: &str, class: Class) -> Work {
+    let port = PORTS.iter().find(|&&(_, other)| other == class).map_or(9, |&(port, _)| port);
+    let remote = SocketAddrV4::new(SERVICE, port);
+    let hold = Millis::secs(20);
+    Work { id: id.into(), service: "alertdesk".into(), class, remote, size: 60_000, hold }
+}
+
+/// Opens a feed and lets it run for a while.
+fn feed(client: &mut Client, server: &mut Server) {
+    client.open(Millis(0), work("f", Class::Feed));
+    for step in 0..100 {
+        client.poll(Millis(step)).iter().for_each(|packet| server.receive(packet));
+        server.poll(Millis(step)).iter().for_each(|packet| client.receive(packet));
+    }
+}
+
+/// Runs both ends until the caller has nothing under way, losing packets.
+fn run(client: &mut Client, server: &mut Server, loss: f64, seed: u64) -> Vec<Outcome> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut now = Millis(100);
+    while client.pending() > 0 && now < Millis::secs(2000) {
+        for packet in client.poll(now) {
+            if !rng.random_bool(loss) {
+                server.receive(&packet);
+            }
+        }
+        for packet in server.poll(now) {
+            if !rng.random_bool(loss) {
+                client.receive(&packet);
+            }
+        }
+        now = now + Millis(1);
+    }
+    client.outcomes()
+}
+
+fn ends(outcomes: &[Outcome]) -> Vec<End> {
+    outcomes.iter().map(|outcome| outcome.end).collect()
+}
+
+#[test]
+fn all_classes_complete_without_loss() {
+    let (mut client, mut server) = (client(), server());
+    for class in [Class::Feed, Class::Request, Class::Upload] {
+        client.open(Millis(0), work(&format!("{class:?}"), class));
+    }
+
+    let outcomes = run(&mut client, &mut server, 0.0, 1);
+
+    assert_eq!(ends(&outcomes), [End::Completed; 3]);
+    assert_eq!(server.seen.runs.get("Request"), Some(&1));
+    assert_eq!((server.seen.stored, server.seen.strays), (1, 0));
+}
+
+#[test]
+fn draining_target_refuses_openings_and_keeps_feeds() {
+    let (mut client, mut server) = (client(), server());
+    feed(&mut client, &mut server);
+    server.draining = true;
+    client.open(Millis(100), work("r", Class::Request));
+
+    let outcomes = run(&mut client, &mut server, 0.0, 1);
+
+    assert_eq!(ends(&outcomes), [End::Refused, End::Completed]);
+    assert_eq!((server.seen.runs.len(), server.seen.late), (0, 1));
+}
+
+/// A back end dies without a word while a feed is open. The caller must see
+/// its feed as broken and not wait for ever.
+#[test]
+fn silent_target_breaks_its_feed() {
+    let (mut client, mut server) = (client(), server());
+    feed(&mut client, &mut server);
+
+    let outcomes = run(&mut client, &mut server, 1.0, 1);
+
+    assert_eq!(ends(&outcomes), [End::Broken]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    #[test]
+    fn loss_delays_and_never_breaks(seed: u64, loss in 0.0..0.1f64) {
+        let (mut client, mut server) = (client(), server());
+        for class in [Class::Feed, Class::Request, Class::Upload] {
+            client.open(Millis(0), work(&format!("{class:?}"), class));
+        }
+
+        let outcomes = run(&mut client, &mut server, loss, seed);
+
+        prop_assert_eq!(ends(&outcomes), [End::Completed; 3]);
+        prop_assert_eq!(server.seen.runs.get("Request"), Some(&1));
+    }
+}
