forwarder: send each packet of a flow to one target through moves of its bucket

An instance that never saw a flow must still send it to its target. A bucket moves in two steps, because with one step an instance that is behind sends the second packet of a flow to the old owner, which resets it. Unknown flows of moved buckets are asked of keepers, and of all members while the move is fresh; in doubt the earlier owner gets a packet in mid-flow. The service of a target is checked once more where packets leave.

--- /dev/null
+++ b/lib/src/forwarder/adverts.rs
@@ -0,0 +1,205 @@
+//! Telling keepers the exceptions: the flows of moved buckets that go elsewhere
+//! than the bucket's present owner.
+//!
+//! Only exceptions travel, and at a bounded pace, because a node has a few
+//! kilobytes a second for control. Flows opened here go first: each flow has
+//! one opener, so the keepers know all flows of live openers after the least
+//! traffic; flows that merely passed here follow, for openers that are gone.
+
+use super::Sink;
+use crate::{
+    collections::{Map, Set},
+    flows::{Belief, Flows},
+    ids::{FlowId, InstanceName, ServiceName, TargetName},
+    keepers::Keepers,
+    message::Advert,
+    time::Millis,
+    view::{ServiceView, TargetId, View},
+};
+use std::collections::VecDeque;
+
+/// How many flows are told in a second: at 16 bytes each this is 2 KB/s.
+const FLOWS_PER_SECOND: u64 = 128;
+
+/// How many flows may be told at once after a quiet time, so that a single
+/// move is told without delay.
+const BURST: u64 = 128;
+
+/// Bounds a rate without a clock of its own: earns with time, is spent by use.
+#[derive(Debug, Clone)]
+pub struct Paced {
+    rate: u64,
+    burst: u64,
+    credit: u64,
+    last: Millis,
+}
+
+impl Paced {
+    /// Allows `rate` a second and `burst` at once.
+    pub fn new(rate: u64, burst: u64) -> Paced {
+        Paced { rate, burst, credit: burst * 1000, last: Millis(0) }
+    }
+
+    /// Takes one if there is one.
+    pub fn take(&mut self, now: Millis) -> bool {
+        let earned = now.since(self.last).0.saturating_mul(self.rate);
+        self.last = self.last.max(now);
+        self.credit = self.credit.saturating_add(earned).min(self.burst * 1000);
+        let has = self.credit >= 1000;
+        self.credit -= if has { 1000 } else { 0 };
+        has
+    }
+}
+
+/// One flow to tell one keeper.
+#[derive(Debug)]
+struct Item {
+    keeper: InstanceName,
+    service: ServiceName,
+    flow: FlowId,
+    target: TargetId,
+}
+
+/// For which state of a service its flows were last looked through.
+#[derive(Debug, PartialEq, Eq)]
+struct Scanned {
+    revision: u64,
+    keepers: Keepers,
+}
+
+#[derive(Debug)]
+pub(super) struct Adverts {
+    queue: VecDeque<Item>,
+    scanned: Map<ServiceName, Scanned>,
+    untold: Set<ServiceName>,
+    pace: Paced,
+    refreshed: Millis,
+}
+
+impl Default for Adverts {
+    fn default() -> Adverts {
+        Adverts {
+            queue: VecDeque::new(),
+            scanned: Map::default(),
+            untold: Set::default(),
+            pace: Paced::new(FLOWS_PER_SECOND, BURST),
+            refreshed: Millis(0),
+        }
+    }
+}
+
+impl Adverts {
+    /// Looks through the flows of the services that have changed.
+    pub(super) fn follow(&mut self, view: &View, flows: &Flows) {
+        let changed: Vec<_> = view
+            .services
+            .iter()
+            .filter(|service| service.in_doubt() && !service.is_pending())
+            .filter(|service| self.scanned.get(&service.spec.name) != Some(&scan_of(service)))
+            .cloned()
+            .collect();
+        if changed.is_empty() {
+            return;
+        }
+        for service in &changed {
+            let name = &service.spec.name;
+            self.scanned.insert(name.clone(), scan_of(service));
+            self.untold.insert(name.clone());
+            self.queue.retain(|item| &item.service != name);
+        }
+        self.scan(view, flows, |service| changed.iter().any(|c| c.key == service.key));
+    }
+
+    fn scan(&mut self, view: &View, flows: &Flows, wants: impl Fn(&ServiceView) -> bool) {
+        let wanted: Vec<_> = view.services.iter().map(|service| wants(service)).collect();
+        let positions = view.positions();
+        let mut later = Vec::new();
+        for (id, flow) in flows.iter() {
+            let position = positions[flow.target.0 as usize].filter(|&position| wanted[position]);
+            let Some(service) = position.map(|position| &view.services[position]) else {
+                continue;
+            };
+            match flow.belief {
+                Belief::Opened => self.push(view, service, id, flow.target),
+                Belief::Seen => later.push((service, id, flow.target)),
+                Belief::Told | Belief::Guessed => {}
+            }
+        }
+        for (service, id, target) in later {
+            self.push(view, service, id, target);
+        }
+    }
+
+    fn push(&mut self, view: &View, service: &ServiceView, flow: FlowId, target: TargetId) {
+        let bucket = service.bucket(flow);
+        let state = service.state(bucket);
+        if !state.in_doubt() || state.owner == Some(target) {
+            return;
+        }
+        for keeper in service.keepers.of(bucket).filter(|name| **name != view.me) {
+            let (keeper, service) = (keeper.clone(), service.spec.name.clone());
+            self.queue.push_back(Item { keeper, service, flow, target });
+        }
+    }
+
+    /// Tells the keepers of a flow that turned out to be an exception.
+    pub(super) fn exception(&mut self, view: &View, flow: FlowId, target: TargetId) {
+        let name = &view.registry.get(target).service;
+        if let Some(service) = view.service(name) {
+            self.push(view, service, flow, target);
+        }
+    }
+
+    /// Tells what is queued, as far as the pace allows, and then that all of a
+    /// service has been told.
+    pub(super) fn send(&mut self, view: &View, flows: &Flows, now: Millis, sink: &mut impl Sink) {
+        let mut batches: Map<(InstanceName, ServiceName), Vec<(FlowId, TargetName)>> =
+            Map::default();
+        while !self.queue.is_empty() && self.pace.take(now) {
+            let Some(item) = self.queue.pop_front() else { break };
+            if flows.get(item.flow).is_none() {
+                continue;
+            }
+            let name = view.registry.get(item.target).name.clone();
+            batches.entry((item.keeper, item.service)).or_default().push((item.flow, name));
+        }
+        for ((keeper, service), flows) in batches {
+            let sender = view.me.clone();
+            sink.advert(&keeper, Advert { sender, service, flows, told: None });
+        }
+        self.send_told(view, sink);
+    }
+
+    fn send_told(&mut self, view: &View, sink: &mut impl Sink) {
+        if self.untold.is_empty() {
+            return;
+        }
+        let queued: Set<_> = self.queue.iter().map(|item| item.service.clone()).collect();
+        let done: Vec<_> =
+            self.untold.iter().filter(|name| !queued.contains(*name)).cloned().collect();
+        for name in done {
+            self.untold.remove(&name);
+            let Some(service) = view.service(&name) else { continue };
+            for keeper in service.keepers.all().iter().filter(|keeper| **keeper != view.me) {
+                let (sender, service_name) = (view.me.clone(), name.clone());
+                let told = Some(service.stamp.0);
+                let flows = Vec::new();
+                sink.advert(keeper, Advert { sender, service: service_name, flows, told });
+            }
+        }
+    }
+
+    /// Tells the exceptions again, once each keep-alive, because a keeper that
+    /// hears nothing of a flow any more forgets it as one that is over.
+    pub(super) fn refresh(&mut self, view: &View, _: &Flows, now: Millis) {
+        let period = view.bundle.services.iter().map(|s| s.keepalive).min();
+        if period.is_some_and(|period| now.since(self.refreshed) >= period) {
+            self.refreshed = now;
+            self.scanned.clear();
+        }
+    }
+}
+
+fn scan_of(service: &ServiceView) -> Scanned {
+    Scanned { revision: service.revision, keepers: service.keepers.clone() }
+}
--- /dev/null
+++ b/lib/src/forwarder/keeping.rs
@@ -0,0 +1,150 @@
+//! What this instance keeps for others, and what it may say of flows that it
+//! does not know.
+//!
+//! "No exception" sends a flow to its bucket's present owner, so a keeper says
+//! it only when every live instance has told it everything up to the present
+//! stamp of the service. Otherwise a keeper that has just taken over the duty
+//! would deny flows it was not told of yet, and their feeds would break.
+
+use super::Site;
+use crate::{
+    collections::{Map, Set},
+    flows::{Belief, Flows},
+    ids::{Bucket, Incarnation, InstanceName, ServiceName},
+    message::Advert,
+    question::{Question, Word},
+    time::Millis,
+    view::{ServiceView, Stamp, View},
+};
+
+/// Up to which stamp an instance has told all, and in which of its lives.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    life: Incarnation,
+    stamp: Stamp,
+}
+
+/// The buckets of a service that had exceptions at the last look.
+#[derive(Debug, Default)]
+struct Swept {
+    revision: u64,
+    busy: Set<Bucket>,
+}
+
+impl Swept {
+    fn new(service: &ServiceView) -> Swept {
+        Swept { revision: service.revision, busy: Set::default() }
+    }
+}
+
+/// The buckets of a service of which a keeper said that none is left.
+#[derive(Debug, Default)]
+struct Cleared {
+    revision: u64,
+    buckets: Set<Bucket>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Keeping {
+    told: Map<ServiceName, Map<InstanceName, Told>>,
+    lives: Map<InstanceName, Incarnation>,
+    swept: Map<ServiceName, Swept>,
+    cleared: Map<ServiceName, Cleared>,
+}
+
+impl Keeping {
+    /// Forgets what instances said that are gone or have started again.
+    pub(super) fn follow(&mut self, view: &View, _: Millis) {
+        self.lives =
+            view.others().map(|member| (member.name.clone(), member.incarnation)).collect();
+        let lives = &self.lives;
+        for told in self.told.values_mut() {
+            told.retain(|name, told| lives.get(name) == Some(&told.life));
+        }
+    }
+
+    /// Notes how far an instance has told all.
+    pub(super) fn told(&mut self, advert: &Advert) {
+        let (Some(stamp), Some(&life)) = (advert.told, self.lives.get(&advert.sender)) else {
+            return;
+        };
+        let service = self.told.entry(advert.service.clone()).or_default();
+        service.insert(advert.sender.clone(), Told { life, stamp: Stamp(stamp) });
+    }
+
+    /// What to answer to a question.
+    pub(super) fn word(&self, view: &View, flows: &Flows, q: &Question, now: Millis) -> Word {
+        if let Some(flow) = flows.get(q.flow).filter(|flow| flow.belief > Belief::Guessed) {
+            return Word::Known(view.registry.get(flow.target).key);
+        }
+        let Some(service) = view.keyed(q.service) else { return Word::Unknown };
+        let bucket = service.bucket(q.flow);
+        let keeps = service.keepers.of(bucket).any(|name| name == &view.me);
+        if !keeps || service.is_pending() || !self.is_complete(service) {
+            return Word::Unknown;
+        }
+        Word::NoException { empty: self.is_empty(view, service, bucket, now) }
+    }
+
+    fn is_complete(&self, service: &ServiceView) -> bool {
+        let told = self.told.get(&service.spec.name);
+        self.lives.keys().all(|name| {
+            told.and_then(|told| told.get(name)).is_some_and(|told| told.stamp >= service.stamp)
+        })
+    }
+
+    fn is_empty(&self, view: &View, service: &ServiceView, bucket: Bucket, now: Millis) -> bool {
+        let state = service.state(bucket);
+        let swept = self.swept.get(&service.spec.name);
+        !state.is_settling(now)
+            && !view.has_orphans(service, now)
+            && swept.is_some_and(|s| s.revision == service.revision && !s.busy.contains(&bucket))
+    }
+
+    /// Looks which buckets still have exceptions.
+    pub(super) fn sweep(&mut self, view: &View, flows: &Flows, _: Millis) {
+        self.swept = view
+            .services
+            .iter()
+            .filter(|service| self.may_clear(service))
+            .map(|service| (service.spec.name.clone(), Swept::new(service)))
+            .collect();
+        if self.swept.is_empty() {
+            return;
+        }
+        let positions = view.positions();
+        for (id, flow) in flows.iter() {
+            let Some(position) = positions[flow.target.0 as usize] else { continue };
+            let service = &view.services[position];
+            let bucket = service.bucket(id);
+            if service.state(bucket).owner != Some(flow.target)
+                && let Some(swept) = self.swept.get_mut(&service.spec.name)
+            {
+                swept.busy.insert(bucket);
+            }
+        }
+    }
+
+    fn may_clear(&self, service: &ServiceView) -> bool {
+        service.in_doubt() && !service.is_pending() && self.is_complete(service)
+    }
+
+    /// Notes that a keeper said that a bucket has no exceptions left.
+    pub(super) fn clear(&mut self, site: &Site<'_>) {
+        let service = site.service;
+        let cleared = self.cleared.entry(service.spec.name.clone()).or_default();
+        if cleared.revision != service.revision {
+            *cleared = Cleared { revision: service.revision, buckets: Set::default() };
+        }
+        cleared.buckets.insert(service.bucket(site.id));
+    }
+
+    /// Whether a bucket has no exceptions left since its last move.
+    pub(super) fn is_clear(&self, site: &Site<'_>) -> bool {
+        let service = site.service;
+        self.cleared.get(&service.spec.name).is_some_and(|cleared| {
+            cleared.revision == service.revision
+                && cleared.buckets.contains(&service.bucket(site.id))
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/forwarder/mod.rs
@@ -0,0 +1,391 @@
+//! The packet path of one instance, without I/O or clock.
+//!
+//! [`Forwarder`] is given packets, peers' datagrams, views and ticks, and says
+//! through a [`Sink`] what to send. It holds to four rules, in this order:
+//!
+//! 1. A flow that is known here goes where it went before.
+//! 2. An unknown flow in a bucket with one owner goes to that owner.
+//! 3. An unknown flow in a bucket that has moved is asked of the instances
+//!    that may know it, while its packets are held for [`ASK_TIME`] at most.
+//! 4. In doubt, a packet in mid-flow goes to the earlier owner, because long
+//!    feeds are what is worth most, and an opening goes to the present one.
+//!
+//! A target is taken only if it belongs to the service that the packet is
+//! addressed to; that is checked where packets leave, for all rules.
+
+mod adverts;
+mod counters;
+mod gate;
+mod held;
+mod keeping;
+mod refusal;
+
+pub use adverts::Paced;
+pub use counters::Counters;
+pub use gate::{Gate, OpenGate, Opening, Verdict};
+pub use held::ASK_TIME;
+
+use crate::{
+    bundle::{Class, Protocol},
+    flows::{Belief, Flow, Flows},
+    ids::{FlowId, InstanceName},
+    message::Advert,
+    packet::{Mark, Packet},
+    question::{Answer, Datagram, Question},
+    time::Millis,
+    view::{BucketView, ServiceView, TargetId, View},
+};
+use adverts::Adverts;
+use held::Held;
+use keeping::Keeping;
+use std::{net::SocketAddrV4, sync::Arc};
+
+/// Where a forwarder's output goes.
+pub trait Sink {
+    /// Sends a caller's packet to a target.
+    fn forward(&mut self, target: SocketAddrV4, packet: &[u8]);
+    /// Sends a packet made here to its caller, by the fabric.
+    fn answer(&mut self, packet: Vec<u8>);
+    /// Sends a datagram to a peer.
+    fn ask(&mut self, peer: SocketAddrV4, datagram: Datagram);
+    /// Hands a message to the control thread, for the named keeper.
+    fn advert(&mut self, keeper: &InstanceName, advert: Advert);
+}
+
+/// How long a repeated SYN may follow the first. After that, a SYN on a known
+/// flow is a new connection of a caller that uses its port again, and must not
+/// reach a target that takes no new flows.
+const REPEAT_TIME: Millis = Millis::secs(10);
+
+/// How long the flow of a closed connection is remembered for late packets.
+const CLOSED_TIME: Millis = Millis::secs(60);
+
+/// How many keep-alives a flow may miss before it is forgotten.
+const MISSED_KEEPALIVES: u64 = 4;
+
+/// How long after a pause nothing in the own picture is trusted unasked.
+const DISTRUST_TIME: Millis = Millis::secs(3);
+
+/// How often flows that are over are looked for.
+const SWEEP_TIME: Millis = Millis::secs(5);
+
+/// The packet path of one instance.
+#[derive(Debug)]
+pub struct Forwarder<G> {
+    view: Option<Arc<View>>,
+    flows: Flows,
+    held: Held,
+    keeping: Keeping,
+    adverts: Adverts,
+    gate: G,
+    counters: Counters,
+    distrust: Option<Millis>,
+    sweep: Millis,
+    nonce: u32,
+}
+
+impl<G: Gate> Forwarder<G> {
+    /// Makes a forwarder without a view: it drops packets until it has one.
+    pub fn new(gate: G, capacity: usize) -> Forwarder<G> {
+        Forwarder {
+            view: None,
+            flows: Flows::with_capacity(capacity),
+            held: Held::default(),
+            keeping: Keeping::default(),
+            adverts: Adverts::default(),
+            gate,
+            counters: Counters::default(),
+            distrust: None,
+            sweep: Millis(0),
+            nonce: 0,
+        }
+    }
+
+    /// What was counted so far.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// The flows that are known here.
+    pub fn flows(&self) -> &Flows {
+        &self.flows
+    }
+
+    /// The view that packets are judged by.
+    pub fn view(&self) -> Option<&Arc<View>> {
+        self.view.as_ref()
+    }
+
+    /// The decisions on openings.
+    pub fn gate(&mut self) -> &mut G {
+        &mut self.gate
+    }
+
+    /// Takes the next view.
+    pub fn install(&mut self, view: Arc<View>, now: Millis) {
+        self.keeping.follow(&view, now);
+        self.adverts.follow(&view, &self.flows);
+        self.gate.follow(&view, now);
+        self.view = Some(view);
+    }
+
+    /// Says that the process slept. Its picture may be old: a bucket that it
+    /// takes for settled may have moved, and its first packets after waking
+    /// would break flows. So it asks about every flow that it doesn't know
+    /// until its peers had time to correct it.
+    pub fn distrust(&mut self, now: Millis) {
+        self.distrust = Some(now + DISTRUST_TIME);
+        self.counters.slept += 1;
+    }
+
+    /// Takes a datagram from the fabric.
+    pub fn packet(&mut self, now: Millis, bytes: &[u8], sink: &mut impl Sink) {
+        self.counters.packets += 1;
+        match Packet::parse(bytes) {
+            Ok(packet) => self.route(now, &packet, sink),
+            Err(error) => self.counters.malformed(error),
+        }
+    }
+
+    fn route(&mut self, now: Millis, packet: &Packet<'_>, sink: &mut impl Sink) {
+        let Some(view) = self.view.clone() else {
+            self.counters.unready += 1;
+            return;
+        };
+        let key = packet.key();
+        let Some((service, class)) = view.find(key.service, key.protocol) else {
+            self.counters.strangers += 1;
+            if packet.mark() == Mark::Open {
+                self.turn_away(packet, sink);
+            }
+            return;
+        };
+        let id = view.hasher.id(&key);
+        let site = Site { view: &view, service, class, id };
+        if self.known(now, packet, &site, sink) || self.is_refusal(now, packet, &site, sink) {
+            return;
+        }
+        if self.must_ask(now, &site) {
+            self.hold(now, packet, &site, sink);
+        } else {
+            self.settle(now, packet, &site, sink);
+        }
+    }
+
+    /// Rule 1: a known flow goes where it went before.
+    fn known(
+        &mut self,
+        now: Millis,
+        packet: &Packet<'_>,
+        site: &Site<'_>,
+        sink: &mut impl Sink,
+    ) -> bool {
+        let Some(flow) = self.flows.get(site.id) else { return false };
+        if packet.mark() == Mark::Open && is_over(flow, site, now) {
+            self.forget(now, site.id);
+            return false;
+        }
+        let Some(flow) = self.flows.touch(site.id, now) else { return false };
+        flow.closing |= matches!(packet.mark(), Mark::Close | Mark::Abort);
+        if flow.belief < Belief::Seen && packet.mark() != Mark::Open {
+            flow.belief = flow.belief.max(Belief::Told);
+        }
+        let target = flow.target;
+        self.counters.hits += 1;
+        if packet.mark() == Mark::Middle {
+            self.gate.followed(now, site.id);
+        }
+        self.send(packet.bytes(), target, site, sink);
+        true
+    }
+
+    /// Whether others may know more of an unknown flow than this instance.
+    fn must_ask(&mut self, now: Millis, site: &Site<'_>) -> bool {
+        if self.distrust.is_some_and(|until| now < until) {
+            return true;
+        }
+        self.distrust = None;
+        let state = site.bucket();
+        state.in_doubt() && !self.keeping.is_clear(site)
+    }
+
+    /// Rule 2, and the end of rules 3 and 4: the flow goes to the owner.
+    fn settle(&mut self, now: Millis, packet: &Packet<'_>, site: &Site<'_>, sink: &mut impl Sink) {
+        self.counters.misses += 1;
+        let Some(owner) = site.bucket().owner else {
+            self.counters.ownerless += 1;
+            self.turn_away(packet, sink);
+            return;
+        };
+        match packet.mark() {
+            Mark::Open => self.open(now, packet, owner, site, sink),
+            Mark::Middle if packet.key().protocol == Protocol::Udp => {
+                self.open(now, packet, owner, site, sink);
+            }
+            Mark::Middle => self.adopt(now, packet, owner, Belief::Seen, site, sink),
+            Mark::Close | Mark::Abort => self.send(packet.bytes(), owner, site, sink),
+        }
+    }
+
+    fn open(
+        &mut self,
+        now: Millis,
+        packet: &Packet<'_>,
+        owner: TargetId,
+        site: &Site<'_>,
+        sink: &mut impl Sink,
+    ) {
+        let caller = *packet.key().caller.ip();
+        let opening = Opening {
+            flow: site.id,
+            caller,
+            service: &site.service.spec.name,
+            class: site.class,
+            target: owner,
+        };
+        match self.gate.open(now, &opening) {
+            Verdict::Admit => self.admit(now, packet, owner, site, sink),
+            Verdict::Wait => {
+                if !self.held.wait(site.id, packet.bytes()) {
+                    self.refuse(now, packet, Millis::secs(1), site, sink);
+                }
+            }
+            Verdict::Refuse { after } => self.refuse(now, packet, after, site, sink),
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: Millis,
+        packet: &Packet<'_>,
+        owner: TargetId,
+        site: &Site<'_>,
+        sink: &mut impl Sink,
+    ) {
+        self.counters.opened += 1;
+        let mut flow = Flow::new(owner, Belief::Opened, now);
+        flow.admitted = true;
+        self.flows.note(site.id, flow);
+        self.send(packet.bytes(), owner, site, sink);
+    }
+
+    /// Notes a flow that another instance opened and sends its packet on.
+    fn adopt(
+        &mut self,
+        now: Millis,
+        packet: &Packet<'_>,
+        target: TargetId,
+        belief: Belief,
+        site: &Site<'_>,
+        sink: &mut impl Sink,
+    ) {
+        let mut flow = Flow::new(target, belief, now);
+        flow.closing = matches!(packet.mark(), Mark::Close | Mark::Abort);
+        self.flows.note(site.id, flow);
+        self.send(packet.bytes(), target, site, sink);
+    }
+
+    /// The one way out. A packet for one service must never reach a target of
+    /// another: whatever led to the target, a wrong table, a peer's answer or
+    /// a clash of hashes, it is checked here once more and dropped.
+    fn send(&mut self, bytes: &[u8], target: TargetId, site: &Site<'_>, sink: &mut impl Sink) {
+        let entry = site.view.registry.get(target);
+        if entry.service != site.service.spec.name {
+            self.counters.crossed += 1;
+            return;
+        }
+        self.counters.forwarded += 1;
+        sink.forward(entry.address, bytes);
+    }
+
+    fn forget(&mut self, now: Millis, id: FlowId) {
+        if let Some(flow) = self.flows.remove(id)
+            && flow.admitted
+        {
+            self.gate.closed(now, id);
+        }
+    }
+
+    /// Takes a datagram from a peer.
+    pub fn datagram(
+        &mut self,
+        now: Millis,
+        from: SocketAddrV4,
+        datagram: Datagram,
+        sink: &mut impl Sink,
+    ) {
+        match datagram {
+            Datagram::Question(question) => self.reply(now, from, question, sink),
+            Datagram::Answer(answer) => self.answered(now, answer, sink),
+        }
+    }
+
+    fn reply(&mut self, now: Millis, from: SocketAddrV4, q: Question, sink: &mut impl Sink) {
+        let Some(view) = &self.view else { return };
+        self.counters.questions += 1;
+        let word = self.keeping.word(view, &self.flows, &q, now);
+        let answer = Answer { flow: q.flow, nonce: q.nonce, word };
+        sink.ask(from, Datagram::Answer(answer));
+    }
+
+    /// Takes a peer's advert: this instance keeps these flows.
+    pub fn advert(&mut self, now: Millis, advert: &Advert) {
+        let Some(view) = &self.view else { return };
+        self.counters.adverts += 1;
+        for (id, name) in &advert.flows {
+            if let Some(target) = view.registry.named(&advert.service, name) {
+                self.flows.note(*id, Flow::new(target, Belief::Told, now));
+            }
+        }
+        self.keeping.told(advert);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Millis, sink: &mut impl Sink) {
+        self.expire_held(now, sink);
+        self.release(now, sink);
+        let Some(view) = self.view.clone() else { return };
+        self.adverts.send(&view, &self.flows, now, sink);
+        if now.since(self.sweep) >= SWEEP_TIME {
+            self.sweep = now;
+            self.sweep(&view, now);
+        }
+    }
+
+    /// Forgets flows that are over, so that the table stays bounded.
+    fn sweep(&mut self, view: &View, now: Millis) {
+        let longest = view.bundle.services.iter().map(|s| s.keepalive.0).max().unwrap_or(0);
+        let silent = Millis(longest * MISSED_KEEPALIVES).max(CLOSED_TIME);
+        let over = self.flows.expire(|flow| {
+            let limit = if flow.closing { CLOSED_TIME } else { silent };
+            flow.idle(now) > limit
+        });
+        for (id, flow) in over {
+            self.counters.expired += 1;
+            if flow.admitted {
+                self.gate.closed(now, id);
+            }
+        }
+        self.keeping.sweep(view, &self.flows, now);
+        self.adverts.refresh(view, &self.flows, now);
+    }
+}
+
+/// Whether a SYN on a known flow opens another connection.
+fn is_over(flow: &Flow, site: &Site<'_>, now: Millis) -> bool {
+    flow.closing || flow.idle(now) > REPEAT_TIME && site.bucket().owner != Some(flow.target)
+}
+
+/// Where a packet stands: its service and its flow.
+struct Site<'a> {
+    view: &'a View,
+    service: &'a ServiceView,
+    class: Class,
+    id: FlowId,
+}
+
+impl Site<'_> {
+    fn bucket(&self) -> &BucketView {
+        self.service.state(self.service.bucket(self.id))
+    }
+}
--- a/lib/src/packet/craft.rs
+++ b/lib/src/packet/craft.rs
@@ -57,6 +57,24 @@
     Some(build(&Segment { from, to, sequence: acknowledged, acknowledged: next, flags, payload }))
 }
 
+/// The bare acknowledgement of what comes after an [`answer`]. A reset would be
+/// shorter, but could make the caller drop the answer before it has read it.
+pub fn acknowledge(packet: &Packet<'_>) -> Option<Vec<u8>> {
+    let (sequence, acknowledged) = packet.numbers()?;
+    let key = packet.key();
+    let (from, to) = (key.service, key.caller);
+    let next = sequence.wrapping_add(packet.length());
+    let flags = ACK;
+    Some(build(&Segment {
+        from,
+        to,
+        sequence: acknowledged,
+        acknowledged: next,
+        flags,
+        payload: &[],
+    }))
+}
+
 fn build(segment: &Segment<'_>) -> Vec<u8> {
     let total = HEADERS + segment.payload.len();
     let mut bytes = vec![0; total];
--- a/lib/src/packet/mod.rs
+++ b/lib/src/packet/mod.rs
@@ -7,7 +7,7 @@
 mod craft;
 mod flow;
 
-pub use craft::{answer, reset, syn_ack};
+pub use craft::{acknowledge, answer, reset, syn_ack};
 pub use flow::{FlowKey, FlowKeyError, Hasher};
 
 use crate::bundle::Protocol;
@@ -46,6 +46,15 @@
 }
 
 impl PacketError {
+    /// All of them, in the order of their values.
+    pub const ALL: [PacketError; 5] = [
+        PacketError::Truncated,
+        PacketError::NotIpv4,
+        PacketError::Fragment,
+        PacketError::Transport,
+        PacketError::Flags,
+    ];
+
     /// The label under which it is counted.
     pub fn label(self) -> &'static str {
         match self {
--- /dev/null
+++ b/lib/src/view/draft.rs
@@ -0,0 +1,289 @@
+//! The transaction that turns one view into the next.
+
+use super::{
+    BucketView, Earlier, HISTORY_DEPTH, PENDING_LIMIT, Ports, Registry, ServiceKey, ServiceView,
+    Stamp, TargetId, View,
+};
+use crate::{
+    bundle::{Bundle, Service, TargetState},
+    collections::Map,
+    ids::{Bucket, InstanceName, ServiceName, TargetName},
+    keepers::Keepers,
+    members::{Member, MemberState},
+    message::{History, ServicePlan},
+    packet::Hasher,
+    table,
+    time::Millis,
+};
+use std::sync::Arc;
+
+/// Gathers changes to a view and publishes them together.
+#[derive(Debug)]
+pub struct Draft {
+    view: View,
+    plans: Map<ServiceName, ServicePlan>,
+    changed: bool,
+}
+
+impl Draft {
+    /// Starts with the first bundle that an instance accepts. Its buckets have
+    /// their owners at once: this instance has moved nothing yet, and what the
+    /// others moved before comes as history from them.
+    pub fn first(me: InstanceName, bundle: &Arc<Bundle>) -> Draft {
+        let view = View {
+            epoch: 0,
+            bundle: bundle.clone(),
+            hasher: Hasher::new(bundle.seed),
+            registry: Arc::default(),
+            services: Vec::new(),
+            members: Arc::from([]),
+            me,
+            departed: None,
+            ports: Arc::default(),
+            keys: Arc::default(),
+        };
+        let mut draft = Draft { view, plans: Map::default(), changed: true };
+        draft.install(bundle, Millis(0));
+        draft
+    }
+
+    /// What is published at present.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Puts a bundle in force. Moved buckets become pending.
+    pub fn install(&mut self, bundle: &Arc<Bundle>, now: Millis) {
+        self.changed = true;
+        self.view.bundle = bundle.clone();
+        self.view.hasher = Hasher::new(bundle.seed);
+        let mut registry = (*self.view.registry).clone();
+        let services: Vec<_> =
+            bundle.services.iter().map(|spec| self.service(spec, &mut registry, now)).collect();
+        self.view.registry = Arc::new(registry);
+        self.view.services = services;
+        self.view.ports = Arc::new(ports(bundle));
+        let keys = self.view.services.iter().enumerate().map(|(at, s)| (s.key, at)).collect();
+        self.view.keys = Arc::new(keys);
+    }
+
+    /// Follows the plan of a service.
+    pub fn plan(&mut self, plan: ServicePlan, now: Millis) {
+        let name = plan.service.clone();
+        self.plans.insert(name.clone(), plan);
+        let Some(position) = self.view.services.iter().position(|s| s.spec.name == name) else {
+            return;
+        };
+        self.changed = true;
+        let mut registry = (*self.view.registry).clone();
+        let spec = self.view.services[position].spec.clone();
+        self.view.services[position] = self.service(&spec, &mut registry, now);
+        self.view.registry = Arc::new(registry);
+    }
+
+    /// Takes over who takes part.
+    pub fn members(&mut self, members: Vec<Member>, now: Millis) {
+        let stays = |state| matches!(state, MemberState::Live | MemberState::Suspect);
+        let left = self.view.members.iter().any(|old| {
+            stays(old.state) && !members.iter().any(|new| new.name == old.name && stays(new.state))
+        });
+        if left {
+            self.view.departed = Some(now);
+        }
+        self.view.members = members.into();
+        for service in &mut self.view.services {
+            let keepers = Keepers::choose(&service.spec.name, &self.view.members);
+            if keepers != service.keepers {
+                Arc::make_mut(service).keepers = keepers;
+            }
+        }
+        self.changed = true;
+    }
+
+    /// Merges what a peer knows of earlier owners. The union does not depend
+    /// on the order of messages.
+    pub fn history(&mut self, news: &History, now: Millis) {
+        let registry = self.view.registry.clone();
+        let Some(service) =
+            self.view.services.iter_mut().find(|service| service.spec.name == news.service)
+        else {
+            return;
+        };
+        for (bucket, name, age) in &news.owners {
+            let Some(target) = registry.named(&news.service, name) else { continue };
+            let since = now.since(Millis(*age));
+            if is_news(service, *bucket, target) {
+                let service = Arc::make_mut(service);
+                service.revision += 1;
+                let state = &mut service.buckets[usize::from(bucket.0)];
+                remember(state, Earlier { target, since });
+                self.changed = true;
+            }
+        }
+    }
+
+    /// Carries out the moves whose time has come.
+    pub fn advance(&mut self, now: Millis) {
+        let confirmed = self.is_confirmed();
+        for service in &mut self.view.services {
+            let due = |state: &BucketView| {
+                state.pending.is_some_and(|(_, at)| confirmed || now.since(at) >= PENDING_LIMIT)
+            };
+            if !service.buckets.iter().any(due) {
+                continue;
+            }
+            self.changed = true;
+            let service = Arc::make_mut(service);
+            service.revision += 1;
+            for state in service.buckets.iter_mut().filter(|state| due(state)) {
+                carry_out(state, now);
+            }
+        }
+    }
+
+    /// The next view, if anything changed since the last.
+    pub fn commit(&mut self) -> Option<Arc<View>> {
+        if !std::mem::take(&mut self.changed) {
+            return None;
+        }
+        self.view.epoch += 1;
+        Some(Arc::new(self.view.clone()))
+    }
+
+    /// Whether every live instance has the bundle, so that all of them know
+    /// which buckets are about to move.
+    fn is_confirmed(&self) -> bool {
+        let version = self.view.bundle.version;
+        self.view
+            .others()
+            .filter(|member| matches!(member.state, MemberState::Live | MemberState::Suspect))
+            .all(|member| member.version >= version)
+    }
+
+    fn service(
+        &self,
+        spec: &Arc<Service>,
+        registry: &mut Registry,
+        now: Millis,
+    ) -> Arc<ServiceView> {
+        let ids: Vec<_> = spec.targets.iter().map(|target| registry.enter(spec, target)).collect();
+        let wanted = self.wanted(spec, &ids);
+        let old = self.view.service(&spec.name).filter(|old| old.buckets.len() == wanted.len());
+        let keepers = Keepers::choose(&spec.name, &self.view.members);
+        let Some(old) = old else {
+            let buckets = wanted.into_iter().map(BucketView::settled).collect();
+            let (key, stamp) = (ServiceKey::of(&spec.name), Stamp::default());
+            return Arc::new(ServiceView {
+                spec: spec.clone(),
+                buckets,
+                keepers,
+                key,
+                stamp,
+                revision: 0,
+            });
+        };
+        let pairs = old.buckets.iter().zip(wanted);
+        let buckets: Vec<_> = pairs.map(|(state, wanted)| turn(state, wanted, now)).collect();
+        let moved = buckets != old.buckets;
+        let stamp = if moved { self.stamp(&spec.name) } else { old.stamp };
+        let revision = old.revision + u64::from(moved);
+        Arc::new(ServiceView { spec: spec.clone(), buckets, keepers, stamp, revision, ..**old })
+    }
+
+    fn stamp(&self, service: &ServiceName) -> Stamp {
+        let sequence = self.plans.get(service).map_or(0, |plan| plan.sequence);
+        Stamp::new(self.view.bundle.version, sequence)
+    }
+
+    /// The owners that bundle and plan ask for.
+    fn wanted(&self, spec: &Service, ids: &[TargetId]) -> Vec<Option<TargetId>> {
+        let Some(dealt) = table::deal(spec) else {
+            return vec![None; usize::from(spec.buckets)];
+        };
+        let mut wanted: Vec<_> =
+            dealt.into_iter().map(|target| Some(ids[usize::from(target.0)])).collect();
+        let moves = self.plans.get(&spec.name).map(|plan| plan.moves.as_slice());
+        for (bucket, name) in moves.unwrap_or_default() {
+            let (Some(slot), Some(place)) =
+                (wanted.get_mut(usize::from(bucket.0)), active(spec, name))
+            else {
+                continue;
+            };
+            *slot = Some(ids[place]);
+        }
+        wanted
+    }
+}
+
+/// The position of a target that takes new flows. A plan may be older than the
+/// bundle, and must not bring back a target that has left since.
+fn active(spec: &Service, name: &TargetName) -> Option<usize> {
+    spec.targets
+        .iter()
+        .position(|target| &target.name == name && target.state == TargetState::Active)
+}
+
+fn ports(bundle: &Bundle) -> Ports {
+    let mut map = Ports::default();
+    for (position, service) in bundle.services.iter().enumerate() {
+        for port in &service.ports {
+            map.insert((service.address, port.number, port.protocol), (position, port.class));
+        }
+    }
+    map
+}
+
+/// The state of a bucket that shall have the owner `wanted`.
+fn turn(state: &BucketView, wanted: Option<TargetId>, now: Millis) -> BucketView {
+    let mut next = state.clone();
+    next.pending = match (state.owner, wanted) {
+        (owner, wanted) if owner == wanted => None,
+        (_, Some(target)) => {
+            let since = state.pending.filter(|(old, _)| *old == target).map(|(_, since)| since);
+            Some((target, since.unwrap_or(now)))
+        }
+        // No target takes new flows: the old ones stay where they are.
+        (_, None) => None,
+    };
+    if wanted.is_none() {
+        carry_out_to(&mut next, None, now);
+    }
+    // A move that was called off may have been carried out by an instance that
+    // was ahead, so its target may hold flows.
+    if let Some((target, _)) = state.pending
+        && next.pending.is_none_or(|(other, _)| other != target)
+    {
+        remember(&mut next, Earlier { target, since: now });
+    }
+    next
+}
+
+fn carry_out(state: &mut BucketView, now: Millis) {
+    let Some((target, _)) = state.pending.take() else { return };
+    carry_out_to(state, Some(target), now);
+}
+
+fn carry_out_to(state: &mut BucketView, owner: Option<TargetId>, now: Millis) {
+    if let Some(old) = state.owner
+        && Some(old) != owner
+    {
+        remember(state, Earlier { target: old, since: now });
+    }
+    state.owner = owner;
+}
+
+fn is_news(service: &ServiceView, bucket: Bucket, target: TargetId) -> bool {
+    service.buckets.get(usize::from(bucket.0)).is_some_and(|state| {
+        state.owner != Some(target) && !state.history.iter().any(|e| e.target == target)
+    })
+}
+
+/// Notes an earlier owner as the latest, once.
+fn remember(state: &mut BucketView, earlier: Earlier) {
+    state.history.retain(|old| old.target != earlier.target);
+    state.history.push(earlier);
+    state.history.sort_by_key(|earlier| earlier.since);
+    if state.history.len() > HISTORY_DEPTH {
+        state.history.remove(0);
+    }
+}
--- /dev/null
+++ b/lib/src/view/registry.rs
@@ -0,0 +1,104 @@
+//! Local ids of targets that stay the same over all bundles.
+//!
+//! A flow outlives the bundle in which it was opened, and its target may have
+//! another position in the next one or none at all. Entries are never removed:
+//! they cost some hundred bytes each, and an instance is replaced long before
+//! that adds up.
+
+use crate::{
+    bundle::{Service, Target},
+    collections::Map,
+    ids::{ServiceName, TargetName},
+};
+use siphasher::sip::SipHasher13;
+use std::{hash::Hasher as _, net::SocketAddrV4, sync::Arc};
+
+number! {
+    /// A target on this instance, for as long as the process runs.
+    TargetId: u32,
+    /// A target in messages: a hash of its service, name and address, alike on
+    /// all instances. A target that comes back under another address is
+    /// another target, since its connections are gone.
+    TargetKey: u64,
+    /// A service in questions between instances: a hash of its name.
+    ServiceKey: u32,
+}
+
+impl ServiceKey {
+    /// The key of the service with this name.
+    pub fn of(name: &ServiceName) -> ServiceKey {
+        let mut hasher = SipHasher13::new();
+        hasher.write(name.as_str().as_bytes());
+        ServiceKey(hasher.finish() as u32)
+    }
+}
+
+/// A target as the packet path needs it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetEntry {
+    /// Its name in messages.
+    pub key: TargetKey,
+    /// Its service; a target has just one.
+    pub service: ServiceName,
+    /// Its name in the bundle.
+    pub name: TargetName,
+    /// Where it receives encapsulated packets.
+    pub address: SocketAddrV4,
+}
+
+/// All targets that this instance has ever seen in a bundle.
+#[derive(Debug, Clone, Default)]
+pub struct Registry {
+    entries: Vec<Arc<TargetEntry>>,
+    ids: Map<TargetKey, TargetId>,
+}
+
+impl Registry {
+    /// The target with this id.
+    pub fn get(&self, id: TargetId) -> &TargetEntry {
+        &self.entries[id.0 as usize]
+    }
+
+    /// The id of a target that a message names.
+    pub fn find(&self, key: TargetKey) -> Option<TargetId> {
+        self.ids.get(&key).copied()
+    }
+
+    /// The newest target of this name in a service.
+    pub fn named(&self, service: &ServiceName, name: &TargetName) -> Option<TargetId> {
+        let place = self.entries.iter().rposition(|e| &e.service == service && &e.name == name)?;
+        Some(TargetId(place as u32))
+    }
+
+    /// All targets, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.entries.iter().map(|entry| entry.as_ref())
+    }
+
+    /// The id of a target of the bundle, given now if it has none.
+    pub fn enter(&mut self, service: &Service, target: &Target) -> TargetId {
+        let key = key(service, target);
+        let next = TargetId(self.entries.len() as u32);
+        let id = *self.ids.entry(key).or_insert(next);
+        if id == next {
+            self.entries.push(Arc::new(TargetEntry {
+                key,
+                service: service.name.clone(),
+                name: target.name.clone(),
+                address: target.address,
+            }));
+        }
+        id
+    }
+}
+
+fn key(service: &Service, target: &Target) -> TargetKey {
+    let mut hasher = SipHasher13::new();
+    hasher.write(service.name.as_str().as_bytes());
+    hasher.write_u8(0);
+    hasher.write(target.name.as_str().as_bytes());
+    hasher.write_u8(0);
+    hasher.write(&target.address.ip().octets());
+    hasher.write_u16(target.address.port());
+    TargetKey(hasher.finish())
+}
