load: decide what is let in, waits or is turned away

The packet path needs an interface to call before the thresholds are known. A slot share of an eighth can't be a count, so a ledger holds the time average of each instance's share; every decision is remembered by flow, so that a repeated opening gets the same answer. Thresholds are first guesses until the measure exists.

--- /dev/null
+++ b/load/src/gate.rs
@@ -0,0 +1,418 @@
+//! The decisions put together for the packet path of one instance.
+
+use crate::{
+    admission::{self, Takers},
+    callers::caller_key,
+    opening::{Closing, Opening, ServiceLoad, Signal, Verdict},
+    placement,
+    queue::{Line, Newcomer},
+    random::Random,
+    refusal,
+    retry::{Budget, Decision, Memory},
+    settings::Settings,
+    state::{CLASSES, Service, Share, Target, at},
+};
+use medlarspur_lib::{
+    bundle::Class,
+    collections::Map,
+    ids::{FlowId, ServiceIx, TargetIx},
+    time::Millis,
+};
+use std::collections::VecDeque;
+
+/// Uploads whose opening is remembered to learn how long uploads take. They
+/// outlive the memory of decisions; when this is full, samples are lost.
+const UPLOADS: usize = 8_192;
+
+/// How often each outcome came about, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Let in, by class: feed, request, upload.
+    pub admitted: [u64; CLASSES],
+    /// Held before the final verdict, by class.
+    pub waited: [u64; CLASSES],
+    /// Turned away, by class.
+    pub refused: [u64; CLASSES],
+    /// Turned away because the target is leaving or unknown.
+    pub leaving: u64,
+    /// Turned away for want of a connection.
+    pub connections: u64,
+    /// Turned away because the caller or its network takes too much.
+    pub heavy: u64,
+    /// Turned away because the caller came back early and the budget is spent.
+    pub early: u64,
+    /// Turned away after having waited.
+    pub late: u64,
+    /// Answered as before, because the opening was a repetition.
+    pub repeated: u64,
+}
+
+/// All decisions under load of one instance. It belongs to one thread.
+#[derive(Debug)]
+pub struct Gate {
+    settings: Settings,
+    instances: u16,
+    services: Vec<Service>,
+    memory: Memory,
+    budget: Budget,
+    takers: [Takers; CLASSES],
+    uploads: Map<FlowId, Millis>,
+    random: Random,
+    lines: Vec<Place>,
+    orphans: Vec<FlowId>,
+    ticked: Option<Millis>,
+    counts: Counts,
+}
+
+/// Where a line of waiting openings stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Place {
+    service: usize,
+    target: usize,
+    class: Class,
+}
+
+/// Why an opening is turned away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reason {
+    Leaving,
+    Connections,
+    Slots,
+    Heavy,
+    Early,
+    Late,
+}
+
+impl Gate {
+    /// A gate that knows no service yet. `seed` differs for each instance, so
+    /// that no two spread their refusals alike.
+    pub fn new(settings: Settings, seed: u64) -> Gate {
+        let mut random = Random::new(seed);
+        let classes = [Class::Feed, Class::Request, Class::Upload];
+        let takers = classes.map(|class| Takers::new(random.draw(), class));
+        Gate {
+            settings,
+            instances: 1,
+            services: Vec::new(),
+            memory: Memory::default(),
+            budget: Budget::new(),
+            takers,
+            uploads: Map::default(),
+            random,
+            lines: Vec::new(),
+            orphans: Vec::new(),
+            ticked: None,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Takes over a bundle's services, in its order. What was learnt of a
+    /// service or target stays with its name; openings that wait for a target
+    /// that is gone are turned away by the next [`Gate::due`].
+    pub fn set_services(&mut self, now: Millis, services: Vec<ServiceLoad>) {
+        let mut old: Vec<Service> = std::mem::take(&mut self.services);
+        let mut gone: Vec<Line> = Vec::new();
+        for load in services {
+            let same = old.iter().position(|s| s.name == load.name);
+            let (service, lines) = Service::new(now, load, same.map(|ix| old.swap_remove(ix)));
+            gone.extend(lines);
+            self.services.push(service);
+        }
+        gone.extend(old.into_iter().flat_map(|s| s.targets).flat_map(|t| t.lines));
+        self.orphans.extend(gone.iter().flat_map(Line::flows));
+        self.find_lines();
+    }
+
+    /// Says how many instances are believed live, this one included.
+    pub fn set_instances(&mut self, instances: u16) {
+        self.instances = instances.max(1);
+    }
+
+    /// Decides on the first packet of a flow that the instance does not know.
+    pub fn open(&mut self, now: Millis, opening: &Opening) -> Verdict {
+        if let Some(verdict) = self.repeated(now, opening) {
+            return verdict;
+        }
+        let place = Place {
+            service: usize::from(opening.service.0),
+            target: usize::from(opening.target.0),
+            class: opening.class,
+        };
+        let known =
+            self.services.get(place.service).is_some_and(|s| place.target < s.targets.len());
+        if !known {
+            self.counts.leaving += 1;
+            self.counts.refused[at(opening.class)] += 1;
+            return Verdict::Refuse { after: refusal::SHORTEST };
+        }
+        let newcomer = self.newcomer(now, opening);
+        match self.decide(now, place, &newcomer) {
+            Ok(None) => {
+                self.admit(now, place, &newcomer);
+                Verdict::Admit
+            }
+            Ok(Some(until)) => {
+                self.counts.waited[at(place.class)] += 1;
+                self.memory.keep(now, opening.flow, Decision::Waiting(until));
+                Verdict::Wait { until }
+            }
+            Err(reason) => Verdict::Refuse { after: self.refuse(now, place, &newcomer, reason) },
+        }
+    }
+
+    /// Gives the final verdicts that have become known for openings that wait.
+    /// Costs next to nothing while none wait; call it after each batch and at
+    /// least every few milliseconds.
+    pub fn due(&mut self, now: Millis, out: &mut Vec<(FlowId, Verdict)>) {
+        for flow in self.orphans.drain(..) {
+            let after = refusal::SHORTEST;
+            self.memory.keep(now, flow, Decision::Refused(now + after));
+            out.push((flow, Verdict::Refuse { after }));
+        }
+        let mut ix = 0;
+        while ix < self.lines.len() {
+            let place = self.lines[ix];
+            self.serve(now, place, out);
+            if self.line(place).is_empty() {
+                self.lines.swap_remove(ix);
+            } else {
+                ix += 1;
+            }
+        }
+        self.tick(now);
+    }
+
+    /// Takes note of the end of a flow, whoever opened it.
+    pub fn closed(&mut self, now: Millis, closing: &Closing) {
+        let class = at(closing.class);
+        let admitted = match closing.class {
+            Class::Upload => {
+                self.memory.end(closing.flow);
+                self.uploads.remove(&closing.flow)
+            }
+            Class::Feed | Class::Request => self.memory.end(closing.flow),
+        };
+        let Some(service) = self.services.get_mut(usize::from(closing.service.0)) else { return };
+        let Some(target) = service.targets.get_mut(usize::from(closing.target.0)) else { return };
+        target.connections.close();
+        if let Some(admitted) = admitted {
+            let hold = now.since(admitted);
+            target.holds[class].add(hold);
+            service.holds[class].add(hold);
+        }
+    }
+
+    /// Takes note of something seen or heard of a target.
+    pub fn seen(&mut self, now: Millis, service: ServiceIx, target: TargetIx, signal: Signal) {
+        let instances = self.instances;
+        let Some(target) = self.target(service, target) else { return };
+        match signal {
+            Signal::Followed { .. } => target.seen.follow(now),
+            Signal::Reset => target.seen.reset(now),
+            Signal::Mute => {}
+            Signal::Told(told) => {
+                target.seen.tell(now, told);
+                target.unheard = 0;
+                let limit = target.load.connections;
+                target.connections.told(now, told.connections, limit, instances);
+            }
+        }
+    }
+
+    /// How much new work each target of a service should get, in thousandths
+    /// of a full weight; advice for the planner, renewed once a second.
+    pub fn weights(&self, service: ServiceIx) -> &[u16] {
+        self.services.get(usize::from(service.0)).map_or(&[], |s| &s.weights)
+    }
+
+    /// How often each outcome came about since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// The same answer for an opening that was decided before.
+    fn repeated(&mut self, now: Millis, opening: &Opening) -> Option<Verdict> {
+        let decision = self.memory.find(now, opening.flow)?;
+        self.counts.repeated += 1;
+        Some(match decision {
+            Decision::Admitted(_) => {
+                if let Some(target) = self.target(opening.service, opening.target) {
+                    target.seen.open(now);
+                }
+                Verdict::Admit
+            }
+            Decision::Waiting(until) => Verdict::Wait { until },
+            Decision::Refused(until) => Verdict::Refuse { after: until.since(now) },
+        })
+    }
+
+    fn newcomer(&mut self, now: Millis, opening: &Opening) -> Newcomer {
+        let Opening { flow, caller, service, class, .. } = *opening;
+        let takers = &mut self.takers[at(class)];
+        let total = takers.total(now, service);
+        let heavy = takers.heavy(now, &self.settings, service, caller, total);
+        let early = self.budget.early(now, caller_key(service.0, caller));
+        Newcomer { flow, caller, heavy, early }
+    }
+
+    /// Whether the opening goes now, until when it waits, or why it can't.
+    fn decide(
+        &mut self,
+        now: Millis,
+        place: Place,
+        newcomer: &Newcomer,
+    ) -> Result<Option<Millis>, Reason> {
+        let Place { class, .. } = place;
+        let spent = newcomer.early && !self.budget.allows();
+        let leftover = newcomer.heavy || spent;
+        let settings = &self.settings;
+        let service = &mut self.services[place.service];
+        let share = Share { requests: service.requests, instances: self.instances };
+        let cost = service.cost(place.target, class);
+        let costs = [Class::Feed, Class::Request, Class::Upload]
+            .map(|class| service.cost(place.target, class));
+        let target = &mut service.targets[place.target];
+        if placement::leaving(now, target.load.state, &target.seen, service.believed) {
+            return Err(Reason::Leaving);
+        }
+        let scarce = if newcomer.heavy { Reason::Heavy } else { Reason::Early };
+        let taken = target.connections.taken(target.load.connections, self.instances);
+        if !admission::connection(settings, share.requests, class, taken, leftover) {
+            return Err(if leftover { scarce } else { Reason::Connections });
+        }
+        target.earn(now, settings, share, costs);
+        let told = class != Class::Upload || target.says_room(now, settings, share, cost);
+        let ahead = target.lines[at(class)].len();
+        let Some(ledger) = target.ledger(class) else { return Ok(None) };
+        if told && ahead == 0 && ledger.allows(cost, leftover) {
+            return Ok(None);
+        }
+        if leftover {
+            return Err(scarce);
+        }
+        if !told {
+            return Err(Reason::Slots);
+        }
+        let delay = ledger.delay(cost, ahead);
+        let line = &mut target.lines[at(class)];
+        let until = line.join(now, *newcomer, delay, settings.patience).ok_or(Reason::Slots)?;
+        if ahead == 0 {
+            self.lines.push(place);
+        }
+        Ok(Some(until))
+    }
+
+    fn admit(&mut self, now: Millis, place: Place, newcomer: &Newcomer) {
+        let service = &mut self.services[place.service];
+        let cost = service.cost(place.target, place.class);
+        service.overload[at(place.class)].admit(now);
+        let target = &mut service.targets[place.target];
+        target.connections.open();
+        target.seen.open(now);
+        if let Some(ledger) = target.ledger(place.class) {
+            ledger.pay(cost);
+        }
+        if place.class == Class::Upload {
+            target.unheard += 1;
+            if self.uploads.len() >= UPLOADS {
+                self.uploads.clear();
+            }
+            self.uploads.insert(newcomer.flow, now);
+        }
+        let ix = ServiceIx(place.service as u16);
+        self.takers[at(place.class)].admit(now, ix, newcomer.caller);
+        self.budget.admit(newcomer.early, self.settings.retries);
+        self.memory.keep(now, newcomer.flow, Decision::Admitted(now));
+        self.counts.admitted[at(place.class)] += 1;
+    }
+
+    fn refuse(&mut self, now: Millis, place: Place, newcomer: &Newcomer, reason: Reason) -> Millis {
+        let overload = &mut self.services[place.service].overload[at(place.class)];
+        let after = overload.refuse(now, &mut self.random);
+        self.budget.told(caller_key(place.service as u16, newcomer.caller), now + after);
+        self.memory.keep(now, newcomer.flow, Decision::Refused(now + after));
+        self.counts.refused[at(place.class)] += 1;
+        match reason {
+            Reason::Leaving => self.counts.leaving += 1,
+            Reason::Connections => self.counts.connections += 1,
+            Reason::Heavy => self.counts.heavy += 1,
+            Reason::Early => self.counts.early += 1,
+            Reason::Late => self.counts.late += 1,
+            Reason::Slots => {}
+        }
+        after
+    }
+
+    /// Decides on those in one line whose time has come.
+    fn serve(&mut self, now: Millis, place: Place, out: &mut Vec<(FlowId, Verdict)>) {
+        let mut late = VecDeque::new();
+        while let Some(next) = self.line(place).head().copied() {
+            let waits = matches!(self.memory.find(now, next.who.flow), Some(Decision::Waiting(_)));
+            let ready = self.ready(now, place);
+            if waits && ready.is_ok_and(|ready| !ready) && now < next.until {
+                break;
+            }
+            self.line(place).take();
+            match ready {
+                _ if !waits => {}
+                Ok(true) => {
+                    self.admit(now, place, &next.who);
+                    out.push((next.who.flow, Verdict::Admit));
+                }
+                Ok(false) => late.push_back((next, Reason::Late)),
+                Err(reason) => late.push_back((next, reason)),
+            }
+        }
+        for (next, reason) in late {
+            let after = self.refuse(now, place, &next.who, reason);
+            out.push((next.who.flow, Verdict::Refuse { after }));
+        }
+    }
+
+    /// Whether the head of a line may go now, or why nobody in it may.
+    fn ready(&mut self, now: Millis, place: Place) -> Result<bool, Reason> {
+        let service = &mut self.services[place.service];
+        let share = Share { requests: service.requests, instances: self.instances };
+        let cost = service.cost(place.target, place.class);
+        let costs = [Class::Feed, Class::Request, Class::Upload]
+            .map(|class| service.cost(place.target, class));
+        let target = &mut service.targets[place.target];
+        if placement::leaving(now, target.load.state, &target.seen, service.believed) {
+            return Err(Reason::Leaving);
+        }
+        target.earn(now, &self.settings, share, costs);
+        Ok(target.ledger(place.class).is_none_or(|ledger| ledger.allows(cost, false)))
+    }
+
+    fn tick(&mut self, now: Millis) {
+        if self.ticked.is_some_and(|at| now.since(at) < placement::TICK) {
+            return;
+        }
+        self.ticked = Some(now);
+        for service in &mut self.services {
+            service.advise(now);
+        }
+    }
+
+    fn find_lines(&mut self) {
+        self.lines.clear();
+        for (service, s) in self.services.iter().enumerate() {
+            for (target, t) in s.targets.iter().enumerate() {
+                for class in [Class::Request, Class::Upload] {
+                    if !t.lines[at(class)].is_empty() {
+                        self.lines.push(Place { service, target, class });
+                    }
+                }
+            }
+        }
+    }
+
+    fn line(&mut self, place: Place) -> &mut Line {
+        &mut self.services[place.service].targets[place.target].lines[at(place.class)]
+    }
+
+    fn target(&mut self, service: ServiceIx, target: TargetIx) -> Option<&mut Target> {
+        let service = self.services.get_mut(usize::from(service.0))?;
+        service.targets.get_mut(usize::from(target.0))
+    }
+}
--- /dev/null
+++ b/load/src/placement.rs
@@ -0,0 +1,267 @@
+//! Placing: how much new work each target should get.
+//!
+//! Answers a slow target, a cold start, a target that sheds or hangs, an
+//! endpoint that lies, and all targets slow at once. The weights are advice to
+//! the planner, which moves buckets slowly; admission bounds what a target
+//! gets meanwhile. Four rules keep the advice harmless:
+//!
+//! - *Seen outweighs told.* What a target says of its load can only lower its
+//!   weight, and only to [`TOLD_FLOOR`]. If it could raise it, a target that
+//!   always says *idle* would draw all work; if it could lower it freely, one
+//!   that always says *full* would push its work onto the others.
+//! - *Only beside the others.* Times count against the median of the service.
+//!   When most look bad at once, the cause is not in them (a network, a
+//!   database behind all) and taking any out overruns the rest: then nobody is.
+//! - *Slow to move.* A weight falls by at most [`FALL`] and rises by at most
+//!   [`RISE`] a second, and not at all for small differences. Without that
+//!   every instance flees the slow target at once and comes back at once,
+//!   which one notices as weights that swing with the period of the reports.
+//! - *Never to zero for being bad.* Some work keeps coming, or a target that
+//!   is well again would never be noticed. Only leaving ones get nothing.
+
+use crate::opening::Told;
+use medlarspur_lib::{bundle::TargetState, time::Millis};
+
+/// The weight of a target with the full weight of the bundle.
+pub const FULL: u16 = 1000;
+/// How often weights are worked out.
+pub const TICK: Millis = Millis::secs(1);
+/// The lowest factor that a target's own word can bring about. One liar among
+/// four targets then leaves max/mean at 4/3.6 = 1.11, under the goal of 1.15.
+const TOLD_FLOOR: f64 = 0.6;
+/// The lowest factor that anything but leaving can bring about.
+const FLOOR: f64 = 0.05;
+/// The largest step down in a tick.
+const FALL: f64 = 0.2;
+/// The largest step up in a tick: from cold to full in 16 s.
+const RISE: f64 = 0.05;
+/// Where a target that is new to the service begins.
+const COLD: f64 = 0.2;
+/// How many times the median hold time is slow. The smoothed mean of 16
+/// exponential times is off by 18 %, so twice is five deviations.
+const SLOW: f64 = 2.0;
+/// How many times the median told load is overloaded.
+const LOADED: f64 = 1.5;
+/// How many deviations of an opening count must go unanswered to be no chance.
+const DEVIATIONS: f64 = 4.0;
+/// Below this factor a target looks bad.
+const BAD: f64 = 0.7;
+/// A target's word is forgotten after this.
+const STALE: Millis = Millis::secs(10);
+/// Half-life of the counts of openings and answers, in milliseconds.
+const HALF_LIFE: f64 = 3_000.0;
+/// How much one hold time counts in the smoothed mean.
+const SMOOTHING: f64 = 1.0 / 16.0;
+/// How many hold times make a mean that can be compared.
+const ENOUGH: u32 = 8;
+
+/// A smoothed mean of hold times in milliseconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Hold {
+    mean: f64,
+    samples: u32,
+}
+
+impl Hold {
+    /// Takes in one hold time.
+    pub fn add(&mut self, hold: Millis) {
+        let hold = (hold.0 as f64).max(1.0);
+        self.samples = self.samples.saturating_add(1);
+        let weight = SMOOTHING.max(1.0 / f64::from(self.samples));
+        self.mean += (hold - self.mean) * weight;
+    }
+
+    /// The mean, once enough was seen.
+    pub fn mean(&self) -> Option<f64> {
+        (self.samples >= ENOUGH).then_some(self.mean)
+    }
+}
+
+/// What is known of one target, and the factor that follows from it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    opened: f64,
+    followed: f64,
+    reset: f64,
+    at: Millis,
+    told: Option<(Millis, Told)>,
+    factor: f64,
+}
+
+impl Seen {
+    /// A target about which nothing is known; `cold` if it is new to a
+    /// service that was there before.
+    pub fn new(cold: bool) -> Seen {
+        let factor = if cold { COLD } else { 1.0 };
+        Seen { opened: 0.0, followed: 0.0, reset: 0.0, at: Millis(0), told: None, factor }
+    }
+
+    /// Counts an opening that went to the target; repetitions count, as they
+    /// say that the first was not answered.
+    pub fn open(&mut self, now: Millis) {
+        self.decay(now);
+        self.opened += 1.0;
+    }
+
+    /// Counts a sign that the target answered an opening.
+    pub fn follow(&mut self, now: Millis) {
+        self.decay(now);
+        self.followed += 1.0;
+    }
+
+    /// Counts a flow that its caller reset.
+    pub fn reset(&mut self, now: Millis) {
+        self.decay(now);
+        self.reset += 1.0;
+    }
+
+    /// Takes in what the target says of itself.
+    pub fn tell(&mut self, now: Millis, told: Told) {
+        self.told = Some((now, told));
+    }
+
+    /// What the target said of itself lately.
+    pub fn told(&self, now: Millis) -> Option<&Told> {
+        let (at, told) = self.told.as_ref()?;
+        (now.since(*at) < STALE).then_some(told)
+    }
+
+    /// The part of openings that were answered, unless it may be chance.
+    ///
+    /// Under a fabric that sprays packets, openings and answers seen here are
+    /// of different flows, so the test is for two independent counts.
+    fn answered(&self) -> f64 {
+        let missing = self.opened - self.followed;
+        let chance = DEVIATIONS * (self.opened + self.followed).sqrt();
+        if missing > chance { self.followed / self.opened } else { 1.0 }
+    }
+
+    /// The part of flows that did not end in a reset, unless it may be chance.
+    fn kept(&self) -> f64 {
+        if self.reset > DEVIATIONS * self.opened.sqrt() && self.reset > self.opened / 2.0 {
+            (1.0 - self.reset / (self.opened + self.reset)).max(FLOOR)
+        } else {
+            1.0
+        }
+    }
+
+    fn decay(&mut self, now: Millis) {
+        let span = now.since(self.at).0;
+        if span == 0 {
+            return;
+        }
+        self.at = now;
+        let keep = (-(span as f64) / HALF_LIFE).exp2();
+        self.opened *= keep;
+        self.followed *= keep;
+        self.reset *= keep;
+    }
+}
+
+/// One target as [`advise`] needs it.
+#[derive(Debug)]
+pub struct View<'a> {
+    /// Whether the bundle lets it take new work.
+    pub state: TargetState,
+    /// Its weight in the bundle, in percent.
+    pub weight: u16,
+    /// How many slots it has.
+    pub slots: u16,
+    /// How long its work lately took, if known.
+    pub hold: Option<f64>,
+    /// What is known of it otherwise.
+    pub seen: &'a mut Seen,
+}
+
+/// Works out the weights of a service's targets, in thousandths of a full one.
+pub fn advise(now: Millis, balance: u8, targets: &mut [View], weights: &mut [u16]) {
+    let goals = goals(now, targets);
+    let tolerance = 0.02 + 0.2 * (1.0 - f64::from(balance.min(100)) / 100.0);
+    for ((target, goal), weight) in targets.iter_mut().zip(goals).zip(weights) {
+        let Some(goal) = goal else {
+            *weight = 0;
+            continue;
+        };
+        let factor = &mut target.seen.factor;
+        let near = (goal - *factor).abs() < tolerance && goal < 1.0;
+        if !near {
+            *factor = goal.clamp(*factor - FALL, *factor + RISE);
+        }
+        let full = f64::from(target.weight) / 100.0 * f64::from(FULL);
+        *weight = ((full * *factor).round() as u16).max(u16::from(target.weight > 0));
+    }
+}
+
+/// Whether a target may get new work: the bundle's word, and its own if not
+/// most say the same at once.
+pub fn leaving(now: Millis, state: TargetState, seen: &Seen, believed: bool) -> bool {
+    let draining = seen.told(now).is_some_and(|told| told.draining);
+    state == TargetState::Leaving || believed && draining
+}
+
+/// Whether targets that say they drain are believed: not when most do.
+pub fn drains_believed(draining: usize, targets: usize) -> bool {
+    draining * 2 < targets
+}
+
+/// The factor that each target should come to; none for a leaving one.
+fn goals(now: Millis, targets: &mut [View]) -> Vec<Option<f64>> {
+    let draining = targets.iter().filter(|t| t.seen.told(now).is_some_and(|x| x.draining));
+    let believed = drains_believed(draining.count(), targets.len());
+    let holds = median(targets.iter().filter_map(|t| t.hold));
+    let loads = median(targets.iter().filter_map(|t| load(now, t)));
+    let mut goals = Vec::with_capacity(targets.len());
+    for target in targets.iter_mut() {
+        target.seen.decay(now);
+        let leaves = leaving(now, target.state, target.seen, believed);
+        goals.push((!leaves).then(|| goal(now, target, holds, loads)));
+    }
+    let staying = goals.iter().flatten().count();
+    let bad = goals.iter().flatten().filter(|&&goal| goal < BAD).count();
+    if bad * 2 > staying {
+        for goal in goals.iter_mut().flatten() {
+            *goal = 1.0;
+        }
+    }
+    goals
+}
+
+fn goal(now: Millis, target: &View, holds: Option<f64>, loads: Option<f64>) -> f64 {
+    let mut goal = target.seen.answered() * target.seen.kept();
+    if let (Some(hold), Some(median)) = (target.hold, holds)
+        && hold > median * SLOW
+    {
+        goal *= median / hold;
+    }
+    goal *= word(now, target, loads);
+    goal.clamp(FLOOR, 1.0)
+}
+
+/// The factor that a target's own word asks for, within its bounds.
+fn word(now: Millis, target: &View, loads: Option<f64>) -> f64 {
+    let Some(told) = target.seen.told(now) else { return 1.0 };
+    if !told.healthy {
+        return TOLD_FLOOR;
+    }
+    match (load(now, target), loads) {
+        (Some(load), Some(median)) if load > 1.0 && load > median * LOADED => {
+            (median / load).max(TOLD_FLOOR)
+        }
+        _ => 1.0,
+    }
+}
+
+/// Told work for each slot.
+fn load(now: Millis, target: &View) -> Option<f64> {
+    let told = target.seen.told(now)?;
+    Some(f64::from(told.slots) / f64::from(target.slots.max(1)))
+}
+
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    if values.is_empty() {
+        return None;
+    }
+    values.sort_by(f64::total_cmp);
+    Some(values[(values.len() - 1) / 2])
+}
--- /dev/null
+++ b/load/src/random.rs
@@ -0,0 +1,30 @@
+//! Randomness as a value: a small generator that is seeded by the caller.
+
+/// A SplitMix64 generator; good enough to spread waits, not for secrets.
+#[derive(Debug, Clone)]
+pub struct Random(u64);
+
+impl Random {
+    /// Starts the sequence that belongs to `seed`.
+    pub const fn new(seed: u64) -> Random {
+        Random(seed)
+    }
+
+    /// The next number of the sequence.
+    pub fn draw(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.0)
+    }
+
+    /// A number from zero up to, but without, one.
+    pub fn fraction(&mut self) -> f64 {
+        (self.draw() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// Spreads the bits of `x` over the whole word.
+pub(crate) const fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/load/src/refusal.rs
@@ -0,0 +1,73 @@
+//! Turning away: at once, and with when to come back.
+//!
+//! Answers saturation that lasts. Callers that are told nothing come back at
+//! once and all together, and the crowd is larger each time; one notices
+//! openings that arrive in waves with a fixed period. The wait that they are
+//! told is spread over half to one and a half of its mean, so that a crowd
+//! does not come back as one, and grows with how long the overload will last.
+//! The best guess for that is how long it has lasted (overloads that have
+//! gone on for a minute rarely end in the next second), times how much more
+//! comes than fits.
+
+use crate::random::Random;
+use medlarspur_lib::time::Millis;
+
+/// The shortest mean wait: a TCP stack repeats an unanswered opening after a
+/// second anyway, so less would not thin out the crowd.
+pub const SHORTEST: Millis = Millis::secs(1);
+/// The longest mean wait: longer, and a site that is well again would stand
+/// idle while callers keep away.
+pub const LONGEST: Millis = Millis::secs(30);
+/// How long nothing may have been turned away for an overload to be over.
+pub const OVER: Millis = Millis::secs(2);
+/// Half-life of the rates of what comes and what gets in.
+const HALF_LIFE: f64 = 2_000.0;
+
+/// How overloaded one class of a service is, as this instance sees it.
+#[derive(Debug, Clone, Default)]
+pub struct Overload {
+    since: Millis,
+    last: Option<Millis>,
+    at: Millis,
+    admitted: f64,
+    refused: f64,
+}
+
+impl Overload {
+    /// Counts an opening that got in.
+    pub fn admit(&mut self, now: Millis) {
+        self.decay(now);
+        self.admitted += 1.0;
+    }
+
+    /// Counts an opening that is turned away and says when to come back.
+    pub fn refuse(&mut self, now: Millis, random: &mut Random) -> Millis {
+        self.decay(now);
+        self.refused += 1.0;
+        if !self.lasts(now) {
+            self.since = now;
+        }
+        self.last = Some(now);
+        let excess = (self.refused / self.admitted.max(1.0)).min(10.0);
+        let lasted = now.since(self.since).0 as f64;
+        let mean = SHORTEST.0 as f64 + lasted * 0.5 * excess.min(2.0);
+        let mean = mean.min(LONGEST.0 as f64);
+        Millis((mean * (0.5 + random.fraction())) as u64)
+    }
+
+    /// Whether there is an overload now.
+    pub fn lasts(&self, now: Millis) -> bool {
+        self.last.is_some_and(|last| now.since(last) < OVER)
+    }
+
+    fn decay(&mut self, now: Millis) {
+        let span = now.since(self.at).0;
+        if span == 0 {
+            return;
+        }
+        let keep = (-(span as f64) / HALF_LIFE).exp2();
+        self.at = now;
+        self.admitted *= keep;
+        self.refused *= keep;
+    }
+}
--- /dev/null
+++ b/load/src/shares.rs
@@ -0,0 +1,130 @@
+//! An instance's share of a target's slots and connections.
+//!
+//! Answers saturation where every instance decides alone. Eight instances
+//! stand before a target with two slots: a whole slot each would overrun it
+//! four times, none each would leave it idle. A share is therefore a *time
+//! average*: [`Ledger`] earns slot-milliseconds at the instance's fraction of
+//! the slots and pays for each admitted work what such work held a slot for
+//! lately. Without it a target's backlog grows until callers give up on work
+//! that then runs for nobody; one notices hold times that grow while goodput
+//! falls.
+//!
+//! A fabric that sprays packets shows the end of a flow to any instance. The
+//! ledger therefore needs no ends of its own flows, and [`Connections`] counts
+//! openings here less ends seen here *of any flow*: each instance's count is
+//! off by a random walk, their sum is exact.
+
+use medlarspur_lib::time::Millis;
+
+/// How much of the target's time may be saved up while nothing comes. The
+/// backlog that a burst makes in a target is bounded by this; at 100 ms half
+/// load waited, at 1000 ms a burst kept a target behind for a second.
+const SAVINGS: f64 = 250.0;
+
+/// Slot-milliseconds that an instance may still spend on a target.
+#[derive(Debug, Clone)]
+pub struct Ledger {
+    rate: f64,
+    depth: f64,
+    credit: f64,
+    at: Millis,
+}
+
+impl Ledger {
+    /// An untouched ledger that may at once spend `depth` pieces of work.
+    pub fn new(now: Millis, depth: f64) -> Ledger {
+        Ledger { rate: 0.0, depth, credit: f64::MAX, at: now }
+    }
+
+    /// Earns up to `now` at `rate` slots, keeping at most the savings.
+    pub fn earn(&mut self, now: Millis, rate: f64, cost: f64) {
+        let span = now.since(self.at).0 as f64;
+        self.at = now.max(self.at);
+        self.rate = rate;
+        self.credit = (self.credit + rate * span).min(self.cap(cost));
+    }
+
+    /// Pays for one admitted piece of work.
+    pub fn pay(&mut self, cost: f64) {
+        self.credit -= cost;
+    }
+
+    /// Whether work may be let in now. Scarce work only gets what is left
+    /// over: the upper half of the savings.
+    pub fn allows(&self, cost: f64, leftover: bool) -> bool {
+        if leftover { self.credit >= self.cap(cost) / 2.0 } else { self.credit >= 0.0 }
+    }
+
+    /// How long until work may be let in, with `ahead` pieces before it.
+    pub fn delay(&self, cost: f64, ahead: usize) -> Millis {
+        let missing = cost * ahead as f64 - self.credit;
+        if missing <= 0.0 {
+            return Millis(0);
+        }
+        if self.rate <= 0.0 {
+            return Millis(u64::MAX);
+        }
+        Millis((missing / self.rate).ceil() as u64)
+    }
+
+    /// The part of the savings that is spent, from 0 to 1.
+    pub fn spent(&self, cost: f64) -> f64 {
+        (1.0 - self.credit / self.cap(cost)).clamp(0.0, 1.0)
+    }
+
+    fn cap(&self, cost: f64) -> f64 {
+        (self.rate * SAVINGS).max(cost * self.depth)
+    }
+}
+
+/// How far a target's word may be from the own count to be believed, as a
+/// part of its connections. The random walk of a day stays within it; a
+/// target that always says zero does not.
+const BELIEVED: f64 = 0.3;
+/// How much of the difference one report corrects, so that a lagging report
+/// cannot make the count swing.
+const CORRECTION: f64 = 0.1;
+/// How long a new count takes a target's word for it: an instance that just
+/// started has seen no openings and would fill the target a second time.
+const UNSURE: Millis = Millis::secs(30);
+
+/// This instance's part of the connections that a target holds.
+#[derive(Debug, Clone)]
+pub struct Connections {
+    count: f64,
+    since: Millis,
+}
+
+impl Connections {
+    /// Starts to count at `now`.
+    pub fn new(now: Millis) -> Connections {
+        Connections { count: 0.0, since: now }
+    }
+
+    /// Counts an opening.
+    pub fn open(&mut self) {
+        self.count += 1.0;
+    }
+
+    /// Counts the end of a flow, whoever opened it.
+    pub fn close(&mut self) {
+        self.count -= 1.0;
+    }
+
+    /// Takes in what the target says, as far as it can be true.
+    pub fn told(&mut self, now: Millis, connections: u32, limit: u32, instances: u16) {
+        let part = f64::from(connections) / f64::from(instances.max(1));
+        let room = f64::from(limit) / f64::from(instances.max(1));
+        if now.since(self.since) < UNSURE {
+            self.count = self.count.max(part.min(room));
+        } else if (part - self.count).abs() <= room * BELIEVED {
+            self.count += (part - self.count) * CORRECTION;
+        }
+    }
+
+    /// The part of this instance's room that is taken, from 0 to about 1.
+    pub fn taken(&self, limit: u32, instances: u16) -> f64 {
+        let room = f64::from(limit) / f64::from(instances.max(1));
+        if room <= 0.0 { 1.0 } else { self.count.max(0.0) / room }
+    }
+}
--- /dev/null
+++ b/load/src/state.rs
@@ -0,0 +1,203 @@
+//! What the gate keeps of each service and target.
+
+use crate::{
+    admission,
+    opening::{ServiceLoad, TargetLoad, Told},
+    placement::{self, FULL, Hold, Seen, View},
+    queue::Line,
+    refusal::Overload,
+    settings::Settings,
+    shares::{Connections, Ledger},
+};
+use medlarspur_lib::{bundle::Class, ids::ServiceName, time::Millis};
+
+/// How many classes there are.
+pub(crate) const CLASSES: usize = 3;
+/// What work is taken to hold a slot for before any end was seen, by class.
+const FIRST_HOLDS: [f64; CLASSES] = [1.0, 50.0, 5_000.0];
+/// How much shorter than usual a target's work may seem. A target that sheds
+/// answers fast; taken at its word it would be given ever more to shed.
+const SHORTEST: f64 = 0.5;
+/// How many pieces of work an idle target is given at once by each instance,
+/// however long they are.
+const DEPTH: f64 = 2.0;
+/// How much of an upload ledger's savings must be spent before a target that
+/// says *full* is believed; one that always says so keeps getting some.
+const DOUBT: f64 = 0.5;
+
+/// Where a class stands in arrays by class.
+pub(crate) const fn at(class: Class) -> usize {
+    match class {
+        Class::Feed => 0,
+        Class::Request => 1,
+        Class::Upload => 2,
+    }
+}
+
+/// A service and what was learnt of it.
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) name: ServiceName,
+    pub(crate) requests: bool,
+    pub(crate) balance: u8,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) weights: Vec<u16>,
+    pub(crate) overload: [Overload; CLASSES],
+    pub(crate) holds: [Hold; CLASSES],
+    /// Whether targets that say they drain are believed.
+    pub(crate) believed: bool,
+}
+
+impl Service {
+    /// Takes over the bundle's word, and what `old` knew of the same service.
+    /// Gives back the lines of targets that are gone.
+    pub(crate) fn new(
+        now: Millis,
+        load: ServiceLoad,
+        old: Option<Service>,
+    ) -> (Service, Vec<Line>) {
+        let known = old.is_some();
+        let mut old = old.unwrap_or_else(|| Service::empty(load.name.clone()));
+        let mut targets = Vec::with_capacity(load.targets.len());
+        for load in load.targets {
+            let same = old.targets.iter().position(|t| t.load.name == load.name);
+            let target = match same {
+                Some(ix) => Target { load, ..old.targets.swap_remove(ix) },
+                None => Target::new(now, load, known),
+            };
+            targets.push(target);
+        }
+        let weights = targets.iter().map(|t| t.load.weight.saturating_mul(FULL / 100)).collect();
+        let gone = old.targets.into_iter().flat_map(|t| t.lines).collect();
+        let service = Service {
+            requests: load.requests,
+            balance: load.balance,
+            targets,
+            weights,
+            ..Service { targets: Vec::new(), ..old }
+        };
+        (service, gone)
+    }
+
+    fn empty(name: ServiceName) -> Service {
+        Service {
+            name,
+            requests: false,
+            balance: 0,
+            targets: Vec::new(),
+            weights: Vec::new(),
+            overload: Default::default(),
+            holds: Default::default(),
+            believed: true,
+        }
+    }
+
+    /// Renews the weights.
+    pub(crate) fn advise(&mut self, now: Millis) {
+        let told = |t: &&Target| t.seen.told(now).is_some_and(|told| told.draining);
+        let draining = self.targets.iter().filter(told).count();
+        self.believed = placement::drains_believed(draining, self.targets.len());
+        let mut views: Vec<View> = self.targets.iter_mut().map(Target::view).collect();
+        placement::advise(now, self.balance, &mut views, &mut self.weights);
+    }
+
+    /// How long work of a class holds a slot of a target, in milliseconds.
+    pub(crate) fn cost(&self, target: usize, class: Class) -> f64 {
+        let usual = self.holds[at(class)].mean().unwrap_or(FIRST_HOLDS[at(class)]);
+        let own = self.targets[target].holds[at(class)].mean().unwrap_or(usual);
+        own.max(usual * SHORTEST)
+    }
+}
+
+/// A target and what was learnt of it.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) load: TargetLoad,
+    pub(crate) connections: Connections,
+    pub(crate) requests: Ledger,
+    pub(crate) uploads: Ledger,
+    pub(crate) lines: [Line; CLASSES],
+    pub(crate) holds: [Hold; CLASSES],
+    pub(crate) seen: Seen,
+    /// Uploads let in here since the target last spoke.
+    pub(crate) unheard: u32,
+}
+
+impl Target {
+    fn new(now: Millis, load: TargetLoad, cold: bool) -> Target {
+        Target {
+            load,
+            connections: Connections::new(now),
+            requests: Ledger::new(now, DEPTH),
+            uploads: Ledger::new(now, DEPTH),
+            lines: Default::default(),
+            holds: Default::default(),
+            seen: Seen::new(cold),
+            unheard: 0,
+        }
+    }
+
+    /// What the weights are worked out from.
+    fn view(&mut self) -> View<'_> {
+        View {
+            state: self.load.state,
+            weight: self.load.weight,
+            slots: self.load.slots,
+            hold: self.holds[at(Class::Request)].mean(),
+            seen: &mut self.seen,
+        }
+    }
+
+    /// The ledger that a class is paid from; feeds hold no slot.
+    pub(crate) fn ledger(&mut self, class: Class) -> Option<&mut Ledger> {
+        match class {
+            Class::Feed => None,
+            Class::Request => Some(&mut self.requests),
+            Class::Upload => Some(&mut self.uploads),
+        }
+    }
+
+    /// Brings both ledgers up to `now`.
+    pub(crate) fn earn(
+        &mut self,
+        now: Millis,
+        settings: &Settings,
+        share: Share,
+        costs: [f64; CLASSES],
+    ) {
+        let Share { requests, instances } = share;
+        let booking = f64::from(settings.booking) / 100.0 / f64::from(instances.max(1));
+        let rate = |class| admission::slots(settings, requests, class, self.load.slots) * booking;
+        let (all, long) = (rate(Class::Request), rate(Class::Upload));
+        self.uploads.earn(now, long, costs[at(Class::Upload)]);
+        let taken = self.uploads.spent(costs[at(Class::Upload)]) * long;
+        self.requests.earn(now, all - taken, costs[at(Class::Request)]);
+    }
+
+    /// Whether the target's own word leaves room for an upload. Between its
+    /// reports each instance takes the others to do as it does itself.
+    pub(crate) fn says_room(
+        &self,
+        now: Millis,
+        settings: &Settings,
+        share: Share,
+        cost: f64,
+    ) -> bool {
+        let Some(Told { slots, .. }) = self.seen.told(now) else { return true };
+        if self.uploads.spent(cost) < DOUBT {
+            return true;
+        }
+        let unheard = self.unheard * u32::from(share.instances);
+        let limit = f64::from(self.load.slots) * f64::from(settings.booking) / 100.0;
+        f64::from(slots + unheard) < limit
+    }
+}
+
+/// What an instance's part of a target follows from.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Share {
+    /// Whether room is kept for requests.
+    pub(crate) requests: bool,
+    /// How many instances are believed live.
+    pub(crate) instances: u16,
+}
--- /dev/null
+++ b/load/tests/test_gate.rs
@@ -0,0 +1,106 @@
+use medlarspur_lib::{
+    bundle::{Class, TargetState},
+    ids::{FlowId, ServiceIx, ServiceName, TargetIx, TargetName},
+    time::Millis,
+};
+use medlarspur_load::{Closing, Gate, Opening, ServiceLoad, Settings, TargetLoad, Verdict};
+use std::net::Ipv4Addr;
+
+fn alertdesk() -> ServiceLoad {
+    let target = |n| TargetLoad {
+        name: TargetName::new(&format!("alertdesk-{n}")),
+        slots: 2,
+        connections: 2000,
+        weight: 100,
+        state: TargetState::Active,
+    };
+    ServiceLoad {
+        name: ServiceName::new("alertdesk"),
+        requests: true,
+        balance: 50,
+        targets: (0..14).map(target).collect(),
+    }
+}
+
+fn gate() -> Gate {
+    let mut gate = Gate::new(Settings::default(), 7);
+    gate.set_instances(8);
+    gate.set_services(Millis(0), vec![alertdesk()]);
+    gate
+}
+
+fn request(flow: u64) -> Opening {
+    Opening {
+        flow: FlowId(flow),
+        caller: Ipv4Addr::from(0x0a00_0000 + (flow as u32) * 977),
+        service: ServiceIx(0),
+        class: Class::Request,
+        target: TargetIx(3),
+    }
+}
+
+#[test]
+fn an_idle_service_lets_an_opening_in_at_once() {
+    let mut gate = gate();
+    assert_eq!(gate.open(Millis(1), &request(1)), Verdict::Admit);
+}
+
+/// A caller hears nothing for a second and repeats its opening. Were it decided
+/// anew under load, the caller would be told *not run* of work that runs.
+#[test]
+fn a_repeated_opening_is_answered_as_the_first() {
+    let mut gate = gate();
+    let first: Vec<Verdict> = (0..200).map(|f| gate.open(Millis(1), &request(f))).collect();
+
+    let again: Vec<Verdict> = (0..200).map(|f| gate.open(Millis(1), &request(f))).collect();
+
+    assert_eq!(first, again);
+    assert!(first.contains(&Verdict::Admit));
+    assert!(first.iter().any(|v| matches!(v, Verdict::Wait { .. })));
+    assert!(first.iter().any(|v| matches!(v, Verdict::Refuse { .. })));
+}
+
+/// A burst leaves openings in line. Each must get one final verdict within the
+/// patience, or its caller sits before a connection that never opens.
+#[test]
+fn whoever_waits_gets_one_final_verdict_in_time() {
+    let mut gate = gate();
+    let waiting = (0..200)
+        .filter(|&f| matches!(gate.open(Millis(1), &request(f)), Verdict::Wait { .. }))
+        .count();
+
+    let mut out = Vec::new();
+    for now in 1..=1 + Settings::default().patience.0 {
+        gate.due(Millis(now), &mut out);
+    }
+
+    assert!(waiting > 0);
+    assert_eq!(out.len(), waiting);
+}
+
+#[test]
+fn the_end_of_an_unknown_flow_is_harmless() {
+    let mut gate = gate();
+    let closing = Closing {
+        flow: FlowId(99),
+        service: ServiceIx(9),
+        class: Class::Upload,
+        target: TargetIx(99),
+    };
+    gate.closed(Millis(5), &closing);
+    assert_eq!(gate.weights(ServiceIx(9)), &[] as &[u16]);
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_new() {
+    let mut gate = gate();
+    let mut service = alertdesk();
+    service.targets[3].state = TargetState::Leaving;
+
+    gate.set_services(Millis(10), vec![service]);
+    gate.due(Millis(10), &mut Vec::new());
+
+    assert!(matches!(gate.open(Millis(11), &request(1)), Verdict::Refuse { .. }));
+    assert_eq!(gate.weights(ServiceIx(0))[3], 0);
+    assert_eq!(gate.weights(ServiceIx(0))[4], 1000);
+}
