target: probe health and load and judge answers with hysteresis

Eight threads at most ask targets over HTTP; a hung target holds one of them for a second. Three bad answers of the last five make a target bad and four good ones make it good again, so that an endpoint that lags or alternates can't move work with each answer.

--- /dev/null
+++ b/target/src/http.rs
@@ -0,0 +1,86 @@
+//! Probes over HTTP.
+
+use crate::{Answer, Outcome, Probe};
+use serde::Deserialize;
+use std::{
+    io::ErrorKind,
+    net::SocketAddrV4,
+    time::{Duration, Instant},
+};
+use ureq::{Agent, Error, config::Config};
+
+/// How long one call may take. A target answers in milliseconds; one that
+/// needs a second is as good as unreachable, and a worker is held no longer.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// How much of a load report is read, in bytes.
+const MAX_REPORT: u64 = 4096;
+
+/// What a target says of its load at `/load`, as JSON. Fields that it adds are
+/// passed over. It lags and may be wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub struct Told {
+    /// How many of its slots are taken, work that waits for one included.
+    pub slots: u32,
+    /// How many connections it holds.
+    pub connections: u32,
+    /// Whether it drains and wants no new work.
+    #[serde(default)]
+    pub draining: bool,
+}
+
+/// Probes targets over HTTP by their IP numbers.
+#[derive(Debug)]
+pub struct Http {
+    agent: Agent,
+}
+
+impl Http {
+    /// Prepares probes. Headers that no target needs are left out: they would
+    /// be half of the traffic.
+    pub fn new() -> Self {
+        let config = Config::builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .user_agent("")
+            .accept("")
+            .accept_encoding("")
+            .timeout_global(Some(TIMEOUT))
+            .build();
+        Self { agent: config.new_agent() }
+    }
+
+    fn health(&self, address: SocketAddrV4) -> Outcome {
+        match self.agent.get(format!("http://{address}/health")).call() {
+            Ok(response) if response.status().as_u16() == 200 => Outcome::Healthy,
+            Ok(_) => Outcome::Unhealthy,
+            Err(Error::Io(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                Outcome::Refused
+            }
+            Err(_) => Outcome::Unreachable,
+        }
+    }
+
+    fn load(&self, address: SocketAddrV4) -> Option<Told> {
+        let response = self.agent.get(format!("http://{address}/load")).call().ok()?;
+        let body = response.into_body().into_with_config().limit(MAX_REPORT);
+        serde_json::from_slice(&body.read_to_vec().ok()?).ok()
+    }
+}
+
+impl Default for Http {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Probe for Http {
+    fn probe(&self, address: SocketAddrV4) -> Answer {
+        let start = Instant::now();
+        let outcome = self.health(address);
+        let elapsed = start.elapsed();
+        let answers = matches!(outcome, Outcome::Healthy | Outcome::Unhealthy);
+        let told = if answers { self.load(address) } else { None };
+        Answer { outcome, told, elapsed }
+    }
+}
--- /dev/null
+++ b/target/src/prober.rs
@@ -0,0 +1,222 @@
+//! The threads that probe targets.
+
+use crate::{Answer, Finish, Job, Next, Outcome, Probe, Schedule, Told, Verdict};
+use medlarspur_lib::{ids::TargetName, time::Millis};
+use snafu::{ResultExt, Snafu};
+use std::{
+    io,
+    net::SocketAddrV4,
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering::Relaxed},
+        mpsc::{SyncSender, TrySendError},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+/// How many probes run at once. Each may hang for its whole time limit, so a
+/// fixed number keeps dead targets from taking all the memory and sockets; the
+/// others then wait, and their verdicts get old instead.
+const WORKERS: usize = 8;
+
+/// What is known of a target after a probe.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// The target.
+    pub target: TargetName,
+    /// What to believe of it after the last few answers.
+    pub verdict: Verdict,
+    /// What it says of its load, if it did.
+    pub told: Option<Told>,
+    /// How long its health endpoint took.
+    pub elapsed: Duration,
+}
+
+/// Counts since the prober was started.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    /// Probes that said healthy.
+    pub healthy: u64,
+    /// Probes that were answered with anything else.
+    pub unhealthy: u64,
+    /// Probes without an answer.
+    pub unreachable: u64,
+    /// Probes that the target's host refused.
+    pub refused: u64,
+    /// Healthy probes without a load report that could be understood.
+    pub mute: u64,
+    /// Events dropped since the ring was full; the next probe brings news.
+    pub full: u64,
+}
+
+/// Why a prober can't be started.
+#[derive(Debug, Snafu)]
+pub enum ProberError {
+    /// The system gives no more threads.
+    #[snafu(display("cannot start a thread that probes targets"))]
+    Spawn {
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+/// Probes a set of targets. Dropping it ends its threads after their probes.
+#[derive(Debug)]
+pub struct Prober {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+    start: Instant,
+    counters: Counters,
+}
+
+#[derive(Debug)]
+struct State {
+    schedule: Schedule,
+    stopped: bool,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    outcomes: [AtomicU64; 4],
+    mute: AtomicU64,
+    full: AtomicU64,
+}
+
+impl Prober {
+    /// Starts the threads; they have no target yet. Each target will be probed
+    /// once an interval, usually [`INTERVAL`](crate::INTERVAL).
+    pub fn start<P: Probe>(
+        probe: P,
+        interval: Millis,
+        events: SyncSender<Event>,
+    ) -> Result<Self, ProberError> {
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State { schedule: Schedule::new(interval), stopped: false }),
+            changed: Condvar::new(),
+            start: Instant::now(),
+            counters: Counters::default(),
+        });
+        let prober = Self { shared: shared.clone() };
+        let probe = Arc::new(probe);
+        for ix in 0..WORKERS {
+            let worker =
+                Worker { shared: shared.clone(), probe: probe.clone(), events: events.clone() };
+            let builder = thread::Builder::new().name(format!("probe-{ix}"));
+            builder.spawn(move || worker.run()).context(SpawnSnafu)?;
+        }
+        Ok(prober)
+    }
+
+    /// Replaces the targets to probe. One that stays keeps its verdict.
+    pub fn set_targets(&self, targets: Vec<(TargetName, SocketAddrV4)>) {
+        let jobs = targets.into_iter().map(|(target, address)| Job { target, address });
+        let now = self.shared.now();
+        self.shared.lock().schedule.set(jobs, now);
+        self.shared.changed.notify_all();
+    }
+
+    /// What was counted so far.
+    pub fn counts(&self) -> Counts {
+        let counters = &self.shared.counters;
+        let [healthy, unhealthy, unreachable, refused] =
+            counters.outcomes.each_ref().map(|it| it.load(Relaxed));
+        let (mute, full) = (counters.mute.load(Relaxed), counters.full.load(Relaxed));
+        Counts { healthy, unhealthy, unreachable, refused, mute, full }
+    }
+}
+
+impl Drop for Prober {
+    fn drop(&mut self) {
+        self.shared.lock().stopped = true;
+        self.shared.changed.notify_all();
+    }
+}
+
+impl Shared {
+    fn now(&self) -> Millis {
+        self.start.elapsed().into()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits for the next probe that is due; nothing when stopped.
+    fn take(&self) -> Option<Job> {
+        let mut state = self.lock();
+        while !state.stopped {
+            let span = match state.schedule.take(self.now()) {
+                Next::Probe(job) => return Some(job),
+                Next::Wait(span) => Duration::from_millis(span.0),
+            };
+            let waited = self.changed.wait_timeout(state, span);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        None
+    }
+
+    fn count(&self, answer: &Answer) {
+        let ix = match answer.outcome {
+            Outcome::Healthy => 0,
+            Outcome::Unhealthy => 1,
+            Outcome::Unreachable => 2,
+            Outcome::Refused => 3,
+        };
+        self.counters.outcomes[ix].fetch_add(1, Relaxed);
+        if answer.outcome == Outcome::Healthy && answer.told.is_none() {
+            self.counters.mute.fetch_add(1, Relaxed);
+        }
+    }
+}
+
+/// One thread's duty: to make one probe after the other.
+struct Worker<P> {
+    shared: Arc<Shared>,
+    probe: Arc<P>,
+    events: SyncSender<Event>,
+}
+
+impl<P: Probe> Worker<P> {
+    fn run(self) {
+        while let Some(job) = self.shared.take() {
+            let answer = self.probe.probe(job.address);
+            self.shared.count(&answer);
+            let finish = self.shared.lock().schedule.finish(&job, answer.outcome);
+            let Some(finish) = finish else { continue };
+            note(&job.target, finish);
+            if let Some(verdict) = finish.verdict
+                && !self.hand_on(job.target, verdict, answer)
+            {
+                return;
+            }
+        }
+    }
+
+    /// Hands news on without waiting; answers whether somebody listens.
+    fn hand_on(&self, target: TargetName, verdict: Verdict, answer: Answer) -> bool {
+        let event = Event { target, verdict, told: answer.told, elapsed: answer.elapsed };
+        match self.events.try_send(event) {
+            Ok(()) => true,
+            Err(TrySendError::Full(_)) => {
+                self.shared.counters.full.fetch_add(1, Relaxed);
+                true
+            }
+            Err(TrySendError::Disconnected(_)) => false,
+        }
+    }
+}
+
+/// Logs a change of the verdict.
+fn note(target: &TargetName, finish: Finish) {
+    let (before, verdict) = (finish.before, finish.verdict);
+    match verdict {
+        Some(verdict) if before != Some(verdict) => log::info!("target {target}: {verdict:?}"),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/target/tests/test_prober.rs
@@ -0,0 +1,72 @@
+use medlarspur_lib::{ids::TargetName, time::Millis};
+use medlarspur_target::{Answer, Event, Outcome, Probe, Prober, Told, Verdict};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::mpsc::{RecvTimeoutError, sync_channel},
+    thread,
+    time::{Duration, Instant},
+};
+
+const INTERVAL: Millis = Millis(50);
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Answers by the port that is asked.
+struct Script;
+
+impl Probe for Script {
+    fn probe(&self, address: SocketAddrV4) -> Answer {
+        let outcome = if address.port() == 1 { Outcome::Healthy } else { Outcome::Refused };
+        let told = Told { slots: 1, connections: 5, draining: false };
+        let told = (outcome == Outcome::Healthy).then_some(told);
+        Answer { outcome, told, elapsed: Duration::from_millis(3) }
+    }
+}
+
+fn target(name: &str, port: u16) -> (TargetName, SocketAddrV4) {
+    (TargetName::new(name), SocketAddrV4::new(Ipv4Addr::LOCALHOST, port))
+}
+
+#[test]
+fn each_verdict_arrives_with_the_load() {
+    let (sender, events) = sync_channel(16);
+    let prober = Prober::start(Script, INTERVAL, sender).unwrap();
+
+    prober.set_targets(vec![target("good", 1), target("gone", 2)]);
+    let first = events.recv_timeout(PATIENCE).unwrap();
+    let gone = events.iter().find(|it| it.target.as_str() == "gone").unwrap();
+
+    let told = Some(Told { slots: 1, connections: 5, draining: false });
+    let elapsed = Duration::from_millis(3);
+    let target = TargetName::new("good");
+    assert_eq!(first, Event { target, verdict: Verdict::Healthy, told, elapsed });
+    assert_eq!((gone.verdict, gone.told), (Verdict::Refused, None));
+    assert!(prober.counts().refused >= 3);
+}
+
+/// The thread that takes events is busy. Waiting for it would stop the probes
+/// of all targets; dropped news is replaced by the next probe.
+#[test]
+fn a_full_ring_is_counted_and_stops_no_probe() {
+    let (sender, _events) = sync_channel(1);
+    let prober = Prober::start(Script, INTERVAL, sender).unwrap();
+    let names: Vec<_> = (0..20).map(|ix| target(&format!("good-{ix}"), 1)).collect();
+
+    prober.set_targets(names);
+    let start = Instant::now();
+    while prober.counts().healthy < 20 && start.elapsed() < PATIENCE {
+        thread::sleep(Duration::from_millis(5));
+    }
+
+    assert!(prober.counts().healthy >= 20);
+    assert!(prober.counts().full >= 1);
+}
+
+#[test]
+fn its_threads_end_with_it() {
+    let (sender, events) = sync_channel(16);
+    let prober = Prober::start(Script, INTERVAL, sender).unwrap();
+
+    drop(prober);
+
+    assert_eq!(events.recv_timeout(PATIENCE), Err(RecvTimeoutError::Disconnected));
+}
--- /dev/null
+++ b/target/tests/test_verdict.rs
@@ -0,0 +1,87 @@
+use medlarspur_target::{Judge, Outcome, Verdict};
+use proptest::prelude::*;
+
+fn observe(judge: &mut Judge, outcomes: &[Outcome]) -> Vec<Option<Verdict>> {
+    outcomes.iter().map(|&it| judge.observe(it)).collect()
+}
+
+fn any_outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        Just(Outcome::Healthy),
+        Just(Outcome::Unhealthy),
+        Just(Outcome::Unreachable),
+        Just(Outcome::Refused),
+    ]
+}
+
+#[test]
+fn the_first_good_answer_is_enough_for_a_start() {
+    let mut judge = Judge::default();
+
+    assert_eq!(judge.observe(Outcome::Healthy), Some(Verdict::Healthy));
+}
+
+#[test]
+fn without_good_answers_there_is_no_verdict_before_the_third() {
+    let mut judge = Judge::default();
+
+    let verdicts = observe(&mut judge, &[Outcome::Refused, Outcome::Refused, Outcome::Refused]);
+
+    assert_eq!(verdicts, [None, None, Some(Verdict::Refused)]);
+}
+
+/// A health endpoint answers too late now and then, as under a collection of
+/// garbage. Moving work away for one such answer would overrun the others and
+/// callers would wait there.
+#[test]
+fn one_or_two_bad_answers_change_nothing() {
+    let mut judge = Judge::default();
+    let (good, late) = (Outcome::Healthy, Outcome::Unreachable);
+
+    let verdicts =
+        observe(&mut judge, &[good, late, late, good, good, good, late, good, good, late]);
+
+    assert!(verdicts.iter().all(|it| *it == Some(Verdict::Healthy)));
+}
+
+/// An endpoint that misleads alternates between good and bad. Following each
+/// answer, new work would come and go with it and all others would swing too.
+#[test]
+fn an_alternating_endpoint_changes_the_verdict_at_most_once() {
+    let mut judge = Judge::default();
+    let outcomes: Vec<_> =
+        (0..100).map(|ix| [Outcome::Healthy, Outcome::Unhealthy][ix % 2]).collect();
+
+    let verdicts = observe(&mut judge, &outcomes);
+
+    let changes = verdicts.windows(2).filter(|it| it[0] != it[1]).count();
+    assert!(changes <= 1, "{changes}");
+}
+
+#[test]
+fn a_bad_target_is_good_again_after_four_good_answers_of_five() {
+    let mut judge = Judge::default();
+    observe(&mut judge, &[Outcome::Healthy; 5]);
+    observe(&mut judge, &[Outcome::Refused; 5]);
+
+    let verdicts = observe(&mut judge, &[Outcome::Healthy; 4]);
+
+    let refused = Some(Verdict::Refused);
+    assert_eq!(verdicts, [refused, refused, refused, Some(Verdict::Healthy)]);
+}
+
+proptest! {
+    #[test]
+    fn five_like_answers_settle_it_whatever_was_before(
+        before in prop::collection::vec(any_outcome(), 0..50),
+        last in any_outcome(),
+    ) {
+        let mut judge = Judge::default();
+        observe(&mut judge, &before);
+
+        let verdicts = observe(&mut judge, &[last; 5]);
+
+        let mut fresh = Judge::default();
+        prop_assert_eq!(verdicts[4], observe(&mut fresh, &[last; 5])[4]);
+    }
+}
