spread: fetch pieces from several peers where no common text is left

The tests bring about a stale or down platform, restart with empty memory, two operators, a cut and a sleep.

--- a/lib/src/control/beat.rs
+++ b/lib/src/control/beat.rs
@@ -171,9 +171,10 @@
         if !self.ready() {
             self.beat.claims.insert(sender.name.clone(), order);
         }
-        let me = self.roster.me().addresses.control;
-        if let Some(request) = self.spread.claim(now, order, me) {
-            self.send(sender.addresses.control, Message::BundleRequest(request));
+        let to = sender.addresses.control;
+        if self.spread.claim(now, order, to) {
+            let request = self.spread.request(self.addr());
+            self.send(to, request);
         }
     }
 
--- a/lib/src/control/mod.rs
+++ b/lib/src/control/mod.rs
@@ -142,6 +142,7 @@
         self.roster.expire(now);
         self.publish_members();
         self.beat(now);
+        self.fetch(now);
         self.choose_readers();
         self.check_ready(now);
     }
@@ -192,6 +193,52 @@
         }
     }
 
+    fn bundle(&mut self, now: Millis, message: &Message) {
+        let me = self.addr();
+        match message {
+            Message::BundleRequest(request) => {
+                let answer = self.spread.answer(request, me);
+                self.reply(request.sender, answer);
+            }
+            Message::PieceRequest(request) => {
+                let answer = self.spread.give(now, request, me);
+                self.reply(request.sender, answer);
+            }
+            Message::BundleDelta(delta) => {
+                let offered = self.spread.apply(delta);
+                self.take_offer(offered);
+            }
+            Message::Pieces(pieces) => {
+                let offered = self.spread.fill(now, pieces);
+                self.take_offer(offered);
+                self.fetch(now);
+            }
+            Message::BundleOutline(outline) => {
+                let offered = self.spread.outline(now, outline);
+                self.take_offer(offered);
+                self.fetch(now);
+            }
+            _ => {}
+        }
+    }
+
+    fn fetch(&mut self, now: Millis) {
+        let me = self.addr();
+        for (to, request) in self.spread.fetch(now, me) {
+            self.send(to, request);
+        }
+    }
+
+    fn reply(&mut self, to: SocketAddrV4, answer: Option<Message>) {
+        if let Some(answer) = answer {
+            self.send(to, answer);
+        }
+    }
+
+    fn addr(&self) -> SocketAddrV4 {
+        self.roster.me().addresses.control
+    }
+
     fn platform_bundle(&mut self, text: &str) {
         self.start.platform();
         let offered = self.spread.offer(text);
@@ -213,15 +260,11 @@
     fn peer(&mut self, now: Millis, message: Message) {
         match message {
             Message::Heartbeat(beat) => self.heartbeat(now, &beat),
-            Message::BundleRequest(request) => {
-                if let Some(answer) = self.spread.answer(&request) {
-                    self.send(request.sender, answer);
-                }
-            }
-            Message::BundleDelta(delta) => {
-                let offered = self.spread.apply(&delta);
-                self.take_offer(offered);
-            }
+            Message::BundleRequest(_)
+            | Message::BundleDelta(_)
+            | Message::BundleOutline(_)
+            | Message::PieceRequest(_)
+            | Message::Pieces(_) => self.bundle(now, &message),
             Message::PlanRequest(request) => self.answer_plans(&request),
             Message::Plan(plan) => self.follow(plan),
             Message::Leave(leave) => self.hear_leave(now, &leave),
@@ -274,7 +317,7 @@
             return;
         }
         self.asked_plans = Some(now);
-        let sender = self.roster.me().addresses.control;
+        let sender = self.addr();
         let groups = self.plans.groups().to_vec();
         self.send(to, Message::PlanRequest(PlanRequest { sender, groups }));
     }
@@ -285,7 +328,7 @@
     }
 
     fn send(&mut self, to: SocketAddrV4, message: Message) {
-        if to != self.roster.me().addresses.control {
+        if to != self.addr() {
             self.actions.push(Action::Send { to, message });
         }
     }
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -47,11 +47,44 @@
         /// The digest of the whole signed text.
         pub digest: Digest,
         /// The digest of the text that [`Piece::Copy`] refers to.
-        pub base: Option<Digest>,
+        pub base: Digest,
         /// The signed text in pieces, in order.
         pub pieces: Vec<Piece>,
     }
 
+    /// What a bundle's text consists of, for an asker whose text is none that
+    /// the sender still has.
+    pub struct BundleOutline {
+        /// Whom to ask for the pieces.
+        pub sender: SocketAddrV4,
+        /// The version of the whole.
+        pub version: Version,
+        /// The digest of the whole signed text.
+        pub digest: Digest,
+        /// The short digests of its pieces, in order.
+        pub pieces: Vec<u64>,
+    }
+
+    /// Asks for pieces of a bundle's text.
+    pub struct PieceRequest {
+        /// Where the answer goes.
+        pub sender: SocketAddrV4,
+        /// The digest of the whole signed text.
+        pub digest: Digest,
+        /// Runs of pieces: the position of the first, and how many.
+        pub runs: Vec<(u32, u32)>,
+    }
+
+    /// Pieces of a bundle's text.
+    pub struct Pieces {
+        /// Who sends them.
+        pub sender: SocketAddrV4,
+        /// The digest of the whole signed text.
+        pub digest: Digest,
+        /// Pieces with their positions.
+        pub pieces: Vec<(u32, Arc<str>)>,
+    }
+
     /// Asks for the plans in which the asker and the asked differ.
     pub struct PlanRequest {
         /// Where the answers go.
@@ -130,6 +163,12 @@
     BundleRequest(BundleRequest),
     /// See [`BundleDelta`].
     BundleDelta(BundleDelta),
+    /// See [`BundleOutline`].
+    BundleOutline(BundleOutline),
+    /// See [`PieceRequest`].
+    PieceRequest(PieceRequest),
+    /// See [`Pieces`].
+    Pieces(Pieces),
     /// See [`PlanRequest`].
     PlanRequest(PlanRequest),
     /// See [`ServicePlan`].
--- a/lib/src/spread/error.rs
+++ b/lib/src/spread/error.rs
@@ -34,6 +34,12 @@
         /// How many there are.
         pieces: usize,
     },
+    /// A peer sent another piece than its outline announced.
+    #[snafu(display("piece {at} is not the one that was asked for"))]
+    WrongPiece {
+        /// The position of the piece.
+        at: u32,
+    },
     /// The rebuilt text is not the one that the peer announced.
     #[snafu(display("the rebuilt bundle has another digest than announced"))]
     Digest,
--- a/lib/src/spread/mod.rs
+++ b/lib/src/spread/mod.rs
@@ -4,20 +4,23 @@
 //! so that whatever a stale platform, a peer that slept or a healed partition
 //! brings, an older one never returns. See `docs/design/bundle-spread.md`.
 
+mod assembly;
 mod error;
 mod pieces;
 mod readers;
 
 pub use self::{
+    assembly::{ANSWER_BYTES, RATE},
     error::Refusal,
-    pieces::{diff, rebuild, split},
+    pieces::{diff, rebuild, short, split},
     readers::{READERS, reads},
 };
 
+use self::assembly::{Assembly, Budget};
 use crate::{
     collections::Set,
     ids::Version,
-    message::{BundleDelta, BundleRequest, Digest, Message},
+    message::{BundleDelta, BundleOutline, BundleRequest, Digest, Message, PieceRequest, Pieces},
     time::Millis,
 };
 use snafu::ensure;
@@ -75,7 +78,10 @@
     checker: C,
     /// The text in force first, then those before it.
     texts: VecDeque<Arc<SignedText>>,
-    pending: Option<Pending>,
+    /// Until when an answer is awaited before another peer is asked.
+    pending: Option<Millis>,
+    assembly: Option<Assembly>,
+    budget: Budget,
     refused: VecDeque<Digest>,
     /// The latest version that was seen with two contents.
     pub conflict: Option<Version>,
@@ -84,11 +90,6 @@
     conflicting: Set<Digest>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Pending {
-    until: Millis,
-}
-
 impl<C: Check> Spread<C> {
     /// Starts with no bundle in force.
     pub fn new(checker: C) -> Spread<C> {
@@ -96,6 +97,8 @@
             checker,
             texts: VecDeque::new(),
             pending: None,
+            assembly: None,
+            budget: Budget::default(),
             refused: VecDeque::new(),
             conflict: None,
             conflicts: 0,
@@ -142,6 +145,8 @@
         self.texts.push_front(signed.clone());
         self.texts.truncate(BASES);
         self.pending = None;
+        let order = signed.order();
+        self.assembly.take_if(|a| a.order <= order);
         signed
     }
 
@@ -166,33 +171,107 @@
         }
     }
 
-    /// Hears what a peer has in force. Returns the request to send it, if its
-    /// bundle is a later one and nobody else is being asked.
-    pub fn claim(
-        &mut self,
-        now: Millis,
-        order: (Version, Digest),
-        sender: SocketAddrV4,
-    ) -> Option<BundleRequest> {
+    /// Hears what the peer at `from` has in force. Returns whether to ask it,
+    /// since its bundle is a later one and nobody else is being asked.
+    pub fn claim(&mut self, now: Millis, order: (Version, Digest), from: SocketAddrV4) -> bool {
         self.compare(order.0, order.1);
-        if !self.wants(order) || self.pending.is_some_and(|p| now < p.until) {
-            return None;
+        if let Some(assembly) = &mut self.assembly
+            && assembly.order >= order
+        {
+            if assembly.order == order {
+                assembly.add_source(from);
+            }
+            return false;
         }
-        self.pending = Some(Pending { until: now + ANSWER_LIMIT });
-        Some(BundleRequest { sender, base: self.current().map(|t| t.digest) })
+        if !self.wants(order) || self.pending.is_some_and(|until| now < until) {
+            return false;
+        }
+        self.pending = Some(now + ANSWER_LIMIT);
+        true
+    }
+
+    /// Asks for the bundle that a peer has; the answer goes to `sender`.
+    pub fn request(&self, sender: SocketAddrV4) -> Message {
+        Message::BundleRequest(BundleRequest { sender, base: self.current().map(|t| t.digest) })
     }
 
-    /// Answers a peer's request with the difference to what it has.
-    pub fn answer(&self, request: &BundleRequest) -> Option<Message> {
+    /// Answers a peer's request with the difference to what it has, or with
+    /// the outline of the text if what it has is unknown here.
+    pub fn answer(&self, request: &BundleRequest, me: SocketAddrV4) -> Option<Message> {
         let current = self.current()?;
+        let (version, digest) = current.order();
         let base = self.texts.iter().find(|t| Some(t.digest) == request.base);
-        let pieces = diff(base.map_or("", |t| &t.text), &current.text);
-        Some(Message::BundleDelta(BundleDelta {
-            version: current.version,
-            digest: current.digest,
-            base: base.map(|t| t.digest),
-            pieces,
-        }))
+        Some(match base {
+            Some(base) => {
+                let pieces = diff(&base.text, &current.text);
+                Message::BundleDelta(BundleDelta { version, digest, base: base.digest, pieces })
+            }
+            None => {
+                let pieces = split(&current.text).into_iter().map(short).collect();
+                Message::BundleOutline(BundleOutline { sender: me, version, digest, pieces })
+            }
+        })
+    }
+
+    /// Takes an outline: from now on the pieces that lack are asked for. If
+    /// none does, offers the whole text.
+    pub fn outline(
+        &mut self,
+        now: Millis,
+        outline: &BundleOutline,
+    ) -> Result<Option<Arc<SignedText>>, Refusal> {
+        let order = (outline.version, outline.digest);
+        if !self.wants(order) || self.assembly.as_ref().is_some_and(|a| a.order >= order) {
+            return Ok(None);
+        }
+        let current = self.current().cloned();
+        let held = current.iter().flat_map(|t| split(&t.text)).map(Arc::from);
+        let halfway = self.assembly.take().into_iter().flat_map(Assembly::into_pieces);
+        self.assembly = Assembly::new(now, outline, held.chain(halfway));
+        self.finish()
+    }
+
+    /// Requests for pieces that still lack, each with whom to ask.
+    pub fn fetch(&mut self, now: Millis, me: SocketAddrV4) -> Vec<(SocketAddrV4, Message)> {
+        self.assembly.take_if(|a| a.stuck(now));
+        self.assembly.as_mut().map(|a| a.fetch(now, me)).unwrap_or_default()
+    }
+
+    /// Answers a request for pieces, within the budget for that.
+    pub fn give(
+        &mut self,
+        now: Millis,
+        request: &PieceRequest,
+        me: SocketAddrV4,
+    ) -> Option<Message> {
+        let text = self.texts.iter().find(|t| t.digest == request.digest)?;
+        let pieces = self.budget.cut(now, &split(&text.text), &request.runs);
+        let answer = Pieces { sender: me, digest: request.digest, pieces };
+        (!answer.pieces.is_empty()).then_some(Message::Pieces(answer))
+    }
+
+    /// Takes pieces; when none lacks, offers the whole text.
+    pub fn fill(
+        &mut self,
+        now: Millis,
+        pieces: &Pieces,
+    ) -> Result<Option<Arc<SignedText>>, Refusal> {
+        if let Some(assembly) = &mut self.assembly {
+            assembly.fill(now, pieces)?;
+        }
+        self.finish()
+    }
+
+    fn finish(&mut self) -> Result<Option<Arc<SignedText>>, Refusal> {
+        let Some(assembly) = self.assembly.as_ref().filter(|a| a.complete()) else {
+            return Ok(None);
+        };
+        let text = assembly.text();
+        let wanted = assembly.order.1;
+        // Whatever comes of it: this one is done, or its outline was wrong.
+        self.assembly = None;
+        ensure!(digest(&text) == wanted, error::DigestSnafu);
+        self.offer(&text)
     }
 
     /// Takes a peer's answer: rebuilds the whole text and offers it.
@@ -208,8 +287,7 @@
         self.offer(&text)
     }
 
-    fn base(&self, base: Option<Digest>) -> Result<&str, Refusal> {
-        let Some(digest) = base else { return Ok("") };
+    fn base(&self, digest: Digest) -> Result<&str, Refusal> {
         let found = self.texts.iter().find(|t| t.digest == digest);
         found.map(|t| &*t.text).ok_or(Refusal::UnknownBase)
     }
--- a/lib/src/spread/pieces.rs
+++ b/lib/src/spread/pieces.rs
@@ -4,6 +4,17 @@
 use crate::{collections::Map, message::Piece};
 use snafu::{OptionExt, ensure};
 
+/// A piece is cut after this many bytes at the end of a line, so that a
+/// service with thousands of targets doesn't travel whole for one of them.
+pub const PIECE_BYTES: usize = 4_096;
+
+/// The short digest of a piece: enough to tell which pieces are held already.
+/// What is put together by it is checked as a whole afterwards.
+pub fn short(piece: &str) -> u64 {
+    let hash = blake3::hash(piece.as_bytes());
+    hash.as_bytes().iter().take(8).fold(0, |n, byte| n << 8 | u64::from(*byte))
+}
+
 /// Splits a text where an item of an outer list begins: at the services of a
 /// bundle. Put together, the pieces are the text to the last byte, whatever
 /// the text is; the place of the cuts matters only for the size of a change.
@@ -12,7 +23,7 @@
     let mut start = 0;
     let mut at = 0;
     for line in text.split_inclusive('\n') {
-        if opens_item(line) && at > start {
+        if at > start && (opens_item(line) || at - start >= PIECE_BYTES) {
             pieces.push(&text[start..at]);
             start = at;
         }
--- a/lib/tests/fleet/test_spread.rs
+++ b/lib/tests/fleet/test_spread.rs
@@ -1,13 +1,26 @@
 //! The bundle in force across the fleet.
 
-use crate::net::{Net, text};
-use medlarspur_lib::time::Millis;
+use crate::net::{Net, VersionCheck, member, text};
+use medlarspur_lib::{
+    control::Event,
+    ids::{DomainName, Version},
+    message::{BundleDelta, BundleRequest, Message, Piece},
+    spread::{Refusal, Spread, diff, digest, rebuild, split},
+    time::Millis,
+};
+use proptest::prelude::*;
+use std::sync::Arc;
 
-#[test]
-fn bundle_reaches_all_of_a_static_fleet() {
-    let mut net = Net::new(8, 4, 1);
+fn settled(n: usize) -> Net {
+    let mut net = Net::new(n, 4, 1);
     net.run(Millis::secs(10));
     assert!(net.all_have(&text(1, 4)));
+    net
+}
+
+#[test]
+fn bundle_reaches_all_of_a_static_fleet() {
+    let mut net = settled(8);
     assert!(net.all_live());
     assert!(net.nodes.iter().all(|n| n.ready.is_some()));
 
@@ -17,3 +30,232 @@
     assert!(net.all_have(&text(2, 4)));
     assert!(net.never_back());
 }
+
+#[test]
+fn two_read_the_platform_in_each_domain() {
+    let mut net = settled(24);
+
+    net.run(Millis::secs(5));
+
+    for d in 0..4 {
+        let readers = net.nodes.iter().skip(d).step_by(4).filter(|n| n.reading).count();
+        assert_eq!(readers, 2);
+    }
+}
+
+/// The platform's service falls back to an older copy of itself. Callers would
+/// be sent by a withdrawn bundle.
+#[test]
+fn stale_platform_brings_nothing_back() {
+    let mut net = settled(8);
+    net.platform = Some(text(3, 4));
+    net.run(Millis::secs(2));
+
+    net.platform = Some(text(2, 4));
+    net.run(Millis::secs(20));
+
+    assert!(net.all_have(&text(3, 4)));
+    assert!(net.never_back());
+}
+
+/// An instance is replaced while the platform serves an older bundle. Its
+/// memory is empty, so only its peers can tell it that there is a later one;
+/// if it were ready before, callers would be sent by a withdrawn bundle.
+#[test]
+fn restarted_instance_serves_from_the_highest_bundle_only() {
+    let mut net = settled(8);
+    net.platform = Some(text(3, 4));
+    net.run(Millis::secs(2));
+    net.platform = Some(text(2, 4));
+
+    net.restart(5);
+    net.run(Millis::secs(10));
+
+    let node = &net.nodes[5];
+    let ready = node.ready.expect("it becomes ready");
+    let serving = node.accepted.iter().rfind(|(at, _)| *at <= ready).expect("a bundle is in force");
+    assert_eq!(serving.1.version, Version(3));
+    assert!(net.all_have(&text(3, 4)));
+}
+
+/// An instance is replaced while the platform is down. Its peers alone can
+/// give it the bundle; without them it could serve nobody.
+#[test]
+fn restarted_instance_learns_the_bundle_from_peers_alone() {
+    let mut net = settled(8);
+    net.platform = Some(text(2, 3_000));
+    net.run(Millis::secs(3));
+    net.platform = None;
+
+    net.restart(5);
+    net.run(Millis::secs(10));
+
+    assert!(net.nodes[5].ready.is_some());
+    assert!(net.all_have(&text(2, 3_000)));
+}
+
+/// With neither platform nor peers there is no bundle, and an instance that
+/// said it were ready would be handed packets that it can't place.
+#[test]
+fn instance_without_platform_and_peers_is_not_ready() {
+    let mut net = Net::new(1, 1, 1);
+    net.platform = None;
+
+    net.run(Millis::secs(60));
+
+    assert_eq!(net.nodes[0].ready, None);
+}
+
+/// Two operators publish at once, each under version 2, and the platform shows
+/// one to some readers and the other to others. Parts of the fleet would stay
+/// with different bundles, and one operator would believe the wrong one in force.
+#[test]
+fn two_contents_under_one_version_converge_and_are_flagged() {
+    let mut net = settled(8);
+    net.platform = None;
+    let (a, b) = (text(2, 5), text(2, 6));
+    net.event(0, Event::PlatformBundle(a.clone()));
+    net.event(1, Event::PlatformBundle(b.clone()));
+
+    net.run(Millis::secs(5));
+
+    let winner = if digest(&a) > digest(&b) { a } else { b };
+    assert!(net.all_have(&winner));
+    assert!(net.never_back());
+    assert!(net.nodes.iter().any(|n| n.controller.spread().conflict == Some(Version(2))));
+}
+
+/// A failure domain is cut off while a new bundle is published, and no push
+/// reaches it. After healing only heartbeats tell it that it is behind.
+#[test]
+fn cut_off_domain_catches_up_after_healing() {
+    let mut net = settled(8);
+    net.cut.insert(DomainName::new("d1"));
+    net.run(Millis::secs(2));
+    net.platform = None;
+    net.event(0, Event::PlatformBundle(text(2, 4)));
+    net.run(Millis::secs(60));
+    assert!(!net.all_have(&text(2, 4)));
+
+    net.cut.clear();
+    net.run(Millis::secs(8));
+
+    assert!(net.all_have(&text(2, 4)));
+    assert!(net.all_live());
+}
+
+/// An instance is frozen, many bundles pass, and it wakes up and tells its
+/// peers of the old one that it still has in force.
+#[test]
+fn woken_instance_reverts_nobody_and_catches_up() {
+    let mut net = settled(8);
+    net.nodes[2].asleep = true;
+    for version in 2..20 {
+        net.platform = Some(text(version, 4));
+        net.run(Millis::secs(2));
+    }
+    net.platform = None;
+
+    net.nodes[2].asleep = false;
+    net.run(Millis::secs(8));
+
+    assert_eq!(net.nodes[2].slept, 1);
+    assert!(net.all_have(&text(19, 4)));
+    assert!(net.never_back());
+}
+
+#[test]
+fn difference_carries_only_what_changed() {
+    let base = text(1, 400);
+    let next = base.replace("address: 198.51.100.17\n", "address: 203.0.113.17\n");
+
+    let ops = diff(&base, &next);
+
+    let fresh: usize = ops.iter().map(|op| if let Piece::Text(t) = op { t.len() } else { 0 }).sum();
+    assert!(fresh < 100, "{fresh} bytes");
+    assert_eq!(rebuild(&base, &ops).expect("it was made so"), next);
+}
+
+/// A peer that can no longer make a difference must not answer with one to a
+/// text that the asker lacks, nor send a megabyte in one message.
+#[test]
+fn unknown_base_is_answered_by_an_outline() {
+    let mut spread = Spread::new(VersionCheck);
+    spread.offer(&text(1, 9)).expect("accepted");
+    let addr = member(0, 1, 1).addresses.control;
+
+    let answer = spread.answer(&BundleRequest { sender: addr, base: Some([7; 32]) }, addr);
+
+    let Some(Message::BundleOutline(outline)) = answer else { panic!("{answer:?}") };
+    assert_eq!(outline.pieces.len(), split(&text(1, 9)).len());
+}
+
+/// A broken peer announces a bundle and sends a difference that rebuilds to
+/// another text. It must not come into force, and must not keep the announced
+/// one away when a sound peer sends it.
+#[test]
+fn wrong_difference_is_refused_and_the_right_one_taken() {
+    let mut spread = Spread::new(VersionCheck);
+    let (base, next) = (text(1, 4), text(2, 4));
+    spread.offer(&base).expect("accepted");
+    let right = BundleDelta {
+        version: Version(2),
+        digest: digest(&next),
+        base: digest(&base),
+        pieces: diff(&base, &next),
+    };
+    let wrong = BundleDelta { pieces: vec![Piece::Text("version: 2\n".into())], ..right.clone() };
+    let far =
+        BundleDelta { pieces: vec![Piece::Copy { first: 3, count: u32::MAX }], ..right.clone() };
+
+    assert!(matches!(spread.apply(&wrong), Err(Refusal::Digest)));
+    assert!(matches!(spread.apply(&far), Err(Refusal::OutOfRange { .. })));
+    assert!(spread.apply(&right).expect("accepted").is_some());
+}
+
+fn any_text() -> impl Strategy<Value = String> {
+    let line = prop_oneof![
+        Just("- a\n"),
+        Just("  - name: b\n"),
+        Just("    x\n"),
+        Just("é\r\n"),
+        Just("\n"),
+        Just("  - ")
+    ];
+    proptest::collection::vec(line, 0..40).prop_map(|lines| lines.concat())
+}
+
+proptest! {
+    /// A byte too many or too few and the signature no longer holds: the
+    /// change would be in force on the platform's readers only.
+    #[test]
+    fn any_text_rebuilds_to_the_last_byte(base in any_text(), next in any_text()) {
+        prop_assert_eq!(split(&next).concat(), next.as_str());
+        prop_assert_eq!(rebuild(&base, &diff(&base, &next)).expect("it was made so"), next);
+    }
+
+    /// The platform, peers and two operators bring bundles in any order, again
+    /// and again. Whoever has heard all of them has the same one in force.
+    #[test]
+    fn order_of_arrival_does_not_matter(
+        offers in proptest::collection::vec((1u64..5, 1usize..5), 1..12),
+        turn in 0usize..12,
+    ) {
+        let texts: Vec<Arc<str>> = offers.iter().map(|(v, n)| text(*v, *n)).collect();
+        let mut turned = texts.clone();
+        turned.rotate_left(turn % texts.len());
+        turned.reverse();
+        let held = |texts: &[Arc<str>]| {
+            let mut spread = Spread::new(VersionCheck);
+            let mut last = spread.order();
+            for text in texts {
+                spread.offer(text).expect("it passes the check");
+                assert!(spread.order() >= last, "went back");
+                last = spread.order();
+            }
+            last
+        };
+
+        prop_assert_eq!(held(&texts), held(&turned));
+    }
+}
