fabric: gather datagrams until one call sends them

The packet path decides packet by packet and lends their bytes only for the moment of the decision, so somebody has to keep them until the batch goes out.

--- a/fabric/src/lib.rs
+++ b/fabric/src/lib.rs
@@ -10,11 +10,13 @@
 mod batch;
 mod counts;
 mod memory;
+mod outbox;
 mod socket;
 mod wire;
 
 pub use batch::{BATCH, Batch, MAX_DATAGRAM, Received};
 pub use counts::Counts;
 pub use memory::{Memory, MemoryError};
+pub use outbox::Outbox;
 pub use socket::{Listener, Socket, SocketError};
 pub use wire::{Datagram, Wire};
--- a/fabric/tests/runner.rs
+++ b/fabric/tests/runner.rs
@@ -1,4 +1,5 @@
 //! Runs the tests of the package in one binary.
 
 mod test_memory;
+mod test_outbox;
 mod test_socket;
--- /dev/null
+++ b/fabric/tests/test_outbox.rs
@@ -0,0 +1,26 @@
+use medlarspur_fabric::{BATCH, Memory, Outbox};
+use proptest::prelude::*;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+fn target(ix: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1000 + ix as u16)
+}
+
+proptest! {
+    #[test]
+    fn all_are_sent_whole_and_in_order(sizes in prop::collection::vec(1..1500usize, 0..3 * BATCH)) {
+        let mut outbox = Outbox::new();
+        let mut wire = Memory::default();
+        let datagrams: Vec<_> =
+            sizes.iter().enumerate().map(|(ix, &size)| (target(ix), vec![ix as u8; size])).collect();
+
+        for (to, bytes) in &datagrams {
+            outbox.push(*to, bytes);
+        }
+        let taken = outbox.flush(&mut wire);
+
+        prop_assert_eq!(taken, datagrams.len());
+        prop_assert!(outbox.is_empty());
+        prop_assert_eq!(wire.take_sent(), datagrams);
+    }
+}
