status: give what operators see a type

The operator's HTTP interface, the daemon that fills it and the command-line tool that prints it must agree on names and units; the tool must not pull in the server for that, so the types live in the library.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod question;
 pub mod settings;
 pub mod spread;
+pub mod status;
 pub mod table;
 pub mod time;
 pub mod view;
--- /dev/null
+++ b/operator/src/meters/family.rs
@@ -0,0 +1,137 @@
+//! The counters and gauges of an instance, by name.
+
+use opentelemetry::metrics::{Counter, Meter};
+
+/// A family of counters that differ in one label.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Family {
+    /// Packets by what became of them.
+    Packets,
+    /// Flows by what became of them.
+    Flows,
+    /// Packets and datagrams that were dropped, by reason.
+    Drops,
+    /// Bundles that were offered, by what became of them.
+    Bundles,
+    /// Control messages of peers, by what became of them.
+    Messages,
+    /// Questions to peers about flows, by answer.
+    Questions,
+    /// Times that a ring between threads was full, by ring.
+    Rings,
+    /// Calls to the platform, by result.
+    Platform,
+    /// Probes of targets, by result.
+    Probes,
+}
+
+impl Family {
+    /// Every family.
+    pub const ALL: [Family; 9] = [
+        Family::Packets,
+        Family::Flows,
+        Family::Drops,
+        Family::Bundles,
+        Family::Messages,
+        Family::Questions,
+        Family::Rings,
+        Family::Platform,
+        Family::Probes,
+    ];
+
+    /// Its name in the metrics, to which the exporter adds `_total`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Family::Packets => "medlarspur_packets",
+            Family::Flows => "medlarspur_flows",
+            Family::Drops => "medlarspur_drops",
+            Family::Bundles => "medlarspur_bundles",
+            Family::Messages => "medlarspur_messages",
+            Family::Questions => "medlarspur_questions",
+            Family::Rings => "medlarspur_ring_full",
+            Family::Platform => "medlarspur_platform_calls",
+            Family::Probes => "medlarspur_probes",
+        }
+    }
+
+    /// The name of the label in which its series differ.
+    pub fn label(self) -> &'static str {
+        match self {
+            Family::Packets | Family::Flows | Family::Bundles | Family::Messages => "outcome",
+            Family::Drops => "reason",
+            Family::Questions => "answer",
+            Family::Rings => "ring",
+            Family::Platform | Family::Probes => "result",
+        }
+    }
+
+    fn description(self) -> &'static str {
+        match self {
+            Family::Packets => "Packets by what became of them.",
+            Family::Flows => "Flows by what became of them.",
+            Family::Drops => "Packets and datagrams that were dropped.",
+            Family::Bundles => "Bundles that were offered, by what became of them.",
+            Family::Messages => "Control messages of peers, by what became of them.",
+            Family::Questions => "Questions to peers about flows, by answer.",
+            Family::Rings => "Times that a ring between threads was full.",
+            Family::Platform => "Calls to the platform, by result.",
+            Family::Probes => "Probes of targets, by result.",
+        }
+    }
+
+    pub(super) fn counter(self, meter: &Meter) -> Counter<u64> {
+        meter.u64_counter(self.name()).with_description(self.description()).build()
+    }
+}
+
+/// A value that is read at each scrape.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Gauge {
+    /// The flows that the instance knows.
+    FlowsHeld,
+    /// The instances that it believes to be live.
+    MembersLive,
+    /// The version of the bundle in force, 0 without one.
+    BundleVersion,
+    /// The buckets with earlier owners that may hold flows.
+    BucketsMoving,
+    /// The packets held back while a question is open.
+    PacketsHeld,
+    /// The exceptions that it keeps for others.
+    ExceptionsKept,
+}
+
+impl Gauge {
+    /// Every gauge.
+    pub const ALL: [Gauge; 6] = [
+        Gauge::FlowsHeld,
+        Gauge::MembersLive,
+        Gauge::BundleVersion,
+        Gauge::BucketsMoving,
+        Gauge::PacketsHeld,
+        Gauge::ExceptionsKept,
+    ];
+
+    /// Its name in the metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Gauge::FlowsHeld => "medlarspur_flows_held",
+            Gauge::MembersLive => "medlarspur_members_live",
+            Gauge::BundleVersion => "medlarspur_bundle_version",
+            Gauge::BucketsMoving => "medlarspur_buckets_moving",
+            Gauge::PacketsHeld => "medlarspur_packets_held",
+            Gauge::ExceptionsKept => "medlarspur_exceptions_kept",
+        }
+    }
+
+    pub(super) fn description(self) -> &'static str {
+        match self {
+            Gauge::FlowsHeld => "Flows that the instance knows.",
+            Gauge::MembersLive => "Instances that it believes to be live.",
+            Gauge::BundleVersion => "Version of the bundle in force, 0 without one.",
+            Gauge::BucketsMoving => "Buckets with earlier owners that may hold flows.",
+            Gauge::PacketsHeld => "Packets held back while a question is open.",
+            Gauge::ExceptionsKept => "Exceptions that it keeps for others.",
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/server.rs
@@ -0,0 +1,178 @@
+//! The thread that serves operators.
+
+use crate::{meters::Meters, routes, source::Source};
+use rocket::{
+    Build, Config, Rocket, Shutdown,
+    config::{Ident, LogLevel},
+    fairing::AdHoc,
+    tokio::runtime::Builder,
+};
+use snafu::{ResultExt, Snafu};
+use std::{
+    io,
+    net::{SocketAddr, SocketAddrV4},
+    sync::{
+        Arc,
+        mpsc::{self, RecvTimeoutError, Sender},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+/// Log targets of rocket and below. Their lines are no changes of state, so a
+/// logger filters them out.
+pub const QUIET_TARGETS: [&str; 4] = ["rocket", "_", "hyper", "opentelemetry"];
+
+/// How long binding may take before the start counts as failed.
+const START_LIMIT: Duration = Duration::from_secs(10);
+/// Seconds that answers under way have at a shutdown; they are short.
+const GRACE: u32 = 1;
+
+/// Why operators can't be served.
+#[derive(Debug, Snafu)]
+pub enum OperatorError {
+    /// The system gives no thread.
+    #[snafu(display("the operators' thread can't be started"))]
+    Thread {
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The address can't be bound, or rocket refuses its settings.
+    #[snafu(display("operators can't be served at {address}: {detail}"))]
+    Launch {
+        /// The address of the settings.
+        address: SocketAddrV4,
+        /// What rocket says.
+        detail: String,
+    },
+    /// Rocket says neither that it runs nor that it doesn't.
+    #[snafu(display("serving operators at {address} did not start in time"))]
+    Late {
+        /// The address of the settings.
+        address: SocketAddrV4,
+        /// What the wait ended by.
+        source: RecvTimeoutError,
+    },
+}
+
+/// What the thread says once.
+type Start = Result<(SocketAddr, Shutdown), OperatorError>;
+
+/// The running server; it stops when this is dropped.
+#[derive(Debug)]
+pub struct Operator {
+    address: SocketAddr,
+    shutdown: Option<Shutdown>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Operator {
+    /// Serves at `address` on a thread of its own. Set up a logger first, or
+    /// rocket installs its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound or the system gives no thread.
+    pub fn start(
+        address: SocketAddrV4,
+        source: Arc<dyn Source>,
+        meters: Meters,
+    ) -> Result<Operator, OperatorError> {
+        let (say, hear) = mpsc::channel();
+        let thread = thread::Builder::new()
+            .name("operator".to_owned())
+            .spawn(move || serve(address, source, meters, &say))
+            .context(ThreadSnafu)?;
+        let start = hear.recv_timeout(START_LIMIT).context(LateSnafu { address })?;
+        let (address, shutdown) = start?;
+        Ok(Operator { address, shutdown: Some(shutdown), thread: Some(thread) })
+    }
+
+    /// The address that was bound, with its actual port.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops serving and waits for the thread.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        if let Some(shutdown) = self.shutdown.take() {
+            shutdown.notify();
+        }
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::error!("operator: the thread panicked");
+        }
+    }
+}
+
+impl Drop for Operator {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+fn serve(address: SocketAddrV4, source: Arc<dyn Source>, meters: Meters, say: &Sender<Start>) {
+    let runtime = match Builder::new_current_thread().enable_all().build().context(ThreadSnafu) {
+        Ok(runtime) => runtime,
+        Err(error) => return tell(say, Err(error)),
+    };
+    let rocket = build(address, source, meters, say.clone());
+    if let Err(error) = runtime.block_on(rocket.launch()) {
+        // Reading the kind also keeps rocket's error from panicking on drop.
+        let detail = error.kind().to_string();
+        tell(say, Err(OperatorError::Launch { address, detail }));
+    }
+}
+
+fn build(
+    address: SocketAddrV4,
+    source: Arc<dyn Source>,
+    meters: Meters,
+    say: Sender<Start>,
+) -> Rocket<Build> {
+    let started = AdHoc::on_liftoff("started", move |rocket| {
+        Box::pin(async move {
+            let config = rocket.config();
+            let address = SocketAddr::new(config.address, config.port);
+            tell(&say, Ok((address, rocket.shutdown())));
+        })
+    });
+    rocket::custom(config(address))
+        .manage(source)
+        .manage(meters)
+        .mount("/", routes::all())
+        .register("/", routes::catchers())
+        .attach(started)
+}
+
+/// Signals are the daemon's: if rocket took SIGTERM, the instance would stop
+/// answering its operators while it still hands over.
+fn config(address: SocketAddrV4) -> Config {
+    let mut config = Config {
+        address: (*address.ip()).into(),
+        port: address.port(),
+        workers: 1,
+        ident: Ident::none(),
+        log_level: LogLevel::Off,
+        cli_colors: false,
+        ..Config::release_default()
+    };
+    config.shutdown.ctrlc = false;
+    config.shutdown.signals.clear();
+    config.shutdown.grace = GRACE;
+    config.shutdown.mercy = GRACE;
+    config
+}
+
+/// Nobody hears it once the start took too long; the server then ends with
+/// its process, which failed to start.
+fn tell(say: &Sender<Start>, start: Start) {
+    if say.send(start).is_err() {
+        log::error!("operator: the server started after its limit");
+    }
+}
--- /dev/null
+++ b/operator/tests/fixtures.rs
@@ -0,0 +1,103 @@
+//! An instance that answers from fixed values, and a client.
+
+use medlarspur_lib::{
+    bundle::Class,
+    ids::{DomainName, Incarnation, InstanceName, ServiceName, SiteName, TargetName, Version},
+    packet::FlowKey,
+    time::Millis,
+    view::{BundleView, Explanation, FlowView, Life, Reason, Status, Unready},
+};
+use medlarspur_operator::{Meters, Operator, Source};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// An instance with a thousand flows, ready or not.
+pub struct Instance {
+    pub ready: AtomicBool,
+}
+
+impl Source for Instance {
+    fn status(&self) -> Status {
+        let ready = self.ready.load(Ordering::Relaxed);
+        Status {
+            site: SiteName::new("sofia"),
+            name: InstanceName::new("entry-1"),
+            domain: DomainName::new("lozenets"),
+            incarnation: Incarnation(1),
+            life: if ready { Life::Serving } else { Life::Starting },
+            uptime: Millis::secs(5),
+            bundle: ready.then(bundle),
+            unready: (!ready).then_some(Unready::NoBundle),
+            flows: 1000,
+            members: Vec::new(),
+            services: Vec::new(),
+        }
+    }
+
+    fn explain(&self, flow: &FlowKey) -> Explanation {
+        Explanation {
+            flow: *flow,
+            service: None,
+            class: None,
+            bucket: None,
+            target: None,
+            reason: Reason::NoService,
+            bundle: Some(bundle()),
+            plan: None,
+            history: Vec::new(),
+            keepers: Vec::new(),
+        }
+    }
+
+    fn flows(&self, limit: usize) -> Vec<FlowView> {
+        (0..1000).take(limit).map(flow).collect()
+    }
+}
+
+fn bundle() -> BundleView {
+    BundleView {
+        version: Version(7),
+        digest: "ab".repeat(32),
+        key: "cd".repeat(8),
+        age: Millis::secs(1),
+        conflict: false,
+    }
+}
+
+fn flow(port: u16) -> FlowView {
+    let caller = SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), 10_000 + port);
+    FlowView {
+        flow: format!("tcp:{caller}:10.70.0.1:7001").parse().expect("a flow"),
+        service: ServiceName::new("alertdesk"),
+        class: Class::Feed,
+        target: TargetName::new("alert-1"),
+        age: Millis(10),
+        idle: Millis(1),
+        exception: false,
+    }
+}
+
+/// Any free port of the loopback address.
+pub const ANY: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+
+/// A server on a free port, and what it answers from.
+pub fn server(ready: bool) -> (Operator, Arc<Instance>, Meters) {
+    let instance = Arc::new(Instance { ready: ready.into() });
+    let meters = Meters::new().expect("metrics");
+    let operator = Operator::start(ANY, instance.clone(), meters.clone()).expect("starts");
+    (operator, instance, meters)
+}
+
+/// The code and body of a `GET`.
+pub fn get(operator: &Operator, path: &str) -> (u16, String) {
+    let config = ureq::Agent::config_builder().http_status_as_error(false).build();
+    let url = format!("http://{}{path}", operator.address());
+    let mut answer = ureq::Agent::from(config).get(url).call().expect("an answer");
+    let body = answer.body_mut().read_to_string().expect("text");
+    (answer.status().as_u16(), body)
+}
--- /dev/null
+++ b/operator/tests/runner.rs
@@ -0,0 +1,6 @@
+//! Tests of the operators' interface, over HTTP.
+
+mod fixtures;
+mod test_meters;
+mod test_routes;
+mod test_server;
--- /dev/null
+++ b/operator/tests/test_meters.rs
@@ -0,0 +1,121 @@
+//! Counters, gauges and histograms, as a scrape sees them.
+
+use crate::fixtures::{get, server};
+use expect_test::expect;
+use medlarspur_lib::{bundle::Class, ids::ServiceName};
+use medlarspur_operator::{Family, Gauge, Meters};
+use std::{thread, time::Duration};
+
+fn lines(meters: &Meters, part: &str) -> String {
+    let text = meters.text().expect("text");
+    text.lines().filter(|line| line.contains(part)).map(|line| format!("{line}\n")).collect()
+}
+
+#[test]
+fn a_counter_shows_at_zero_before_anything_happens() {
+    let meters = Meters::new().expect("metrics");
+
+    let _count = meters.count(Family::Bundles, "bad-signature");
+
+    expect![[r##"
+        # HELP medlarspur_bundles_total Bundles that were offered, by what became of them.
+        # TYPE medlarspur_bundles_total counter
+        medlarspur_bundles_total{outcome="bad-signature"} 0
+    "##]]
+    .assert_eq(&lines(&meters, "medlarspur_bundles"));
+}
+
+#[test]
+fn threads_count_into_one_series() {
+    let meters = Meters::new().expect("metrics");
+    let count = meters.count(Family::Drops, "malformed");
+
+    thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| (0..1000).for_each(|_| count.add(2)));
+        }
+    });
+
+    expect![[r#"
+        medlarspur_drops_total{reason="malformed"} 8000
+    "#]]
+    .assert_eq(&lines(&meters, "medlarspur_drops_total{"));
+}
+
+#[test]
+fn a_gauge_is_read_at_the_scrape() {
+    let (operator, _, meters) = server(true);
+    meters.gauge(Gauge::FlowsHeld, || 42);
+
+    let (code, body) = get(&operator, "/metrics");
+
+    assert_eq!(code, 200);
+    assert!(body.contains("\nmedlarspur_flows_held 42\n"), "{body}");
+}
+
+#[test]
+fn histograms_tell_services_and_classes_apart() {
+    let meters = Meters::new().expect("metrics");
+    let service = ServiceName::new("alertdesk");
+    let feed = meters.class(&service, Class::Feed);
+    let request = meters.class(&service, Class::Request);
+
+    feed.forward(Duration::from_micros(30));
+    meters.class(&service, Class::Feed).forward(Duration::from_micros(30));
+    request.wait(Duration::from_millis(2));
+
+    expect![[r##"
+        # HELP medlarspur_forward_seconds Time from a packet's arrival to its way on; sampled.
+        # TYPE medlarspur_forward_seconds histogram
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.000005"} 0
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.00001"} 0
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.00002"} 0
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.00005"} 2
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.0001"} 2
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.00025"} 2
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.001"} 2
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.0025"} 2
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.005"} 2
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.01"} 2
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="0.05"} 2
+        medlarspur_forward_seconds_bucket{class="feed",service="alertdesk",le="+Inf"} 2
+        medlarspur_forward_seconds_sum{class="feed",service="alertdesk"} 0.00006
+        medlarspur_forward_seconds_count{class="feed",service="alertdesk"} 2
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.000005"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.00001"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.00002"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.00005"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.0001"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.00025"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.001"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.0025"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.005"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.01"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="0.05"} 0
+        medlarspur_forward_seconds_bucket{class="request",service="alertdesk",le="+Inf"} 0
+        medlarspur_forward_seconds_sum{class="request",service="alertdesk"} 0
+        medlarspur_forward_seconds_count{class="request",service="alertdesk"} 0
+    "##]]
+    .assert_eq(&lines(&meters, "medlarspur_forward_seconds"));
+    expect![[r#"
+        medlarspur_wait_seconds_sum{class="feed",service="alertdesk"} 0
+        medlarspur_wait_seconds_sum{class="request",service="alertdesk"} 0.002
+    "#]]
+    .assert_eq(&lines(&meters, "medlarspur_wait_seconds_sum"));
+}
+
+/// At the target size there are 3,400 services. The library would put those
+/// beyond its limit into one nameless series, and they could not be told apart.
+#[test]
+fn thousands_of_services_keep_their_own_series() {
+    let meters = Meters::new().expect("metrics");
+
+    for ix in 0..4000 {
+        let service = ServiceName::new(&format!("s{ix}"));
+        meters.class(&service, Class::Feed).length(Duration::from_secs(1));
+    }
+
+    let counts = lines(&meters, "medlarspur_flow_seconds_count");
+    assert_eq!(counts.lines().count(), 4000);
+    assert!(!counts.contains("overflow"));
+}
--- /dev/null
+++ b/operator/tests/test_server.rs
@@ -0,0 +1,46 @@
+//! Starting and stopping.
+
+use crate::fixtures::{ANY, Instance, get, server};
+use medlarspur_operator::{Meters, Operator, OperatorError};
+use std::{
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::Arc,
+};
+
+#[test]
+fn two_servers_run_side_by_side() {
+    let (first, ..) = server(true);
+    let (second, ..) = server(false);
+
+    assert_ne!(first.address().port(), 0);
+    assert_ne!(first.address(), second.address());
+    assert_eq!(get(&first, "/readyz").0, 200);
+    assert_eq!(get(&second, "/readyz").0, 503);
+}
+
+#[test]
+fn a_stopped_server_leaves_its_port() {
+    let (operator, ..) = server(true);
+    let address = operator.address();
+
+    operator.stop();
+
+    assert!(TcpStream::connect(address).is_err());
+}
+
+/// Another process holds the port of the settings. Without a typed error the
+/// daemon would run on and answer nobody.
+#[test]
+fn a_port_in_use_fails_the_start() {
+    let holder = TcpListener::bind(ANY).expect("a port");
+    let SocketAddr::V4(address) = holder.local_addr().expect("an address") else {
+        unreachable!("bound to IPv4")
+    };
+    let instance = Arc::new(Instance { ready: true.into() });
+
+    let error = Operator::start(address, instance, Meters::new().expect("metrics"))
+        .expect_err("the port is in use");
+
+    assert!(matches!(error, OperatorError::Launch { .. }), "{error}");
+    assert!(error.to_string().contains("in use"), "{error}");
+}
