--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Operators change an instance by publishing a bundle and in no other way, so
 //! there is no route here that changes anything. The JSON is that of
-//! [`medlarspur_lib::view`]; the metrics are described in `docs/metrics.md`.
+//! [`medlarspur_lib::status`]; the metrics are described in `docs/metrics.md`.
 
 mod meters;
 mod routes;
--- a/operator/src/routes.rs
+++ b/operator/src/routes.rs
@@ -3,7 +3,7 @@
 use crate::{meters::Meters, source::Source};
 use medlarspur_lib::{
     packet::FlowKey,
-    view::{Explanation, FlowView, Status},
+    status::{Explanation, FlowStatus, Status},
 };
 use rocket::{
     Request, Route, State, catch,
@@ -66,7 +66,7 @@
 }
 
 #[get("/flows?<limit>")]
-fn flows(source: &State<Shared>, limit: Option<usize>) -> Json<Vec<FlowView>> {
+fn flows(source: &State<Shared>, limit: Option<usize>) -> Json<Vec<FlowStatus>> {
     Json(source.flows(limit.unwrap_or(FLOWS).min(MAX_FLOWS)))
 }
 
--- a/operator/src/source.rs
+++ b/operator/src/source.rs
@@ -2,7 +2,7 @@
 
 use medlarspur_lib::{
     packet::FlowKey,
-    view::{Explanation, FlowView, Status},
+    status::{Explanation, FlowStatus, Status},
 };
 
 /// An instance that can be asked. Its methods run on the thread that serves
@@ -15,5 +15,5 @@
     fn explain(&self, flow: &FlowKey) -> Explanation;
 
     /// At most `limit` of the flows that the instance knows.
-    fn flows(&self, limit: usize) -> Vec<FlowView>;
+    fn flows(&self, limit: usize) -> Vec<FlowStatus>;
 }
--- a/operator/tests/fixtures.rs
+++ b/operator/tests/fixtures.rs
@@ -4,8 +4,8 @@
     bundle::Class,
     ids::{DomainName, Incarnation, InstanceName, ServiceName, SiteName, TargetName, Version},
     packet::FlowKey,
+    status::{BundleStatus, Explanation, FlowStatus, Life, Reason, Status, Unready},
     time::Millis,
-    view::{BundleView, Explanation, FlowView, Life, Reason, Status, Unready},
 };
 use medlarspur_operator::{Meters, Operator, Source};
 use std::{
@@ -54,13 +54,13 @@
         }
     }
 
-    fn flows(&self, limit: usize) -> Vec<FlowView> {
+    fn flows(&self, limit: usize) -> Vec<FlowStatus> {
         (0..1000).take(limit).map(flow).collect()
     }
 }
 
-fn bundle() -> BundleView {
-    BundleView {
+fn bundle() -> BundleStatus {
+    BundleStatus {
         version: Version(7),
         digest: "ab".repeat(32),
         key: "cd".repeat(8),
@@ -69,9 +69,9 @@
     }
 }
 
-fn flow(port: u16) -> FlowView {
+fn flow(port: u16) -> FlowStatus {
     let caller = SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), 10_000 + port);
-    FlowView {
+    FlowStatus {
         flow: format!("tcp:{caller}:10.70.0.1:7001").parse().expect("a flow"),
         service: ServiceName::new("alertdesk"),
         class: Class::Feed,
--- a/operator/tests/test_routes.rs
+++ b/operator/tests/test_routes.rs
@@ -2,7 +2,7 @@
 
 use crate::fixtures::{get, server};
 use expect_test::expect;
-use medlarspur_lib::view::{Explanation, FlowView, Reason, Status};
+use medlarspur_lib::status::{Explanation, FlowStatus, Reason, Status};
 use std::sync::atomic::Ordering;
 
 #[test]
@@ -70,7 +70,7 @@
     let (operator, ..) = server(true);
     let count = |path: &str| {
         let (_, body) = get(&operator, path);
-        serde_json::from_str::<Vec<FlowView>>(&body).expect("flows").len()
+        serde_json::from_str::<Vec<FlowStatus>>(&body).expect("flows").len()
     };
 
     assert_eq!(count("/flows"), 100);
