testutils: add platform, fabric, targets and callers over sockets

They take the places around an instance: the fabric sprays, hashes or reshuffles packets, the platform can be down, slow, stale or serve two contents, targets can drain, die and lie about their load, and callers count what they got.

--- /dev/null
+++ b/testutils/src/fabric.rs
@@ -0,0 +1,258 @@
+//! The fabric over UDP: callers' packets to instances, answers to callers.
+//!
+//! Two sockets stand for it. Callers send to `callers`, which learns where
+//! each source address lives; targets and instances send to `returns`.
+
+use crate::{
+    clock::Clock,
+    list::{Listed, ListedState},
+    packet::Ends,
+    platform,
+    spread::{Mode, Spread},
+};
+use medlarspur_lib::{
+    collections::{Map, Set},
+    time::Millis,
+};
+use std::{
+    collections::VecDeque,
+    io,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// How a fabric behaves.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Where callers send; port 0 lets the system choose.
+    pub callers: SocketAddrV4,
+    /// Where targets and instances send their answers.
+    pub returns: SocketAddrV4,
+    /// How packets are spread.
+    pub mode: Mode,
+    /// Makes the spread repeat itself.
+    pub seed: u64,
+    /// How long each packet takes in each direction.
+    pub delay: Millis,
+    /// How long a leaving instance still gets packets.
+    pub lag: Millis,
+    /// The platform to read the list from, if it isn't set directly.
+    pub platform: Option<SocketAddrV4>,
+}
+
+impl Settings {
+    /// A fabric without delay on ports of the system's choice.
+    pub fn new(mode: Mode) -> Self {
+        let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        Self {
+            callers: any,
+            returns: any,
+            mode,
+            seed: 1,
+            delay: Millis(0),
+            lag: Millis::secs(1),
+            platform: None,
+        }
+    }
+}
+
+/// How often the list is read; real lists lag by about as much.
+const LIST_EVERY: Duration = Duration::from_millis(200);
+/// How long a socket waits before it looks for delayed packets.
+const TICK: Duration = Duration::from_millis(1);
+/// The largest datagram.
+const LARGEST: usize = 65_536;
+
+/// A running fabric. Its threads end with the process.
+pub struct Fabric {
+    /// Where callers send.
+    pub callers: SocketAddrV4,
+    /// Where targets and instances send their answers.
+    pub returns: SocketAddrV4,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    clock: Clock,
+    routes: Mutex<Routes>,
+    homes: Mutex<Map<Ipv4Addr, SocketAddr>>,
+    lost: AtomicU64,
+}
+
+#[derive(Default)]
+struct Routes {
+    entries: Vec<Listed>,
+    leaving: Map<String, Millis>,
+    blocked: Set<String>,
+}
+
+impl Fabric {
+    /// Binds the sockets and starts the threads.
+    pub fn start(settings: &Settings) -> io::Result<Self> {
+        let callers = UdpSocket::bind(settings.callers)?;
+        let returns = UdpSocket::bind(settings.returns)?;
+        let fabric = Self {
+            callers: v4(callers.local_addr()?)?,
+            returns: v4(returns.local_addr()?)?,
+            shared: Arc::new(Shared {
+                clock: Clock::start(),
+                routes: Mutex::default(),
+                homes: Mutex::default(),
+                lost: AtomicU64::new(0),
+            }),
+        };
+        let (inward, outward) = (Arc::clone(&fabric.shared), Arc::clone(&fabric.shared));
+        let (answers, delay, lag) = (callers.try_clone()?, settings.delay, settings.lag);
+        let spread = Spread::new(settings.mode, settings.seed);
+        let out = returns.try_clone()?;
+        thread::spawn(move || inward.carry_in(&callers, &out, spread, delay, lag));
+        thread::spawn(move || outward.carry_out(&returns, &answers, delay));
+        if let Some(platform) = settings.platform {
+            let shared = Arc::clone(&fabric.shared);
+            thread::spawn(move || shared.follow(platform));
+        }
+        Ok(fabric)
+    }
+
+    /// Sets the list directly.
+    pub fn set_list(&self, entries: Vec<Listed>) {
+        self.shared.set_list(entries);
+    }
+
+    /// Sets the instances that get no packets although they are listed.
+    pub fn block(&self, names: &[&str]) {
+        let names = names.iter().map(|name| (*name).to_owned());
+        lock(&self.shared.routes).blocked = names.collect();
+    }
+
+    /// How many packets found no instance or no caller.
+    pub fn lost(&self) -> u64 {
+        self.shared.lost.load(Ordering::Relaxed)
+    }
+}
+
+impl Shared {
+    fn set_list(&self, entries: Vec<Listed>) {
+        let now = self.clock.now();
+        let mut routes = lock(&self.routes);
+        let leaving = entries.iter().filter(|entry| entry.state == ListedState::Leaving);
+        routes.leaving = leaving
+            .map(|entry| (entry.name.clone(), *routes.leaving.get(&entry.name).unwrap_or(&now)))
+            .collect();
+        routes.entries = entries;
+    }
+
+    /// Reads the list again and again; the last one holds while it can't.
+    fn follow(&self, platform: SocketAddrV4) {
+        loop {
+            if let Ok(entries) = platform::read_list(platform) {
+                self.set_list(entries);
+            }
+            thread::sleep(LIST_EVERY);
+        }
+    }
+
+    fn carry_in(
+        &self,
+        callers: &UdpSocket,
+        out: &UdpSocket,
+        mut spread: Spread,
+        delay: Millis,
+        lag: Millis,
+    ) {
+        let mut line = Line::new(delay);
+        line.run(callers, out, &self.clock, |packet, from| {
+            let ends = Ends::parse(packet)?;
+            lock(&self.homes).insert(*ends.src.ip(), from);
+            let routes = lock(&self.routes);
+            let open = routes.open(self.clock.now(), lag);
+            let names = open.iter().map(|entry| &entry.name).collect::<Vec<_>>();
+            let Some(ix) = spread.pick(&names, &ends) else {
+                self.lost.fetch_add(1, Ordering::Relaxed);
+                return None;
+            };
+            Some(SocketAddr::V4(open[ix].packets))
+        });
+    }
+
+    fn carry_out(&self, returns: &UdpSocket, out: &UdpSocket, delay: Millis) {
+        let mut line = Line::new(delay);
+        line.run(returns, out, &self.clock, |packet, _| {
+            let ends = Ends::parse(packet)?;
+            let home = lock(&self.homes).get(ends.dst.ip()).copied();
+            if home.is_none() {
+                self.lost.fetch_add(1, Ordering::Relaxed);
+            }
+            home
+        });
+    }
+}
+
+impl Routes {
+    /// The instances that get packets now, in the order of the list.
+    fn open(&self, now: Millis, lag: Millis) -> Vec<&Listed> {
+        let lags = |name| self.leaving.get(name).is_none_or(|&since| now.since(since) < lag);
+        let entries = self.entries.iter();
+        entries.filter(|entry| !self.blocked.contains(&entry.name) && lags(&entry.name)).collect()
+    }
+}
+
+/// Packets on their way in one direction, which all take the same time.
+struct Line {
+    delay: Millis,
+    queue: VecDeque<(Millis, SocketAddr, Vec<u8>)>,
+}
+
+impl Line {
+    fn new(delay: Millis) -> Self {
+        Self { delay, queue: VecDeque::new() }
+    }
+
+    /// Carries packets for ever to where `route` says.
+    fn run(
+        &mut self,
+        from: &UdpSocket,
+        to: &UdpSocket,
+        clock: &Clock,
+        mut route: impl FnMut(&[u8], SocketAddr) -> Option<SocketAddr>,
+    ) {
+        let mut buffer = vec![0; LARGEST];
+        loop {
+            // With nothing delayed there is no reason to wake up.
+            let wait = (!self.queue.is_empty()).then_some(TICK);
+            if from.set_read_timeout(wait).is_err() {
+                return;
+            }
+            if let Ok((len, peer)) = from.recv_from(&mut buffer)
+                && let Some(home) = route(&buffer[..len], peer)
+            {
+                self.queue.push_back((clock.now() + self.delay, home, buffer[..len].to_vec()));
+            }
+            while let Some((_, home, packet)) =
+                self.queue.pop_front_if(|(due, _, _)| *due <= clock.now())
+            {
+                // A closed port reports itself on the socket; the packet is lost
+                // as it would be in a real network.
+                let _ = to.send_to(&packet, home);
+            }
+        }
+    }
+}
+
+/// The IPv4 form of an address; the stand-ins speak no other.
+pub(crate) fn v4(addr: SocketAddr) -> io::Result<SocketAddrV4> {
+    match addr {
+        SocketAddr::V4(addr) => Ok(addr),
+        SocketAddr::V6(_) => Err(io::ErrorKind::Unsupported.into()),
+    }
+}
+
+/// Locks state whose holder cannot leave it half changed.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,6 +1,15 @@
 //! Stand-ins for the systems around an instance, and fixtures for tests.
 
+pub mod caller;
 pub mod client;
+pub mod clock;
+pub mod fabric;
 pub mod host;
+pub mod list;
 pub mod packet;
+pub mod platform;
+pub mod report;
 pub mod server;
+pub mod spread;
+pub mod target;
+pub mod web;
--- /dev/null
+++ b/testutils/src/target.rs
@@ -0,0 +1,219 @@
+//! Targets over UDP, each with its endpoints for health and load.
+
+use crate::{
+    clock::Clock,
+    fabric::{lock, v4},
+    server::{Profile, Seen, Server},
+    web::{self, Served},
+};
+use medlarspur_lib::time::Millis;
+use rocket::{State, get, http::Status, put, routes, serde::json::Json};
+use snafu::prelude::*;
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddrV4, UdpSocket},
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+/// How a target and its endpoints behave; what is unset tells the truth.
+#[derive(Debug, Default, Clone, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Behaviour {
+    /// Turns away every opening.
+    pub draining: bool,
+    /// Hears and says nothing, like a host without power.
+    pub dead: bool,
+    /// What `/health` says.
+    pub health: Option<bool>,
+    /// What `/load` says for the load.
+    pub load: Option<f64>,
+    /// How old `/load` may be.
+    pub lag_ms: u64,
+    /// How long a request takes, in place of the profile's time.
+    pub work_ms: Option<u64>,
+}
+
+/// What `/load` answers.
+#[derive(Debug, Default, Clone, Copy, serde::Serialize, serde::Deserialize)]
+pub struct Load {
+    /// The connections that the target holds.
+    pub connections: usize,
+    /// The slots that it has.
+    pub slots: usize,
+    /// From 0, idle, to 1, full.
+    pub load: f64,
+}
+
+/// Why the targets did not start.
+#[derive(Debug, Snafu)]
+pub enum TargetError {
+    /// A socket could not be bound.
+    #[snafu(display("a target's socket can't be bound"))]
+    Socket {
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The endpoints could not be served.
+    #[snafu(display("a target's endpoints can't be served"))]
+    Probe {
+        /// What the server said.
+        source: web::WebError,
+    },
+}
+
+/// How long a quiet target sleeps at most, so that it sees changes in time.
+const NAP: Millis = Millis(50);
+/// The largest datagram.
+const LARGEST: usize = 65_536;
+
+/// Targets in this process. Their threads end with it.
+pub struct Targets {
+    /// Each target, in the order of the profiles.
+    pub list: Vec<Running>,
+    _served: Served,
+}
+
+/// One target that runs.
+pub struct Running {
+    /// Its name.
+    pub name: String,
+    /// Where instances send packets.
+    pub addr: SocketAddrV4,
+    /// Where its health and load are read.
+    pub probe: SocketAddrV4,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    server: Mutex<Server>,
+    behaviour: Mutex<Behaviour>,
+    sample: Mutex<Option<(Millis, Load)>>,
+    clock: Clock,
+}
+
+impl Targets {
+    /// Starts a target for each profile; answers go to the fabric's `returns`.
+    pub fn start(profiles: Vec<Profile>, returns: SocketAddrV4) -> Result<Self, TargetError> {
+        let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        let mut list = Vec::new();
+        let mut sites = Vec::new();
+        for profile in profiles {
+            let socket = UdpSocket::bind(any).context(SocketSnafu)?;
+            let addr = socket.local_addr().and_then(v4).context(SocketSnafu)?;
+            let name = profile.name.clone();
+            let shared = Arc::new(Shared::new(profile));
+            let worker = Arc::clone(&shared);
+            thread::spawn(move || worker.run(&socket, returns));
+            sites.push((Arc::clone(&shared), routes![health, load, seen, behave]));
+            list.push(Running { name, addr, probe: any, shared });
+        }
+        let served = web::serve(any, sites).context(ProbeSnafu)?;
+        for (running, &probe) in list.iter_mut().zip(&served.addrs) {
+            running.probe = probe;
+        }
+        Ok(Self { list, _served: served })
+    }
+}
+
+impl Running {
+    /// Changes how the target behaves.
+    pub fn behave(&self, behaviour: Behaviour) {
+        self.shared.behave(behaviour);
+    }
+
+    /// What the target has seen so far.
+    pub fn seen(&self) -> Seen {
+        lock(&self.shared.server).seen.clone()
+    }
+}
+
+impl Shared {
+    fn new(profile: Profile) -> Self {
+        Self {
+            server: Mutex::new(Server::new(profile)),
+            behaviour: Mutex::default(),
+            sample: Mutex::default(),
+            clock: Clock::start(),
+        }
+    }
+
+    fn run(&self, socket: &UdpSocket, returns: SocketAddrV4) {
+        let mut buffer = vec![0; LARGEST];
+        loop {
+            let now = self.clock.now();
+            let (packets, next) = {
+                let mut server = lock(&self.server);
+                (server.poll(now), server.next())
+            };
+            let dead = lock(&self.behaviour).dead;
+            for packet in packets.iter().filter(|_| !dead) {
+                // A packet that can't be sent is lost, as in a real network.
+                let _ = socket.send_to(packet, returns);
+            }
+            let wait = next.unwrap_or(now + NAP).since(now).clamp(Millis(1), NAP);
+            if socket.set_read_timeout(Some(Duration::from_millis(wait.0))).is_err() {
+                return;
+            }
+            if let Ok((len, _)) = socket.recv_from(&mut buffer)
+                && !dead
+            {
+                lock(&self.server).receive(&buffer[..len]);
+            }
+        }
+    }
+
+    fn behave(&self, behaviour: Behaviour) {
+        let mut server = lock(&self.server);
+        server.draining = behaviour.draining;
+        if let Some(work) = behaviour.work_ms {
+            server.profile.work = Millis(work);
+        }
+        *lock(&self.behaviour) = behaviour;
+    }
+
+    /// The load as the endpoint tells it: old, or a lie, if so set.
+    fn told(&self) -> Load {
+        let behaviour = lock(&self.behaviour).clone();
+        let now = self.clock.now();
+        let mut sample = lock(&self.sample);
+        let fresh = sample.filter(|(at, _)| now.since(*at) < Millis(behaviour.lag_ms));
+        let mut load = fresh.map_or_else(|| self.measure(), |(_, load)| load);
+        if fresh.is_none() {
+            *sample = Some((now, load));
+        }
+        load.load = behaviour.load.unwrap_or(load.load);
+        load
+    }
+
+    fn measure(&self) -> Load {
+        let server = lock(&self.server);
+        let (connections, slots) = (server.connections(), server.profile.slots);
+        Load { connections, slots, load: server.load() }
+    }
+}
+
+#[get("/health")]
+fn health(shared: &State<Arc<Shared>>) -> Status {
+    let behaviour = lock(&shared.behaviour).clone();
+    match behaviour.health.unwrap_or(!behaviour.draining && !behaviour.dead) {
+        true => Status::Ok,
+        false => Status::ServiceUnavailable,
+    }
+}
+
+#[get("/load")]
+fn load(shared: &State<Arc<Shared>>) -> Json<Load> {
+    Json(shared.told())
+}
+
+#[get("/seen")]
+fn seen(shared: &State<Arc<Shared>>) -> Json<Seen> {
+    Json(lock(&shared.server).seen.clone())
+}
+
+#[put("/behaviour", data = "<behaviour>")]
+fn behave(shared: &State<Arc<Shared>>, behaviour: Json<Behaviour>) {
+    shared.behave(behaviour.into_inner());
+}
