testutils: bring up a small site and prove the path with plain relays

medlarspur-site runs the stand-ins in its own process and each daemon in one of its own, replaces an instance and lets a target leave under load, and fails if a flow broke, an answer was wrong, a request ran twice or a packet strayed.

The path test found uploads that stalled until their time ran out (12 of 40): the caller's host had an acknowledgement, and so room for more bytes, but reported nothing to do. It now says that it is due while a connection is ready; 40 of 40 complete.

--- a/testutils/src/bin/site.rs
+++ b/testutils/src/bin/site.rs
@@ -1,1 +1,242 @@
-fn main() {}
+//! Brings up a whole small site, changes it under load and prints what callers
+//! saw. Ends with 1 if a flow broke or an answer was wrong.
+
+use medlarspur_lib::bundle::Class;
+use medlarspur_testutils::{
+    caller::{Callers, Settings, Stream},
+    report::Report,
+    site::{Site, SiteError, offers},
+    spread::Mode,
+};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use snafu::prelude::*;
+use std::{
+    env, io,
+    net::SocketAddrV4,
+    path::PathBuf,
+    process::ExitCode,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Why the trial came to no result.
+#[derive(Debug, Snafu)]
+enum Error {
+    /// The site did not come up or did not follow.
+    #[snafu(display("the site failed"))]
+    Site { source: SiteError },
+    /// The callers did not start, or the signals can't be caught.
+    #[snafu(display("the callers can't be started"))]
+    Start { source: io::Error },
+    /// Somebody ended the trial.
+    #[snafu(display("interrupted"))]
+    Interrupted,
+}
+
+/// Ends the wait for work under way once the callers stop.
+const GRACE: Duration = Duration::from_secs(10);
+/// How often the site is looked after.
+const TICK: Duration = Duration::from_millis(50);
+/// Parts of the trial, in percent of its seconds, at which things change.
+const REPLACE_AT: u32 = 30;
+const LEAVE_AT: u32 = 50;
+const KILL_AT: u32 = 70;
+/// From the bundle that says that a target leaves until it refuses openings.
+const DRAIN_AFTER: Duration = Duration::from_secs(2);
+/// The target that leaves.
+const LEAVING: &str = "alertdesk-1";
+
+struct Flags {
+    instances: usize,
+    targets: usize,
+    feeds: u64,
+    seconds: u32,
+    mode: Mode,
+    kill: usize,
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let flags = flags();
+    match run(&flags) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            let chain =
+                std::iter::successors(Some(&error as &dyn std::error::Error), |e| e.source());
+            let chain = chain.map(ToString::to_string).collect::<Vec<_>>();
+            eprintln!("medlarspur-site: {}", chain.join(": "));
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn flags() -> Flags {
+    let flags = xflags::parse_or_exit! {
+        /// How many instances; 4 if not given.
+        optional --instances count: usize
+        /// How many targets of alertdesk; 6 if not given. ingest has a third.
+        optional --targets count: usize
+        /// How many feeds are held; 300 if not given.
+        optional --feeds count: u64
+        /// How long callers call; 12 if not given.
+        optional --seconds count: u32
+        /// spray, hash or reshuffle; spray if not given.
+        optional --fabric mode: Mode
+        /// How many instances are killed besides.
+        optional --kill count: usize
+        /// Print the whole report as JSON.
+        optional --json
+    };
+    Flags {
+        instances: flags.instances.unwrap_or(4).max(1),
+        targets: flags.targets.unwrap_or(6).max(2),
+        feeds: flags.feeds.unwrap_or(300),
+        seconds: flags.seconds.unwrap_or(12).max(4),
+        mode: flags.fabric.unwrap_or(Mode::Spray),
+        kill: flags.kill.unwrap_or(0),
+        json: flags.json,
+    }
+}
+
+fn run(flags: &Flags) -> Result<bool, Error> {
+    let interrupted = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::flag::register(signal, Arc::clone(&interrupted)).context(StartSnafu)?;
+    }
+    let offers = offers(flags.targets, flags.targets.div_ceil(3));
+    let mut site = Site::start(&program(), flags.mode, &offers).context(SiteSnafu)?;
+    for _ in 0..flags.instances {
+        ensure!(!interrupted.load(Ordering::Relaxed), InterruptedSnafu);
+        site.join().context(SiteSnafu)?;
+    }
+    let callers =
+        Callers::start(Settings::new(site.fabric.callers), streams(flags)).context(StartSnafu)?;
+    change(&mut site, flags, &interrupted)?;
+    let report = callers.stop(GRACE);
+    Ok(conclude(flags, &site, &report))
+}
+
+/// The daemon, which lies beside this program.
+fn program() -> PathBuf {
+    let own = env::current_exe().unwrap_or_default();
+    own.with_file_name("medlarspurd")
+}
+
+fn streams(flags: &Flags) -> Vec<Stream> {
+    let stream = |service: &str, class, remote: ([u8; 4], u16), rate, total| Stream {
+        service: service.into(),
+        class,
+        remote: SocketAddrV4::new(remote.0.into(), remote.1),
+        rate,
+        total,
+        size: 100_000,
+        hold: 3_600_000,
+    };
+    let feeds = flags.feeds as f64 * 4.0 / f64::from(flags.seconds);
+    vec![
+        stream("alertdesk", Class::Feed, ([10, 70, 0, 1], 7001), feeds, flags.feeds),
+        stream("alertdesk", Class::Request, ([10, 70, 0, 1], 7002), 100.0, 0),
+        stream("ingest", Class::Upload, ([10, 70, 0, 2], 7003), 10.0, 0),
+    ]
+}
+
+/// Replaces an instance, lets a target leave and kills what was asked for.
+fn change(site: &mut Site, flags: &Flags, interrupted: &AtomicBool) -> Result<(), Error> {
+    let start = Instant::now();
+    let whole = Duration::from_secs(flags.seconds.into());
+    let at = |percent| whole * percent / 100;
+    wait(site, start, at(REPLACE_AT), interrupted)?;
+    eprintln!("{:5.1} s: an instance is replaced", start.elapsed().as_secs_f64());
+    site.join().context(SiteSnafu)?;
+    site.leave().context(SiteSnafu)?;
+    wait(site, start, at(LEAVE_AT), interrupted)?;
+    eprintln!("{:5.1} s: target {LEAVING} leaves", start.elapsed().as_secs_f64());
+    site.publish_leaving(LEAVING);
+    wait(site, start, (at(LEAVE_AT) + DRAIN_AFTER).min(whole), interrupted)?;
+    site.drain(LEAVING);
+    wait(site, start, at(KILL_AT), interrupted)?;
+    for _ in 0..flags.kill {
+        eprintln!("{:5.1} s: an instance is killed", start.elapsed().as_secs_f64());
+        site.kill().context(SiteSnafu)?;
+        wait(site, start, start.elapsed() + TICK, interrupted)?;
+    }
+    wait(site, start, whole, interrupted)
+}
+
+fn wait(
+    site: &mut Site,
+    start: Instant,
+    until: Duration,
+    interrupted: &AtomicBool,
+) -> Result<(), Error> {
+    while start.elapsed() < until {
+        ensure!(!interrupted.load(Ordering::Relaxed), InterruptedSnafu);
+        site.sweep();
+        thread::sleep(TICK);
+    }
+    Ok(())
+}
+
+/// Prints the result and says whether it is a good one.
+fn conclude(flags: &Flags, site: &Site, report: &Report) -> bool {
+    if flags.json {
+        println!("{}", serde_json::to_string(report).unwrap_or_default());
+    } else {
+        print_table(report);
+    }
+    let seen = site.targets.list.iter().map(|running| running.seen()).collect::<Vec<_>>();
+    let mut runs = std::collections::BTreeMap::<&str, u32>::new();
+    for (id, count) in seen.iter().flat_map(|seen| &seen.runs) {
+        *runs.entry(id).or_default() += count;
+    }
+    let double = runs.values().filter(|&&count| count > 1).count();
+    let turned = report.iter().flat_map(|(_, _, row)| &row.turned);
+    let false_turned = turned.filter(|id| runs.contains_key(id.as_str())).count();
+    let strays = seen.iter().map(|seen| seen.strays).sum::<u64>();
+    let late = seen.iter().map(|seen| seen.late).sum::<u64>();
+    let calls = site.platform.calls();
+    eprintln!("requests run twice {double}, turned away and yet run {false_turned}");
+    eprintln!("packets at a target of another service {strays}, openings at a leaving one {late}");
+    eprintln!("calls to the platform: bundle {}, instances {}", calls.bundle, calls.instances);
+    let broken = report.iter().map(|(_, _, row)| row.broken).sum::<u64>();
+    let wrong = report.iter().map(|(_, _, row)| row.wrong).sum::<u64>();
+    let faults = broken + wrong + strays + (double + false_turned) as u64;
+    let completed = report.iter().all(|(_, _, row)| row.completed > 0);
+    faults == 0 && completed
+}
+
+fn print_table(report: &Report) {
+    println!(
+        "{:<10} {:<8} {:>7} {:>9} {:>7} {:>8} {:>10} {:>6} {:>7} {:>7} {:>9}",
+        "service",
+        "class",
+        "opened",
+        "completed",
+        "broken",
+        "refused",
+        "unanswered",
+        "wrong",
+        "p50 ms",
+        "p99 ms",
+        "imbalance"
+    );
+    for (service, class, row) in report.iter() {
+        println!(
+            "{service:<10} {class:<8} {:>7} {:>9} {:>7} {:>8} {:>10} {:>6} {:>7} {:>7} {:>9.2}",
+            row.opened,
+            row.completed,
+            row.broken,
+            row.refused,
+            row.unanswered,
+            row.wrong,
+            row.p50,
+            row.p99,
+            row.imbalance
+        );
+    }
+}
--- a/testutils/src/client.rs
+++ b/testutils/src/client.rs
@@ -172,6 +172,8 @@
         let feeds = self.tasks.iter().filter(|(_, task)| task.work.class == Class::Feed);
         let conns = feeds.map(|(&conn, _)| conn).collect::<Vec<_>>();
         for conn in conns {
+            // One without its first line yet ends as soon as it has it.
+            self.tasks.entry(conn).and_modify(|task| task.work.hold = Millis(0));
             self.end_feed(conn);
         }
     }
@@ -205,8 +207,11 @@
             Stage::Finished | Stage::Broken => Some(End::Broken),
             _ => None,
         });
-        if let Some(end) = end {
-            self.finish(conn, end);
+        let over = task.over(self.now);
+        match end {
+            Some(end) => self.finish(conn, end),
+            None if over => self.end_feed(conn),
+            None => {}
         }
     }
 
@@ -215,14 +220,13 @@
             return;
         };
         let silent = self.now.since(task.heard) >= self.patience.silence;
-        let over = self.now.since(task.opened) >= task.work.hold;
         if !task.established {
             if self.now.since(task.opened) >= self.patience.opening {
                 self.finish(conn, End::Unanswered);
             }
         } else if silent {
             self.finish(conn, End::Broken);
-        } else if task.work.class == Class::Feed && over {
+        } else if task.over(self.now) {
             self.end_feed(conn);
         } else {
             self.alarms.insert((task.heard + self.patience.silence, conn));
@@ -282,6 +286,11 @@
         }
     }
 
+    /// Whether it is a feed that its caller has held long enough.
+    fn over(&self, now: Millis) -> bool {
+        self.work.class == Class::Feed && now.since(self.opened) >= self.work.hold
+    }
+
     /// Reads what has come; the end of the work, if that decides it.
     fn read(&mut self, now: Millis) -> Option<End> {
         loop {
--- a/testutils/src/host.rs
+++ b/testutils/src/host.rs
@@ -160,7 +160,9 @@
 
     /// When the next poll has work, if nothing is received before.
     pub fn next(&self) -> Option<Millis> {
-        if !self.link.outgoing.is_empty() {
+        // Whoever drives the host may have bytes for the room that an
+        // acknowledgement made, though the stack itself has nothing to do.
+        if !self.link.outgoing.is_empty() || !self.ready.is_empty() {
             return Some(self.now);
         }
         self.due.first().map(|&(due, _)| due)
--- /dev/null
+++ b/testutils/src/site.rs
@@ -0,0 +1,240 @@
+//! A whole small site: stand-ins in this process, instances in their own.
+
+use crate::{
+    fabric::{self, Fabric},
+    layout::{Layout, ServiceLayout, TargetLayout},
+    list::ListedState,
+    platform::Platform,
+    process::{Common, Instance, ProcessError},
+    server::Profile,
+    spread::Mode,
+    target::{Behaviour, Running, TargetError, Targets},
+    web::WebError,
+};
+use medlarspur_lib::bundle::{Class, SecretKey, TargetState};
+use nix::sys::signal::Signal;
+use snafu::prelude::*;
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddrV4},
+    path::Path,
+};
+use tempfile::TempDir;
+
+/// The failure domains of the site.
+pub const DOMAINS: [&str; 2] = ["lozenets", "druzhba"];
+/// The name of the site.
+const NAME: &str = "small";
+/// The longest silence of a feed in seconds.
+const KEEPALIVE: u64 = 8;
+
+/// A service that the site offers and how many targets serve it.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Its ports.
+    pub ports: Vec<(u16, Class)>,
+    /// How many targets serve it.
+    pub targets: usize,
+}
+
+/// The two services of the small site: alerts and uploads.
+pub fn offers(alertdesk: usize, ingest: usize) -> Vec<Offer> {
+    let offer = |name: &str, last, ports: &[_], targets| Offer {
+        name: name.into(),
+        address: Ipv4Addr::new(10, 70, 0, last),
+        ports: ports.to_vec(),
+        targets,
+    };
+    vec![
+        offer("alertdesk", 1, &[(7001, Class::Feed), (7002, Class::Request)], alertdesk),
+        offer("ingest", 2, &[(7003, Class::Upload)], ingest),
+    ]
+}
+
+/// Why the site did not come up or did not follow.
+#[derive(Debug, Snafu)]
+pub enum SiteError {
+    /// The folder for settings and logs could not be made.
+    #[snafu(display("the folder of the site can't be made"))]
+    Folder {
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The platform did not start.
+    #[snafu(display("the platform can't be started"))]
+    Platform {
+        /// What the server said.
+        source: WebError,
+    },
+    /// The fabric did not start.
+    #[snafu(display("the fabric can't be started"))]
+    Fabric {
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The targets did not start.
+    #[snafu(display("the targets can't be started"))]
+    Target {
+        /// What the target said.
+        source: TargetError,
+    },
+    /// An instance did not follow.
+    #[snafu(display("an instance failed"))]
+    Instance {
+        /// What happened to it.
+        source: ProcessError,
+    },
+}
+
+/// A site that runs until this is dropped.
+pub struct Site {
+    /// The fabric.
+    pub fabric: Fabric,
+    /// The platform.
+    pub platform: Platform,
+    /// The targets of all services.
+    pub targets: Targets,
+    /// The instances, leaving ones included.
+    pub instances: Vec<Instance>,
+    /// The bundle in force.
+    pub layout: Layout,
+    common: Common,
+    key: SecretKey,
+    started: usize,
+    _folder: TempDir,
+}
+
+impl Site {
+    /// Brings a site up without any instance.
+    pub fn start(program: &Path, mode: Mode, offers: &[Offer]) -> Result<Self, SiteError> {
+        let folder = TempDir::new().context(FolderSnafu)?;
+        let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+        let platform = Platform::start(any).context(PlatformSnafu)?;
+        let mut settings = fabric::Settings::new(mode);
+        settings.platform = Some(platform.addr);
+        let fabric = Fabric::start(&settings).context(FabricSnafu)?;
+        let profiles = offers.iter().flat_map(profiles).collect();
+        let targets = Targets::start(profiles, fabric.returns).context(TargetSnafu)?;
+        let layout = layout(offers, &targets);
+        let key = SecretKey::generate();
+        platform.publish(&layout.signed(&key));
+        let common = Common {
+            program: program.to_owned(),
+            folder: folder.path().to_owned(),
+            site: NAME.into(),
+            fabric: fabric.returns,
+            platform: platform.addr,
+            key: key.public(),
+        };
+        let (instances, started) = (Vec::new(), 0);
+        Ok(Self {
+            fabric,
+            platform,
+            targets,
+            instances,
+            layout,
+            common,
+            key,
+            started,
+            _folder: folder,
+        })
+    }
+
+    /// Starts an instance, waits until it is ready and lists it.
+    pub fn join(&mut self) -> Result<(), SiteError> {
+        let domain = DOMAINS[self.started % DOMAINS.len()];
+        let name = format!("{domain}-{}", self.started / DOMAINS.len() + 1);
+        self.started += 1;
+        let peers = self.instances.iter().map(|other| other.listed.control).collect::<Vec<_>>();
+        let instance =
+            Instance::start(&self.common, &name, domain, &peers).context(InstanceSnafu)?;
+        instance.await_ready().context(InstanceSnafu)?;
+        self.instances.push(instance);
+        self.publish_list();
+        Ok(())
+    }
+
+    /// Asks the first live instance to leave.
+    pub fn leave(&mut self) -> Result<(), SiteError> {
+        if let Some(instance) = self.first_live() {
+            instance.signal(Signal::SIGTERM).context(InstanceSnafu)?;
+            instance.listed.state = ListedState::Leaving;
+        }
+        self.publish_list();
+        Ok(())
+    }
+
+    /// Kills the first live instance. The list shows it until [`Self::sweep`].
+    pub fn kill(&mut self) -> Result<(), SiteError> {
+        match self.first_live() {
+            Some(instance) => instance.signal(Signal::SIGKILL).context(InstanceSnafu),
+            None => Ok(()),
+        }
+    }
+
+    /// Takes instances that have ended out of the list.
+    pub fn sweep(&mut self) {
+        let before = self.instances.len();
+        self.instances.retain_mut(|instance| !instance.has_ended());
+        if self.instances.len() != before {
+            self.publish_list();
+        }
+    }
+
+    /// Publishes a bundle in which the target leaves.
+    pub fn publish_leaving(&mut self, target: &str) {
+        self.layout.set_state(target, TargetState::Leaving);
+        self.platform.publish(&self.layout.signed(&self.key));
+    }
+
+    /// Lets the target turn away openings from now on.
+    pub fn drain(&self, target: &str) {
+        let running = self.targets.list.iter().find(|running| running.name == target);
+        if let Some(running) = running {
+            running.behave(Behaviour { draining: true, ..Behaviour::default() });
+        }
+    }
+
+    fn first_live(&mut self) -> Option<&mut Instance> {
+        let live = |instance: &&mut Instance| instance.listed.state == ListedState::Live;
+        self.instances.iter_mut().find(live)
+    }
+
+    fn publish_list(&self) {
+        let entries = self.instances.iter().map(|instance| instance.listed.clone());
+        self.platform.set_list(&entries.collect::<Vec<_>>());
+    }
+}
+
+fn profiles(offer: &Offer) -> impl Iterator<Item = Profile> + '_ {
+    (1..=offer.targets).map(|number| {
+        Profile::new(&format!("{}-{number}", offer.name), &offer.name, offer.address, &offer.ports)
+    })
+}
+
+fn layout(offers: &[Offer], targets: &Targets) -> Layout {
+    let mut running = targets.list.iter();
+    let services = offers.iter().map(|offer| ServiceLayout {
+        name: offer.name.clone(),
+        address: offer.address,
+        ports: offer.ports.clone(),
+        keepalive: KEEPALIVE,
+        refusal: None,
+        targets: running.by_ref().take(offer.targets).enumerate().map(target).collect(),
+    });
+    Layout { site: NAME.into(), version: 1, services: services.collect() }
+}
+
+fn target((ix, running): (usize, &Running)) -> TargetLayout {
+    TargetLayout {
+        name: running.name.clone(),
+        domain: DOMAINS[ix % DOMAINS.len()].into(),
+        address: running.addr,
+        probe: Some(running.probe),
+        state: TargetState::Active,
+    }
+}
--- a/testutils/tests/runner.rs
+++ b/testutils/tests/runner.rs
@@ -1,3 +1,6 @@
 //! One runner, so that the tests link once.
 
 mod test_host;
+mod test_path;
+mod test_platform;
+mod test_spread;
--- a/testutils/tests/test_host.rs
+++ b/testutils/tests/test_host.rs
@@ -117,3 +117,39 @@
         prop_assert_eq!(server.seen.runs.get("Request"), Some(&1));
     }
 }
+
+/// A fabric that sprays lets packets of one flow overtake each other. TCP has
+/// to put them in order again, and no work may stall behind another's.
+#[test]
+fn reordered_packets_cost_nothing_but_time() {
+    let (mut client, mut server) = (client(), server());
+    for id in 0..40 {
+        client.open(Millis(0), work(&format!("{id}"), Class::Upload));
+    }
+
+    let outcomes = run_reordered(&mut client, &mut server, 1);
+
+    assert_eq!(ends(&outcomes), [End::Completed; 40]);
+    let slowest = outcomes.iter().filter_map(|outcome| outcome.latency).max();
+    assert!(slowest < Some(Millis::secs(20)), "{slowest:?}");
+}
+
+/// Runs both ends; each packet takes its own time.
+fn run_reordered(client: &mut Client, server: &mut Server, seed: u64) -> Vec<Outcome> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let (mut inward, mut outward) = (Vec::new(), Vec::new());
+    let mut now = Millis(0);
+    while client.pending() > 0 && now < Millis::secs(2000) {
+        let mut due = || now + Millis(rng.random_range(1..5));
+        inward.extend(client.poll(now).into_iter().map(|packet| (due(), packet)));
+        outward.extend(server.poll(now).into_iter().map(|packet| (due(), packet)));
+        now = now + Millis(1);
+        inward
+            .extract_if(.., |(due, _)| *due <= now)
+            .for_each(|(_, packet)| server.receive(&packet));
+        outward
+            .extract_if(.., |(due, _)| *due <= now)
+            .for_each(|(_, packet)| client.receive(&packet));
+    }
+    client.outcomes()
+}
--- /dev/null
+++ b/testutils/tests/test_path.rs
@@ -0,0 +1,129 @@
+//! The whole path over sockets, with plain relays in the place of instances.
+
+use medlarspur_lib::{
+    bundle::{Bundle, Class, TargetState},
+    time::Millis,
+};
+use medlarspur_testutils::{
+    caller::{Callers, Settings, Stream},
+    client::Patience,
+    fabric::{self, Fabric},
+    layout::{Layout, ServiceLayout, TargetLayout},
+    list::{Listed, ListedState},
+    packet::Ends,
+    report::Report,
+    server::Profile,
+    spread::Mode,
+    target::{Behaviour, Targets},
+};
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
+    thread,
+    time::Duration,
+};
+
+const ADDRESS: Ipv4Addr = Ipv4Addr::new(10, 70, 0, 1);
+const PORTS: [(u16, Class); 3] = [(1, Class::Feed), (2, Class::Request), (3, Class::Upload)];
+
+fn targets(fabric: &Fabric) -> Targets {
+    let profiles = ["a", "b"].map(|name| Profile::new(name, "alertdesk", ADDRESS, &PORTS));
+    Targets::start(profiles.to_vec(), fabric.returns).unwrap()
+}
+
+/// An instance that picks the target by the caller's port and keeps no state.
+fn relay(name: &str, targets: &Targets) -> Listed {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let SocketAddr::V4(packets) = socket.local_addr().unwrap() else { unreachable!() };
+    let addrs = targets.list.iter().map(|running| running.addr).collect::<Vec<_>>();
+    thread::spawn(move || {
+        let mut buffer = [0; 2048];
+        while let Ok((len, _)) = socket.recv_from(&mut buffer) {
+            if let Some(ends) = Ends::parse(&buffer[..len]) {
+                let addr = addrs[usize::from(ends.src.port()) % addrs.len()];
+                let _ = socket.send_to(&buffer[..len], addr);
+            }
+        }
+    });
+    let (name, domain, state) = (name.into(), "lozenets".into(), ListedState::Live);
+    Listed { name, domain, state, packets, questions: packets, control: packets }
+}
+
+fn stream(port: u16, class: Class, total: u64) -> Stream {
+    let remote = SocketAddrV4::new(ADDRESS, port);
+    let service = "alertdesk".into();
+    Stream { service, class, remote, rate: 200.0, total, size: 30_000, hold: 600_000 }
+}
+
+/// Calls until all streams are opened, then ends in an orderly way.
+fn call(fabric: &Fabric, streams: Vec<Stream>, patience: Patience) -> Report {
+    let all = streams.iter().map(|stream| stream.total).sum::<u64>();
+    let settings = Settings { patience, ..Settings::new(fabric.callers) };
+    let callers = Callers::start(settings, streams).unwrap();
+    let opened = || callers.report().iter().map(|(_, _, row)| row.opened).sum::<u64>();
+    for _ in 0..2000 {
+        if opened() == all {
+            break;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    callers.stop(Duration::from_secs(20))
+}
+
+#[test]
+fn spraying_fabric_carries_all_classes() {
+    let fabric = Fabric::start(&fabric::Settings::new(Mode::Spray)).unwrap();
+    let targets = targets(&fabric);
+    fabric.set_list(vec![relay("x", &targets), relay("y", &targets)]);
+    let streams = PORTS.iter().map(|&(port, class)| stream(port, class, 40)).collect();
+
+    let report = call(&fabric, streams, Patience::default());
+
+    let completed = report.iter().map(|(_, _, row)| row.completed).collect::<Vec<_>>();
+    assert_eq!(completed, [40, 40, 40], "{report:?}");
+    let runs = targets.list.iter().map(|running| running.seen().runs.len()).sum::<usize>();
+    assert_eq!(runs, 40);
+}
+
+/// A target's host loses power while it holds feeds and requests. Callers of
+/// that target get no answer; those of the other one notice nothing.
+#[test]
+fn dead_target_answers_nobody() {
+    let fabric = Fabric::start(&fabric::Settings::new(Mode::Hash)).unwrap();
+    let targets = targets(&fabric);
+    fabric.set_list(vec![relay("x", &targets)]);
+    targets.list[0].behave(Behaviour { dead: true, ..Behaviour::default() });
+
+    let patience = Patience { opening: Millis::secs(2), ..Patience::default() };
+    let report = call(&fabric, vec![stream(2, Class::Request, 40)], patience);
+
+    let (_, _, row) = report.iter().next().unwrap();
+    assert_eq!(row.completed + row.unanswered, 40, "{row:?}");
+    assert!(row.unanswered > 0 && !row.targets.contains_key("a"), "{row:?}");
+}
+
+#[test]
+fn layout_is_a_bundle_without_faults() {
+    let target = TargetLayout {
+        name: "a".into(),
+        domain: "lozenets".into(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 4000),
+        probe: Some(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 4001)),
+        state: TargetState::Active,
+    };
+    let service = ServiceLayout {
+        name: "alertdesk".into(),
+        address: ADDRESS,
+        ports: PORTS.to_vec(),
+        keepalive: 8,
+        refusal: Some("REFUSED {seconds}\n".into()),
+        targets: vec![target],
+    };
+    let mut layout = Layout { site: "small".into(), version: 1, services: vec![service] };
+    layout.set_state("a", TargetState::Leaving);
+
+    let bundle = Bundle::parse(&layout.text()).unwrap();
+
+    assert_eq!(bundle.version.0, 2);
+    assert_eq!(bundle.services[0].refusal.as_deref(), Some("REFUSED {seconds}\n"));
+    assert_eq!(bundle.services[0].targets[0].state, TargetState::Leaving);
+}
