--- /dev/null
+++ b/daemon/examples/bench/main.rs
@@ -0,0 +1,56 @@
+//! Measures the packet path: in memory, and over loopback beside a bare relay
+//! of the same datagrams. `docs/MEASURES.md` says how to read the figures.
+//!
+//! ```text
+//! cargo run --release -p medlarspur-daemon --example bench
+//! cargo run --release -p medlarspur-daemon --example bench -- held 300000
+//! ```
+
+mod memory;
+mod process;
+mod relay;
+mod site;
+
+/// How many flows one instance has to hold.
+const FLOWS: usize = 300_000;
+/// The packets on the loopback: an acknowledgement and a full upload segment.
+const SIZES: [usize; 2] = [60, 1400];
+
+fn main() {
+    let arguments: Vec<_> = std::env::args().skip(1).collect();
+    match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => {
+            print_memory();
+            print_relay();
+        }
+        ["memory"] => print_memory(),
+        ["relay"] => print_relay(),
+        ["held", flows] => print_held(flows.parse().expect("the number of flows is a number")),
+        _ => eprintln!("usage: bench [memory | relay | held FLOWS]"),
+    }
+}
+
+fn print_memory() {
+    println!("{:<42} {:>12} {:>10}", "in memory", "packets/s", "ns/packet");
+    for row in memory::run(FLOWS) {
+        println!("{:<42} {:>12.0} {:>10.1}", row.name, 1e9 / row.nanos, row.nanos);
+    }
+}
+
+fn print_relay() {
+    println!("{:<42} {:>12} {:>10} {:>8}", "loopback", "packets/s", "cpu ns", "ratio");
+    for size in SIZES {
+        for rate in relay::run(FLOWS, size).rows() {
+            let name = format!("{size} bytes, {}", rate.name);
+            println!("{name:<42} {:>12.0} {:>10.0} {:>8.3}", rate.wall, rate.nanos, rate.ratio);
+        }
+    }
+}
+
+/// One number of flows a process, since memory that an earlier table gave back
+/// would hide what the next one takes.
+fn print_held(flows: usize) {
+    let resident = memory::held(flows);
+    let bytes = resident as f64 / flows as f64;
+    println!("{flows} flows held: {} KiB resident, {bytes:.1} bytes a flow", resident / 1024);
+}
--- /dev/null
+++ b/daemon/examples/bench/site.rs
@@ -0,0 +1,99 @@
+//! The site that is measured: Gromovestnik's services and callers' packets.
+
+use medlarspur_lib::{
+    bundle::{Bundle, Class, Port, Protocol, Seed, Service, Target, TargetState},
+    ids::{DomainName, InstanceName, ServiceName, SiteName, TargetName, Version},
+    time::Millis,
+    view::{Draft, View},
+};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
+
+/// How many hosts each service has.
+pub const HOSTS: [usize; 2] = [14, 4];
+/// How many hosts there are.
+pub const TARGETS: usize = HOSTS[0] + HOSTS[1];
+
+const ADDRESSES: [Ipv4Addr; 2] = [Ipv4Addr::new(10, 70, 0, 1), Ipv4Addr::new(10, 70, 0, 2)];
+const PORT: u16 = 7001;
+const SYN: u8 = 0x02;
+const ACK: u8 = 0x10;
+
+/// The view of an instance alone, with these targets.
+pub fn view(targets: &[SocketAddrV4; TARGETS]) -> Arc<View> {
+    let (alerts, ingest) = targets.split_at(HOSTS[0]);
+    let services = vec![
+        service("alertdesk", ADDRESSES[0], Class::Feed, alerts),
+        service("ingest", ADDRESSES[1], Class::Upload, ingest),
+    ];
+    let (version, site, seed) = (Version(1), SiteName::new("sofia"), Seed([7; 16]));
+    let bundle = Arc::new(Bundle { version, site, seed, services });
+    let mut draft = Draft::first(InstanceName::new("entry-1"), &bundle);
+    draft.commit().expect("the first view is a change")
+}
+
+fn service(name: &str, address: Ipv4Addr, class: Class, targets: &[SocketAddrV4]) -> Arc<Service> {
+    let targets = targets.iter().enumerate().map(|(ix, &address)| Target {
+        name: TargetName::new(&format!("{name}-{ix}")),
+        address,
+        domain: DomainName::new("lozenets"),
+        weight: 100,
+        slots: 2,
+        connections: 2000,
+        state: TargetState::Active,
+        probe: None,
+    });
+    Arc::new(Service {
+        name: ServiceName::new(name),
+        address,
+        ports: vec![Port { number: PORT, protocol: Protocol::Tcp, class }],
+        buckets: 4096,
+        keepalive: Millis::secs(30),
+        refusal: None,
+        balance: 50,
+        targets: targets.collect(),
+    })
+}
+
+/// A caller's packet that opens the flow with this number.
+pub fn opening(flow: usize, size: usize) -> Vec<u8> {
+    packet(flow, size, SYN)
+}
+
+/// A caller's packet in the middle of the flow with this number.
+pub fn middle(flow: usize, size: usize) -> Vec<u8> {
+    packet(flow, size, ACK)
+}
+
+/// Each caller has 16 flows; they are dealt to the services by their hosts.
+fn packet(flow: usize, size: usize, flags: u8) -> Vec<u8> {
+    let caller = Ipv4Addr::from(u32::from(Ipv4Addr::new(10, 0, 0, 0)) + (flow / 16) as u32);
+    let port = 20_000 + (flow % 16) as u16;
+    let service = ADDRESSES[usize::from(flow % TARGETS >= HOSTS[0])];
+    let mut bytes = vec![0; size];
+    bytes[0] = 0x45;
+    bytes[2..4].copy_from_slice(&(size as u16).to_be_bytes());
+    bytes[8] = 64;
+    bytes[9] = 6;
+    bytes[12..16].copy_from_slice(&caller.octets());
+    bytes[16..20].copy_from_slice(&service.octets());
+    bytes[20..22].copy_from_slice(&port.to_be_bytes());
+    bytes[22..24].copy_from_slice(&PORT.to_be_bytes());
+    bytes[32] = 0x50;
+    bytes[33] = flags;
+    bytes
+}
+
+/// The numbers of all flows in a fixed random order, since packets of
+/// neighbouring flows would find each other's memory in the cache.
+pub fn shuffled(flows: usize) -> Vec<usize> {
+    let mut order: Vec<_> = (0..flows).collect();
+    let mut state = 0x9e37_79b9_7f4a_7c15u64;
+    for ix in (1..flows).rev() {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        order.swap(ix, (state >> 33) as usize % (ix + 1));
+    }
+    order
+}
--- a/fabric/src/outbox.rs
+++ b/fabric/src/outbox.rs
@@ -38,9 +38,14 @@
             });
             taken += wire.send(&datagrams[..entries.len()]);
         }
+        self.clear();
+        taken
+    }
+
+    /// Forgets what waits.
+    pub fn clear(&mut self) {
         self.buffer.clear();
         self.entries.clear();
-        taken
     }
 
     /// How many datagrams wait.
