bundle: name the differences between two bundles

Whoever signs a bundle off should see what it changes, and whether instances would take it at all: a lower version, another site or another seed are kept out by them, which an author would otherwise learn from a counter.

--- a/lib/src/bundle/mod.rs
+++ b/lib/src/bundle/mod.rs
@@ -5,11 +5,14 @@
 //! units and defaults are described for operators in `docs/bundle.md`.
 
 mod check;
+mod diff;
 mod key;
 mod parse;
+mod show;
 mod sign;
 
 pub use self::{
+    diff::{Change, Obstacle, diff, obstacles},
     key::{KeyError, KeyId, Keys, PublicKey, SecretKey},
     parse::MAX_TEXT,
     sign::{Refusal, Signed, content, sign},
@@ -26,6 +29,7 @@
 
 value! {
     /// One checked version of a site's configuration.
+    #[derive(serde::Serialize)]
     pub struct Bundle {
         /// Orders bundles: a larger version wins everywhere.
         pub version: Version,
@@ -38,6 +42,7 @@
     }
 
     /// One service: an address, its ports and the targets that serve them.
+    #[derive(serde::Serialize)]
     pub struct Service {
         /// Its name, unique in the bundle.
         pub name: ServiceName,
@@ -60,6 +65,7 @@
     }
 
     /// A port of a service.
+    #[derive(serde::Serialize)]
     pub struct Port {
         /// The port number that callers use.
         pub number: u16,
@@ -70,6 +76,7 @@
     }
 
     /// A target: one host that serves one service.
+    #[derive(serde::Serialize)]
     pub struct Target {
         /// Its name, unique in the bundle.
         pub name: TargetName,
--- a/lib/src/document/reader.rs
+++ b/lib/src/document/reader.rs
@@ -5,7 +5,7 @@
     locate,
     path::Path,
 };
-use crate::time::Millis;
+use crate::time::{Millis, Span};
 use serde_norway::{Mapping, Value};
 use std::{cell::RefCell, ops::RangeInclusive, str::FromStr};
 
@@ -172,7 +172,7 @@
         if range.contains(&found) {
             return Some(found);
         }
-        self.range(text, &show_span(*range.start()), &show_span(*range.end()))
+        self.range(text, &Span(*range.start()), &Span(*range.end()))
     }
 
     fn range<T>(&self, found: &str, least: &impl ToString, most: &impl ToString) -> Option<T> {
@@ -302,10 +302,3 @@
     };
     count.parse::<u64>().ok()?.checked_mul(scale).map(Millis)
 }
-
-fn show_span(span: Millis) -> String {
-    match span.0 {
-        millis if millis % 1000 == 0 => format!("{}s", millis / 1000),
-        millis => format!("{millis}ms"),
-    }
-}
--- a/lib/src/time.rs
+++ b/lib/src/time.rs
@@ -1,6 +1,7 @@
 //! Time as a value: milliseconds of a monotonic clock that the caller reads.
 
 use std::{
+    fmt,
     ops::{Add, Sub},
     time::Duration,
 };
@@ -43,3 +44,16 @@
         Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
     }
 }
+
+/// A span as operators write it, such as `30s` or `500ms`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span(pub Millis);
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0.0 {
+            millis if millis.is_multiple_of(1000) => write!(f, "{}s", millis / 1000),
+            millis => write!(f, "{millis}ms"),
+        }
+    }
+}
--- a/lib/tests/product.rs
+++ b/lib/tests/product.rs
@@ -4,6 +4,7 @@
     mod fixtures;
     mod mutate;
     mod test_bundle;
+    mod test_diff;
     mod test_random;
     mod test_settings;
     mod test_sign;
