cli: author bundles and read instances

Operators act by bundles and see instances by their read-only interface, so the tool has these two halves and nothing else. Commands only parse, call the library and print; every failure names its causes, gives a hint and has an exit code of its own kind, so that a script can tell an instance that is not ready from one that is not there.

xflags generates no shell completions, so there is no such command.

--- /dev/null
+++ b/cli/src/commands/bundle_diff.rs
@@ -0,0 +1,34 @@
+//! `bundle diff`: what differs between two bundles.
+
+use super::read_bundle;
+use crate::{
+    error::{Code, CommandError},
+    flags::Diff,
+    output,
+};
+use medlarspur_lib::bundle::{Change, Obstacle, diff, obstacles};
+use serde::Serialize;
+
+#[derive(Serialize)]
+struct Differences {
+    changes: Vec<Change>,
+    obstacles: Vec<Obstacle>,
+}
+
+pub fn run(flags: &Diff) -> Result<Code, CommandError> {
+    let (old, new) = (read_bundle(&flags.old)?, read_bundle(&flags.new)?);
+    let changes = diff(&old, &new);
+    let code = if changes.is_empty() { Code::Done } else { Code::No };
+    let obstacles = if changes.is_empty() { Vec::new() } else { obstacles(&old, &new) };
+    if flags.json {
+        output::json(&Differences { changes, obstacles })?;
+        return Ok(code);
+    }
+    for change in &changes {
+        output::line(&change.to_string());
+    }
+    for obstacle in obstacles {
+        output::line(&format!("! {obstacle}"));
+    }
+    Ok(code)
+}
--- /dev/null
+++ b/cli/src/commands/bundle_show.rs
@@ -0,0 +1,58 @@
+//! `bundle show`: a bundle with its defaults filled in.
+
+use super::read_bundle;
+use crate::{
+    error::{Code, CommandError},
+    flags::Show,
+    output::{self, Table, or_dash},
+};
+use medlarspur_lib::{
+    bundle::{Bundle, Service},
+    time::Span,
+};
+
+pub fn run(flags: &Show) -> Result<Code, CommandError> {
+    let bundle = read_bundle(&flags.file)?;
+    if flags.json {
+        output::json(&bundle)?;
+        return Ok(Code::Done);
+    }
+    print(&bundle);
+    Ok(Code::Done)
+}
+
+fn print(bundle: &Bundle) {
+    output::line(&format!("version {} for {}", bundle.version, bundle.site));
+    output::line(&format!("seed {}", bundle.seed));
+    for service in &bundle.services {
+        print_service(service);
+    }
+}
+
+fn print_service(service: &Service) {
+    let ports: Vec<String> = service.ports.iter().map(|port| port.to_string()).collect();
+    output::line("");
+    output::line(&format!("{} at {}: {}", service.name, service.address, ports.join(", ")));
+    output::line(&format!(
+        "  {} buckets, keepalive {}, balance {}, refusal {}",
+        service.buckets,
+        Span(service.keepalive),
+        service.balance,
+        or_dash(service.refusal.as_ref().map(|text| format!("{text:?}"))),
+    ));
+    let heading = ["  TARGET", "ADDRESS", "DOMAIN", "STATE", "WEIGHT", "SLOTS", "CONNECTIONS"];
+    let mut table = Table::new(&[&heading[..], &["PROBE"]].concat());
+    for target in &service.targets {
+        table.row(vec![
+            format!("  {}", target.name),
+            target.address.to_string(),
+            target.domain.to_string(),
+            target.state.to_string(),
+            target.weight.to_string(),
+            target.slots.to_string(),
+            target.connections.to_string(),
+            or_dash(target.probe),
+        ]);
+    }
+    table.print();
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,3 +1,48 @@
-//! To be described.
+//! The command-line tool of operators: authors bundles and reads instances.
+//!
+//! Each command has a file under `commands`, which calls the library and
+//! prints. Nothing here changes an instance.
 
-fn main() {}
+mod client;
+mod commands;
+mod error;
+mod flags;
+mod output;
+mod scrape;
+
+use crate::error::{Code, CommandError};
+use snafu::ErrorCompat;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let flags = match flags::Medlarspur::from_env() {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => {
+            output::line(&error.to_string());
+            return Code::Done.into();
+        }
+        Err(error) => return usage(&error),
+    };
+    match commands::run(flags.subcommand) {
+        Ok(code) => code.into(),
+        Err(error) => failure(&error),
+    }
+}
+
+fn usage(error: &xflags::Error) -> ExitCode {
+    eprintln!("Error: {error}");
+    eprintln!("Hint: `medlarspur --help` lists the commands and their options");
+    Code::Usage.into()
+}
+
+fn failure(error: &CommandError) -> ExitCode {
+    let mut chain = error.iter_chain();
+    if let Some(first) = chain.next() {
+        eprintln!("Error: {first}");
+    }
+    for cause in chain {
+        eprintln!("Caused by: {cause}");
+    }
+    eprintln!("Hint: {}", error.hint());
+    error.code().into()
+}
--- /dev/null
+++ b/cli/src/output.rs
@@ -0,0 +1,77 @@
+//! Printing: lines, tables and JSON.
+
+use crate::error::{CommandError, JsonSnafu};
+use serde::Serialize;
+use snafu::ResultExt;
+use std::{
+    io::{self, Write},
+    process,
+};
+
+/// Prints a line. A reader that went away, as `head` does, ends the program
+/// quietly, where `println!` would end it with a panic.
+pub fn line(text: &str) {
+    if writeln!(io::stdout().lock(), "{text}").is_err() {
+        process::exit(0);
+    }
+}
+
+/// Prints a value as JSON.
+pub fn json(value: &impl Serialize) -> Result<(), CommandError> {
+    line(&serde_json::to_string(value).context(JsonSnafu)?);
+    Ok(())
+}
+
+/// Rows under a heading, in columns as wide as their widest cell.
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// A table with this heading.
+    pub fn new(heading: &[&str]) -> Table {
+        Table { rows: vec![heading.iter().map(|cell| cell.to_string()).collect()] }
+    }
+
+    /// Adds a row of as many cells as the heading has.
+    pub fn row(&mut self, cells: Vec<String>) {
+        self.rows.push(cells);
+    }
+
+    /// Prints the table, or nothing if it has no row.
+    pub fn print(&self) {
+        if self.rows.len() < 2 {
+            return;
+        }
+        let widths: Vec<usize> = (0..self.rows[0].len()).map(|ix| self.width(ix)).collect();
+        for row in &self.rows {
+            let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+            line(cells.collect::<Vec<_>>().join("  ").trim_end());
+        }
+    }
+
+    fn width(&self, column: usize) -> usize {
+        let cells = self.rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    }
+}
+
+/// A span of milliseconds in its largest fitting unit.
+pub fn span(millis: u64) -> String {
+    match millis {
+        0..1_000 => format!("{millis}ms"),
+        1_000..60_000 => format!("{}s", millis / 1_000),
+        60_000..3_600_000 => format!("{}m{}s", millis / 60_000, millis / 1_000 % 60),
+        _ => format!("{}h{}m", millis / 3_600_000, millis / 60_000 % 60),
+    }
+}
+
+/// The first digits of a digest, enough to tell two apart by eye.
+pub fn short(digest: &str) -> &str {
+    digest.get(..12).unwrap_or(digest)
+}
+
+/// A value, or a dash for none.
+pub fn or_dash<T: ToString>(value: Option<T>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
--- /dev/null
+++ b/cli/tests/instances.rs
@@ -0,0 +1,129 @@
+//! Instances that answer the tool from fixed values.
+
+use medlarspur_lib::{
+    bundle::{Class, TargetState},
+    ids::{
+        Bucket, DomainName, Incarnation, InstanceName, ServiceName, SiteName, TargetName, Version,
+    },
+    members::MemberState,
+    packet::FlowKey,
+    status::{
+        BundleStatus, Explanation, FlowStatus, Life, MemberStatus, Owner, PlanStatus, Reason,
+        ServiceStatus, Status, TargetStatus, Unready,
+    },
+    time::Millis,
+};
+use medlarspur_operator::{Family, Meters, Operator, Source};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
+
+struct Instance {
+    name: &'static str,
+    version: Option<u64>,
+}
+
+/// Starts an instance with a bundle of this version in force, or none.
+pub fn instance(name: &'static str, version: Option<u64>) -> Operator {
+    let meters = Meters::new().expect("metrics");
+    meters.count(Family::Packets, "forwarded").add(10);
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+    Operator::start(address, Arc::new(Instance { name, version }), meters).expect("starts")
+}
+
+impl Source for Instance {
+    fn status(&self) -> Status {
+        let bundle = self.version.map(bundle);
+        let life = if bundle.is_some() { Life::Serving } else { Life::Starting };
+        Status {
+            site: SiteName::new("sofia"),
+            name: InstanceName::new(self.name),
+            domain: DomainName::new("lozenets"),
+            incarnation: Incarnation(1),
+            life,
+            uptime: Millis(3_723_000),
+            unready: bundle.is_none().then_some(Unready::NoBundle),
+            services: bundle.iter().map(|_| service()).collect(),
+            bundle,
+            flows: 1200,
+            members: vec![
+                member("entry-1", MemberState::Live),
+                member("entry-2", MemberState::Dead),
+            ],
+        }
+    }
+
+    fn explain(&self, flow: &FlowKey) -> Explanation {
+        Explanation {
+            flow: *flow,
+            service: Some(ServiceName::new("alertdesk")),
+            class: Some(Class::Feed),
+            bucket: Some(Bucket(17)),
+            target: Some(TargetName::new("alert-2")),
+            reason: Reason::History,
+            bundle: self.version.map(bundle),
+            plan: Some(plan()),
+            history: vec![Owner { target: TargetName::new("alert-2"), since: Millis(90_000) }],
+            keepers: vec![InstanceName::new("entry-1"), InstanceName::new("entry-2")],
+        }
+    }
+
+    fn flows(&self, limit: usize) -> Vec<FlowStatus> {
+        (0..5).take(limit).map(flow).collect()
+    }
+}
+
+fn bundle(version: u64) -> BundleStatus {
+    BundleStatus {
+        version: Version(version),
+        digest: format!("{version:02x}").repeat(32),
+        key: "cd".repeat(8),
+        age: Millis::secs(60),
+        conflict: false,
+    }
+}
+
+fn member(name: &str, state: MemberState) -> MemberStatus {
+    let domain = DomainName::new("lozenets");
+    MemberStatus { name: InstanceName::new(name), domain, state, version: Version(7) }
+}
+
+fn plan() -> PlanStatus {
+    PlanStatus { sequence: 3, author: InstanceName::new("entry-1"), moves: 12 }
+}
+
+fn service() -> ServiceStatus {
+    let target = |name, state, open| TargetStatus {
+        name: TargetName::new(name),
+        domain: DomainName::new("lozenets"),
+        state,
+        open,
+        flows: 600,
+        buckets: 512,
+    };
+    ServiceStatus {
+        name: ServiceName::new("alertdesk"),
+        flows: 1200,
+        buckets: 1024,
+        moving: 12,
+        plan: Some(plan()),
+        targets: vec![
+            target("alert-1", TargetState::Active, true),
+            target("alert-2", TargetState::Leaving, false),
+        ],
+    }
+}
+
+fn flow(ix: u16) -> FlowStatus {
+    let caller = SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), 40_000 + ix);
+    FlowStatus {
+        flow: format!("tcp:{caller}:10.70.0.1:7001").parse().expect("a flow"),
+        service: ServiceName::new("alertdesk"),
+        class: Class::Feed,
+        target: TargetName::new("alert-1"),
+        age: Millis(125_000),
+        idle: Millis(40),
+        exception: ix == 1,
+    }
+}
--- /dev/null
+++ b/cli/tests/test_instances.rs
@@ -0,0 +1,147 @@
+//! Reading from instances.
+
+use crate::{fixtures::folder, instances::instance};
+use expect_test::expect;
+
+/// Takes the ports out of what was printed; the system chooses them. A table
+/// keeps its columns, since all ports have five digits.
+fn without_ports(printed: &str) -> String {
+    let mut text = String::new();
+    for part in printed.split_inclusive("127.0.0.1:") {
+        text.push_str(part.trim_start_matches(|c: char| c.is_ascii_digit()));
+    }
+    text
+}
+
+#[test]
+fn status_of_one_instance_goes_into_detail() {
+    let one = instance("entry-1", Some(7));
+
+    let printed = folder().run(&format!("status {}", one.address()));
+
+    expect![[r#"
+        exit code 0
+        INSTANCE  ADDRESS          DOMAIN    LIFE     UPTIME  BUNDLE  DIGEST        FLOWS  LIVE  MOVING
+        entry-1   127.0.0.1:  lozenets  serving  1h2m    7       070707070707  1200   1/2   12
+
+        MEMBER   DOMAIN    STATE  BUNDLE
+        entry-1  lozenets  live   7
+        entry-2  lozenets  dead   7
+
+        alertdesk: 1200 flows, 1024 buckets, 12 of them moving
+          plan 3 by entry-1, 12 moves
+          TARGET   DOMAIN    STATE    NEW FLOWS  FLOWS  BUCKETS
+          alert-1  lozenets  active   yes        600    512
+          alert-2  lozenets  leaving  no         600    512
+    "#]].assert_eq(&without_ports(&printed));
+}
+
+/// An update reached one instance before the other. Whoever rolled it out must
+/// see that the fleet does not agree yet.
+#[test]
+fn status_of_many_shows_that_they_disagree() {
+    let (one, two) = (instance("entry-1", Some(7)), instance("entry-2", Some(8)));
+    let three = instance("entry-3", None);
+    let addresses = format!("{} {} {}", one.address(), two.address(), three.address());
+
+    let printed = folder().run(&format!("status {addresses}"));
+
+    expect![[r#"
+        exit code 1
+        INSTANCE  ADDRESS          DOMAIN    LIFE      UPTIME  BUNDLE  DIGEST        FLOWS  LIVE  MOVING
+        entry-1   127.0.0.1:  lozenets  serving   1h2m    7       070707070707  1200   1/2   12
+        entry-2   127.0.0.1:  lozenets  serving   1h2m    8       080808080808  1200   1/2   12
+        entry-3   127.0.0.1:  lozenets  starting  1h2m    -       -             1200   1/2   0
+        ! the instances do not have the same bundle in force
+        ! entry-3 is not ready: no bundle in force: neither the platform nor a peer gave one yet
+          publish a signed bundle, or check `platform:` and `peers:` of its settings
+    "#]].assert_eq(&without_ports(&printed));
+}
+
+/// One instance of the fleet has died. The others must still be shown.
+#[test]
+fn status_of_many_goes_on_past_a_dead_one() {
+    let (one, two) = (instance("entry-1", Some(7)), instance("entry-2", Some(7)));
+    let addresses = format!("{} {}", two.address(), one.address());
+    two.stop();
+
+    let printed = folder().run(&format!("status {addresses}"));
+
+    expect![[r#"
+        exit code 4
+        INSTANCE  ADDRESS          DOMAIN    LIFE     UPTIME  BUNDLE  DIGEST        FLOWS  LIVE  MOVING
+        ?         127.0.0.1:  -         -        -       -       -             -      -     -
+        entry-1   127.0.0.1:  lozenets  serving  1h2m    7       070707070707  1200   1/2   12
+        ! the instance at 127.0.0.1: does not answer
+    "#]].assert_eq(&without_ports(&printed));
+}
+
+#[test]
+fn status_prints_json() {
+    let one = instance("entry-1", Some(7));
+
+    let json = folder().printed(&format!("status {} --json", one.address()));
+
+    let value: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    assert_eq!(value[0]["status"]["bundle"]["version"], 7);
+    assert_eq!(value[0]["status"]["services"][0]["moving"], 12);
+}
+
+#[test]
+fn explain_says_where_and_why() {
+    let one = instance("entry-1", Some(7));
+    let flow = "tcp:10.9.0.1:40000:10.70.0.1:7001";
+
+    let printed = folder().run(&format!("explain {flow} --instance {}", one.address()));
+    let json = folder().printed(&format!("explain {flow} --json --instance {}", one.address()));
+
+    expect![[r#"
+        exit code 0
+        tcp:10.9.0.1:40000:10.70.0.1:7001 goes to alert-2: in doubt, a flow stays with the earlier owner of its bucket
+        service  alertdesk
+        class    feed
+        bucket   17
+        bundle   version 7, digest 070707070707
+        plan     number 3 by entry-1, 12 moves
+        earlier  alert-2 until 1m30s ago
+        keeper   entry-1
+        keeper   entry-2
+    "#]].assert_eq(&printed);
+    let value: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    assert_eq!(value["reason"], "history");
+}
+
+#[test]
+fn flows_are_listed_up_to_the_limit() {
+    let one = instance("entry-1", Some(7));
+
+    let printed = folder().run(&format!("flows --limit 2 --instance {}", one.address()));
+
+    expect![[r#"
+        exit code 0
+        FLOW                               SERVICE    CLASS  TARGET   AGE   IDLE  EXCEPTION
+        tcp:10.9.0.1:40000:10.70.0.1:7001  alertdesk  feed   alert-1  2m5s  40ms  no
+        tcp:10.9.0.1:40001:10.70.0.1:7001  alertdesk  feed   alert-1  2m5s  40ms  yes
+    "#]]
+    .assert_eq(&printed);
+}
+
+#[test]
+fn top_shows_rates_from_the_second_round_on() {
+    let one = instance("entry-1", Some(7));
+
+    let line = format!("top {} --rounds 2 --interval 0", one.address());
+    let printed = folder().run(&line);
+    let json = folder().printed(&format!("{line} --json"));
+
+    expect![[r#"
+        exit code 0
+        INSTANCE  ADDRESS          LIFE     BUNDLE  FLOWS  PACKETS/S  FLOWS/S  DROPS/S
+        entry-1   127.0.0.1:  serving  7       1200   -          -        -
+        INSTANCE  ADDRESS          LIFE     BUNDLE  FLOWS  PACKETS/S  FLOWS/S  DROPS/S
+        entry-1   127.0.0.1:  serving  7       1200   0          0        0
+    "#]]
+    .assert_eq(&without_ports(&printed));
+    assert_eq!(json.lines().count(), 2);
+    assert!(json.contains(r#""flows":1200,"packets":0,"#), "{json}");
+}
