testutils: count a request when its work starts and echo feed lines

A request that is cut short at work has run, so a refusal of it would be false; counting answers hid that. Feeds acknowledge each line and check the echo, so that a feed which carries only one direction shows as broken. An upload's progress counts as a sign of life, else one of more than the patience's length was called broken.

--- a/testutils/src/client.rs
+++ b/testutils/src/client.rs
@@ -96,10 +96,10 @@
     established: bool,
     input: Vec<u8>,
     output: Vec<u8>,
-    sent: usize,
     target: Option<String>,
     latency: Option<Millis>,
     lines: u64,
+    echoes: u64,
     expected: usize,
     closing: bool,
 }
@@ -197,12 +197,16 @@
             }
         }
         let bytes = self.host.recv(conn);
-        if !bytes.is_empty() {
+        let heard = bytes.len();
+        task.input.extend(bytes);
+        let verdict = task.read(self.now);
+        let sent = self.host.send(conn, &task.output);
+        task.output.drain(..sent);
+        // Room for more bytes of an upload is a sign of life, as an answer is.
+        if heard + sent > 0 {
             task.heard = self.now;
         }
-        task.input.extend(bytes);
-        task.sent += self.host.send(conn, &task.output[task.sent..]);
-        let end = task.read(self.now).or(match stage {
+        let end = verdict.or(match stage {
             Stage::Finished if task.closing => Some(End::Completed),
             Stage::Finished | Stage::Broken => Some(End::Broken),
             _ => None,
@@ -277,10 +281,10 @@
             established: false,
             input: Vec::new(),
             output,
-            sent: 0,
             target: None,
             latency: None,
             lines: 0,
+            echoes: 0,
             expected: 0,
             closing: false,
         }
@@ -318,7 +322,7 @@
         match (self.work.class, words.as_slice()) {
             (Class::Feed, ["HELLO", id, target, service]) => self.greet(id, target, service, now),
             (Class::Feed, ["STRIKE", count]) => self.count(count),
-            (Class::Feed, ["ECHO", ..]) => None,
+            (Class::Feed, ["ECHO", "ACK", count]) => self.echo(count),
             (Class::Request, ["DONE", id, target, service, len]) => {
                 self.expected = len.parse().unwrap_or(0);
                 let wrong = self.greet(id, target, service, now);
@@ -344,6 +348,15 @@
     fn count(&mut self, count: &str) -> Option<End> {
         let next = count == self.lines.to_string();
         self.lines += 1;
+        self.output.extend(format!("ACK {count}\n").bytes());
+        (!next).then_some(End::Wrong)
+    }
+
+    /// Each line is acknowledged and comes back, which shows that the feed
+    /// carries both directions.
+    fn echo(&mut self, count: &str) -> Option<End> {
+        let next = count == self.echoes.to_string();
+        self.echoes += 1;
         (!next).then_some(End::Wrong)
     }
 
--- a/testutils/src/server.rs
+++ b/testutils/src/server.rs
@@ -66,7 +66,7 @@
 /// What a target has seen.
 #[derive(Debug, Default, Clone, serde::Serialize)]
 pub struct Seen {
-    /// How often each request id ran.
+    /// How often each request id was started.
     pub runs: Map<String, u32>,
     /// How many uploads were stored whole.
     pub stored: u64,
@@ -273,13 +273,22 @@
             let cold = self.now.since(self.started.unwrap_or_default()) < self.profile.cold;
             let factor = if cold { COLD_FACTOR } else { 1 };
             self.busy.insert(conn);
+            self.count_run(conn);
             self.alarms.insert((self.now + Millis(self.profile.work.0 * factor), conn));
         }
     }
 
+    /// Counts a request when it starts: one that is cut short has run too.
+    fn count_run(&mut self, conn: Conn) {
+        let session = self.sessions.get(&conn).filter(|session| session.class == Class::Request);
+        if let Some(id) = session.and_then(|session| session.id.clone()) {
+            *self.seen.runs.entry(id).or_default() += 1;
+        }
+    }
+
     fn ring(&mut self, conn: Conn) {
         let Some(session) = self.sessions.get_mut(&conn) else {
-            return;
+            return self.free_slot(conn);
         };
         match session.class {
             Class::Feed => {
@@ -302,7 +311,6 @@
         if session.class == Class::Request {
             session.say(&format!("DONE {id} {name} {service} {answer}\n"));
             session.output.extend(body(&id, *answer));
-            *self.seen.runs.entry(id).or_default() += 1;
         } else {
             let hash = blake3::hash(&session.input).to_hex();
             let count = session.input.len();
@@ -310,8 +318,13 @@
             self.seen.stored += 1;
         }
         session.answered = true;
-        self.busy.remove(&conn);
-        self.fill_slots();
+        self.free_slot(conn);
+    }
+
+    fn free_slot(&mut self, conn: Conn) {
+        if self.busy.remove(&conn) {
+            self.fill_slots();
+        }
     }
 
     fn flush(&mut self, conn: Conn) {
@@ -333,9 +346,6 @@
     fn forget(&mut self, conn: Conn) {
         self.sessions.remove(&conn);
         self.queue.retain(|&other| other != conn);
-        if self.busy.remove(&conn) {
-            self.fill_slots();
-        }
         self.host.remove_over(conn);
     }
 }
--- a/testutils/tests/test_host.rs
+++ b/testutils/tests/test_host.rs
@@ -101,6 +101,24 @@
     assert_eq!(ends(&outcomes), [End::Broken]);
 }
 
+/// A caller's machine dies while its request is at work. Somebody who then
+/// says that the request was not run would be wrong.
+#[test]
+fn request_that_is_cut_short_counts_as_run() {
+    let (mut client, mut server) = (client(), server());
+    server.profile.work = Millis::secs(10);
+    client.open(Millis(0), work("r", Class::Request));
+    for step in 0..100 {
+        client.poll(Millis(step)).iter().for_each(|packet| server.receive(packet));
+        server.poll(Millis(step)).iter().for_each(|packet| client.receive(packet));
+    }
+
+    let outcomes = run(&mut client, &mut server, 1.0, 1);
+
+    assert_eq!(ends(&outcomes), [End::Broken]);
+    assert_eq!(server.seen.runs.get("r"), Some(&1));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
