--- a/testutils/src/bin/site.rs
+++ b/testutils/src/bin/site.rs
@@ -7,6 +7,7 @@
     report::Report,
     site::{Site, SiteError, offers},
     spread::Mode,
+    web,
 };
 use signal_hook::consts::{SIGINT, SIGTERM};
 use snafu::prelude::*;
@@ -61,6 +62,7 @@
 }
 
 fn main() -> ExitCode {
+    web::silence_logs();
     let flags = flags();
     match run(&flags) {
         Ok(true) => ExitCode::SUCCESS,
--- a/testutils/src/bin/standin.rs
+++ b/testutils/src/bin/standin.rs
@@ -11,6 +11,7 @@
     server::Profile,
     spread::Mode,
     target::Targets,
+    web,
 };
 use std::{
     error::Error,
@@ -25,7 +26,7 @@
 
     xflags::xflags! {
         /// Stand-ins for the systems around medlarspur; for tests only.
-        cmd standin {
+        cmd medlarspur-standin {
             /// Serve a bundle and a list of instances by HTTP.
             cmd platform {
                 /// Where to listen; a port of the system's choice if not given.
@@ -82,17 +83,18 @@
     }
 }
 
-use flags::StandinCmd;
+use flags::MedlarspurStandinCmd;
 
 /// How long work under way is awaited at the end.
 const GRACE: Duration = Duration::from_secs(10);
 
 fn main() -> Result<(), Box<dyn Error>> {
-    match flags::Standin::from_env_or_exit().subcommand {
-        StandinCmd::Platform(flags) => platform(&flags),
-        StandinCmd::Fabric(flags) => fabric(&flags),
-        StandinCmd::Target(flags) => target(&flags),
-        StandinCmd::Caller(flags) => caller(&flags),
+    web::silence_logs();
+    match flags::MedlarspurStandin::from_env_or_exit().subcommand {
+        MedlarspurStandinCmd::Platform(flags) => platform(&flags),
+        MedlarspurStandinCmd::Fabric(flags) => fabric(&flags),
+        MedlarspurStandinCmd::Target(flags) => target(&flags),
+        MedlarspurStandinCmd::Caller(flags) => caller(&flags),
     }
 }
 
--- a/testutils/src/web.rs
+++ b/testutils/src/web.rs
@@ -41,6 +41,26 @@
     }
 }
 
+/// Keeps rocket from printing. It sets its own logger if there is none, and
+/// then logs everything for the moment in which another server starts, into
+/// the lines that a program's reader expects on its output.
+pub fn silence_logs() {
+    // A logger that is set already is as good.
+    let _ = log::set_logger(&Silence);
+}
+
+struct Silence;
+
+impl log::Log for Silence {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        false
+    }
+
+    fn log(&self, _: &log::Record<'_>) {}
+
+    fn flush(&self) {}
+}
+
 /// The largest body; a bundle may have a megabyte.
 const LARGEST: &str = "2MiB";
 
