peer: exchange control messages by grpc with mutual tls

A thread with one runtime serves and calls; bounded channels join it to the control thread, and a full one drops and counts, since anti-entropy says all again.

Seen to fail: without client_ca_root strangers_are_not_heard_over_tls panics at the wait for the stranger's failure; without the check of the site another_site_is_refused panics.

--- a/lib/src/message.rs
+++ b/lib/src/message/mod.rs
@@ -4,6 +4,8 @@
 //! messages are lost, repeated and overtaken. The wire form lives in the
 //! package `medlarspur-peer`.
 
+mod size;
+
 use crate::{
     ids::{Bucket, FlowId, Incarnation, InstanceName, ServiceName, TargetName, Version},
     members::Member,
--- /dev/null
+++ b/lib/src/message/size.rs
@@ -0,0 +1,83 @@
+//! About how many bytes a message takes on the wire, so that pacing and
+//! measurement in virtual time need no encoder. A test of `medlarspur-peer`
+//! holds it against the encoder.
+
+use super::{Advert, BundleDelta, Heartbeat, Message, Piece, ServicePlan};
+use crate::{collections::Set, members::Member};
+
+/// A tag and a short length or number.
+const FIELD: usize = 2;
+/// A fixed 64-bit number with its tag.
+const FIXED: usize = 9;
+/// A digest with its tag and length.
+const DIGEST: usize = 34;
+/// An address with its tag and length.
+const ADDR: usize = 11;
+/// The tags and lengths of a message and of the envelope around it.
+const ENVELOPE: usize = 6;
+
+impl Message {
+    /// About how many bytes it takes on the wire, without transport.
+    pub fn size(&self) -> usize {
+        let body = match self {
+            Message::Heartbeat(m) => heartbeat(m),
+            Message::BundleRequest(m) => ADDR + m.base.map_or(0, |_| DIGEST),
+            Message::BundleDelta(m) => delta(m),
+            Message::BundleOutline(m) => ADDR + FIELD + DIGEST + 8 * m.pieces.len(),
+            Message::PieceRequest(m) => ADDR + DIGEST + 7 * m.runs.len(),
+            Message::Pieces(m) => {
+                ADDR + DIGEST + m.pieces.iter().map(|(_, text)| text.len() + 9).sum::<usize>()
+            }
+            Message::PlanRequest(m) => ADDR + 8 * m.groups.len(),
+            Message::Plan(m) => m.size(),
+            Message::Advert(m) => advert(m),
+            Message::HistoryRequest(_) => ADDR,
+            Message::History(m) => {
+                let owners = m.owners.iter().map(|(_, target, _)| target.as_str().len() + 10);
+                m.service.as_str().len() + FIELD + owners.sum::<usize>()
+            }
+            Message::Leave(m) => m.sender.as_str().len() + FIELD + number(m.incarnation.0),
+        };
+        ENVELOPE + body
+    }
+}
+
+impl ServicePlan {
+    /// About how many bytes it takes on the wire.
+    pub fn size(&self) -> usize {
+        let moves: usize = self.moves.iter().map(|(_, target)| target.as_str().len() + 7).sum();
+        let names = self.service.as_str().len() + self.author.as_str().len();
+        names + 2 * FIELD + number(self.sequence) + moves
+    }
+}
+
+fn heartbeat(m: &Heartbeat) -> usize {
+    let rumours: usize = m.rumours.iter().map(member).sum();
+    member(&m.sender) + FIELD + DIGEST + 3 * FIXED + rumours
+}
+
+fn member(m: &Member) -> usize {
+    let names = m.name.as_str().len() + m.domain.as_str().len() + 2 * FIELD;
+    let numbers = number(m.incarnation.0) + number(m.version.0) + number(m.told);
+    FIELD + names + numbers + FIELD + 3 * ADDR
+}
+
+/// A target's name goes once an advert and not once a flow.
+fn advert(m: &Advert) -> usize {
+    let targets: Set<&str> = m.flows.iter().map(|(_, target)| target.as_str()).collect();
+    let names: usize = targets.iter().map(|name| name.len() + FIELD).sum();
+    m.sender.as_str().len() + m.service.as_str().len() + 8 + names + 13 * m.flows.len()
+}
+
+fn delta(m: &BundleDelta) -> usize {
+    let pieces = m.pieces.iter().map(|piece| match piece {
+        Piece::Copy { .. } => 8,
+        Piece::Text(text) => text.len() + 6,
+    });
+    number(m.version.0) + 2 * DIGEST + pieces.sum::<usize>()
+}
+
+/// Seven bits go in a byte; zero is left out.
+fn number(n: u64) -> usize {
+    if n == 0 { 0 } else { 2 + n.ilog2() as usize / 7 }
+}
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -91,14 +91,6 @@
     }
 }
 
-impl ServicePlan {
-    /// About how many bytes it takes on the wire.
-    pub fn size(&self) -> usize {
-        let moves: usize = self.moves.iter().map(|(_, target)| target.as_str().len() + 5).sum();
-        self.service.as_str().len() + self.author.as_str().len() + 14 + moves
-    }
-}
-
 /// Buckets with the targets that they go to.
 pub type Moves = Vec<(crate::ids::Bucket, crate::ids::TargetName)>;
 
--- /dev/null
+++ b/peer/src/counters.rs
@@ -0,0 +1,143 @@
+//! What the control connections have done, counted.
+
+use crate::generated::{Envelope, envelope::Message};
+use prost::Message as _;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+/// What a control message is for; bytes are counted for each.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Heartbeats and leaving.
+    Members,
+    /// Requests and answers about the bundle.
+    Bundle,
+    /// Plans and requests for them.
+    Plan,
+    /// Flows for keepers.
+    Advert,
+    /// Bucket history and requests for it.
+    History,
+}
+
+impl Kind {
+    /// All kinds, in the order of [`Counters`].
+    pub const ALL: [Kind; 5] =
+        [Kind::Members, Kind::Bundle, Kind::Plan, Kind::Advert, Kind::History];
+
+    /// The name for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Members => "members",
+            Kind::Bundle => "bundle",
+            Kind::Plan => "plan",
+            Kind::Advert => "advert",
+            Kind::History => "history",
+        }
+    }
+
+    fn of(envelope: &Envelope) -> Option<Kind> {
+        Some(match envelope.message.as_ref()? {
+            Message::Heartbeat(_) | Message::Leave(_) => Kind::Members,
+            Message::BundleRequest(_)
+            | Message::BundleDelta(_)
+            | Message::BundleOutline(_)
+            | Message::PieceRequest(_)
+            | Message::Pieces(_) => Kind::Bundle,
+            Message::PlanRequest(_) | Message::Plan(_) => Kind::Plan,
+            Message::Advert(_) => Kind::Advert,
+            Message::HistoryRequest(_) | Message::History(_) => Kind::History,
+        })
+    }
+}
+
+/// Messages and their encoded bytes, without what gRPC and TLS add.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Bytes {
+    /// How many messages.
+    pub messages: u64,
+    /// How many bytes.
+    pub bytes: u64,
+}
+
+/// The counters as they stood when asked for.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Counters {
+    /// What was handed to peers, by [`Kind::ALL`].
+    pub sent: [Bytes; 5],
+    /// What peers handed over, by [`Kind::ALL`].
+    pub received: [Bytes; 5],
+    /// Messages that found the channel to the network full.
+    pub dropped: u64,
+    /// Messages that found the channel from the network full.
+    pub unread: u64,
+    /// Batches that could not be handed over.
+    pub failed: u64,
+    /// Batches refused because they are of another site.
+    pub foreign: u64,
+    /// Batches refused because they are too large.
+    pub oversize: u64,
+    /// Batches refused because a message in them has no meaning.
+    pub malformed: u64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Live {
+    sent: [Pair; 5],
+    received: [Pair; 5],
+    pub(crate) dropped: AtomicU64,
+    pub(crate) unread: AtomicU64,
+    pub(crate) failed: AtomicU64,
+    pub(crate) foreign: AtomicU64,
+    pub(crate) oversize: AtomicU64,
+    pub(crate) malformed: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct Pair {
+    messages: AtomicU64,
+    bytes: AtomicU64,
+}
+
+impl Pair {
+    fn add(&self, bytes: usize) {
+        self.messages.fetch_add(1, Relaxed);
+        self.bytes.fetch_add(bytes as u64, Relaxed);
+    }
+
+    fn read(&self) -> Bytes {
+        Bytes { messages: self.messages.load(Relaxed), bytes: self.bytes.load(Relaxed) }
+    }
+}
+
+impl Live {
+    pub(crate) fn sent(&self, envelope: &Envelope) {
+        count(&self.sent, envelope);
+    }
+
+    pub(crate) fn received(&self, envelope: &Envelope) {
+        count(&self.received, envelope);
+    }
+
+    pub(crate) fn read(&self) -> Counters {
+        Counters {
+            sent: std::array::from_fn(|ix| self.sent[ix].read()),
+            received: std::array::from_fn(|ix| self.received[ix].read()),
+            dropped: self.dropped.load(Relaxed),
+            unread: self.unread.load(Relaxed),
+            failed: self.failed.load(Relaxed),
+            foreign: self.foreign.load(Relaxed),
+            oversize: self.oversize.load(Relaxed),
+            malformed: self.malformed.load(Relaxed),
+        }
+    }
+}
+
+fn count(pairs: &[Pair; 5], envelope: &Envelope) {
+    if let Some(kind) = Kind::of(envelope) {
+        pairs[kind as usize].add(envelope.encoded_len());
+    }
+}
+
+pub(crate) fn bump(counter: &AtomicU64) {
+    counter.fetch_add(1, Relaxed);
+}
--- /dev/null
+++ b/peer/src/decode.rs
@@ -0,0 +1,174 @@
+//! From the wire form to messages, refusing what has no meaning.
+
+use crate::{
+    error::{AbsentSnafu, LargeSnafu, LongSnafu, WireError},
+    generated as wire,
+};
+use medlarspur_lib::{
+    ids::{
+        Bucket, DomainName, FlowId, Incarnation, InstanceName, ServiceName, TargetName, Version,
+    },
+    members::{Addresses, Member, MemberState},
+    message::{self, Digest, Message},
+};
+use snafu::{OptionExt, ensure};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use wire::envelope::Message as Kind;
+
+/// The longest name that is looked at, in bytes.
+const MAX_NAME: usize = 255;
+/// The most rumours that one heartbeat carries; ours carry a few.
+const MAX_RUMOURS: usize = 64;
+
+type Decoded<T> = Result<T, WireError>;
+
+/// The message that `envelope` carries.
+pub fn decode(envelope: wire::Envelope) -> Decoded<Message> {
+    Ok(match envelope.message.context(AbsentSnafu { field: "message" })? {
+        Kind::Heartbeat(m) => Message::Heartbeat(Box::new(heartbeat(m)?)),
+        Kind::BundleRequest(m) => Message::BundleRequest(message::BundleRequest {
+            sender: addr(m.sender)?,
+            base: if m.base.is_empty() { None } else { Some(digest(&m.base)?) },
+        }),
+        Kind::BundleDelta(m) => Message::BundleDelta(message::BundleDelta {
+            version: Version(m.version),
+            digest: digest(&m.digest)?,
+            base: digest(&m.base)?,
+            pieces: m.pieces.into_iter().map(piece).collect(),
+        }),
+        Kind::BundleOutline(m) => Message::BundleOutline(message::BundleOutline {
+            sender: addr(m.sender)?,
+            version: Version(m.version),
+            digest: digest(&m.digest)?,
+            pieces: m.pieces,
+        }),
+        Kind::PieceRequest(m) => Message::PieceRequest(message::PieceRequest {
+            sender: addr(m.sender)?,
+            digest: digest(&m.digest)?,
+            runs: m.runs.iter().map(|run| (run.first, run.count)).collect(),
+        }),
+        Kind::Pieces(m) => Message::Pieces(message::Pieces {
+            sender: addr(m.sender)?,
+            digest: digest(&m.digest)?,
+            pieces: m.pieces.into_iter().map(|p| (p.at, p.text.into())).collect(),
+        }),
+        Kind::PlanRequest(m) => {
+            Message::PlanRequest(message::PlanRequest { sender: addr(m.sender)?, groups: m.groups })
+        }
+        Kind::Plan(m) => Message::Plan(plan(&m)?),
+        Kind::Advert(m) => Message::Advert(advert(&m)?),
+        Kind::HistoryRequest(m) => {
+            Message::HistoryRequest(message::HistoryRequest { sender: addr(m.sender)? })
+        }
+        Kind::History(m) => Message::History(history(&m)?),
+        Kind::Leave(m) => Message::Leave(message::Leave {
+            sender: InstanceName::new(name("sender", &m.sender)?),
+            incarnation: Incarnation(m.incarnation),
+        }),
+    })
+}
+
+fn name<'a>(field: &'static str, text: &'a str) -> Decoded<&'a str> {
+    ensure!(!text.is_empty(), AbsentSnafu { field });
+    ensure!(text.len() <= MAX_NAME, LongSnafu { field, len: text.len() });
+    Ok(text)
+}
+
+fn digest(bytes: &[u8]) -> Decoded<Digest> {
+    bytes.try_into().map_err(|_| WireError::DigestLen { len: bytes.len() })
+}
+
+fn small(field: &'static str, number: u32) -> Decoded<u16> {
+    u16::try_from(number).ok().context(LargeSnafu { field, number })
+}
+
+fn addr(addr: Option<wire::Addr>) -> Decoded<SocketAddrV4> {
+    let addr = addr.context(AbsentSnafu { field: "address" })?;
+    Ok(SocketAddrV4::new(Ipv4Addr::from_bits(addr.ip), small("port", addr.port)?))
+}
+
+fn member(m: wire::Member) -> Decoded<Member> {
+    let state = match m.state() {
+        wire::State::Live => MemberState::Live,
+        wire::State::Suspect => MemberState::Suspect,
+        wire::State::Leaving => MemberState::Leaving,
+        wire::State::Dead => MemberState::Dead,
+    };
+    Ok(Member {
+        name: InstanceName::new(name("name", &m.name)?),
+        domain: DomainName::new(name("domain", &m.domain)?),
+        incarnation: Incarnation(m.incarnation),
+        state,
+        addresses: Addresses {
+            packets: addr(m.packets)?,
+            questions: addr(m.questions)?,
+            control: addr(m.control)?,
+        },
+        version: Version(m.version),
+        told: m.told,
+    })
+}
+
+fn heartbeat(m: wire::Heartbeat) -> Decoded<message::Heartbeat> {
+    let len = m.rumours.len();
+    ensure!(len <= MAX_RUMOURS, LongSnafu { field: "rumours", len });
+    Ok(message::Heartbeat {
+        sender: member(m.sender.context(AbsentSnafu { field: "sender" })?)?,
+        probe: m.probe,
+        digest: digest(&m.digest)?,
+        members: m.members,
+        plans: m.plans,
+        history: m.history,
+        rumours: m.rumours.into_iter().map(member).collect::<Decoded<_>>()?,
+    })
+}
+
+fn piece(p: wire::Piece) -> message::Piece {
+    if p.text.is_empty() {
+        message::Piece::Copy { first: p.first, count: p.count }
+    } else {
+        message::Piece::Text(p.text.into())
+    }
+}
+
+fn plan(m: &wire::ServicePlan) -> Decoded<message::ServicePlan> {
+    let moved = |m: &wire::Move| Ok((Bucket(small("bucket", m.bucket)?), target(&m.target)?));
+    Ok(message::ServicePlan {
+        service: service(&m.service)?,
+        sequence: m.sequence,
+        author: InstanceName::new(name("author", &m.author)?),
+        moves: m.moves.iter().map(moved).collect::<Decoded<_>>()?,
+    })
+}
+
+fn advert(m: &wire::Advert) -> Decoded<message::Advert> {
+    let targets = m.targets.iter().map(|t| target(t)).collect::<Decoded<Vec<_>>>()?;
+    let flow = |f: &wire::KnownFlow| {
+        let target = targets.get(f.target as usize);
+        let target = target.context(LargeSnafu { field: "target", number: f.target })?;
+        Ok((FlowId(f.flow), target.clone()))
+    };
+    Ok(message::Advert {
+        sender: InstanceName::new(name("sender", &m.sender)?),
+        service: service(&m.service)?,
+        flows: m.flows.iter().map(flow).collect::<Decoded<_>>()?,
+        told: m.told,
+    })
+}
+
+fn history(m: &wire::History) -> Decoded<message::History> {
+    let owner =
+        |o: &wire::Owner| Ok((Bucket(small("bucket", o.bucket)?), target(&o.target)?, o.age));
+    Ok(message::History {
+        service: service(&m.service)?,
+        owners: m.owners.iter().map(owner).collect::<Decoded<_>>()?,
+    })
+}
+
+fn service(text: &str) -> Decoded<ServiceName> {
+    name("service", text).map(ServiceName::new)
+}
+
+fn target(text: &str) -> Decoded<TargetName> {
+    name("target", text).map(TargetName::new)
+}
--- /dev/null
+++ b/peer/src/server.rs
@@ -0,0 +1,69 @@
+//! Takes batches from peers.
+
+use crate::{
+    MAX_BATCH,
+    counters::{Live, bump},
+    decode,
+    error::{MalformedSnafu, OversizeSnafu, Refused, SiteSnafu},
+    generated::{Batch, peer_server},
+};
+use medlarspur_lib::{ids::SiteName, message::Message};
+use prost::Message as _;
+use snafu::{ResultExt, ensure};
+use std::sync::{Arc, mpsc::SyncSender};
+use tonic::{Request, Response, Status};
+
+/// Hands what peers say to the control thread.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) site: SiteName,
+    pub(crate) inbox: SyncSender<Message>,
+    pub(crate) counters: Arc<Live>,
+}
+
+#[tonic::async_trait]
+impl peer_server::Peer for Server {
+    async fn exchange(&self, request: Request<Batch>) -> Result<Response<Batch>, Status> {
+        match self.take(request.into_inner()) {
+            Ok(()) => Ok(Response::new(Batch::default())),
+            Err(refused) => Err(self.refuse(&refused)),
+        }
+    }
+}
+
+impl Server {
+    /// Takes all of a batch or nothing of it.
+    fn take(&self, batch: Batch) -> Result<(), Refused> {
+        ensure!(batch.site == self.site.as_str(), SiteSnafu);
+        let bytes = batch.encoded_len();
+        ensure!(bytes <= MAX_BATCH, OversizeSnafu { bytes });
+        for envelope in &batch.messages {
+            self.counters.received(envelope);
+        }
+        let messages = batch.messages.into_iter().map(decode).collect::<Result<Vec<_>, _>>();
+        for message in messages.context(MalformedSnafu)? {
+            if self.inbox.try_send(message).is_err() {
+                bump(&self.counters.unread);
+            }
+        }
+        Ok(())
+    }
+
+    fn refuse(&self, refused: &Refused) -> Status {
+        let counters = &self.counters;
+        match refused {
+            Refused::Site => {
+                bump(&counters.foreign);
+                Status::permission_denied(refused.to_string())
+            }
+            Refused::Oversize { .. } => {
+                bump(&counters.oversize);
+                Status::out_of_range(refused.to_string())
+            }
+            Refused::Malformed { .. } => {
+                bump(&counters.malformed);
+                Status::invalid_argument(refused.to_string())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/peer/tests/test_connections.rs
@@ -0,0 +1,129 @@
+//! Real connections over the loopback.
+
+use crate::fixtures::{Authority, eventually, heartbeat, start};
+use medlarspur_lib::message::{Message, PieceRequest, Pieces};
+use medlarspur_peer::{
+    MAX_BATCH,
+    generated::{Batch, Envelope, Heartbeat, envelope, peer_client::PeerClient},
+};
+use std::time::Duration;
+use tonic::{Code, transport::Endpoint};
+
+const WAIT: Duration = Duration::from_secs(30);
+
+#[test]
+fn messages_arrive_over_plain_connections() {
+    let (a, b) = (start("gromovestnik", None), start("gromovestnik", None));
+
+    a.send(b.addr(), heartbeat(3));
+
+    assert_eq!(b.recv_timeout(WAIT), Some(heartbeat(3)));
+    assert_eq!(a.counters().sent[0].messages, 1);
+    assert_eq!(a.counters().sent, b.counters().received);
+}
+
+#[test]
+fn messages_arrive_over_mutual_tls() {
+    let authority = Authority::new();
+    let a = start("gromovestnik", Some(authority.issue()));
+    let b = start("gromovestnik", Some(authority.issue()));
+
+    a.send(b.addr(), heartbeat(3));
+    b.send(a.addr(), heartbeat(2));
+
+    assert_eq!(b.recv_timeout(WAIT), Some(heartbeat(3)));
+    assert_eq!(a.recv_timeout(WAIT), Some(heartbeat(2)));
+}
+
+/// Somebody with keys of another authority, or with none, speaks to an
+/// instance. If it were heard, anyone in the network could bring an instance
+/// to believe that its peers are dead.
+#[test]
+fn strangers_are_not_heard_over_tls() {
+    let authority = Authority::new();
+    let b = start("gromovestnik", Some(authority.issue()));
+    let mut forged = Authority::new().issue();
+    forged.authority = authority.issue().authority;
+    let stranger = start("gromovestnik", Some(forged));
+    let bare = start("gromovestnik", None);
+
+    stranger.send(b.addr(), heartbeat(0));
+    bare.send(b.addr(), heartbeat(0));
+
+    assert!(eventually(|| stranger.counters().failed == 1 && bare.counters().failed == 1));
+    assert_eq!(b.try_recv(), None);
+}
+
+/// An instance of another site has an address of ours in its settings by
+/// mistake. Its bundle must not reach our callers.
+#[test]
+fn another_site_is_refused_and_counted() {
+    let (a, b) = (start("katsastusaikavirasto", None), start("gromovestnik", None));
+
+    a.send(b.addr(), heartbeat(0));
+
+    assert!(eventually(|| b.counters().foreign == 1 && a.counters().failed == 1));
+    assert_eq!(b.try_recv(), None);
+}
+
+fn exchange(to: std::net::SocketAddrV4, batch: Batch) -> Code {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let endpoint = Endpoint::from_shared(format!("http://{to}")).expect("an address");
+        let channel = endpoint.connect().await.expect("it listens");
+        PeerClient::new(channel)
+            .exchange(batch)
+            .await
+            .map_or_else(|status| status.code(), |_| Code::Ok)
+    })
+}
+
+/// A peer of a broken version sends a heartbeat without a sender.
+#[test]
+fn malformed_batch_is_refused_and_counted() {
+    let b = start("gromovestnik", None);
+    let broken = Envelope { message: Some(envelope::Message::Heartbeat(Heartbeat::default())) };
+    let batch = Batch { site: "gromovestnik".into(), messages: vec![broken] };
+
+    let code = exchange(b.addr(), batch);
+
+    assert_eq!(code, Code::InvalidArgument);
+    assert_eq!(b.counters().malformed, 1);
+    assert_eq!(b.try_recv(), None);
+}
+
+/// A broken peer sends more than any bundle takes. Read without a limit it
+/// would take the memory that flows need.
+#[test]
+fn oversize_batch_is_refused_and_counted() {
+    let b = start("gromovestnik", None);
+    let text = "x".repeat(MAX_BATCH + 1);
+    let pieces = Pieces { sender: b.addr(), digest: [0; 32], pieces: vec![(0, text.into())] };
+    let messages = vec![medlarspur_peer::encode(&Message::Pieces(pieces))];
+
+    let code = exchange(b.addr(), Batch { site: "gromovestnik".into(), messages });
+
+    assert_eq!(code, Code::OutOfRange);
+    assert_eq!(b.counters().oversize, 1);
+    assert_eq!(b.try_recv(), None);
+}
+
+/// A peer is gone, and another one is spoken to all the same. If the network
+/// thread waited for the one, all others would seem silent.
+#[test]
+fn unreachable_peer_does_not_delay_others() {
+    let (a, b) = (start("gromovestnik", None), start("gromovestnik", None));
+    let gone = start("gromovestnik", None).addr();
+    let request = Message::PieceRequest(PieceRequest {
+        sender: a.addr(),
+        digest: [1; 32],
+        runs: vec![(0, 9)],
+    });
+
+    a.send(gone, heartbeat(0));
+    a.send(b.addr(), request.clone());
+
+    assert_eq!(b.recv_timeout(WAIT), Some(request));
+    assert!(eventually(|| a.counters().failed >= 1));
+}
--- /dev/null
+++ b/peer/tests/test_wire.rs
@@ -0,0 +1,110 @@
+//! The wire form of messages.
+
+use crate::fixtures::{addr, heartbeat, member};
+use medlarspur_lib::{
+    ids::{Bucket, FlowId, InstanceName, ServiceName, TargetName, Version},
+    message::{
+        Advert, BundleDelta, BundleOutline, BundleRequest, History, HistoryRequest, Leave, Message,
+        Piece, PieceRequest, Pieces, PlanRequest, ServicePlan,
+    },
+};
+use medlarspur_peer::{decode, encode};
+use proptest::prelude::*;
+use prost::Message as _;
+
+fn target() -> impl Strategy<Value = TargetName> {
+    (0..20u8).prop_map(|n| TargetName::new(&format!("alertdesk-{n:02}")))
+}
+
+fn bucket() -> impl Strategy<Value = Bucket> {
+    any::<u16>().prop_map(Bucket)
+}
+
+fn text() -> impl Strategy<Value = std::sync::Arc<str>> {
+    "[a-z: \n]{20,200}".prop_map(Into::into)
+}
+
+fn bundle_message() -> impl Strategy<Value = Message> {
+    let piece = prop_oneof![
+        (0..4_000u32, 1..4_000u32).prop_map(|(first, count)| Piece::Copy { first, count }),
+        text().prop_map(Piece::Text),
+    ];
+    let digest = any::<[u8; 32]>;
+    prop_oneof![
+        any::<Option<[u8; 32]>>()
+            .prop_map(|base| Message::BundleRequest(BundleRequest { sender: addr(6082), base })),
+        (any::<u32>(), digest(), digest(), proptest::collection::vec(piece, 0..9)).prop_map(
+            |(version, digest, base, pieces)| Message::BundleDelta(BundleDelta {
+                version: Version(version.into()),
+                digest,
+                base,
+                pieces,
+            })
+        ),
+        (digest(), proptest::collection::vec(any::<u64>(), 0..99)).prop_map(|(digest, pieces)| {
+            Message::BundleOutline(BundleOutline {
+                sender: addr(6082),
+                version: Version(9),
+                digest,
+                pieces,
+            })
+        }),
+        (digest(), proptest::collection::vec((0..4_000u32, 1..99u32), 0..9)).prop_map(
+            |(digest, runs)| {
+                Message::PieceRequest(PieceRequest { sender: addr(6082), digest, runs })
+            }
+        ),
+        (digest(), proptest::collection::vec((0..4_000u32, text()), 0..9)).prop_map(
+            |(digest, pieces)| { Message::Pieces(Pieces { sender: addr(6082), digest, pieces }) }
+        ),
+    ]
+}
+
+fn table_message() -> impl Strategy<Value = Message> {
+    let service = || ServiceName::new("alertdesk");
+    let author = || InstanceName::new("lozenets-1");
+    let flows = proptest::collection::vec((any::<u64>().prop_map(FlowId), target()), 0..99);
+    let owners = proptest::collection::vec((bucket(), target(), 0..100_000u64), 0..99);
+    prop_oneof![
+        proptest::collection::vec(any::<u64>(), 64)
+            .prop_map(|groups| Message::PlanRequest(PlanRequest { sender: addr(6082), groups })),
+        (any::<u32>(), proptest::collection::vec((bucket(), target()), 0..99)).prop_map(
+            move |(n, moves)| {
+                Message::Plan(ServicePlan {
+                    service: service(),
+                    sequence: n.into(),
+                    author: author(),
+                    moves,
+                })
+            }
+        ),
+        (flows, any::<Option<u32>>()).prop_map(move |(flows, told)| {
+            let told = told.map(u64::from);
+            Message::Advert(Advert { sender: author(), service: service(), flows, told })
+        }),
+        owners.prop_map(move |owners| Message::History(History { service: service(), owners })),
+        Just(Message::HistoryRequest(HistoryRequest { sender: addr(6082) })),
+        Just(Message::Leave(Leave { sender: author(), incarnation: member(1).incarnation })),
+    ]
+}
+
+fn any_message() -> impl Strategy<Value = Message> {
+    prop_oneof![(0..20u64).prop_map(heartbeat), bundle_message(), table_message()]
+}
+
+proptest! {
+    #[test]
+    fn message_comes_back_as_it_was(message in any_message()) {
+        prop_assert_eq!(decode(encode(&message)), Ok(message));
+    }
+
+    /// Pacing and the measures of the fleet count by the estimate. If it were
+    /// far off, the budget of 8 KB/s would be kept on paper only.
+    #[test]
+    fn estimated_size_is_near_the_encoded_one(message in any_message()) {
+        let encoded = encode(&message).encoded_len();
+        let estimated = message.size();
+
+        prop_assert!(estimated.abs_diff(encoded) <= 24 + encoded / 5, "{estimated} for {encoded}");
+    }
+}
