forwarder: bind the gate to ends of flows and share one secret

The end of a flow may pass another instance than its opening, so the gate hears every end that passes here, whoever let the flow in. The two secret types of settings and questions become one.

--- a/lib/src/flows.rs
+++ b/lib/src/flows.rs
@@ -5,7 +5,7 @@
 //! megabytes. The key is the keyed 64-bit hash, which callers can't aim, so the
 //! map needs no hasher of its own.
 
-use crate::{ids::FlowId, time::Millis, view::TargetId};
+use crate::{bundle::Class, ids::FlowId, time::Millis, view::TargetId};
 use hashbrown::{HashMap, hash_map::Entry};
 use std::hash::{BuildHasherDefault, Hasher};
 
@@ -33,22 +33,32 @@
     pub belief: Belief,
     /// Whether the caller has closed its half or given up.
     pub closing: bool,
-    /// Whether the gate counts it as admitted here.
-    pub admitted: bool,
+    /// Whether only its first packet has passed here.
+    pub fresh: bool,
+    /// The class of its work.
+    pub class: Class,
     /// When a packet of it last passed here or it was told, in [`TICK`]s.
     seen: u32,
 }
 
-/// The grain in which the last packet of a flow is noted.
-const TICK: u64 = 256;
+/// The grain in which the last packet of a flow is noted, in milliseconds:
+/// 32 bits of it last for 198 days, far longer than an instance.
+const TICK: u64 = 4;
 
 impl Flow {
     /// Notes a flow now.
-    pub fn new(target: TargetId, belief: Belief, now: Millis) -> Flow {
-        Flow { target, belief, closing: false, admitted: false, seen: ticks(now) }
+    pub fn new(target: TargetId, belief: Belief, class: Class, now: Millis) -> Flow {
+        let (closing, fresh) = (false, false);
+        Flow { target, belief, closing, fresh, class, seen: ticks(now) }
     }
 
-    /// How long ago its last packet was, to the nearest quarter of a second.
+    /// Notes a flow whose first packet is let in here now.
+    pub fn admitted(target: TargetId, class: Class, now: Millis) -> Flow {
+        let flow = Flow::new(target, Belief::Opened, class, now);
+        Flow { fresh: true, ..flow }
+    }
+
+    /// How long ago its last packet was, to a few milliseconds.
     pub fn idle(&self, now: Millis) -> Millis {
         Millis(u64::from(ticks(now).saturating_sub(self.seen)) * TICK)
     }
@@ -126,8 +136,7 @@
                 let known = known.get_mut();
                 known.seen = known.seen.max(flow.seen);
                 if flow.belief > known.belief {
-                    let admitted = known.admitted || flow.admitted;
-                    *known = Flow { admitted, ..flow };
+                    *known = Flow { seen: known.seen, ..flow };
                 }
             }
         }
@@ -143,8 +152,10 @@
         self.map.iter().map(|(id, flow)| (*id, flow))
     }
 
-    /// Forgets the flows for which `is_over` says so and returns them.
-    pub fn expire(&mut self, is_over: impl Fn(&Flow) -> bool) -> Vec<(FlowId, Flow)> {
-        self.map.extract_if(|_, flow| is_over(flow)).collect()
+    /// Forgets the flows for which `is_over` says so and counts them.
+    pub fn expire(&mut self, is_over: impl Fn(&Flow) -> bool) -> u64 {
+        let before = self.map.len();
+        self.map.retain(|_, flow| !is_over(flow));
+        (before - self.map.len()) as u64
     }
 }
--- a/lib/src/forwarder/counters.rs
+++ b/lib/src/forwarder/counters.rs
@@ -1,6 +1,6 @@
 //! What a forwarder counts; the log has lines only for changes of state.
 
-use crate::packet::PacketError;
+use crate::{packet::PacketError, question::QuestionError};
 
 /// Counts since the process started.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
@@ -44,6 +44,8 @@
     pub expired: u64,
     /// How often the process noticed that it had slept.
     pub slept: u64,
+    /// Datagrams of peers that were refused by reason.
+    pub foreign: [u64; QuestionError::ALL.len()],
     /// Malformed packets by reason.
     pub malformed: [u64; PacketError::ALL.len()],
 }
--- a/lib/src/forwarder/gate.rs
+++ b/lib/src/forwarder/gate.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     bundle::Class,
-    ids::{FlowId, ServiceName},
+    flows::Flow,
+    ids::FlowId,
     time::Millis,
     view::{TargetId, View},
 };
@@ -10,16 +11,14 @@
 
 /// A flow that wants to open.
 #[derive(Debug)]
-pub struct Opening<'a> {
+pub struct Opening {
     /// The flow.
     pub flow: FlowId,
     /// Who opens it.
     pub caller: Ipv4Addr,
-    /// The service that it is for.
-    pub service: &'a ServiceName,
     /// The class of its work.
     pub class: Class,
-    /// The target that would get it.
+    /// The target that would get it; it tells the service too.
     pub target: TargetId,
 }
 
@@ -41,19 +40,24 @@
 /// the packet path free of them, and them free of packets.
 pub trait Gate {
     /// Decides on an opening.
-    fn open(&mut self, now: Millis, opening: &Opening<'_>) -> Verdict;
+    fn open(&mut self, now: Millis, opening: &Opening) -> Verdict;
 
     /// Decides on those that waited, as far as their time has come.
     fn due(&mut self, now: Millis, decided: &mut Vec<(FlowId, Verdict)>);
 
-    /// When a caller that is turned away now may come back.
-    fn after(&self, service: &ServiceName, class: Class, flow: FlowId) -> Millis;
+    /// When a caller that is turned away now may come back. It is asked again
+    /// for each packet of a refusal in words, at any instance.
+    fn after(&self, flow: FlowId, target: Option<TargetId>) -> Millis;
 
-    /// Hears that a packet followed the first one of an admitted flow.
-    fn followed(&mut self, now: Millis, flow: FlowId);
+    /// Hears that a packet followed the first one of an admitted flow, and how
+    /// long after it.
+    fn followed(&mut self, now: Millis, target: TargetId, after: Millis);
 
-    /// Hears that an admitted flow is over.
-    fn closed(&mut self, now: Millis, flow: FlowId);
+    /// Hears that the caller gave up a flow that was admitted here.
+    fn aborted(&mut self, now: Millis, target: TargetId);
+
+    /// Hears that a flow is over, whoever let it in.
+    fn closed(&mut self, now: Millis, id: FlowId, flow: &Flow);
 
     /// Hears of a new view.
     fn follow(&mut self, view: &View, now: Millis);
@@ -64,19 +68,21 @@
 pub struct OpenGate;
 
 impl Gate for OpenGate {
-    fn open(&mut self, _: Millis, _: &Opening<'_>) -> Verdict {
+    fn open(&mut self, _: Millis, _: &Opening) -> Verdict {
         Verdict::Admit
     }
 
     fn due(&mut self, _: Millis, _: &mut Vec<(FlowId, Verdict)>) {}
 
-    fn after(&self, _: &ServiceName, _: Class, _: FlowId) -> Millis {
+    fn after(&self, _: FlowId, _: Option<TargetId>) -> Millis {
         Millis::secs(1)
     }
 
-    fn followed(&mut self, _: Millis, _: FlowId) {}
+    fn followed(&mut self, _: Millis, _: TargetId, _: Millis) {}
+
+    fn aborted(&mut self, _: Millis, _: TargetId) {}
 
-    fn closed(&mut self, _: Millis, _: FlowId) {}
+    fn closed(&mut self, _: Millis, _: FlowId, _: &Flow) {}
 
     fn follow(&mut self, _: &View, _: Millis) {}
 }
--- a/lib/src/forwarder/mod.rs
+++ b/lib/src/forwarder/mod.rs
@@ -31,7 +31,7 @@
     ids::{FlowId, InstanceName},
     message::Advert,
     packet::{Mark, Packet},
-    question::{Answer, Datagram, Question},
+    question::{Answer, Datagram, Question, QuestionError},
     time::Millis,
     view::{BucketView, ServiceView, TargetId, View},
 };
@@ -182,23 +182,42 @@
     ) -> bool {
         let Some(flow) = self.flows.get(site.id) else { return false };
         if packet.mark() == Mark::Open && is_over(flow, site, now) {
-            self.forget(now, site.id);
+            self.flows.remove(site.id);
             return false;
         }
+        let idle = flow.idle(now);
         let Some(flow) = self.flows.touch(site.id, now) else { return false };
-        flow.closing |= matches!(packet.mark(), Mark::Close | Mark::Abort);
-        if flow.belief < Belief::Seen && packet.mark() != Mark::Open {
-            flow.belief = flow.belief.max(Belief::Told);
-        }
         let target = flow.target;
-        self.counters.hits += 1;
-        if packet.mark() == Mark::Middle {
-            self.gate.followed(now, site.id);
+        match packet.mark() {
+            Mark::Open => {}
+            Mark::Middle if flow.fresh => {
+                flow.fresh = false;
+                self.gate.followed(now, target, idle);
+            }
+            Mark::Middle => {}
+            Mark::Close | Mark::Abort => {
+                let first = !std::mem::replace(&mut flow.closing, true);
+                if first {
+                    let flow = *flow;
+                    self.end(now, packet.mark(), site.id, &flow);
+                }
+            }
         }
+        self.counters.hits += 1;
         self.send(packet.bytes(), target, site, sink);
         true
     }
 
+    /// Tells the gate that a flow is over. The end of a flow may pass another
+    /// instance than its opening, so the gate balances all openings and ends
+    /// that pass here, whose flows they may be.
+    fn end(&mut self, now: Millis, mark: Mark, id: FlowId, flow: &Flow) {
+        if mark == Mark::Abort {
+            self.gate.aborted(now, flow.target);
+        }
+        self.gate.closed(now, id, flow);
+    }
+
     /// Whether others may know more of an unknown flow than this instance.
     fn must_ask(&mut self, now: Millis, site: &Site<'_>) -> bool {
         if self.distrust.is_some_and(|until| now < until) {
@@ -223,7 +242,11 @@
                 self.open(now, packet, owner, site, sink);
             }
             Mark::Middle => self.adopt(now, packet, owner, Belief::Seen, site, sink),
-            Mark::Close | Mark::Abort => self.send(packet.bytes(), owner, site, sink),
+            Mark::Close | Mark::Abort => {
+                let flow = Flow::new(owner, Belief::Seen, site.class, now);
+                self.end(now, packet.mark(), site.id, &flow);
+                self.send(packet.bytes(), owner, site, sink);
+            }
         }
     }
 
@@ -236,13 +259,7 @@
         sink: &mut impl Sink,
     ) {
         let caller = *packet.key().caller.ip();
-        let opening = Opening {
-            flow: site.id,
-            caller,
-            service: &site.service.spec.name,
-            class: site.class,
-            target: owner,
-        };
+        let opening = Opening { flow: site.id, caller, class: site.class, target: owner };
         match self.gate.open(now, &opening) {
             Verdict::Admit => self.admit(now, packet, owner, site, sink),
             Verdict::Wait => {
@@ -263,9 +280,7 @@
         sink: &mut impl Sink,
     ) {
         self.counters.opened += 1;
-        let mut flow = Flow::new(owner, Belief::Opened, now);
-        flow.admitted = true;
-        self.flows.note(site.id, flow);
+        self.flows.note(site.id, Flow::admitted(owner, site.class, now));
         self.send(packet.bytes(), owner, site, sink);
     }
 
@@ -279,7 +294,7 @@
         site: &Site<'_>,
         sink: &mut impl Sink,
     ) {
-        let mut flow = Flow::new(target, belief, now);
+        let mut flow = Flow::new(target, belief, site.class, now);
         flow.closing = matches!(packet.mark(), Mark::Close | Mark::Abort);
         self.flows.note(site.id, flow);
         self.send(packet.bytes(), target, site, sink);
@@ -298,14 +313,6 @@
         sink.forward(entry.address, bytes);
     }
 
-    fn forget(&mut self, now: Millis, id: FlowId) {
-        if let Some(flow) = self.flows.remove(id)
-            && flow.admitted
-        {
-            self.gate.closed(now, id);
-        }
-    }
-
     /// Takes a datagram from a peer.
     pub fn datagram(
         &mut self,
@@ -320,6 +327,11 @@
         }
     }
 
+    /// Counts a datagram that is none of a peer's.
+    pub fn refuse_datagram(&mut self, error: QuestionError) {
+        self.counters.foreign[error as usize] += 1;
+    }
+
     fn reply(&mut self, now: Millis, from: SocketAddrV4, q: Question, sink: &mut impl Sink) {
         let Some(view) = &self.view else { return };
         self.counters.questions += 1;
@@ -334,7 +346,8 @@
         self.counters.adverts += 1;
         for (id, name) in &advert.flows {
             if let Some(target) = view.registry.named(&advert.service, name) {
-                self.flows.note(*id, Flow::new(target, Belief::Told, now));
+                // The class matters only for flows that were admitted here.
+                self.flows.note(*id, Flow::new(target, Belief::Told, Class::Feed, now));
             }
         }
         self.keeping.told(advert);
@@ -360,12 +373,7 @@
             let limit = if flow.closing { CLOSED_TIME } else { silent };
             flow.idle(now) > limit
         });
-        for (id, flow) in over {
-            self.counters.expired += 1;
-            if flow.admitted {
-                self.gate.closed(now, id);
-            }
-        }
+        self.counters.expired += over;
         self.keeping.sweep(view, &self.flows, now);
         self.adverts.refresh(view, &self.flows, now);
     }
--- a/lib/src/forwarder/refusal.rs
+++ b/lib/src/forwarder/refusal.rs
@@ -83,7 +83,7 @@
     }
 
     fn words(&self, text: &str, site: &Site<'_>) -> Vec<u8> {
-        let after = self.gate.after(&site.service.spec.name, site.class, site.id);
+        let after = self.gate.after(site.id, site.bucket().owner);
         let seconds = after.0.div_ceil(1000).clamp(1, LONGEST);
         text.replace(PLACE, &format!("{seconds:03}")).into_bytes()
     }
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -71,6 +71,11 @@
         ServicePlan { service: service.clone(), sequence, author: author.clone(), moves }
     }
 
+    /// All plans that are followed.
+    pub fn iter(&self) -> impl Iterator<Item = &ServicePlan> {
+        self.plans.values()
+    }
+
     /// A digest over all plans; alike wherever they are alike.
     pub fn digest(&self) -> u64 {
         self.groups.iter().fold(0, |all, g| all.rotate_left(1) ^ g)
--- a/lib/src/question.rs
+++ b/lib/src/question.rs
@@ -8,20 +8,11 @@
 
 use crate::{
     ids::FlowId,
+    settings::Secret,
     view::{ServiceKey, TargetKey},
 };
 use snafu::{Snafu, ensure};
 
-/// The key that the instances of a site share, from their settings.
-#[derive(Clone, Copy)]
-pub struct Secret(pub [u8; 32]);
-
-impl std::fmt::Debug for Secret {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Secret(..)")
-    }
-}
-
 value! {
     /// Asks where a flow goes.
     pub struct Question {
@@ -83,6 +74,21 @@
     Kind,
 }
 
+impl QuestionError {
+    /// All of them, in the order of their values.
+    pub const ALL: [QuestionError; 3] =
+        [QuestionError::Length, QuestionError::Checksum, QuestionError::Kind];
+
+    /// The label under which it is counted.
+    pub fn label(self) -> &'static str {
+        match self {
+            QuestionError::Length => "length",
+            QuestionError::Checksum => "checksum",
+            QuestionError::Kind => "kind",
+        }
+    }
+}
+
 const KIND_QUESTION: u8 = 1;
 const KIND_KNOWN: u8 = 2;
 const KIND_UNKNOWN: u8 = 3;
--- a/lib/src/view/mod.rs
+++ b/lib/src/view/mod.rs
@@ -24,6 +24,7 @@
     ids::{Bucket, InstanceName, ServiceName, Version},
     keepers::Keepers,
     members::{Member, MemberState},
+    message::History,
     packet::Hasher,
     time::Millis,
 };
@@ -68,6 +69,39 @@
     keys: Arc<Map<ServiceKey, usize>>,
 }
 
+impl View {
+    /// What this instance knows of earlier owners, a message a service.
+    pub fn histories(&self, now: Millis) -> Vec<History> {
+        self.services.iter().filter_map(|service| self.history(service, now)).collect()
+    }
+
+    fn history(&self, service: &ServiceView, now: Millis) -> Option<History> {
+        let mut owners = Vec::new();
+        for (bucket, state) in service.buckets.iter().enumerate() {
+            for earlier in &state.history {
+                let name = self.registry.get(earlier.target).name.clone();
+                owners.push((Bucket(bucket as u16), name, now.since(earlier.since).0));
+            }
+        }
+        (!owners.is_empty()).then(|| History { service: service.spec.name.clone(), owners })
+    }
+
+    /// A digest over the earlier owners that does not depend on the order in
+    /// which they were learnt, so that peers can compare what they know.
+    pub fn history_digest(&self) -> u64 {
+        let mut digest = 0;
+        for service in &self.services {
+            for (bucket, state) in service.buckets.iter().enumerate() {
+                for earlier in &state.history {
+                    let key = self.registry.get(earlier.target).key.0;
+                    digest ^= key.wrapping_add(bucket as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+                }
+            }
+        }
+        digest
+    }
+}
+
 /// The port of a service: its position in the bundle and the class of its work.
 type Ports = Map<(Ipv4Addr, u16, Protocol), (usize, Class)>;
 
