--- a/fabric/src/lib.rs
+++ b/fabric/src/lib.rs
@@ -11,6 +11,7 @@
 mod counts;
 mod memory;
 mod outbox;
+mod ready;
 mod socket;
 mod wire;
 
@@ -18,5 +19,6 @@
 pub use counts::Counts;
 pub use memory::{Memory, MemoryError};
 pub use outbox::Outbox;
+pub use ready::wait;
 pub use socket::{Listener, Socket, SocketError};
 pub use wire::{Datagram, Wire};
--- a/fabric/src/socket.rs
+++ b/fabric/src/socket.rs
@@ -20,7 +20,7 @@
     array,
     io::{IoSlice, IoSliceMut},
     net::{SocketAddr, SocketAddrV4, UdpSocket},
-    os::fd::AsRawFd,
+    os::fd::{AsFd, AsRawFd, BorrowedFd},
     time::Duration,
 };
 
@@ -31,6 +31,7 @@
 
 /// Why a socket can't be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum SocketError {
     /// The address can't be bound.
     #[snafu(display("cannot bind UDP {address}"))]
@@ -205,6 +206,12 @@
     }
 }
 
+impl AsFd for Socket {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.socket.as_fd()
+    }
+}
+
 impl From<Listener> for Socket {
     fn from(listener: Listener) -> Self {
         Self {
