--- a/cli/src/commands/flows.rs
+++ b/cli/src/commands/flows.rs
@@ -23,7 +23,7 @@
 }
 
 fn print(flows: &[FlowStatus]) {
-    let mut table = Table::new(&["ID", "SERVICE", "CLASS", "TARGET", "IDLE", "EXCEPTION"]);
+    let mut table = Table::new(&["FLOW", "SERVICE", "CLASS", "TARGET", "IDLE", "EXCEPTION"]);
     for flow in flows {
         table.row(vec![
             flow.id.clone(),
