daemon: run one instance as threads joined by rings

The control thread gathers changes in a draft and publishes one immutable view; the packet thread alone has the flow table.

--- /dev/null
+++ b/daemon/src/control.rs
@@ -0,0 +1,302 @@
+//! The control thread: joins the members, the bundle and the plans with the
+//! view that the packet thread follows.
+
+use crate::{
+    clock::Clock,
+    shared::{Command, Outgoing, Shared, Stage},
+};
+use medlarspur_lib::{
+    bundle::{Bundle, Keys, Refusal, Signed},
+    control::{Action, Controller, Event, TICK},
+    ids::{InstanceName, SiteName, Version},
+    members::{Candidate, Member},
+    message::{HistoryRequest, Message},
+    spread::{Check, SignedText},
+    time::Millis,
+    view::Draft,
+};
+use medlarspur_peer::PeerHandle;
+use medlarspur_platform::{Event as Platform, Listed, ListedState, Reader};
+use rtrb::{Consumer, Producer};
+use snafu::Report;
+use std::{
+    cell::RefCell,
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering::Relaxed},
+        mpsc::{Receiver, RecvTimeoutError},
+    },
+    time::Duration,
+};
+
+/// How long the thread sleeps at most between two looks at its inputs. News
+/// crosses an instance in this time, and a few such hops must fit well into
+/// the second in which a bundle comes into force.
+const WAIT: Duration = Duration::from_millis(20);
+
+/// How often history is asked of a peer at most.
+const HISTORY_PAUSE: Millis = Millis(1_000);
+
+/// Checks bundles against the settings and the bundle in force, and keeps the
+/// values of the last one that passed, so that they are parsed only once.
+pub struct Checker {
+    keys: Keys,
+    site: SiteName,
+    passed: RefCell<Vec<Signed>>,
+    force: RefCell<Option<Arc<Bundle>>>,
+}
+
+impl Checker {
+    /// Trusts `keys` for bundles of `site`.
+    pub fn new(keys: Keys, site: SiteName) -> Checker {
+        Checker { keys, site, passed: RefCell::default(), force: RefCell::default() }
+    }
+
+    /// The values of a text that has just passed.
+    fn take(&self, text: &SignedText) -> Option<Signed> {
+        let passed = self.passed.take();
+        let signed = passed.into_iter().find(|signed| signed.digest == text.digest)?;
+        self.force.replace(Some(signed.bundle.clone()));
+        Some(signed)
+    }
+}
+
+impl Check for &Checker {
+    type Error = Refusal;
+
+    fn check(&self, text: &str) -> Result<Version, Refusal> {
+        let signed = Signed::check(text.as_bytes(), &self.keys, &self.site)?;
+        if let Some(force) = self.force.borrow().as_ref() {
+            signed.follows(force)?;
+        }
+        let version = signed.bundle.version;
+        self.passed.borrow_mut().push(signed);
+        Ok(version)
+    }
+}
+
+/// What the control thread works with.
+pub struct Control {
+    /// The protocol between instances.
+    pub settings: medlarspur_lib::control::ControlSettings,
+    /// Checks bundles.
+    pub checker: Checker,
+    /// The connections to peers.
+    pub peers: PeerHandle,
+    /// The platform's reader, and what it brings.
+    pub platform: (Reader, Receiver<Platform>),
+    /// To the packet thread.
+    pub commands: Producer<Command>,
+    /// From the packet thread.
+    pub adverts: Consumer<Outgoing>,
+    /// Set by a signal when the instance shall leave.
+    pub leave: Arc<AtomicBool>,
+    /// The clock of the process.
+    pub clock: Clock,
+    /// What the threads share.
+    pub shared: Arc<Shared>,
+}
+
+/// Runs until told to stop.
+pub fn run(parts: Control) {
+    let Control { settings, checker, peers, platform, commands, mut adverts, leave, clock, shared } =
+        parts;
+    let mut thread = Thread {
+        me: settings.me.addresses.control,
+        name: settings.me.name.clone(),
+        controller: Controller::new(settings, &checker),
+        checker: &checker,
+        draft: None,
+        members: Vec::new(),
+        peers,
+        reader: platform.0,
+        commands,
+        asked: None,
+        shared: &shared,
+    };
+    let mut ticked = None;
+    let mut left = false;
+    while !shared.stops() {
+        let news = platform.1.recv_timeout(WAIT);
+        let now = clock.now();
+        match news {
+            Ok(news) => thread.read(now, news),
+            Err(RecvTimeoutError::Timeout) => {}
+            // The reader's threads end only with the process.
+            Err(RecvTimeoutError::Disconnected) => std::thread::sleep(WAIT),
+        }
+        while let Some(message) = thread.peers.try_recv() {
+            thread.event(now, Event::Peer(message));
+        }
+        while let Ok(outgoing) = adverts.pop() {
+            thread.tell_keeper(outgoing);
+        }
+        if ticked.is_none_or(|at| now.since(at) >= TICK) {
+            ticked = Some(now);
+            thread.event(now, Event::Tick);
+        }
+        if leave.load(Relaxed) && !left {
+            left = true;
+            thread.event(now, Event::SetLeaving);
+        }
+        thread.publish(now);
+        thread.show();
+    }
+}
+
+struct Thread<'a> {
+    me: SocketAddrV4,
+    name: InstanceName,
+    controller: Controller<&'a Checker>,
+    checker: &'a Checker,
+    draft: Option<Draft>,
+    members: Vec<Member>,
+    peers: PeerHandle,
+    reader: Reader,
+    commands: Producer<Command>,
+    asked: Option<Millis>,
+    shared: &'a Shared,
+}
+
+impl Thread<'_> {
+    fn read(&mut self, now: Millis, news: Platform) {
+        match news {
+            Platform::Bundle(text) => self.event(now, Event::PlatformBundle(text)),
+            Platform::Instances(list) => {
+                let list = list.iter().map(candidate).collect();
+                self.event(now, Event::PlatformList(list));
+            }
+        }
+    }
+
+    fn event(&mut self, now: Millis, event: Event) {
+        for action in self.controller.handle(now, event) {
+            self.act(now, action);
+        }
+    }
+
+    fn act(&mut self, now: Millis, action: Action) {
+        match action {
+            Action::Send { to, message } => self.peers.send(to, message),
+            Action::Accepted(text) => self.accept(now, &text),
+            Action::Refused { reason } => {
+                self.shared.refusals.fetch_add(1, Relaxed);
+                log::warn!("bundle refused: {}", Report::from_error(reason));
+            }
+            Action::Members(members) => {
+                if let Some(draft) = &mut self.draft {
+                    draft.members(members.clone(), now);
+                }
+                self.members = members;
+            }
+            Action::Plan(plan) => {
+                if let Some(draft) = &mut self.draft {
+                    draft.plan(plan, now);
+                }
+            }
+            Action::ReadPlatform(reads) => self.reader.set_watching(reads),
+            Action::Ready => {
+                if self.shared.stage() == Stage::Starting {
+                    self.shared.enter(Stage::Serving);
+                }
+            }
+            Action::Slept { gap } => {
+                log::warn!("slept_ms={gap}");
+                self.command(Command::Distrust);
+            }
+            Action::Refreshed => log::info!("refreshed=true"),
+            Action::Pass(message) => self.pass(now, message),
+            Action::HistoryDiffers(peer) => self.ask_history(now, peer),
+        }
+    }
+
+    fn accept(&mut self, now: Millis, text: &SignedText) {
+        let Some(signed) = self.checker.take(text) else { return };
+        let bundle = signed.bundle.clone();
+        self.shared.signed.store(Some(Arc::new(signed)));
+        self.shared.accepted.store(now.0, Relaxed);
+        log::info!("bundle={} digest={}", text.version, hex::encode(&text.digest[..4]));
+        match &mut self.draft {
+            Some(draft) => draft.install(&bundle, now),
+            None => {
+                let mut draft = Draft::first(self.name.clone(), &bundle);
+                draft.members(self.members.clone(), now);
+                for plan in self.controller.plans().iter() {
+                    draft.plan(plan.clone(), now);
+                }
+                self.draft = Some(draft);
+            }
+        }
+    }
+
+    fn pass(&mut self, now: Millis, message: Message) {
+        match message {
+            Message::Advert(advert) => self.command(Command::Advert(advert)),
+            Message::HistoryRequest(request) => {
+                let Some(draft) = &self.draft else { return };
+                for history in draft.view().histories(now) {
+                    self.peers.send(request.sender, Message::History(history));
+                }
+            }
+            Message::History(history) => {
+                if let Some(draft) = &mut self.draft {
+                    draft.history(&history, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks a peer that knows of other earlier owners. Without that, an
+    /// instance that missed a move would send unknown flows of the bucket to
+    /// its present owner, unasked.
+    fn ask_history(&mut self, now: Millis, peer: SocketAddrV4) {
+        if self.draft.is_none() || self.asked.is_some_and(|at| now.since(at) < HISTORY_PAUSE) {
+            return;
+        }
+        self.asked = Some(now);
+        let request = HistoryRequest { sender: self.me };
+        self.peers.send(peer, Message::HistoryRequest(request));
+    }
+
+    fn tell_keeper(&mut self, outgoing: Outgoing) {
+        let keeper = self.members.iter().find(|member| member.name == outgoing.keeper);
+        if let Some(keeper) = keeper {
+            self.peers.send(keeper.addresses.control, Message::Advert(outgoing.advert));
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        if self.commands.push(command).is_err() {
+            self.shared.overrun();
+        }
+    }
+
+    /// Lets operators see what the protocol knows.
+    fn show(&self) {
+        let conflict = self.controller.spread().conflict;
+        let version = self.controller.current().map(|text| text.version);
+        self.shared.conflict.store(conflict.is_some() && conflict == version, Relaxed);
+        let incarnation = self.controller.roster().me().incarnation;
+        self.shared.incarnation.store(incarnation.0, Relaxed);
+    }
+
+    fn publish(&mut self, now: Millis) {
+        let Some(draft) = &mut self.draft else { return };
+        draft.advance(now);
+        let Some(view) = draft.commit() else { return };
+        let history = view.history_digest();
+        self.shared.view.store(Some(view));
+        self.event(now, Event::SetProgress { told: 0, history });
+    }
+}
+
+fn candidate(listed: &Listed) -> Candidate {
+    Candidate {
+        name: listed.name.clone(),
+        domain: listed.domain.clone(),
+        control: listed.addresses.control,
+        leaving: listed.state == ListedState::Leaving,
+    }
+}
--- /dev/null
+++ b/daemon/src/gate.rs
@@ -0,0 +1,140 @@
+//! The decisions on openings, bound to the packet path: it translates between
+//! the targets of the view and the positions that the decisions work with.
+
+use medlarspur_lib::{
+    bundle::{Class, Service},
+    collections::Map,
+    flows::Flow,
+    forwarder::{Gate, Opening, Verdict},
+    ids::{FlowId, ServiceIx, TargetIx},
+    members::MemberState,
+    time::Millis,
+    view::{TargetId, View},
+};
+use medlarspur_load as load;
+
+/// What a caller is told before anything was measured.
+const FIRST_WAIT: Millis = Millis::secs(1);
+
+/// The gate of one instance.
+#[derive(Debug)]
+pub struct LoadGate {
+    gate: load::Gate,
+    places: Map<TargetId, (ServiceIx, TargetIx)>,
+    waits: Vec<Millis>,
+    decided: Vec<(FlowId, load::Verdict)>,
+    version: Option<medlarspur_lib::ids::Version>,
+}
+
+impl LoadGate {
+    /// Decides with the default settings. `seed` differs for each instance, so
+    /// that no two spread their refusals alike.
+    pub fn new(seed: u64) -> LoadGate {
+        LoadGate {
+            gate: load::Gate::new(load::Settings::default(), seed),
+            places: Map::default(),
+            waits: Vec::new(),
+            decided: Vec::new(),
+            version: None,
+        }
+    }
+
+    fn install(&mut self, view: &View, now: Millis) {
+        let services = view.bundle.services.iter().map(|spec| service_load(spec)).collect();
+        self.gate.set_services(now, services);
+        self.waits = vec![FIRST_WAIT; view.bundle.services.len()];
+        self.places.clear();
+        for (at, spec) in view.bundle.services.iter().enumerate() {
+            for (position, target) in spec.targets.iter().enumerate() {
+                if let Some(id) = view.registry.named(&spec.name, &target.name) {
+                    self.places.insert(id, (ServiceIx(at as u16), TargetIx(position as u16)));
+                }
+            }
+        }
+    }
+
+    fn note_wait(&mut self, service: ServiceIx, after: Millis) {
+        if let Some(wait) = self.waits.get_mut(usize::from(service.0)) {
+            *wait = after;
+        }
+    }
+
+    fn signal(&mut self, now: Millis, target: TargetId, signal: load::Signal) {
+        if let Some(&(service, target)) = self.places.get(&target) {
+            self.gate.seen(now, service, target, signal);
+        }
+    }
+}
+
+impl Gate for LoadGate {
+    fn open(&mut self, now: Millis, opening: &Opening) -> Verdict {
+        let Some(&(service, target)) = self.places.get(&opening.target) else {
+            return Verdict::Refuse { after: FIRST_WAIT };
+        };
+        let Opening { flow, caller, class, .. } = *opening;
+        let verdict = self.gate.open(now, &load::Opening { flow, caller, service, class, target });
+        if let load::Verdict::Refuse { after } = verdict {
+            self.note_wait(service, after);
+        }
+        translate(verdict)
+    }
+
+    fn due(&mut self, now: Millis, decided: &mut Vec<(FlowId, Verdict)>) {
+        self.gate.due(now, &mut self.decided);
+        decided.extend(self.decided.drain(..).map(|(flow, verdict)| (flow, translate(verdict))));
+    }
+
+    fn after(&self, _: FlowId, target: Option<TargetId>) -> Millis {
+        let place = target.and_then(|target| self.places.get(&target));
+        let wait = place.and_then(|(service, _)| self.waits.get(usize::from(service.0)));
+        wait.copied().unwrap_or(FIRST_WAIT)
+    }
+
+    fn followed(&mut self, now: Millis, target: TargetId, after: Millis) {
+        self.signal(now, target, load::Signal::Followed { after: Some(after) });
+    }
+
+    fn aborted(&mut self, now: Millis, target: TargetId) {
+        self.signal(now, target, load::Signal::Reset);
+    }
+
+    fn closed(&mut self, now: Millis, id: FlowId, flow: &Flow) {
+        if let Some(&(service, target)) = self.places.get(&flow.target) {
+            let closing = load::Closing { flow: id, service, class: flow.class, target };
+            self.gate.closed(now, &closing);
+        }
+    }
+
+    fn follow(&mut self, view: &View, now: Millis) {
+        let live = view.members.iter().filter(|member| member.state == MemberState::Live).count();
+        self.gate.set_instances(live.max(1) as u16);
+        if self.version != Some(view.bundle.version) {
+            self.version = Some(view.bundle.version);
+            self.install(view, now);
+        }
+    }
+}
+
+fn translate(verdict: load::Verdict) -> Verdict {
+    match verdict {
+        load::Verdict::Admit => Verdict::Admit,
+        load::Verdict::Wait { .. } => Verdict::Wait,
+        load::Verdict::Refuse { after } => Verdict::Refuse { after },
+    }
+}
+
+fn service_load(spec: &Service) -> load::ServiceLoad {
+    let targets = spec.targets.iter().map(|target| load::TargetLoad {
+        name: target.name.clone(),
+        slots: target.slots,
+        connections: target.connections,
+        weight: target.weight,
+        state: target.state,
+    });
+    load::ServiceLoad {
+        name: spec.name.clone(),
+        requests: spec.ports.iter().any(|port| port.class == Class::Request),
+        balance: spec.balance,
+        targets: targets.collect(),
+    }
+}
