testutils: bring several packet paths together in virtual time

Tests of moves need instances that learn of a bundle at different moments and packets that reach any of them; real processes can't be stopped at a moment.

--- a/tests/tests/runner.rs
+++ b/tests/tests/runner.rs
@@ -1,1 +1,3 @@
 //! One runner, so that the integration tests link once.
+
+mod test_moves;
--- /dev/null
+++ b/testutils/src/bundles.rs
@@ -0,0 +1,129 @@
+//! Checked bundles for tests, built without text.
+
+use medlarspur_lib::{
+    bundle::{Bundle, Class, Port, Protocol, Seed, Service, Target, TargetState},
+    ids::{DomainName, ServiceName, SiteName, TargetName, Version},
+    time::Millis,
+};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
+
+/// The address and port of the first service's feeds.
+pub const FEEDS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 70, 0, 1), 7001);
+/// The address and port of the first service's requests.
+pub const REQUESTS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 70, 0, 1), 7002);
+/// The address and port of the second service's uploads.
+pub const UPLOADS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 70, 0, 2), 7003);
+
+/// A site with two services, like the two first sites.
+#[derive(Debug, Clone)]
+pub struct Site {
+    version: u64,
+    targets: [usize; 2],
+    leaving: Vec<String>,
+    removed: Vec<String>,
+    refusal: Option<Arc<str>>,
+    keepalive: Millis,
+}
+
+impl Site {
+    /// A site with this many targets for the first and the second service.
+    pub fn new(first: usize, second: usize) -> Site {
+        Site {
+            version: 1,
+            targets: [first, second],
+            leaving: Vec::new(),
+            removed: Vec::new(),
+            refusal: None,
+            keepalive: Millis::secs(30),
+        }
+    }
+
+    /// The next version, in which a target leaves.
+    pub fn leaving(mut self, name: &str) -> Site {
+        self.version += 1;
+        self.leaving.push(name.to_owned());
+        self
+    }
+
+    /// The next version, in which a target is not named any more.
+    pub fn removed(mut self, name: &str) -> Site {
+        self.version += 1;
+        self.removed.push(name.to_owned());
+        self
+    }
+
+    /// The next version, in which a target that left takes work again.
+    pub fn returning(mut self, name: &str) -> Site {
+        self.version += 1;
+        self.leaving.retain(|other| other != name);
+        self
+    }
+
+    /// The next version, in which each service has one target more.
+    pub fn grown(mut self) -> Site {
+        self.version += 1;
+        self.targets = self.targets.map(|count| count + 1);
+        self
+    }
+
+    /// Turns callers away with this text.
+    pub fn refusal(mut self, text: &str) -> Site {
+        self.refusal = Some(text.into());
+        self
+    }
+
+    /// Its bundle.
+    pub fn bundle(&self) -> Arc<Bundle> {
+        let ports = |numbers: &[(u16, Class)]| {
+            let port = |&(number, class)| Port { number, protocol: Protocol::Tcp, class };
+            numbers.iter().map(port).collect()
+        };
+        let first = ports(&[(7001, Class::Feed), (7002, Class::Request)]);
+        let second = ports(&[(7003, Class::Upload)]);
+        Arc::new(Bundle {
+            version: Version(self.version),
+            site: SiteName::new("test"),
+            seed: Seed([7; 16]),
+            services: vec![
+                self.service(0, "alertdesk", *FEEDS.ip(), first),
+                self.service(1, "ingest", *UPLOADS.ip(), second),
+            ],
+        })
+    }
+
+    fn service(&self, at: usize, name: &str, address: Ipv4Addr, ports: Vec<Port>) -> Arc<Service> {
+        let names = (0..self.targets[at]).map(|ix| format!("{name}-{ix}"));
+        let targets = names
+            .enumerate()
+            .filter(|(_, name)| !self.removed.contains(name))
+            .map(|(ix, name)| self.target(at, ix, &name))
+            .collect();
+        Arc::new(Service {
+            name: ServiceName::new(name),
+            address,
+            ports,
+            buckets: 1024,
+            keepalive: self.keepalive,
+            refusal: self.refusal.clone(),
+            balance: 50,
+            targets,
+        })
+    }
+
+    fn target(&self, at: usize, ix: usize, name: &str) -> Target {
+        let leaves = self.leaving.iter().any(|other| other == name);
+        Target {
+            name: TargetName::new(name),
+            address: SocketAddrV4::new(Ipv4Addr::new(127, 8, at as u8, ix as u8), 5555),
+            domain: DomainName::new(&format!("d{}", ix % 4)),
+            weight: 100,
+            slots: 2,
+            connections: 2000,
+            state: if leaves { TargetState::Leaving } else { TargetState::Active },
+            probe: None,
+        }
+    }
+}
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -1,11 +1,10 @@
 //! Many callers over one UDP socket, with steady streams of work.
 
 use crate::{
-    client::{Client, Patience},
+    client::{Client, Patience, Work},
     clock::Clock,
     fabric::lock,
     report::Report,
-    task::Work,
 };
 use medlarspur_lib::{bundle::Class, collections::Map, time::Millis};
 use std::{
--- /dev/null
+++ b/testutils/src/fleet.rs
@@ -0,0 +1,425 @@
+//! Several packet paths in one process and in virtual time, for tests of what
+//! they do together. Bundles, members and adverts reach each instance with a
+//! delay of its own; the protocols that carry them are tested by themselves.
+
+use medlarspur_lib::{
+    bundle::Bundle,
+    forwarder::{Forwarder, OpenGate, Sink},
+    ids::{DomainName, Incarnation, InstanceName, Version},
+    members::{Addresses, Member, MemberState},
+    message::{Advert, History},
+    question::Datagram,
+    time::Millis,
+    view::Draft,
+};
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
+
+/// How often an instance does what is due.
+const TICK: Millis = Millis(5);
+
+/// How the instances reach each other.
+#[derive(Debug, Clone)]
+pub struct Network {
+    /// The time that a datagram or message takes.
+    pub delay: Millis,
+    /// Of a thousand datagrams, how many are lost.
+    pub loss: u64,
+    /// How long it takes until the others know that an instance has gone.
+    pub detection: Millis,
+    /// How long news of a bundle takes to an instance, at most.
+    pub news: Millis,
+    /// Seeds what is random.
+    pub seed: u64,
+}
+
+impl Default for Network {
+    fn default() -> Network {
+        Network { delay: Millis(2), loss: 0, detection: Millis(3_000), news: Millis(400), seed: 1 }
+    }
+}
+
+/// What travels between instances.
+#[derive(Debug)]
+enum Mail {
+    Datagram(SocketAddrV4, Datagram),
+    Advert(Advert),
+    History(History),
+    Bundle(Arc<Bundle>),
+    Members,
+}
+
+#[derive(Debug)]
+struct Letter {
+    at: Millis,
+    order: u64,
+    to: usize,
+    mail: Mail,
+}
+
+impl PartialEq for Letter {
+    fn eq(&self, other: &Letter) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Letter {}
+
+impl PartialOrd for Letter {
+    fn partial_cmp(&self, other: &Letter) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Letter {
+    fn cmp(&self, other: &Letter) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// How an instance fares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// It works.
+    Up,
+    /// It works and has said that it leaves.
+    Leaving,
+    /// It does nothing, and wakes later with what it knew.
+    Frozen,
+    /// It is gone.
+    Gone,
+}
+
+/// One instance.
+pub struct Node {
+    /// Its packet path.
+    pub forwarder: Forwarder<OpenGate>,
+    /// Its control path, once it has a bundle.
+    pub draft: Option<Draft>,
+    /// How it fares.
+    pub state: State,
+    /// In which side of a partition it is.
+    pub side: u8,
+    member: Member,
+    woken: bool,
+}
+
+/// What one round of an instance sends.
+#[derive(Debug, Default)]
+struct Sent {
+    packets: Vec<(SocketAddrV4, Vec<u8>)>,
+    answers: Vec<Vec<u8>>,
+    asks: Vec<(SocketAddrV4, Datagram)>,
+    adverts: Vec<(InstanceName, Advert)>,
+}
+
+impl Sink for Sent {
+    fn forward(&mut self, target: SocketAddrV4, packet: &[u8]) {
+        self.packets.push((target, packet.to_vec()));
+    }
+
+    fn answer(&mut self, packet: Vec<u8>) {
+        self.answers.push(packet);
+    }
+
+    fn ask(&mut self, peer: SocketAddrV4, datagram: Datagram) {
+        self.asks.push((peer, datagram));
+    }
+
+    fn advert(&mut self, keeper: &InstanceName, advert: Advert) {
+        self.adverts.push((keeper.clone(), advert));
+    }
+}
+
+/// The instances of a site.
+pub struct Fleet {
+    /// The instances, by the order in which they came.
+    pub nodes: Vec<Node>,
+    /// The virtual time.
+    pub now: Millis,
+    /// Packets for targets since they were last taken.
+    pub packets: Vec<(SocketAddrV4, Vec<u8>)>,
+    /// Packets made by instances for callers since they were last taken.
+    pub answers: Vec<Vec<u8>>,
+    /// Bytes of questions, answers and adverts, with 28 for each UDP datagram.
+    pub control: u64,
+    network: Network,
+    domains: u64,
+    letters: BinaryHeap<Reverse<Letter>>,
+    order: u64,
+    random: u64,
+    bundle: Arc<Bundle>,
+}
+
+impl Fleet {
+    /// Starts `count` instances in `domains` failure domains.
+    pub fn new(count: usize, domains: u64, bundle: &Arc<Bundle>, network: Network) -> Fleet {
+        let mut fleet = Fleet {
+            nodes: Vec::new(),
+            now: Millis(0),
+            packets: Vec::new(),
+            answers: Vec::new(),
+            control: 0,
+            random: network.seed.wrapping_mul(2) | 1,
+            network,
+            domains,
+            letters: BinaryHeap::new(),
+            order: 0,
+            bundle: bundle.clone(),
+        };
+        for _ in 0..count {
+            let ix = fleet.add();
+            fleet.install(ix, bundle.clone());
+        }
+        for ix in 0..count {
+            fleet.refresh(ix);
+        }
+        fleet.advance(Millis(4_000));
+        fleet
+    }
+
+    /// Starts another instance; it learns bundle, members and history.
+    pub fn join(&mut self) -> usize {
+        let ix = self.add();
+        self.install(ix, self.bundle.clone());
+        self.tell_members(self.network.news);
+        let histories: Vec<_> = self
+            .nodes
+            .iter()
+            .filter(|node| node.state == State::Up)
+            .filter_map(|node| node.draft.as_ref())
+            .flat_map(|draft| draft.view().histories(self.now))
+            .collect();
+        for history in histories {
+            self.post(self.network.news, ix, Mail::History(history));
+        }
+        ix
+    }
+
+    fn add(&mut self) -> usize {
+        let ix = self.nodes.len();
+        let at = |port| SocketAddrV4::new(Ipv4Addr::new(127, 9, (ix >> 8) as u8, ix as u8), port);
+        let member = Member {
+            name: InstanceName::new(&format!("i{ix}")),
+            domain: DomainName::new(&format!("d{}", ix as u64 % self.domains)),
+            incarnation: Incarnation(1),
+            state: MemberState::Live,
+            addresses: Addresses { packets: at(1), questions: at(2), control: at(3) },
+            version: Version(0),
+            told: 0,
+        };
+        self.nodes.push(Node {
+            forwarder: Forwarder::new(OpenGate, 1024),
+            draft: None,
+            state: State::Up,
+            side: 0,
+            member,
+            woken: false,
+        });
+        ix
+    }
+
+    /// Publishes a bundle; each instance hears of it at a moment of its own.
+    pub fn publish(&mut self, bundle: &Arc<Bundle>) {
+        self.bundle = bundle.clone();
+        for ix in 0..self.nodes.len() {
+            let delay = Millis(self.random(self.network.news.0 + 1));
+            self.post(delay, ix, Mail::Bundle(bundle.clone()));
+        }
+    }
+
+    /// Kills an instance without a word.
+    pub fn kill(&mut self, ix: usize) {
+        self.nodes[ix].state = State::Gone;
+        self.tell_members(self.network.detection);
+    }
+
+    /// Tells an instance to leave; it works on until it is killed.
+    pub fn leave(&mut self, ix: usize) {
+        self.nodes[ix].state = State::Leaving;
+        self.tell_members(self.network.news);
+    }
+
+    /// Freezes an instance, or wakes it up.
+    pub fn freeze(&mut self, ix: usize, frozen: bool) {
+        self.nodes[ix].state = if frozen { State::Frozen } else { State::Up };
+        self.nodes[ix].woken = !frozen;
+        self.tell_members(self.network.detection);
+    }
+
+    /// Puts the instances on the sides that `side` names.
+    pub fn separate(&mut self, side: impl Fn(usize) -> u8) {
+        for (ix, node) in self.nodes.iter_mut().enumerate() {
+            node.side = side(ix);
+        }
+        self.tell_members(self.network.detection);
+    }
+
+    /// Lets one instance have a packet from the fabric.
+    pub fn receive(&mut self, ix: usize, packet: &[u8]) {
+        let now = self.now;
+        if !self.awake(ix) {
+            return;
+        }
+        self.run(ix, |node, sent| node.forwarder.packet(now, packet, sent));
+    }
+
+    /// Whether the instance takes packets.
+    pub fn awake(&self, ix: usize) -> bool {
+        matches!(self.nodes[ix].state, State::Up | State::Leaving)
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            let tick = Millis((self.now.0 / TICK.0 + 1) * TICK.0).min(end);
+            while self.letters.peek().is_some_and(|Reverse(letter)| letter.at <= tick) {
+                let Some(Reverse(letter)) = self.letters.pop() else { break };
+                self.now = self.now.max(letter.at);
+                self.deliver(letter);
+            }
+            self.now = tick;
+            for ix in 0..self.nodes.len() {
+                self.tick(ix);
+            }
+        }
+    }
+
+    fn tick(&mut self, ix: usize) {
+        if !self.awake(ix) {
+            return;
+        }
+        let now = self.now;
+        if std::mem::take(&mut self.nodes[ix].woken) {
+            self.nodes[ix].forwarder.distrust(now);
+        }
+        if let Some(draft) = &mut self.nodes[ix].draft {
+            draft.advance(now);
+        }
+        self.commit(ix);
+        self.run(ix, |node, sent| node.forwarder.tick(now, sent));
+    }
+
+    fn deliver(&mut self, letter: Letter) {
+        let (ix, now) = (letter.to, self.now);
+        if self.nodes[ix].state == State::Gone {
+            return;
+        }
+        if self.nodes[ix].state == State::Frozen {
+            // News is told again by anti-entropy; the rest is lost.
+            if matches!(letter.mail, Mail::Bundle(_) | Mail::Members | Mail::History(_)) {
+                self.post(Millis(500), ix, letter.mail);
+            }
+            return;
+        }
+        match letter.mail {
+            Mail::Datagram(from, datagram) => {
+                self.run(ix, |node, sent| node.forwarder.datagram(now, from, datagram, sent));
+            }
+            Mail::Advert(advert) => self.nodes[ix].forwarder.advert(now, &advert),
+            Mail::History(history) => {
+                if let Some(draft) = &mut self.nodes[ix].draft {
+                    draft.history(&history, now);
+                }
+            }
+            Mail::Bundle(bundle) => self.install(ix, bundle),
+            Mail::Members => self.refresh(ix),
+        }
+        self.commit(ix);
+    }
+
+    fn install(&mut self, ix: usize, bundle: Arc<Bundle>) {
+        let now = self.now;
+        let node = &mut self.nodes[ix];
+        node.member.version = bundle.version;
+        match &mut node.draft {
+            Some(draft) if draft.view().bundle.version >= bundle.version => {}
+            Some(draft) => draft.install(&bundle, now),
+            None => {
+                node.draft = Some(Draft::first(node.member.name.clone(), &bundle));
+                node.forwarder.distrust(now);
+            }
+        }
+        self.tell_members(self.network.news);
+        self.commit(ix);
+    }
+
+    /// The members as an instance sees them now.
+    fn refresh(&mut self, ix: usize) {
+        let side = self.nodes[ix].side;
+        let members = self
+            .nodes
+            .iter()
+            .filter(|node| matches!(node.state, State::Up | State::Leaving) && node.side == side)
+            .map(|node| {
+                let leaving = node.state == State::Leaving;
+                let state = if leaving { MemberState::Leaving } else { MemberState::Live };
+                Member { state, ..node.member.clone() }
+            })
+            .collect();
+        let now = self.now;
+        if let Some(draft) = &mut self.nodes[ix].draft {
+            draft.members(members, now);
+        }
+        self.commit(ix);
+    }
+
+    fn tell_members(&mut self, delay: Millis) {
+        for ix in 0..self.nodes.len() {
+            self.post(delay, ix, Mail::Members);
+        }
+    }
+
+    fn commit(&mut self, ix: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[ix];
+        if let Some(view) = node.draft.as_mut().and_then(Draft::commit) {
+            node.forwarder.install(view, now);
+        }
+    }
+
+    fn run(&mut self, ix: usize, act: impl FnOnce(&mut Node, &mut Sent)) {
+        let mut sent = Sent::default();
+        act(&mut self.nodes[ix], &mut sent);
+        self.packets.extend(sent.packets);
+        self.answers.extend(sent.answers);
+        let from = self.nodes[ix].member.addresses.questions;
+        for (to, datagram) in sent.asks {
+            self.control += if matches!(datagram, Datagram::Question(_)) { 53 } else { 57 };
+            let to = self.nodes.iter().position(|node| node.member.addresses.questions == to);
+            self.send(ix, to, Mail::Datagram(from, datagram));
+        }
+        for (keeper, advert) in sent.adverts {
+            self.control += 60 + 16 * advert.flows.len() as u64;
+            let to = self.nodes.iter().position(|node| node.member.name == keeper);
+            self.send(ix, to, Mail::Advert(advert));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: Option<usize>, mail: Mail) {
+        let Some(to) = to.filter(|&to| self.nodes[to].side == self.nodes[from].side) else {
+            return;
+        };
+        let lost = matches!(mail, Mail::Datagram(..)) && self.random(1000) < self.network.loss;
+        if !lost {
+            self.post(self.network.delay, to, mail);
+        }
+    }
+
+    fn post(&mut self, delay: Millis, to: usize, mail: Mail) {
+        self.order += 1;
+        let letter = Letter { at: self.now + delay, order: self.order, to, mail };
+        self.letters.push(Reverse(letter));
+    }
+
+    /// A number below `bound`, the same in every run with the same seed.
+    pub fn random(&mut self, bound: u64) -> u64 {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (self.random >> 33) % bound.max(1)
+    }
+}
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -6,7 +6,7 @@
     list::ListedState,
     platform::Platform,
     process::{Common, Instance, ProcessError},
-    profile::Profile,
+    server::Profile,
     spread::Mode,
     target::{Behaviour, Running, TargetError, Targets},
     web::WebError,
--- a/testutils/src/target.rs
+++ b/testutils/src/target.rs
@@ -3,8 +3,7 @@
 use crate::{
     clock::Clock,
     fabric::{lock, v4},
-    profile::{Profile, Seen},
-    server::Server,
+    server::{Profile, Seen, Server},
     web::{self, Served},
 };
 use medlarspur_lib::time::Millis;
--- /dev/null
+++ b/testutils/src/traffic.rs
@@ -0,0 +1,137 @@
+//! Many flows before a [`Fleet`], at the level of packets: each flow knows the
+//! target of its first packet, and one that reaches another target is broken,
+//! because that target answers with a reset.
+
+use crate::fleet::Fleet;
+use medlarspur_lib::{collections::Map, packet::FlowKey, time::Millis};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// How the fabric spreads packets over the instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Spread {
+    /// Each packet to any instance.
+    Packets,
+    /// Each flow to one instance, while the list stays as it is.
+    Flows,
+}
+
+/// A packet's part in a TCP connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// The first.
+    Open,
+    /// One of those after.
+    Middle,
+    /// The last.
+    Close,
+}
+
+/// One flow of a caller.
+#[derive(Debug, Clone)]
+pub struct Flow {
+    /// Its five-tuple.
+    pub key: FlowKey,
+    /// The target that got its first packet.
+    pub target: Option<SocketAddrV4>,
+    /// When it was opened.
+    pub opened: Millis,
+    /// Whether a packet of it reached another target, or it was reset.
+    pub broken: bool,
+}
+
+/// The flows and what became of them.
+pub struct Traffic {
+    /// All flows, by the order in which they were opened.
+    pub flows: Vec<Flow>,
+    spread: Spread,
+    listed: Vec<usize>,
+    index: Map<FlowKey, usize>,
+}
+
+impl Traffic {
+    /// No flow yet; the fabric sends to the instances in `listed`.
+    pub fn new(spread: Spread, listed: Vec<usize>) -> Traffic {
+        Traffic { flows: Vec::new(), spread, listed, index: Map::default() }
+    }
+
+    /// The instances that the fabric sends to from now on.
+    pub fn list(&mut self, listed: Vec<usize>) {
+        self.listed = listed;
+    }
+
+    /// Opens a flow to `service`: its first packet and, right after the
+    /// handshake, its second.
+    pub fn open(&mut self, fleet: &mut Fleet, service: SocketAddrV4) -> usize {
+        let number = self.flows.len() as u32;
+        let ip = Ipv4Addr::from(0x0a00_0000 + number / 20_000);
+        let caller = SocketAddrV4::new(ip, 20_000 + (number % 20_000) as u16);
+        let key = FlowKey { protocol: medlarspur_lib::bundle::Protocol::Tcp, caller, service };
+        self.index.insert(key, self.flows.len());
+        self.flows.push(Flow { key, target: None, opened: fleet.now, broken: false });
+        let ix = self.flows.len() - 1;
+        self.send(fleet, ix, Part::Open);
+        ix
+    }
+
+    /// Sends one packet of a flow through the fabric.
+    pub fn send(&mut self, fleet: &mut Fleet, ix: usize, part: Part) {
+        let packet = segment(&self.flows[ix].key, part);
+        let place = match self.spread {
+            Spread::Packets => fleet.random(self.listed.len() as u64) as usize,
+            Spread::Flows => rank(&self.flows[ix].key, &self.listed),
+        };
+        fleet.receive(self.listed[place], &packet);
+        self.collect(fleet);
+    }
+
+    /// Looks where packets have gone.
+    pub fn collect(&mut self, fleet: &mut Fleet) {
+        for (target, bytes) in std::mem::take(&mut fleet.packets) {
+            let Ok(packet) = medlarspur_lib::packet::Packet::parse(&bytes) else { continue };
+            let Some(&ix) = self.index.get(&packet.key()) else { continue };
+            let flow = &mut self.flows[ix];
+            match flow.target {
+                None => flow.target = Some(target),
+                Some(first) => flow.broken |= first != target,
+            }
+        }
+        fleet.answers.clear();
+    }
+
+    /// How many flows are broken.
+    pub fn broken(&self) -> usize {
+        self.flows.iter().filter(|flow| flow.broken).count()
+    }
+}
+
+/// The instance of a flow in a fabric that hashes flows: the best by rendezvous
+/// hash, so that a change of the list moves few flows.
+fn rank(key: &FlowKey, listed: &[usize]) -> usize {
+    let flow = u64::from(u32::from(*key.caller.ip())) << 16 | u64::from(key.caller.port());
+    let score = |instance: usize| {
+        let mixed = (flow ^ (instance as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+            .wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        (mixed ^ mixed >> 31).wrapping_mul(0x94d0_49bb_1331_11eb)
+    };
+    (0..listed.len()).max_by_key(|&place| score(listed[place])).unwrap_or(0)
+}
+
+/// A bare TCP segment of a caller.
+pub fn segment(key: &FlowKey, part: Part) -> Vec<u8> {
+    let mut bytes = vec![0; 40];
+    bytes[0] = 0x45;
+    bytes[3] = 40;
+    bytes[8] = 64;
+    bytes[9] = 6;
+    bytes[12..16].copy_from_slice(&key.caller.ip().octets());
+    bytes[16..20].copy_from_slice(&key.service.ip().octets());
+    bytes[20..22].copy_from_slice(&key.caller.port().to_be_bytes());
+    bytes[22..24].copy_from_slice(&key.service.port().to_be_bytes());
+    bytes[32] = 0x50;
+    bytes[33] = match part {
+        Part::Open => 0x02,
+        Part::Middle => 0x10,
+        Part::Close => 0x11,
+    };
+    bytes
+}
--- a/testutils/tests/test_host.rs
+++ b/testutils/tests/test_host.rs
@@ -2,10 +2,8 @@
 
 use medlarspur_lib::{bundle::Class, time::Millis};
 use medlarspur_testutils::{
-    client::{Client, Outcome, Patience},
-    profile::Profile,
-    server::Server,
-    task::{End, Work},
+    client::{Client, End, Outcome, Patience, Work},
+    server::{Profile, Server},
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
