--- /dev/null
+++ b/lib/tests/product/test_pages.rs
@@ -0,0 +1,71 @@
+//! The operators' pages say what the readers do.
+
+use medlarspur_lib::{
+    bundle::Bundle,
+    document::{Fault, Report},
+    settings::Settings,
+};
+use std::fs;
+
+fn page(name: &str) -> String {
+    let path = format!("{}/../docs/{name}", env!("CARGO_MANIFEST_DIR"));
+    fs::read_to_string(path).expect("the page")
+}
+
+/// The first example of a page.
+fn example(page: &str) -> &str {
+    let (_, rest) = page.split_once("```yaml\n").expect("an example");
+    rest.split_once("```").expect("its end").0
+}
+
+/// The fields that a reader knows, from what it says of unknown ones.
+fn known(report: &Report) -> Vec<&'static str> {
+    let known = report.problems.iter().filter_map(|problem| match problem.fault {
+        Fault::Unknown { known } => Some(known),
+        _ => None,
+    });
+    known.flatten().copied().collect()
+}
+
+fn undescribed(page: &str, report: &Report) -> Vec<&'static str> {
+    let mut fields = known(report);
+    fields.retain(|field| !page.contains(&format!("| `{field}` |")));
+    fields
+}
+
+#[test]
+fn the_example_of_a_bundle_is_sound() {
+    let page = page("bundle.md");
+
+    let bundle = Bundle::parse(example(&page)).expect("sound");
+
+    assert_eq!(bundle.services.len(), 2);
+}
+
+#[test]
+fn every_field_of_a_bundle_is_described() {
+    let page = page("bundle.md");
+    let text = "{x: 1, services: [{x: 1, ports: [{x: 1}], targets: [{x: 1}]}]}";
+
+    let report = Bundle::parse(text).expect_err("unknown fields");
+
+    assert!(known(&report).len() > 20);
+    assert_eq!(undescribed(&page, &report), Vec::<&str>::new());
+}
+
+#[test]
+fn the_example_of_settings_is_sound() {
+    let page = page("settings.md");
+
+    Settings::parse(example(&page)).expect("sound");
+}
+
+#[test]
+fn every_setting_is_described() {
+    let page = page("settings.md");
+
+    let report = Settings::parse("x: 1").expect_err("an unknown field");
+
+    assert!(known(&report).len() > 10);
+    assert_eq!(undescribed(&page, &report), Vec::<&str>::new());
+}
