packet: hash a flow's tuple in one piece

The streaming hasher stores single bytes of its state and reads them back as words; the processor then waits until all stores before have reached the cache, the flow table's missing line among them. The value is the same.

--- a/lib/src/packet/flow.rs
+++ b/lib/src/packet/flow.rs
@@ -8,7 +8,6 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::{
     fmt,
-    hash::Hasher as _,
     net::{AddrParseError, SocketAddrV4},
     str::FromStr,
 };
@@ -77,22 +76,24 @@
 /// at one bucket, and so at one target; the key from the bundle prevents that.
 #[derive(Debug, Clone, Copy)]
 pub struct Hasher {
-    seed: Seed,
+    state: SipHasher13,
 }
 
 impl Hasher {
     /// Makes the hasher of a site.
     pub fn new(seed: Seed) -> Hasher {
-        Hasher { seed }
+        Hasher { state: SipHasher13::new_with_key(&seed.0) }
     }
 
     /// The id of a flow.
+    #[inline]
     pub fn id(&self, key: &FlowKey) -> FlowId {
-        let mut hasher = SipHasher13::new_with_key(&self.seed.0);
         let caller = u64::from(u32::from(*key.caller.ip())) << 16 | u64::from(key.caller.port());
         let service = u64::from(u32::from(*key.service.ip())) << 16 | u64::from(key.service.port());
-        hasher.write_u64(caller);
-        hasher.write_u64(service << 1 | u64::from(key.protocol == Protocol::Udp));
-        FlowId(hasher.finish())
+        let service = service << 1 | u64::from(key.protocol == Protocol::Udp);
+        let mut tuple = [0; 16];
+        tuple[..8].copy_from_slice(&caller.to_le_bytes());
+        tuple[8..].copy_from_slice(&service.to_le_bytes());
+        FlowId(self.state.hash(&tuple))
     }
 }
