--- a/cli/src/commands/top.rs
+++ b/cli/src/commands/top.rs
@@ -81,7 +81,7 @@
             bundle: status.and_then(|status| Some(status.bundle.as_ref()?.version.0)),
             flows: status.map(|status| status.flows),
             packets: rate(|counters| counters.packets),
-            opened: rate(|counters| counters.flows),
+            opened: rate(|counters| counters.opened),
             drops: rate(|counters| counters.drops),
         };
         self.last = counters;
--- a/cli/src/scrape.rs
+++ b/cli/src/scrape.rs
@@ -3,30 +3,27 @@
 /// What `top` shows of the counters of an instance.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counters {
-    /// Packets, whatever became of them.
+    /// Packets from the fabric.
     pub packets: u64,
-    /// Flows, whatever became of them.
-    pub flows: u64,
+    /// Flows that were opened.
+    pub opened: u64,
     /// Dropped packets and datagrams.
     pub drops: u64,
 }
 
 impl Counters {
-    /// Sums the series of each counter in the text form of Prometheus.
+    /// Sums series of counters in the text form of Prometheus.
     pub fn read(text: &str) -> Counters {
         Counters {
-            packets: sum(text, "medlarspur_packets_total"),
-            flows: sum(text, "medlarspur_flows_total"),
-            drops: sum(text, "medlarspur_drops_total"),
+            packets: sum(text, "medlarspur_packets_total{event=\"received\"}"),
+            opened: sum(text, "medlarspur_flows_total{event=\"opened\"}"),
+            drops: sum(text, "medlarspur_drops_total{"),
         }
     }
 }
 
-fn sum(text: &str, name: &str) -> u64 {
-    let series = text.lines().filter_map(|line| {
-        let rest = line.strip_prefix(name)?;
-        let (labels, value) = rest.rsplit_once(' ')?;
-        (labels.is_empty() || labels.starts_with('{')).then(|| value.parse::<u64>().ok())?
-    });
-    series.sum()
+fn sum(text: &str, start: &str) -> u64 {
+    let series = text.lines().filter(|line| line.starts_with(start));
+    let values = series.filter_map(|line| line.rsplit_once(' ')?.1.parse::<u64>().ok());
+    values.sum()
 }
--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -27,7 +27,7 @@
 /// Starts an instance with a bundle of this version in force, or none.
 pub fn instance(name: &'static str, version: Option<u64>) -> Operator {
     let meters = Meters::new().expect("metrics");
-    meters.count(Family::Packets, "forwarded").add(10);
+    meters.count(Family::Packets, "received").add(10);
     let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
     Operator::start(address, Arc::new(Instance { name, version }), meters).expect("starts")
 }
@@ -117,7 +117,7 @@
 
 fn flow(ix: u16) -> FlowStatus {
     FlowStatus {
-        id: format!("{:016x}", 0xa1b2_c300 + u64::from(ix)),
+        id: format!("{ix:016x}"),
         service: ServiceName::new("alertdesk"),
         class: Class::Feed,
         target: TargetName::new("alert-1"),
--- a/cli/tests/test_instances.rs
+++ b/cli/tests/test_instances.rs
@@ -120,8 +120,8 @@
     expect![[r#"
         exit code 0
         FLOW              SERVICE    CLASS  TARGET   IDLE  EXCEPTION
-        00000000a1b2c300  alertdesk  feed   alert-1  40ms  no
-        00000000a1b2c301  alertdesk  feed   alert-1  40ms  yes
+        0000000000000000  alertdesk  feed   alert-1  40ms  no
+        0000000000000001  alertdesk  feed   alert-1  40ms  yes
     "#]]
     .assert_eq(&printed);
 }
--- a/lib/src/packet/mod.rs
+++ b/lib/src/packet/mod.rs
@@ -59,7 +59,7 @@
     pub fn label(self) -> &'static str {
         match self {
             PacketError::Truncated => "truncated",
-            PacketError::NotIpv4 => "not_ipv4",
+            PacketError::NotIpv4 => "not-ipv4",
             PacketError::Fragment => "fragment",
             PacketError::Transport => "transport",
             PacketError::Flags => "flags",
--- /dev/null
+++ b/operator/src/meters/counter.rs
@@ -0,0 +1,83 @@
+//! Counters, each read at a scrape from wherever it is counted.
+
+use super::Family;
+use medlarspur_lib::collections::Map;
+use opentelemetry::{
+    KeyValue,
+    metrics::{AsyncInstrument, Meter},
+};
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
+
+/// Reads the value of one series.
+pub(super) type Read = Box<dyn Fn() -> u64 + Send + Sync>;
+
+/// A counter of one series. Cheap to clone and to add to from any thread.
+#[derive(Clone, Debug, Default)]
+pub struct Count(Arc<AtomicU64>);
+
+impl Count {
+    /// Adds `amount`.
+    pub fn add(&self, amount: u64) {
+        self.0.fetch_add(amount, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// The series of one family, by label.
+type Series = Arc<Mutex<Vec<(&'static str, Read)>>>;
+
+/// All counters of an instance.
+pub(super) struct Counters {
+    families: Map<Family, Series>,
+    counts: Mutex<Map<(Family, &'static str), Count>>,
+}
+
+impl Counters {
+    pub(super) fn new(meter: &Meter) -> Counters {
+        let families = Family::ALL.into_iter().map(|family| (family, register(meter, family)));
+        Counters { families: families.collect(), counts: Mutex::default() }
+    }
+
+    pub(super) fn count(&self, family: Family, label: &'static str) -> Count {
+        let mut counts = lock(&self.counts);
+        if let Some(count) = counts.get(&(family, label)) {
+            return count.clone();
+        }
+        let count = Count::default();
+        counts.insert((family, label), count.clone());
+        let read = count.clone();
+        self.observe(family, label, Box::new(move || read.get()));
+        count
+    }
+
+    pub(super) fn observe(&self, family: Family, label: &'static str, read: Read) {
+        lock(&self.families[&family]).push((label, read));
+    }
+}
+
+fn register(meter: &Meter, family: Family) -> Series {
+    let series = Series::default();
+    let shown = series.clone();
+    let observe = move |observer: &dyn AsyncInstrument<u64>| {
+        for (label, read) in lock(&shown).iter() {
+            observer.observe(read(), &[KeyValue::new(family.label(), *label)]);
+        }
+    };
+    meter
+        .u64_observable_counter(family.name())
+        .with_description(family.description())
+        .with_callback(observe)
+        .build();
+    series
+}
+
+/// A panic elsewhere leaves the numbers whole, so they are still shown.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/operator/src/meters/family.rs
+++ b/operator/src/meters/family.rs
@@ -1,19 +1,17 @@
 //! The counters and gauges of an instance, by name.
 
-use opentelemetry::metrics::{Counter, Meter};
-
 /// A family of counters that differ in one label.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Family {
-    /// Packets by what became of them.
+    /// Packets of callers, by event; one packet has several.
     Packets,
-    /// Flows by what became of them.
+    /// Flows, by event.
     Flows,
     /// Packets and datagrams that were dropped, by reason.
     Drops,
     /// Bundles that were offered, by what became of them.
     Bundles,
-    /// Control messages of peers, by what became of them.
+    /// Control messages of peers, by event.
     Messages,
     /// Questions to peers about flows, by answer.
     Questions,
@@ -23,11 +21,13 @@
     Platform,
     /// Probes of targets, by result.
     Probes,
+    /// Pauses of the process, by what was noticed.
+    Pauses,
 }
 
 impl Family {
     /// Every family.
-    pub const ALL: [Family; 9] = [
+    pub const ALL: [Family; 10] = [
         Family::Packets,
         Family::Flows,
         Family::Drops,
@@ -37,6 +37,7 @@
         Family::Rings,
         Family::Platform,
         Family::Probes,
+        Family::Pauses,
     ];
 
     /// Its name in the metrics, to which the exporter adds `_total`.
@@ -51,13 +52,15 @@
             Family::Rings => "medlarspur_ring_full",
             Family::Platform => "medlarspur_platform_calls",
             Family::Probes => "medlarspur_probes",
+            Family::Pauses => "medlarspur_pauses",
         }
     }
 
     /// The name of the label in which its series differ.
     pub fn label(self) -> &'static str {
         match self {
-            Family::Packets | Family::Flows | Family::Bundles | Family::Messages => "outcome",
+            Family::Packets | Family::Flows | Family::Messages | Family::Pauses => "event",
+            Family::Bundles => "outcome",
             Family::Drops => "reason",
             Family::Questions => "answer",
             Family::Rings => "ring",
@@ -65,23 +68,20 @@
         }
     }
 
-    fn description(self) -> &'static str {
+    pub(super) fn description(self) -> &'static str {
         match self {
-            Family::Packets => "Packets by what became of them.",
-            Family::Flows => "Flows by what became of them.",
+            Family::Packets => "Packets of callers, by event.",
+            Family::Flows => "Flows, by event.",
             Family::Drops => "Packets and datagrams that were dropped.",
             Family::Bundles => "Bundles that were offered, by what became of them.",
-            Family::Messages => "Control messages of peers, by what became of them.",
+            Family::Messages => "Control messages of peers, by event.",
             Family::Questions => "Questions to peers about flows, by answer.",
             Family::Rings => "Times that a ring between threads was full.",
             Family::Platform => "Calls to the platform, by result.",
             Family::Probes => "Probes of targets, by result.",
+            Family::Pauses => "Pauses of the process.",
         }
     }
-
-    pub(super) fn counter(self, meter: &Meter) -> Counter<u64> {
-        meter.u64_counter(self.name()).with_description(self.description()).build()
-    }
 }
 
 /// A value that is read at each scrape.
--- /dev/null
+++ b/operator/src/meters/forwarder.rs
@@ -0,0 +1,50 @@
+//! Shows what the packet path counts.
+//!
+//! The packet thread counts in plain numbers of its own and publishes copies;
+//! the metrics read the copies at a scrape, so that counting costs the packet
+//! path nothing that other threads could slow down.
+
+use super::{Family, Meters};
+use medlarspur_lib::{forwarder::Counters, packet::PacketError};
+use std::sync::Arc;
+
+/// One series and where its value is found.
+type Series = (Family, &'static str, fn(&Counters) -> u64);
+
+const SERIES: [Series; 17] = [
+    (Family::Packets, "received", |counters| counters.packets),
+    (Family::Packets, "forwarded", |counters| counters.forwarded),
+    (Family::Packets, "known", |counters| counters.hits),
+    (Family::Packets, "unknown", |counters| counters.misses),
+    (Family::Flows, "opened", |counters| counters.opened),
+    (Family::Flows, "refused", |counters| counters.refused),
+    (Family::Flows, "expired", |counters| counters.expired),
+    (Family::Drops, "no-bundle", |counters| counters.unready),
+    (Family::Drops, "no-service", |counters| counters.strangers),
+    (Family::Drops, "no-target", |counters| counters.ownerless),
+    (Family::Drops, "crossed", |counters| counters.crossed),
+    (Family::Drops, "overflow", |counters| counters.overflow),
+    (Family::Questions, "asked", |counters| counters.asked),
+    (Family::Questions, "found", |counters| counters.found),
+    (Family::Questions, "denied", |counters| counters.denied),
+    (Family::Questions, "guessed", |counters| counters.guessed),
+    (Family::Questions, "answered", |counters| counters.questions),
+];
+
+impl Meters {
+    /// Shows the counters of the packet path, read by `read` at each scrape.
+    pub fn forwarder(&self, read: impl Fn() -> Arc<Counters> + Send + Sync + 'static) {
+        let read = Arc::new(read);
+        for (family, label, value) in SERIES {
+            let read = read.clone();
+            self.observe(family, label, move || value(&read()));
+        }
+        for error in PacketError::ALL {
+            let read = read.clone();
+            self.observe(Family::Drops, error.label(), move || read().malformed[error as usize]);
+        }
+        let (taken, slept) = (read.clone(), read);
+        self.observe(Family::Messages, "advert-taken", move || taken().adverts);
+        self.observe(Family::Pauses, "slept", move || slept().slept);
+    }
+}
--- a/operator/src/meters/mod.rs
+++ b/operator/src/meters/mod.rs
@@ -5,19 +5,19 @@
 //! histogram one short lock that only a scrape contends for.
 
 mod class;
+mod counter;
 mod family;
+mod forwarder;
 
 pub use self::{
     class::ClassMeters,
+    counter::Count,
     family::{Family, Gauge},
 };
 
-use self::class::Histograms;
+use self::{class::Histograms, counter::Counters};
 use medlarspur_lib::{bundle::Class, collections::Map, ids::ServiceName};
-use opentelemetry::{
-    KeyValue,
-    metrics::{BoundCounter, Counter, Meter, MeterProvider},
-};
+use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::{
     error::OTelSdkError,
     metrics::{Instrument, SdkMeterProvider, Stream},
@@ -47,17 +47,6 @@
     },
 }
 
-/// A counter of one series. Cheap to clone and to add to from any thread.
-#[derive(Clone, Debug)]
-pub struct Count(BoundCounter<u64>);
-
-impl Count {
-    /// Adds `amount`.
-    pub fn add(&self, amount: u64) {
-        self.0.add(amount);
-    }
-}
-
 /// All metrics of an instance; clones share them.
 #[derive(Clone)]
 pub struct Meters(Arc<Inner>);
@@ -67,7 +56,7 @@
     /// Holds the pipeline; without it every instrument falls silent.
     _provider: SdkMeterProvider,
     meter: Meter,
-    counters: Map<Family, Counter<u64>>,
+    counters: Counters,
     histograms: Histograms,
     classes: Mutex<Map<(ServiceName, Class), Arc<ClassMeters>>>,
 }
@@ -89,20 +78,27 @@
         let provider =
             SdkMeterProvider::builder().with_reader(exporter).with_view(many_series).build();
         let meter = provider.meter("medlarspur");
-        let counter = |family: Family| (family, family.counter(&meter));
-        let counters = Family::ALL.into_iter().map(counter).collect();
+        let counters = Counters::new(&meter);
         let histograms = Histograms::new(&meter);
         let classes = Mutex::default();
         let inner = Inner { registry, _provider: provider, meter, counters, histograms, classes };
         Ok(Meters(Arc::new(inner)))
     }
 
-    /// The counter of `family` for one `label`, which appears at zero at once.
+    /// The counter of `family` for one `label`, which shows at zero at once;
+    /// the same one at each call.
     pub fn count(&self, family: Family, label: &'static str) -> Count {
-        let labels = [KeyValue::new(family.label(), label)];
-        let bound = self.0.counters[&family].bind(&labels);
-        bound.add(0);
-        Count(bound)
+        self.0.counters.count(family, label)
+    }
+
+    /// Shows a number that somebody else counts, read by `read` at each scrape.
+    pub fn observe(
+        &self,
+        family: Family,
+        label: &'static str,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        self.0.counters.observe(family, label, Box::new(read));
     }
 
     /// The meters of one class of a service; the same ones at each call.
--- a/operator/tests/test_meters.rs
+++ b/operator/tests/test_meters.rs
@@ -2,9 +2,9 @@
 
 use crate::fixtures::{get, server};
 use expect_test::expect;
-use medlarspur_lib::{bundle::Class, ids::ServiceName};
+use medlarspur_lib::{bundle::Class, forwarder::Counters, ids::ServiceName};
 use medlarspur_operator::{Family, Gauge, Meters};
-use std::{thread, time::Duration};
+use std::{sync::Arc, thread, time::Duration};
 
 fn lines(meters: &Meters, part: &str) -> String {
     let text = meters.text().expect("text");
@@ -42,6 +42,68 @@
     .assert_eq(&lines(&meters, "medlarspur_drops_total{"));
 }
 
+#[test]
+fn the_same_series_is_counted_once() {
+    let meters = Meters::new().expect("metrics");
+
+    meters.count(Family::Platform, "ok").add(1);
+    meters.count(Family::Platform, "ok").add(1);
+
+    expect![[r#"
+        medlarspur_platform_calls_total{result="ok"} 2
+    "#]]
+    .assert_eq(&lines(&meters, "medlarspur_platform_calls_total{"));
+}
+
+#[test]
+fn what_the_packet_path_counts_is_shown() {
+    let meters = Meters::new().expect("metrics");
+    let counters = Counters { packets: 9, forwarded: 7, ..Counters::default() };
+    let counters = Arc::new(counters);
+
+    meters.forwarder(move || counters.clone());
+
+    expect![[r##"
+        # HELP medlarspur_drops_total Packets and datagrams that were dropped.
+        # TYPE medlarspur_drops_total counter
+        medlarspur_drops_total{reason="crossed"} 0
+        medlarspur_drops_total{reason="flags"} 0
+        medlarspur_drops_total{reason="fragment"} 0
+        medlarspur_drops_total{reason="no-bundle"} 0
+        medlarspur_drops_total{reason="no-service"} 0
+        medlarspur_drops_total{reason="no-target"} 0
+        medlarspur_drops_total{reason="not-ipv4"} 0
+        medlarspur_drops_total{reason="overflow"} 0
+        medlarspur_drops_total{reason="transport"} 0
+        medlarspur_drops_total{reason="truncated"} 0
+        # HELP medlarspur_flows_total Flows, by event.
+        # TYPE medlarspur_flows_total counter
+        medlarspur_flows_total{event="expired"} 0
+        medlarspur_flows_total{event="opened"} 0
+        medlarspur_flows_total{event="refused"} 0
+        # HELP medlarspur_messages_total Control messages of peers, by event.
+        # TYPE medlarspur_messages_total counter
+        medlarspur_messages_total{event="advert-taken"} 0
+        # HELP medlarspur_packets_total Packets of callers, by event.
+        # TYPE medlarspur_packets_total counter
+        medlarspur_packets_total{event="forwarded"} 7
+        medlarspur_packets_total{event="known"} 0
+        medlarspur_packets_total{event="received"} 9
+        medlarspur_packets_total{event="unknown"} 0
+        # HELP medlarspur_pauses_total Pauses of the process.
+        # TYPE medlarspur_pauses_total counter
+        medlarspur_pauses_total{event="slept"} 0
+        # HELP medlarspur_questions_total Questions to peers about flows, by answer.
+        # TYPE medlarspur_questions_total counter
+        medlarspur_questions_total{answer="answered"} 0
+        medlarspur_questions_total{answer="asked"} 0
+        medlarspur_questions_total{answer="denied"} 0
+        medlarspur_questions_total{answer="found"} 0
+        medlarspur_questions_total{answer="guessed"} 0
+    "##]]
+    .assert_eq(&lines(&meters, "medlarspur_"));
+}
+
 #[test]
 fn a_gauge_is_read_at_the_scrape() {
     let (operator, _, meters) = server(true);
