--- a/testutils/src/bin/standin.rs
+++ b/testutils/src/bin/standin.rs
@@ -3,12 +3,12 @@
 //! Each prints one line of JSON with its addresses and runs until it is ended;
 //! the callers run for their seconds and print their report.
 
-use medlarspur_lib::bundle::Class;
+use medlarspur_lib::{bundle::Class, time::Millis};
 use medlarspur_testutils::{
     caller::{self, Callers, Stream},
     fabric::{self, Fabric},
     platform::Platform,
-    server::Profile,
+    profile::Profile,
     spread::Mode,
     target::Targets,
     web,
@@ -113,8 +113,8 @@
     settings.platform = Some(flags.platform);
     settings.callers = flags.callers.unwrap_or(any());
     settings.returns = flags.returns.unwrap_or(any());
-    settings.delay = flags.delay.map_or(settings.delay, medlarspur_lib::time::Millis);
-    settings.lag = flags.lag.map_or(settings.lag, medlarspur_lib::time::Millis);
+    settings.delay = flags.delay.map_or(settings.delay, Millis);
+    settings.lag = flags.lag.map_or(settings.lag, Millis);
     let fabric = Fabric::start(&settings)?;
     println!("{}", serde_json::json!({ "callers": fabric.callers, "returns": fabric.returns }));
     for line in io::stdin().lock().lines() {
@@ -132,7 +132,7 @@
         let name = format!("{}-{number}", flags.service);
         let mut profile = Profile::new(&name, &flags.service, flags.address, &ports);
         profile.slots = flags.slots.unwrap_or(profile.slots);
-        profile.work = flags.work.map_or(profile.work, medlarspur_lib::time::Millis);
+        profile.work = flags.work.map_or(profile.work, Millis);
         profile
     });
     let targets = Targets::start(profiles.collect(), flags.fabric)?;
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -1,10 +1,11 @@
 //! Many callers over one UDP socket, with steady streams of work.
 
 use crate::{
-    client::{Client, Patience, Work},
+    client::{Client, Patience},
     clock::Clock,
     fabric::lock,
     report::Report,
+    task::Work,
 };
 use medlarspur_lib::{bundle::Class, collections::Map, time::Millis};
 use std::{
--- a/testutils/src/client.rs
+++ b/testutils/src/client.rs
@@ -5,45 +5,10 @@
 
 use crate::{
     host::{Conn, Host, Stage},
-    server::body,
+    task::{End, Task, Work},
 };
 use medlarspur_lib::{bundle::Class, collections::Map, time::Millis};
-use std::{
-    collections::BTreeSet,
-    net::{Ipv4Addr, SocketAddrV4},
-};
-
-/// One piece of work that a caller does over one connection.
-#[derive(Debug, Clone)]
-pub struct Work {
-    /// Tells it from every other work of all callers.
-    pub id: String,
-    /// The service that has to answer.
-    pub service: String,
-    /// What kind of work it is.
-    pub class: Class,
-    /// Where the service is reached.
-    pub remote: SocketAddrV4,
-    /// The bytes of an upload.
-    pub size: usize,
-    /// How long a feed is held before the caller ends it.
-    pub hold: Millis,
-}
-
-/// How a piece of work ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum End {
-    /// The whole answer came, or the feed ran until the caller ended it.
-    Completed,
-    /// It was established and then reset, silent or cut short.
-    Broken,
-    /// It was turned away.
-    Refused,
-    /// Nothing answered the opening in time.
-    Unanswered,
-    /// The answer belongs to other work or another service.
-    Wrong,
-}
+use std::{collections::BTreeSet, net::Ipv4Addr};
 
 /// What became of a piece of work.
 #[derive(Debug, Clone)]
@@ -73,8 +38,6 @@
     }
 }
 
-/// How a line starts that turns work away.
-const REFUSAL: &[&str] = &["REFUSED", "HTTP/1.1 503"];
 /// The first port of a caller's own.
 const FIRST_PORT: u16 = 20_000;
 
@@ -89,21 +52,6 @@
     now: Millis,
 }
 
-struct Task {
-    work: Work,
-    opened: Millis,
-    heard: Millis,
-    established: bool,
-    input: Vec<u8>,
-    output: Vec<u8>,
-    target: Option<String>,
-    latency: Option<Millis>,
-    lines: u64,
-    echoes: u64,
-    expected: usize,
-    closing: bool,
-}
-
 impl Client {
     /// Makes a caller with the address `addr`.
     pub fn new(addr: Ipv4Addr, patience: Patience) -> Self {
@@ -262,110 +210,3 @@
         self.outcomes.push(Outcome { work, end, target, latency });
     }
 }
-
-impl Task {
-    fn new(work: Work, opened: Millis) -> Self {
-        let mut output = match work.class {
-            Class::Feed => format!("{}\n", work.id),
-            Class::Request => format!("REQ {}\n", work.id),
-            Class::Upload => format!("UP {} {}\n", work.id, work.size),
-        }
-        .into_bytes();
-        if work.class == Class::Upload {
-            output.extend(body(&work.id, work.size));
-        }
-        Self {
-            work,
-            opened,
-            heard: opened,
-            established: false,
-            input: Vec::new(),
-            output,
-            target: None,
-            latency: None,
-            lines: 0,
-            echoes: 0,
-            expected: 0,
-            closing: false,
-        }
-    }
-
-    /// Whether it is a feed that its caller has held long enough.
-    fn over(&self, now: Millis) -> bool {
-        self.work.class == Class::Feed && now.since(self.opened) >= self.work.hold
-    }
-
-    /// Reads what has come; the end of the work, if that decides it.
-    fn read(&mut self, now: Millis) -> Option<End> {
-        loop {
-            if self.expected > 0 {
-                return self.read_body(now);
-            }
-            let line = self.line()?;
-            if let Some(end) = self.check(&line, now) {
-                return Some(end);
-            }
-        }
-    }
-
-    fn line(&mut self) -> Option<String> {
-        let end = self.input.iter().position(|&byte| byte == b'\n')?;
-        let line = self.input.drain(..=end).collect::<Vec<_>>();
-        Some(String::from_utf8_lossy(&line[..end]).into_owned())
-    }
-
-    fn check(&mut self, line: &str, now: Millis) -> Option<End> {
-        if self.target.is_none() && REFUSAL.iter().any(|start| line.starts_with(start)) {
-            return Some(End::Refused);
-        }
-        let words = line.split(' ').collect::<Vec<_>>();
-        match (self.work.class, words.as_slice()) {
-            (Class::Feed, ["HELLO", id, target, service]) => self.greet(id, target, service, now),
-            (Class::Feed, ["STRIKE", count]) => self.count(count),
-            (Class::Feed, ["ECHO", "ACK", count]) => self.echo(count),
-            (Class::Request, ["DONE", id, target, service, len]) => {
-                self.expected = len.parse().unwrap_or(0);
-                let wrong = self.greet(id, target, service, now);
-                wrong.or((self.expected == 0).then_some(End::Completed))
-            }
-            (Class::Upload, ["STORED", id, target, service, len, hash]) => {
-                let own = blake3::hash(&body(&self.work.id, self.work.size)).to_hex();
-                let whole = *len == self.work.size.to_string() && *hash == own.as_str();
-                let wrong = self.greet(id, target, service, now);
-                wrong.or(Some(if whole { End::Completed } else { End::Wrong }))
-            }
-            _ => Some(End::Wrong),
-        }
-    }
-
-    fn greet(&mut self, id: &str, target: &str, service: &str, now: Millis) -> Option<End> {
-        self.target = Some(target.into());
-        self.latency = Some(now.since(self.opened));
-        let own = id == self.work.id && service == self.work.service;
-        (!own).then_some(End::Wrong)
-    }
-
-    fn count(&mut self, count: &str) -> Option<End> {
-        let next = count == self.lines.to_string();
-        self.lines += 1;
-        self.output.extend(format!("ACK {count}\n").bytes());
-        (!next).then_some(End::Wrong)
-    }
-
-    /// Each line is acknowledged and comes back, which shows that the feed
-    /// carries both directions.
-    fn echo(&mut self, count: &str) -> Option<End> {
-        let next = count == self.echoes.to_string();
-        self.echoes += 1;
-        (!next).then_some(End::Wrong)
-    }
-
-    fn read_body(&mut self, now: Millis) -> Option<End> {
-        if self.input.len() < self.expected {
-            return None;
-        }
-        self.latency = Some(now.since(self.opened));
-        let same = self.input == body(&self.work.id, self.expected);
-        Some(if same { End::Completed } else { End::Wrong })
-    }
-}
--- a/testutils/src/host.rs
+++ b/testutils/src/host.rs
@@ -5,23 +5,22 @@
 //! same TCP stack. Each connection is polled on its own: a host with thousands
 //! of silent feeds then costs no more a packet than one with a single feed.
 
+use crate::{
+    link::Link,
+    packet::{Ends, Kind},
+};
 use medlarspur_lib::{collections::Map, time::Millis};
 use smoltcp::{
     iface::{Config, Interface, SocketHandle, SocketSet},
-    phy::{Device, DeviceCapabilities, Medium, RxToken, TxToken},
     socket::tcp,
     time::{Duration, Instant},
     wire::{HardwareAddress, IpAddress, IpCidr},
 };
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::BTreeSet,
     net::{Ipv4Addr, SocketAddrV4},
 };
 
-use crate::packet::{Ends, Kind};
-
-/// The largest packet; with the encapsulation it fits an Ethernet frame.
-pub const MTU: usize = 1400;
 /// Room for each direction of a connection, small so that many fit in memory.
 const BUFFER: usize = 4096;
 
@@ -339,50 +338,3 @@
 fn millis(at: Instant) -> Millis {
     Millis(u64::try_from(at.total_millis()).unwrap_or(0))
 }
-
-/// The two packet queues that stand for the network.
-#[derive(Default)]
-struct Link {
-    incoming: VecDeque<Vec<u8>>,
-    outgoing: VecDeque<Vec<u8>>,
-}
-
-struct Incoming(Vec<u8>);
-
-struct Outgoing<'a>(&'a mut VecDeque<Vec<u8>>);
-
-impl Device for Link {
-    type RxToken<'a> = Incoming;
-    type TxToken<'a> = Outgoing<'a>;
-
-    fn receive(&mut self, _now: Instant) -> Option<(Incoming, Outgoing<'_>)> {
-        let packet = self.incoming.pop_front()?;
-        Some((Incoming(packet), Outgoing(&mut self.outgoing)))
-    }
-
-    fn transmit(&mut self, _now: Instant) -> Option<Outgoing<'_>> {
-        Some(Outgoing(&mut self.outgoing))
-    }
-
-    fn capabilities(&self) -> DeviceCapabilities {
-        let mut capabilities = DeviceCapabilities::default();
-        capabilities.medium = Medium::Ip;
-        capabilities.max_transmission_unit = MTU;
-        capabilities
-    }
-}
-
-impl RxToken for Incoming {
-    fn consume<R, F: FnOnce(&[u8]) -> R>(self, f: F) -> R {
-        f(&self.0)
-    }
-}
-
-impl TxToken for Outgoing<'_> {
-    fn consume<R, F: FnOnce(&mut [u8]) -> R>(self, len: usize, f: F) -> R {
-        let mut packet = vec![0; len];
-        let result = f(&mut packet);
-        self.0.push_back(packet);
-        result
-    }
-}
--- a/testutils/src/report.rs
+++ b/testutils/src/report.rs
@@ -1,6 +1,6 @@
 //! What callers saw, counted for each service and class.
 
-use crate::client::{End, Outcome};
+use crate::{client::Outcome, task::End};
 use medlarspur_lib::bundle::Class;
 use std::collections::BTreeMap;
 
--- a/testutils/src/server.rs
+++ b/testutils/src/server.rs
@@ -4,81 +4,18 @@
 //! that is how the tests see a request run twice or a packet cross services.
 
 use crate::{
+    content::{body, take_line},
     host::{Conn, Host, Stage},
-    packet::Ends,
+    packet::{Ends, Kind},
+    profile::{Profile, Seen},
+    session::Session,
 };
 use medlarspur_lib::{
     bundle::Class,
     collections::{Map, Set},
     time::Millis,
 };
-use std::{
-    collections::{BTreeSet, VecDeque},
-    net::Ipv4Addr,
-};
-
-/// What a target is and how it behaves.
-#[derive(Debug, Clone)]
-pub struct Profile {
-    /// Its name, which every answer tells.
-    pub name: String,
-    /// The service that it serves, which every answer tells.
-    pub service: String,
-    /// The address of the service.
-    pub address: Ipv4Addr,
-    /// The ports that it serves.
-    pub ports: Vec<(u16, Class)>,
-    /// How many requests and uploads it works on at once.
-    pub slots: usize,
-    /// How many connections it holds at once.
-    pub connections: usize,
-    /// The time between two lines of a feed.
-    pub interval: Millis,
-    /// How long a request takes once it has a slot.
-    pub work: Millis,
-    /// How long after its start a request takes ten times as long.
-    pub cold: Millis,
-    /// How many wait for a slot before it sheds the next one.
-    pub waiting: usize,
-    /// The bytes of the answer to a request after its first line.
-    pub answer: usize,
-}
-
-impl Profile {
-    /// A target with the sizes of the first sites and little work.
-    pub fn new(name: &str, service: &str, address: Ipv4Addr, ports: &[(u16, Class)]) -> Self {
-        Self {
-            name: name.into(),
-            service: service.into(),
-            address,
-            ports: ports.to_vec(),
-            slots: 2,
-            connections: 2000,
-            interval: Millis(500),
-            work: Millis(5),
-            cold: Millis(0),
-            waiting: 64,
-            answer: 2000,
-        }
-    }
-}
-
-/// What a target has seen.
-#[derive(Debug, Default, Clone, serde::Serialize)]
-pub struct Seen {
-    /// How often each request id was started.
-    pub runs: Map<String, u32>,
-    /// How many uploads were stored whole.
-    pub stored: u64,
-    /// How many connections it accepted.
-    pub opened: u64,
-    /// How many it shed.
-    pub shed: u64,
-    /// Openings that arrived while it was leaving.
-    pub late: u64,
-    /// Packets for an address or port that is not its own.
-    pub strays: u64,
-}
+use std::collections::{BTreeSet, VecDeque};
 
 /// How a cold start slows the work.
 const COLD_FACTOR: u64 = 10;
@@ -100,16 +37,6 @@
     started: Option<Millis>,
 }
 
-struct Session {
-    class: Class,
-    input: Vec<u8>,
-    output: VecDeque<u8>,
-    id: Option<String>,
-    lines: u64,
-    expected: Option<usize>,
-    answered: bool,
-}
-
 impl Server {
     /// Starts a target.
     pub fn new(profile: Profile) -> Self {
@@ -151,7 +78,7 @@
             self.seen.strays += 1;
             return;
         }
-        if self.draining && ends.kind == crate::packet::Kind::Opening {
+        if self.draining && ends.kind == Kind::Opening {
             self.seen.late += 1;
         }
         self.open_ports();
@@ -229,7 +156,7 @@
         let Some(session) = self.sessions.get_mut(&conn) else {
             return;
         };
-        while let Some(line) = session.line() {
+        while let Some(line) = take_line(&mut session.input) {
             match &session.id {
                 Some(_) => session.say(&format!("ECHO {line}\n")),
                 None => {
@@ -349,46 +276,3 @@
         self.host.remove_over(conn);
     }
 }
-
-impl Session {
-    fn new(class: Class) -> Self {
-        Self {
-            class,
-            input: Vec::new(),
-            output: VecDeque::new(),
-            id: None,
-            lines: 0,
-            expected: None,
-            answered: false,
-        }
-    }
-
-    fn say(&mut self, line: &str) {
-        self.output.extend(line.bytes());
-    }
-
-    fn line(&mut self) -> Option<String> {
-        let end = self.input.iter().position(|&byte| byte == b'\n')?;
-        let line = self.input.drain(..=end).collect::<Vec<_>>();
-        Some(String::from_utf8_lossy(&line[..end]).into_owned())
-    }
-
-    /// Reads `REQ id` or `UP id length`.
-    fn read_head(&mut self) -> bool {
-        let Some(line) = self.line() else {
-            return false;
-        };
-        let mut words = line.split(' ').skip(1);
-        self.id = Some(words.next().unwrap_or_default().into());
-        self.expected = Some(words.next().and_then(|word| word.parse().ok()).unwrap_or(0));
-        true
-    }
-}
-
-/// The bytes that answer or fill the work `id`; both ends can compute them.
-pub fn body(id: &str, len: usize) -> Vec<u8> {
-    let mut reader = blake3::Hasher::new().update(id.as_bytes()).finalize_xof();
-    let mut bytes = vec![0; len];
-    reader.fill(&mut bytes);
-    bytes
-}
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -6,7 +6,7 @@
     list::ListedState,
     platform::Platform,
     process::{Common, Instance, ProcessError},
-    server::Profile,
+    profile::Profile,
     spread::Mode,
     target::{Behaviour, Running, TargetError, Targets},
     web::WebError,
--- a/testutils/src/target.rs
+++ b/testutils/src/target.rs
@@ -3,7 +3,8 @@
 use crate::{
     clock::Clock,
     fabric::{lock, v4},
-    server::{Profile, Seen, Server},
+    profile::{Profile, Seen},
+    server::Server,
     web::{self, Served},
 };
 use medlarspur_lib::time::Millis;
--- a/testutils/tests/test_host.rs
+++ b/testutils/tests/test_host.rs
@@ -2,8 +2,10 @@
 
 use medlarspur_lib::{bundle::Class, time::Millis};
 use medlarspur_testutils::{
-    client::{Client, End, Outcome, Patience, Work},
-    server::{Profile, Server},
+    client::{Client, Outcome, Patience},
+    profile::Profile,
+    server::Server,
+    task::{End, Work},
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
--- a/testutils/tests/test_path.rs
+++ b/testutils/tests/test_path.rs
@@ -11,8 +11,8 @@
     layout::{Layout, ServiceLayout, TargetLayout},
     list::{Listed, ListedState},
     packet::Ends,
+    profile::Profile,
     report::Report,
-    server::Profile,
     spread::Mode,
     target::{Behaviour, Targets},
 };
