flows: remember when a flow was first noted

Operators ask how long a feed has been open, and the histogram of flow lengths needs it. The four bytes fit into the padding of an entry, which stays at 24 bytes with its key. The gate hears the class of a flow whose handshake ended, so that handshakes can be told apart by class.

--- a/cli/src/commands/flows.rs
+++ b/cli/src/commands/flows.rs
@@ -23,13 +23,14 @@
 }
 
 fn print(flows: &[FlowStatus]) {
-    let mut table = Table::new(&["FLOW", "SERVICE", "CLASS", "TARGET", "IDLE", "EXCEPTION"]);
+    let mut table = Table::new(&["FLOW", "SERVICE", "CLASS", "TARGET", "AGE", "IDLE", "EXCEPTION"]);
     for flow in flows {
         table.row(vec![
             flow.id.clone(),
             flow.service.to_string(),
             flow.class.to_string(),
             flow.target.to_string(),
+            span(flow.age.0),
             span(flow.idle.0),
             if flow.exception { "yes" } else { "no" }.to_owned(),
         ]);
--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -121,6 +121,7 @@
         service: ServiceName::new("alertdesk"),
         class: Class::Feed,
         target: TargetName::new("alert-1"),
+        age: Millis(125_000),
         idle: Millis(40),
         exception: ix == 1,
     }
--- a/cli/tests/test_instances.rs
+++ b/cli/tests/test_instances.rs
@@ -119,9 +119,9 @@
 
     expect![[r#"
         exit code 0
-        FLOW              SERVICE    CLASS  TARGET   IDLE  EXCEPTION
-        0000000000000000  alertdesk  feed   alert-1  40ms  no
-        0000000000000001  alertdesk  feed   alert-1  40ms  yes
+        FLOW              SERVICE    CLASS  TARGET   AGE   IDLE  EXCEPTION
+        0000000000000000  alertdesk  feed   alert-1  2m5s  40ms  no
+        0000000000000001  alertdesk  feed   alert-1  2m5s  40ms  yes
     "#]]
     .assert_eq(&printed);
 }
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -90,7 +90,7 @@
         wait.copied().unwrap_or(FIRST_WAIT)
     }
 
-    fn followed(&mut self, now: Millis, target: TargetId, after: Millis) {
+    fn followed(&mut self, now: Millis, target: TargetId, _: Class, after: Millis) {
         self.signal(now, target, load::Signal::Followed { after: Some(after) });
     }
 
--- a/daemon/src/packets.rs
+++ b/daemon/src/packets.rs
@@ -158,6 +158,7 @@
         let known = |(id, flow): (_, &medlarspur_lib::flows::Flow)| Known {
             id,
             flow: *flow,
+            age: flow.age(now),
             idle: flow.idle(now),
         };
         match look {
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -42,6 +42,8 @@
     pub id: medlarspur_lib::ids::FlowId,
     /// What the flow table holds.
     pub flow: medlarspur_lib::flows::Flow,
+    /// How long it is known.
+    pub age: Millis,
     /// How long its last packet is ago.
     pub idle: Millis,
 }
--- a/daemon/src/status.rs
+++ b/daemon/src/status.rs
@@ -215,6 +215,7 @@
         service: entry.service.clone(),
         class: known.flow.class,
         target,
+        age: known.age,
         idle: known.idle,
         exception: state.owner != Some(known.flow.target),
     })
--- a/lib/src/flows.rs
+++ b/lib/src/flows.rs
@@ -39,6 +39,8 @@
     pub class: Class,
     /// When a packet of it last passed here or it was told, in [`TICK`]s.
     seen: u32,
+    /// When it was first noted here, in [`TICK`]s.
+    first: u32,
 }
 
 /// The grain in which the last packet of a flow is noted, in milliseconds:
@@ -49,7 +51,8 @@
     /// Notes a flow now.
     pub fn new(target: TargetId, belief: Belief, class: Class, now: Millis) -> Flow {
         let (closing, fresh) = (false, false);
-        Flow { target, belief, closing, fresh, class, seen: ticks(now) }
+        let seen = ticks(now);
+        Flow { target, belief, closing, fresh, class, seen, first: seen }
     }
 
     /// Notes a flow whose first packet is let in here now.
@@ -58,6 +61,11 @@
         Flow { fresh: true, ..flow }
     }
 
+    /// How long it is known here, to a few milliseconds.
+    pub fn age(&self, now: Millis) -> Millis {
+        Millis(u64::from(ticks(now).saturating_sub(self.first)) * TICK)
+    }
+
     /// How long ago its last packet was, to a few milliseconds.
     pub fn idle(&self, now: Millis) -> Millis {
         Millis(u64::from(ticks(now).saturating_sub(self.seen)) * TICK)
@@ -138,7 +146,7 @@
                 let known = known.get_mut();
                 known.seen = known.seen.max(flow.seen);
                 if flow.belief > known.belief {
-                    *known = Flow { seen: known.seen, ..flow };
+                    *known = Flow { seen: known.seen, first: known.first, ..flow };
                 }
             }
         }
--- a/lib/src/forwarder/gate.rs
+++ b/lib/src/forwarder/gate.rs
@@ -51,7 +51,7 @@
 
     /// Hears that a packet followed the first one of an admitted flow, and how
     /// long after it.
-    fn followed(&mut self, now: Millis, target: TargetId, after: Millis);
+    fn followed(&mut self, now: Millis, target: TargetId, class: Class, after: Millis);
 
     /// Hears that the caller gave up a flow that was admitted here.
     fn aborted(&mut self, now: Millis, target: TargetId);
@@ -78,7 +78,7 @@
         Millis::secs(1)
     }
 
-    fn followed(&mut self, _: Millis, _: TargetId, _: Millis) {}
+    fn followed(&mut self, _: Millis, _: TargetId, _: Class, _: Millis) {}
 
     fn aborted(&mut self, _: Millis, _: TargetId) {}
 
--- a/lib/src/forwarder/mod.rs
+++ b/lib/src/forwarder/mod.rs
@@ -199,7 +199,7 @@
             Mark::Open => {}
             Mark::Middle if flow.fresh => {
                 flow.fresh = false;
-                self.gate.followed(now, target, idle);
+                self.gate.followed(now, target, site.class, idle);
             }
             Mark::Middle => {}
             Mark::Close | Mark::Abort => {
--- a/lib/src/status/flow.rs
+++ b/lib/src/status/flow.rs
@@ -20,6 +20,8 @@
         pub class: Class,
         /// The target that it goes to.
         pub target: TargetName,
+        /// Milliseconds since this instance first heard of it.
+        pub age: Millis,
         /// Milliseconds since its last packet here.
         pub idle: Millis,
         /// Whether it goes elsewhere than a new flow of its bucket would.
--- a/lib/tests/product.rs
+++ b/lib/tests/product.rs
@@ -5,6 +5,7 @@
     mod mutate;
     mod test_bundle;
     mod test_diff;
+    mod test_flows;
     mod test_pages;
     mod test_random;
     mod test_settings;
--- a/operator/tests/fixtures.rs
+++ b/operator/tests/fixtures.rs
@@ -75,6 +75,7 @@
         service: ServiceName::new("alertdesk"),
         class: Class::Feed,
         target: TargetName::new("alert-1"),
+        age: Millis(10),
         idle: Millis(1),
         exception: false,
     }
