--- a/daemon/examples/bench/main.rs
+++ b/daemon/examples/bench/main.rs
@@ -11,6 +11,8 @@
 mod relay;
 mod site;
 
+use relay::Rate;
+
 /// How many flows one instance has to hold.
 const FLOWS: usize = 300_000;
 /// The packets on the loopback: an acknowledgement and a full upload segment.
@@ -38,11 +40,13 @@
 }
 
 fn print_relay() {
-    println!("{:<42} {:>12} {:>10} {:>8}", "loopback", "packets/s", "cpu ns", "ratio");
+    let head = ["loopback", "packets/s", "cpu ns", "of bare", "by cpu"];
+    println!("{:<42} {:>12} {:>10} {:>8} {:>8}", head[0], head[1], head[2], head[3], head[4]);
     for size in SIZES {
-        for rate in relay::run(FLOWS, size).rows() {
+        for rate in relay::run(FLOWS, size) {
             let name = format!("{size} bytes, {}", rate.name);
-            println!("{name:<42} {:>12.0} {:>10.0} {:>8.3}", rate.wall, rate.nanos, rate.ratio);
+            let Rate { wall, nanos, ratio, thrift, .. } = rate;
+            println!("{name:<42} {wall:>12.0} {nanos:>10.0} {ratio:>8.3} {thrift:>8.3}");
         }
     }
 }
--- a/daemon/examples/bench/process.rs
+++ b/daemon/examples/bench/process.rs
@@ -1,6 +1,6 @@
 //! What the kernel says of this process and thread.
 
-use std::fs;
+use std::{fs, path::Path};
 
 const PAGE: u64 = 4096;
 
@@ -11,9 +11,16 @@
     pages.expect("statm has the resident pages second") * PAGE
 }
 
-/// The processor time of the calling thread, in nanoseconds.
-pub fn thread_nanos() -> u64 {
-    let text = fs::read_to_string("/proc/thread-self/schedstat").expect("procfs is mounted");
-    let nanos = text.split(' ').next().and_then(|it| it.parse().ok());
-    nanos.expect("schedstat has the run time first")
+/// The processor time of the threads with this name, in nanoseconds.
+pub fn thread_nanos(name: &str) -> u64 {
+    let tasks = fs::read_dir("/proc/self/task").expect("procfs is mounted");
+    let paths = tasks.filter_map(|it| Some(it.ok()?.path()));
+    let named =
+        paths.filter(|it| fs::read_to_string(it.join("comm")).is_ok_and(|c| c.trim() == name));
+    named.filter_map(|it| run_time(&it)).sum()
+}
+
+/// The first field of a thread's `schedstat`.
+fn run_time(task: &Path) -> Option<u64> {
+    fs::read_to_string(task.join("schedstat")).ok()?.split(' ').next()?.parse().ok()
 }
--- a/daemon/examples/bench/relay.rs
+++ b/daemon/examples/bench/relay.rs
@@ -1,58 +1,81 @@
-//! The packet path over loopback, beside a bare relay of the same datagrams.
+//! The packet thread over loopback, beside a bare relay of the same datagrams.
 
 use crate::{
-    memory::Sent,
     process::thread_nanos,
     site::{self, TARGETS},
 };
-use medlarspur_fabric::{BATCH, Batch, Datagram, Listener, Outbox, Socket, Wire};
-use medlarspur_lib::{
-    forwarder::{Forwarder, OpenGate},
-    time::Millis,
+use medlarspur_daemon::{
+    clock::Clock,
+    gate::LoadGate,
+    packets::{self, Packets},
+    shared::{RING, Shared},
 };
+use medlarspur_fabric::{BATCH, Batch, Datagram, Listener, Socket, Wire};
+use medlarspur_lib::settings::Secret;
+use rtrb::RingBuffer;
 use std::{
     array,
     net::{Ipv4Addr, SocketAddrV4},
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering::Relaxed},
+        atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed},
+        mpsc::sync_channel,
     },
-    thread,
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
-const ROUNDS: usize = 7;
-const ROUND: Duration = Duration::from_millis(700);
+const ROUNDS: usize = 9;
+const ROUND: Duration = Duration::from_millis(600);
+/// How long a relay runs before it is measured.
+const SETTLE: Duration = Duration::from_millis(150);
 const WAIT: Duration = Duration::from_millis(5);
-/// Enough to keep the relay's receive buffer full.
+/// Enough to keep a relay's receive buffer full.
 const GENERATORS: usize = 2;
+/// The choice that sends nothing and ends the helper threads.
+const NOBODY: usize = 2;
 
-/// What one kind of relay did.
+/// The kinds of relays, by the names of their threads.
+const NAMES: [&str; 2] = ["bare relay", "packets"];
+
+/// What one kind of relay did: medians of its rounds.
 pub struct Rate {
     pub name: &'static str,
     /// Packets relayed a second by one thread.
     pub wall: f64,
-    /// Processor time a packet, kernel included.
+    /// Processor time a packet in nanoseconds, kernel included.
     pub nanos: f64,
-    /// The rate beside the bare relay's.
+    /// The rate beside the bare relay's in the round before.
     pub ratio: f64,
+    /// The same of the packets for each second of processor time, which what
+    /// else runs on the machine disturbs less.
+    pub thrift: f64,
 }
 
-/// The rounds of all kinds, which took turns.
-pub struct Rates {
-    rounds: [Vec<(f64, f64)>; 3],
+/// Relays packets of `size` bytes for a while by each kind in turn.
+pub fn run(flows: usize, size: usize) -> [Rate; 2] {
+    let bench = Bench::start(flows, size);
+    let mut rounds = [const { Vec::new() }; 2];
+    for _ in 0..ROUNDS {
+        for (kind, rounds) in rounds.iter_mut().enumerate() {
+            rounds.push(bench.round(kind));
+        }
+    }
+    bench.stop();
+    array::from_fn(|kind| rate(kind, &rounds))
 }
 
-const NAMES: [&str; 3] = ["bare relay", "bare relay that copies", "forwarder"];
-
-impl Rates {
-    pub fn rows(&self) -> impl Iterator<Item = Rate> {
-        let bare = median(self.rounds[0].iter().map(|it| it.0));
-        self.rounds.iter().zip(NAMES).map(move |(rounds, name)| {
-            let wall = median(rounds.iter().map(|it| it.0));
-            let nanos = median(rounds.iter().map(|it| it.1));
-            Rate { name, wall, nanos, ratio: wall / bare }
-        })
+/// The packets a second and the nanoseconds a packet of one round.
+type Round = (f64, f64);
+
+fn rate(kind: usize, rounds: &[Vec<Round>; 2]) -> Rate {
+    let pairs = || rounds[kind].iter().zip(&rounds[0]);
+    Rate {
+        name: NAMES[kind],
+        wall: median(rounds[kind].iter().map(|it| it.0)),
+        nanos: median(rounds[kind].iter().map(|it| it.1)),
+        ratio: median(pairs().map(|(mine, bare)| mine.0 / bare.0)),
+        thrift: median(pairs().map(|(mine, bare)| bare.1 / mine.1)),
     }
 }
 
@@ -62,133 +85,153 @@
     values[values.len() / 2]
 }
 
-fn any_port() -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0)
+/// Generators, a relay of each kind and the targets, each with its threads.
+struct Bench {
+    choice: Arc<AtomicUsize>,
+    relayed: Arc<AtomicU64>,
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
 }
 
-/// Relays packets of `size` bytes for a while by each kind in turn.
-pub fn run(flows: usize, size: usize) -> Rates {
-    let sinks: [Listener; TARGETS] = array::from_fn(|_| bind());
-    let targets = array::from_fn(|ix| sinks[ix].local());
-    let relay = bind();
-    let stop = Arc::new(AtomicBool::new(false));
-    let mut threads = vec![spawn_drain(sinks, &stop)];
-    for part in 0..GENERATORS {
-        threads.push(spawn_generator(relay.local(), flows, size, part, &stop));
+impl Bench {
+    fn start(flows: usize, size: usize) -> Bench {
+        let choice = Arc::new(AtomicUsize::new(0));
+        let relayed = Arc::new(AtomicU64::new(0));
+        let shared = Arc::new(Shared::default());
+        let sinks: [Listener; TARGETS] = array::from_fn(|_| bind());
+        let targets = array::from_fn(|ix| sinks[ix].local());
+        let relays = [bind(), bind()];
+        let locals = [relays[0].local(), relays[1].local()];
+        let [bare, fabric] = relays;
+        let mut threads = vec![spawn("targets", drain(sinks, choice.clone()))];
+        threads.push(spawn(NAMES[0], relay(bare, targets, choice.clone(), relayed.clone())));
+        shared.view.store(Some(site::view(&targets)));
+        threads.push(spawn(NAMES[1], packet_thread(fabric, shared.clone())));
+        for part in 0..GENERATORS {
+            let work = generate(locals, flows, size, part, choice.clone());
+            threads.push(spawn("generator", work));
+        }
+        Bench { choice, relayed, shared, threads }
     }
-    let mut kinds = Kinds::new(Socket::from(relay), targets, flows, size);
-    let mut rounds = [const { Vec::new() }; 3];
-    for _ in 0..ROUNDS {
-        rounds[0].push(kinds.round(Kinds::pass_on));
-        rounds[1].push(kinds.round(Kinds::copy));
-        rounds[2].push(kinds.round(Kinds::forward));
+
+    fn round(&self, kind: usize) -> Round {
+        self.choice.store(kind, Relaxed);
+        thread::sleep(SETTLE);
+        let (first, start) = self.sample(kind);
+        let nanos = thread_nanos(NAMES[kind]);
+        thread::sleep(ROUND);
+        let (last, end) = self.sample(kind);
+        let packets = (last - first) as f64;
+        let nanos = (thread_nanos(NAMES[kind]) - nanos) as f64;
+        (packets / (end - start).as_secs_f64(), nanos / packets)
+    }
+
+    /// How many packets were relayed, and when that was so. The packet thread
+    /// publishes its counters four times a second, so the next time is waited
+    /// for.
+    fn sample(&self, kind: usize) -> (u64, Instant) {
+        if kind == 0 {
+            return (self.relayed.load(Relaxed), Instant::now());
+        }
+        let forwarded = || self.shared.counters.load().forwarded;
+        let before = forwarded();
+        while forwarded() == before {
+            thread::sleep(Duration::from_micros(200));
+        }
+        (forwarded(), Instant::now())
+    }
+
+    fn stop(self) {
+        self.choice.store(NOBODY, Relaxed);
+        self.shared.stop.store(true, Relaxed);
+        self.threads.into_iter().for_each(|it| it.join().expect("no thread panics"));
     }
-    stop.store(true, Relaxed);
-    threads.into_iter().for_each(|it| it.join().expect("no helper thread panics"));
-    Rates { rounds }
 }
 
 fn bind() -> Listener {
-    Listener::bind(any_port()).expect("loopback has free ports")
+    let any_port = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+    Listener::bind(any_port).expect("loopback has free ports")
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> JoinHandle<()> {
+    thread::Builder::new().name(name.to_owned()).spawn(work).expect("there are threads left")
+}
+
+/// The thread of the daemon itself.
+fn packet_thread(fabric: Listener, shared: Arc<Shared>) -> impl FnOnce() {
+    move || {
+        let (_commands, obeyed) = RingBuffer::new(RING);
+        let (adverts, _outgoing) = RingBuffer::new(RING);
+        let (_looks, looked) = sync_channel(1);
+        let parts = Packets {
+            returns: fabric.local(),
+            fabric,
+            questions: bind(),
+            secret: Secret([0xab; 32]),
+            commands: obeyed,
+            looks: looked,
+            adverts,
+            gate: LoadGate::new(1),
+            clock: Clock::start(),
+            shared,
+        };
+        packets::run(parts).expect("the packet thread ends when told");
+    }
+}
+
+/// Passes batches on without looking at them.
+fn relay(
+    listener: Listener,
+    targets: [SocketAddrV4; TARGETS],
+    choice: Arc<AtomicUsize>,
+    relayed: Arc<AtomicU64>,
+) -> impl FnOnce() {
+    move || {
+        let mut socket = Socket::from(listener);
+        let mut batch = Batch::new();
+        while choice.load(Relaxed) != NOBODY {
+            socket.receive(&mut batch, WAIT).expect("the relay can be read");
+            let pairs = batch.iter().zip(targets.iter().cycle());
+            let datagrams: Vec<_> =
+                pairs.map(|(it, &to)| Datagram { to, bytes: it.bytes }).collect();
+            relayed.fetch_add(socket.send(&datagrams) as u64, Relaxed);
+        }
+    }
 }
 
 /// Reads what targets are sent, as their kernels would.
-fn spawn_drain(sinks: [Listener; TARGETS], stop: &Arc<AtomicBool>) -> thread::JoinHandle<()> {
-    let stop = stop.clone();
-    thread::spawn(move || {
+fn drain(sinks: [Listener; TARGETS], choice: Arc<AtomicUsize>) -> impl FnOnce() {
+    move || {
         let mut sockets = sinks.map(Socket::from);
         let mut batch = Batch::new();
-        while !stop.load(Relaxed) {
+        while choice.load(Relaxed) != NOBODY {
             for socket in &mut sockets {
                 socket.receive(&mut batch, Duration::ZERO).expect("a sink can be read");
             }
         }
-    })
+    }
 }
 
-fn spawn_generator(
-    to: SocketAddrV4,
+/// Sends packets of a part of the flows in random order to the chosen relay.
+fn generate(
+    relays: [SocketAddrV4; 2],
     flows: usize,
     size: usize,
     part: usize,
-    stop: &Arc<AtomicBool>,
-) -> thread::JoinHandle<()> {
-    let stop = stop.clone();
-    let order = site::shuffled(flows);
-    let mine = order.chunks(flows.div_ceil(GENERATORS)).nth(part).unwrap_or_default();
-    let packets: Vec<_> = mine.iter().map(|&flow| site::middle(flow, size)).collect();
-    thread::spawn(move || {
-        let mut socket = Socket::bind(any_port()).expect("loopback has free ports");
-        let datagrams: Vec<_> = packets.iter().map(|bytes| Datagram { to, bytes }).collect();
-        for batch in datagrams.chunks(BATCH).cycle() {
-            socket.send(batch);
-            if stop.load(Relaxed) {
-                break;
+    choice: Arc<AtomicUsize>,
+) -> impl FnOnce() {
+    move || {
+        let mut socket = Socket::from(bind());
+        let order = site::shuffled(flows);
+        let mine = order.chunks(flows.div_ceil(GENERATORS)).nth(part).unwrap_or_default();
+        let mut packets: [_; BATCH] = array::from_fn(|_| site::middle(0, size));
+        for chunk in mine.chunks_exact(BATCH).cycle() {
+            let Some(&to) = relays.get(choice.load(Relaxed)) else { return };
+            for (packet, &flow) in packets.iter_mut().zip(chunk) {
+                site::readdress(packet, flow);
             }
+            let datagrams = packets.each_ref().map(|bytes| Datagram { to, bytes });
+            socket.send(&datagrams);
         }
-    })
-}
-
-/// The relays, which share one socket.
-struct Kinds {
-    socket: Socket,
-    batch: Batch,
-    targets: [SocketAddrV4; TARGETS],
-    outbox: Outbox,
-    sent: Sent,
-    forwarder: Forwarder<OpenGate>,
-    start: Instant,
-}
-
-impl Kinds {
-    fn new(socket: Socket, targets: [SocketAddrV4; TARGETS], flows: usize, size: usize) -> Self {
-        let mut forwarder = Forwarder::new(OpenGate, flows);
-        let mut sent = Sent::default();
-        forwarder.install(site::view(&targets), Millis(0));
-        for flow in 0..flows {
-            forwarder.packet(Millis(0), &site::opening(flow, size), &mut sent);
-        }
-        let sent = Sent::default();
-        let (batch, outbox, start) = (Batch::new(), Outbox::new(), Instant::now());
-        Self { socket, batch, targets, outbox, sent, forwarder, start }
-    }
-
-    /// Answers the packets a second and the processor time a packet.
-    fn round(&mut self, step: impl Fn(&mut Self) -> usize) -> (f64, f64) {
-        let (start, nanos) = (Instant::now(), thread_nanos());
-        let mut packets = 0;
-        while start.elapsed() < ROUND {
-            self.socket.receive(&mut self.batch, WAIT).expect("the relay can be read");
-            packets += step(self);
-        }
-        let wall = packets as f64 / start.elapsed().as_secs_f64();
-        (wall, (thread_nanos() - nanos) as f64 / packets as f64)
-    }
-
-    fn pass_on(&mut self) -> usize {
-        let targets = self.targets.iter().cycle();
-        let datagrams: Vec<_> = self
-            .batch
-            .iter()
-            .zip(targets)
-            .map(|(it, &to)| Datagram { to, bytes: it.bytes })
-            .collect();
-        self.socket.send(&datagrams)
-    }
-
-    fn copy(&mut self) -> usize {
-        for (received, &to) in self.batch.iter().zip(self.targets.iter().cycle()) {
-            self.outbox.push(to, received.bytes);
-        }
-        self.outbox.flush(&mut self.socket)
-    }
-
-    fn forward(&mut self) -> usize {
-        let now = self.start.elapsed().into();
-        for received in self.batch.iter() {
-            self.forwarder.packet(now, received.bytes, &mut self.sent);
-        }
-        self.forwarder.tick(now, &mut self.sent);
-        self.sent.outbox.flush(&mut self.socket)
     }
 }
--- a/daemon/examples/bench/site.rs
+++ b/daemon/examples/bench/site.rs
@@ -67,25 +67,30 @@
     packet(flow, size, ACK)
 }
 
-/// Each caller has 16 flows; they are dealt to the services by their hosts.
 fn packet(flow: usize, size: usize, flags: u8) -> Vec<u8> {
-    let caller = Ipv4Addr::from(u32::from(Ipv4Addr::new(10, 0, 0, 0)) + (flow / 16) as u32);
-    let port = 20_000 + (flow % 16) as u16;
-    let service = ADDRESSES[usize::from(flow % TARGETS >= HOSTS[0])];
     let mut bytes = vec![0; size];
     bytes[0] = 0x45;
     bytes[2..4].copy_from_slice(&(size as u16).to_be_bytes());
     bytes[8] = 64;
     bytes[9] = 6;
-    bytes[12..16].copy_from_slice(&caller.octets());
-    bytes[16..20].copy_from_slice(&service.octets());
-    bytes[20..22].copy_from_slice(&port.to_be_bytes());
     bytes[22..24].copy_from_slice(&PORT.to_be_bytes());
     bytes[32] = 0x50;
     bytes[33] = flags;
+    readdress(&mut bytes, flow);
     bytes
 }
 
+/// Makes a packet belong to the flow with this number. Each caller has 16
+/// flows; they are dealt to the services by their hosts.
+pub fn readdress(packet: &mut [u8], flow: usize) {
+    let caller = Ipv4Addr::from(u32::from(Ipv4Addr::new(10, 0, 0, 0)) + (flow / 16) as u32);
+    let port = 20_000 + (flow % 16) as u16;
+    let service = ADDRESSES[usize::from(flow % TARGETS >= HOSTS[0])];
+    packet[12..16].copy_from_slice(&caller.octets());
+    packet[16..20].copy_from_slice(&service.octets());
+    packet[20..22].copy_from_slice(&port.to_be_bytes());
+}
+
 /// The numbers of all flows in a fixed random order, since packets of
 /// neighbouring flows would find each other's memory in the cache.
 pub fn shuffled(flows: usize) -> Vec<usize> {
