daemon: show in the metrics what the threads count and measure

Refused bundles, drops, questions, control traffic and the four histograms of each service and class were counted or known, but shown to nobody. Threads publish copies of their counters and a scrape reads these, so it never holds the packet path up. Time to forward is sampled, one packet a round and a millisecond: reading the clock twice a packet costs more than the lookup.

--- a/daemon/examples/bench/relay.rs
+++ b/daemon/examples/bench/relay.rs
@@ -8,10 +8,12 @@
     clock::Clock,
     gate::LoadGate,
     packets::{self, Packets},
+    sample::Sampler,
     shared::{RING, Shared},
 };
 use medlarspur_fabric::{BATCH, Batch, Datagram, Listener, Socket, Wire};
 use medlarspur_lib::settings::Secret;
+use medlarspur_operator::Meters;
 use rtrb::RingBuffer;
 use std::{
     array,
@@ -163,6 +165,7 @@
         let (_commands, obeyed) = RingBuffer::new(RING);
         let (adverts, _outgoing) = RingBuffer::new(RING);
         let (_looks, looked) = sync_channel(1);
+        let meters = Meters::new().expect("metrics can be set up");
         let parts = Packets {
             returns: fabric.local(),
             fabric,
@@ -171,7 +174,8 @@
             commands: obeyed,
             looks: looked,
             adverts,
-            gate: LoadGate::new(1),
+            gate: LoadGate::new(1, meters.clone()),
+            sampler: Sampler::new(meters),
             clock: Clock::start(),
             shared,
         };
--- a/daemon/src/boot.rs
+++ b/daemon/src/boot.rs
@@ -5,7 +5,9 @@
     control::{self, Checker, Control},
     gate::LoadGate,
     life::Life,
+    meters,
     packets::{self, Packets},
+    sample::Sampler,
     shared::{RING, Shared},
     status::Status,
 };
@@ -108,6 +110,7 @@
     let (adverts, outgoing) = RingBuffer::new(RING);
     let (looks, looked) = sync_channel(READINGS);
     let meters = Meters::new().context(MetricsSnafu)?;
+    meters::register(&meters, &shared);
     let status = Status::new(settings, shared.clone(), looks, clock);
     let operator = Operator::start(settings.operator, Arc::new(status), meters.clone())
         .context(OperatorsSnafu)?;
@@ -121,13 +124,14 @@
         commands: obeyed,
         looks: looked,
         adverts,
-        gate: LoadGate::new(seed(settings)),
+        gate: LoadGate::new(seed(settings), meters.clone()),
+        sampler: Sampler::new(meters.clone()),
         clock,
         shared: shared.clone(),
     };
     let control = Control {
         settings: ControlSettings { me: me(settings, addresses), seeds: settings.peers.clone() },
-        checker: Checker::new(settings.keys.clone(), settings.site.clone()),
+        checker: Checker::new(settings.keys.clone(), settings.site.clone(), meters),
         peers,
         platform: (reader, readings),
         commands,
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     clock::Clock,
+    meters::{ACCEPTED, INCOMPLETE},
     shared::{Command, Outgoing, Shared, Stage},
 };
 use medlarspur_lib::{
@@ -11,10 +12,11 @@
     ids::{InstanceName, SiteName, Version},
     members::{Candidate, Member},
     message::{HistoryRequest, Message},
-    spread::{Check, SignedText},
+    spread::{self, Check, SignedText},
     time::Millis,
     view::Draft,
 };
+use medlarspur_operator::{Family, Meters};
 use medlarspur_peer::PeerHandle;
 use medlarspur_platform::{Event as Platform, Listed, ListedState, Reader};
 use rtrb::{Consumer, Producer};
@@ -45,12 +47,25 @@
     site: SiteName,
     passed: RefCell<Vec<Signed>>,
     force: RefCell<Option<Arc<Bundle>>>,
+    meters: Meters,
 }
 
 impl Checker {
-    /// Trusts `keys` for bundles of `site`.
-    pub fn new(keys: Keys, site: SiteName) -> Checker {
-        Checker { keys, site, passed: RefCell::default(), force: RefCell::default() }
+    /// Trusts `keys` for bundles of `site`, and counts what comes of each.
+    pub fn new(keys: Keys, site: SiteName, meters: Meters) -> Checker {
+        Checker { keys, site, passed: RefCell::default(), force: RefCell::default(), meters }
+    }
+
+    fn count(&self, outcome: &'static str) {
+        self.meters.count(Family::Bundles, outcome).add(1);
+    }
+
+    fn signed(&self, text: &str) -> Result<Signed, Refusal> {
+        let signed = Signed::check(text.as_bytes(), &self.keys, &self.site)?;
+        if let Some(force) = self.force.borrow().as_ref() {
+            signed.follows(force)?;
+        }
+        Ok(signed)
     }
 
     /// The values of a text that has just passed.
@@ -66,10 +81,7 @@
     type Error = Refusal;
 
     fn check(&self, text: &str) -> Result<Version, Refusal> {
-        let signed = Signed::check(text.as_bytes(), &self.keys, &self.site)?;
-        if let Some(force) = self.force.borrow().as_ref() {
-            signed.follows(force)?;
-        }
+        let signed = self.signed(text).inspect_err(|refusal| self.count(refusal.reason()))?;
         let version = signed.bundle.version;
         self.passed.borrow_mut().push(signed);
         Ok(version)
@@ -181,7 +193,9 @@
             Action::Send { to, message } => self.peers.send(to, message),
             Action::Accepted(text) => self.accept(now, &text),
             Action::Refused { reason } => {
-                self.shared.refusals.fetch_add(1, Relaxed);
+                if !matches!(reason, spread::Refusal::Check { .. }) {
+                    self.checker.count(INCOMPLETE);
+                }
                 log::warn!("bundle refused: {}", Report::from_error(reason));
             }
             Action::Members(members) => {
@@ -213,6 +227,7 @@
 
     fn accept(&mut self, now: Millis, text: &SignedText) {
         let Some(signed) = self.checker.take(text) else { return };
+        self.checker.count(ACCEPTED);
         let bundle = signed.bundle.clone();
         self.shared.signed.store(Some(Arc::new(signed)));
         self.shared.accepted.store(now.0, Relaxed);
@@ -280,6 +295,8 @@
         self.shared.conflict.store(conflict.is_some() && conflict == version, Relaxed);
         let incarnation = self.controller.roster().me().incarnation;
         self.shared.incarnation.store(incarnation.0, Relaxed);
+        self.shared.platform.store(Arc::new(self.reader.counts()));
+        self.shared.peers.store(Arc::new(self.peers.counters()));
     }
 
     fn publish(&mut self, now: Millis) {
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -4,7 +4,7 @@
 use medlarspur_lib::{
     bundle::{Class, Service},
     collections::Map,
-    flows::Flow,
+    flows::{Belief, Flow, FlowMap},
     forwarder::{Gate, Opening, Verdict},
     ids::{FlowId, ServiceIx, TargetIx},
     members::MemberState,
@@ -12,13 +12,25 @@
     view::{TargetId, View},
 };
 use medlarspur_load as load;
+use medlarspur_operator::{ClassMeters, Meters};
+use std::{sync::Arc, time::Duration};
 
 /// What a caller is told before anything was measured.
 const FIRST_WAIT: Millis = Millis::secs(1);
 
+/// How long an opening may wait undecided; far longer than any patience. One
+/// whose service is gone is never decided and would be remembered forever.
+const FORGOTTEN: Millis = Millis::secs(10);
+
+/// Where what happens to one class of a service is recorded.
+type Recorder = Arc<ClassMeters>;
+
 /// The gate of one instance.
-#[derive(Debug)]
 pub struct LoadGate {
+    meters: Meters,
+    recorders: Map<(ServiceIx, Class), Recorder>,
+    /// Openings that wait, since when.
+    waiting: FlowMap<(Millis, Recorder)>,
     gate: load::Gate,
     places: Map<TargetId, (ServiceIx, TargetIx)>,
     waits: Vec<Millis>,
@@ -27,10 +39,13 @@
 }
 
 impl LoadGate {
-    /// Decides with the default settings. `seed` differs for each instance, so
-    /// that no two spread their refusals alike.
-    pub fn new(seed: u64) -> LoadGate {
+    /// Decides with the default settings and records in `meters`. `seed`
+    /// differs for each instance, so that no two spread their refusals alike.
+    pub fn new(seed: u64, meters: Meters) -> LoadGate {
         LoadGate {
+            meters,
+            recorders: Map::default(),
+            waiting: FlowMap::default(),
             gate: load::Gate::new(load::Settings::default(), seed),
             places: Map::default(),
             waits: Vec::new(),
@@ -43,8 +58,14 @@
         let services = view.bundle.services.iter().map(|spec| service_load(spec)).collect();
         self.gate.set_services(now, services);
         self.waits = vec![FIRST_WAIT; view.bundle.services.len()];
+        self.waiting.retain(|_, (since, _)| now.since(*since) < FORGOTTEN);
         self.places.clear();
+        self.recorders.clear();
         for (at, spec) in view.bundle.services.iter().enumerate() {
+            for port in &spec.ports {
+                let recorder = self.meters.class(&spec.name, port.class);
+                self.recorders.insert((ServiceIx(at as u16), port.class), recorder);
+            }
             for (position, target) in spec.targets.iter().enumerate() {
                 if let Some(id) = view.registry.named(&spec.name, &target.name) {
                     self.places.insert(id, (ServiceIx(at as u16), TargetIx(position as u16)));
@@ -59,6 +80,34 @@
         }
     }
 
+    fn recorder(&self, target: TargetId, class: Class) -> Option<&Recorder> {
+        let &(service, _) = self.places.get(&target)?;
+        self.recorders.get(&(service, class))
+    }
+
+    /// Remembers since when an opening waits, or records that it did not.
+    fn note_verdict(&mut self, now: Millis, opening: &Opening, verdict: load::Verdict) {
+        let Some(recorder) = self.recorder(opening.target, opening.class) else { return };
+        let recorder = recorder.clone();
+        match verdict {
+            load::Verdict::Wait { .. } => {
+                self.waiting.entry(opening.flow).or_insert((now, recorder));
+            }
+            load::Verdict::Admit if !self.waiting.contains_key(&opening.flow) => {
+                recorder.wait(Duration::ZERO);
+            }
+            _ => self.note_decided(now, opening.flow, verdict),
+        }
+    }
+
+    /// Records how long an opening waited, if it was admitted in the end.
+    fn note_decided(&mut self, now: Millis, flow: FlowId, verdict: load::Verdict) {
+        let Some((since, recorder)) = self.waiting.remove(&flow) else { return };
+        if matches!(verdict, load::Verdict::Admit) {
+            recorder.wait(span(now.since(since)));
+        }
+    }
+
     fn signal(&mut self, now: Millis, target: TargetId, signal: load::Signal) {
         if let Some(&(service, target)) = self.places.get(&target) {
             self.gate.seen(now, service, target, signal);
@@ -73,6 +122,7 @@
         };
         let Opening { flow, caller, class, .. } = *opening;
         let verdict = self.gate.open(now, &load::Opening { flow, caller, service, class, target });
+        self.note_verdict(now, opening, verdict);
         if let load::Verdict::Refuse { after } = verdict {
             self.note_wait(service, after);
         }
@@ -81,7 +131,10 @@
 
     fn due(&mut self, now: Millis, decided: &mut Vec<(FlowId, Verdict)>) {
         self.gate.due(now, &mut self.decided);
-        decided.extend(self.decided.drain(..).map(|(flow, verdict)| (flow, translate(verdict))));
+        for (flow, verdict) in std::mem::take(&mut self.decided) {
+            self.note_decided(now, flow, verdict);
+            decided.push((flow, translate(verdict)));
+        }
     }
 
     fn after(&self, _: FlowId, target: Option<TargetId>) -> Millis {
@@ -90,7 +143,10 @@
         wait.copied().unwrap_or(FIRST_WAIT)
     }
 
-    fn followed(&mut self, now: Millis, target: TargetId, _: Class, after: Millis) {
+    fn followed(&mut self, now: Millis, target: TargetId, class: Class, after: Millis) {
+        if let Some(recorder) = self.recorder(target, class) {
+            recorder.handshake(span(after));
+        }
         self.signal(now, target, load::Signal::Followed { after: Some(after) });
     }
 
@@ -99,6 +155,13 @@
     }
 
     fn closed(&mut self, now: Millis, id: FlowId, flow: &Flow) {
+        // Packets of a flow may pass any instance; only the one that opened it
+        // knows how long it lasted.
+        if flow.belief == Belief::Opened
+            && let Some(recorder) = self.recorder(flow.target, flow.class)
+        {
+            recorder.length(span(flow.age(now)));
+        }
         if let Some(&(service, target)) = self.places.get(&flow.target) {
             let closing = load::Closing { flow: id, service, class: flow.class, target };
             self.gate.closed(now, &closing);
@@ -115,6 +178,10 @@
     }
 }
 
+fn span(millis: Millis) -> Duration {
+    Duration::from_millis(millis.0)
+}
+
 fn translate(verdict: load::Verdict) -> Verdict {
     match verdict {
         load::Verdict::Admit => Verdict::Admit,
--- /dev/null
+++ b/daemon/src/meters.rs
@@ -0,0 +1,129 @@
+//! Shows in the metrics what the threads count.
+//!
+//! The threads count in numbers of their own and publish copies now and then;
+//! a scrape reads the copies, so it never holds a thread up.
+
+use crate::shared::{Shared, Stage};
+use medlarspur_fabric::Counts as Wire;
+use medlarspur_lib::{bundle::Refusal, members::MemberState, view::View};
+use medlarspur_operator::{Family, Gauge, Meters};
+use medlarspur_peer::{Counters as Peers, Kind};
+use medlarspur_platform::Counts as Platform;
+use std::sync::{Arc, atomic::Ordering::Relaxed};
+
+/// The label of bundles that came into force.
+pub const ACCEPTED: &str = "accepted";
+/// The label of what peers sent of a bundle that does not fit together.
+pub const INCOMPLETE: &str = "incomplete";
+
+/// One series of a family and where its value is found.
+type Series<T> = (&'static str, fn(&T) -> u64);
+
+const WIRE: [Series<Wire>; 7] = [
+    ("oversize", |counts| counts.oversize),
+    ("empty", |counts| counts.empty),
+    ("send-full", |counts| counts.full),
+    ("send-unreachable", |counts| counts.unreachable),
+    ("send-mtu", |counts| counts.mtu),
+    ("send-failed", |counts| counts.failed),
+    ("receive-failed", |counts| counts.interrupted),
+];
+
+const PLATFORM: [Series<Platform>; 7] = [
+    ("changed", |counts| counts.changed),
+    ("unchanged", |counts| counts.unchanged),
+    ("unreachable", |counts| counts.unreachable),
+    ("timeout", |counts| counts.timeout),
+    ("status", |counts| counts.status),
+    ("oversize", |counts| counts.oversize),
+    ("malformed", |counts| counts.malformed),
+];
+
+const MESSAGES: [Series<Peers>; 8] = [
+    ("sent", |counters| counters.sent.iter().map(|it| it.messages).sum()),
+    ("received", |counters| counters.received.iter().map(|it| it.messages).sum()),
+    ("dropped", |counters| counters.dropped),
+    ("unread", |counters| counters.unread),
+    ("failed", |counters| counters.failed),
+    ("foreign", |counters| counters.foreign),
+    ("oversize", |counters| counters.oversize),
+    ("malformed", |counters| counters.malformed),
+];
+
+/// Shows everything that is shared.
+pub fn register(meters: &Meters, shared: &Arc<Shared>) {
+    let read = shared.clone();
+    meters.forwarder(move || read.counters.load_full());
+    bundles(meters);
+    wires(meters, shared);
+    platform(meters, shared);
+    peers(meters, shared);
+    gauges(meters, shared);
+    let read = shared.clone();
+    meters.observe(Family::Rings, "threads", move || read.overruns.load(Relaxed));
+}
+
+fn bundles(meters: &Meters) {
+    for label in Refusal::REASONS.into_iter().chain([ACCEPTED, INCOMPLETE]) {
+        meters.count(Family::Bundles, label);
+    }
+}
+
+fn wires(meters: &Meters, shared: &Arc<Shared>) {
+    for (label, value) in WIRE {
+        let read = shared.clone();
+        meters.observe(Family::Drops, label, move || {
+            value(&read.fabric.load()) + value(&read.questions.load())
+        });
+    }
+}
+
+fn platform(meters: &Meters, shared: &Arc<Shared>) {
+    for (label, value) in PLATFORM {
+        let read = shared.clone();
+        meters.observe(Family::Platform, label, move || value(&read.platform.load()));
+    }
+    let read = shared.clone();
+    meters.observe(Family::Rings, "platform", move || read.platform.load().full);
+}
+
+fn peers(meters: &Meters, shared: &Arc<Shared>) {
+    for (label, value) in MESSAGES {
+        let read = shared.clone();
+        meters.observe(Family::Messages, label, move || value(&read.peers.load()));
+    }
+    for (ix, kind) in Kind::ALL.into_iter().enumerate() {
+        let (sent, received) = (shared.clone(), shared.clone());
+        meters.observe(Family::ControlSent, kind.name(), move || sent.peers.load().sent[ix].bytes);
+        meters.observe(Family::ControlReceived, kind.name(), move || {
+            received.peers.load().received[ix].bytes
+        });
+    }
+}
+
+fn gauges(meters: &Meters, shared: &Arc<Shared>) {
+    let gauge = |gauge, value: fn(&Shared) -> u64| {
+        let read = shared.clone();
+        meters.gauge(gauge, move || value(&read));
+    };
+    gauge(Gauge::Ready, |shared| u64::from(shared.stage() == Stage::Serving));
+    gauge(Gauge::FlowsHeld, |shared| shared.flows.load(Relaxed));
+    gauge(Gauge::MembersLive, |shared| viewed(shared, live));
+    gauge(Gauge::BundleVersion, |shared| viewed(shared, |view| view.bundle.version.0));
+    gauge(Gauge::BundleConflict, |shared| u64::from(shared.conflict.load(Relaxed)));
+    gauge(Gauge::BucketsMoving, |shared| viewed(shared, moving));
+    gauge(Gauge::PlatformReachable, |shared| u64::from(shared.platform.load().reachable));
+}
+
+fn viewed(shared: &Shared, value: fn(&View) -> u64) -> u64 {
+    shared.view.load().as_ref().map_or(0, |view| value(view))
+}
+
+fn live(view: &View) -> u64 {
+    view.members.iter().filter(|member| member.state == MemberState::Live).count() as u64
+}
+
+fn moving(view: &View) -> u64 {
+    let buckets = view.services.iter().flat_map(|service| &service.buckets);
+    buckets.filter(|bucket| bucket.in_doubt()).count() as u64
+}
--- a/daemon/src/packets.rs
+++ b/daemon/src/packets.rs
@@ -5,6 +5,7 @@
     clock::Clock,
     gate::LoadGate,
     outbox::Outbox,
+    sample::Sampler,
     shared::{Command, Known, Look, Outgoing, Shared},
 };
 use arc_swap::Cache;
@@ -50,6 +51,8 @@
     pub adverts: Producer<Outgoing>,
     /// The decisions on openings.
     pub gate: LoadGate,
+    /// Measures how long packets stay here.
+    pub sampler: Sampler,
     /// The clock of the process.
     pub clock: Clock,
     /// What the threads share.
@@ -67,6 +70,7 @@
         looks,
         adverts,
         gate,
+        sampler,
         clock,
         shared,
     } = parts;
@@ -79,6 +83,7 @@
         questions: questions.into(),
         secret,
         outbox,
+        sampler,
         commands,
         looks,
         published: Millis(0),
@@ -98,6 +103,7 @@
         }
         thread.forwarder.tick(now, &mut thread.outbox);
         thread.outbox.flush(&mut thread.fabric, &mut thread.questions);
+        thread.sampler.end();
         thread.publish(now, &shared);
     }
     Ok(())
@@ -111,6 +117,7 @@
     questions: Socket,
     secret: Secret,
     outbox: Outbox,
+    sampler: Sampler,
     commands: Consumer<Command>,
     looks: Receiver<Look>,
     published: Millis,
@@ -198,6 +205,9 @@
 
     fn forward(&mut self, now: Millis, batch: &mut Batch) -> Result<usize, SocketError> {
         let received = self.fabric.receive(batch, Duration::ZERO)?;
+        if let Some(first) = batch.iter().next() {
+            self.sampler.begin(now, first.bytes, self.forwarder.view());
+        }
         for received in batch.iter() {
             self.forwarder.packet(now, received.bytes, &mut self.outbox);
         }
@@ -210,6 +220,8 @@
         }
         self.published = now;
         shared.counters.store(Arc::new(self.forwarder.counters().clone()));
+        shared.fabric.store(Arc::new(self.fabric.counts()));
+        shared.questions.store(Arc::new(self.questions.counts()));
         shared.flows.store(self.forwarder.flows().len() as u64, Relaxed);
     }
 }
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -104,8 +104,14 @@
     pub heard: AtomicU64,
     /// Messages that found a ring full.
     pub overruns: AtomicU64,
-    /// Bundles that were refused; written by the control thread.
-    pub refusals: AtomicU64,
+    /// What the socket of the fabric counted; written by the packet thread.
+    pub fabric: ArcSwap<medlarspur_fabric::Counts>,
+    /// What the socket of questions counted; written by the packet thread.
+    pub questions: ArcSwap<medlarspur_fabric::Counts>,
+    /// What the platform's reader counted; written by the control thread.
+    pub platform: ArcSwap<medlarspur_platform::Counts>,
+    /// What the control connections counted; written by the control thread.
+    pub peers: ArcSwap<medlarspur_peer::Counters>,
     /// Set once to end all threads.
     pub stop: AtomicBool,
     stage: AtomicU8,
--- a/lib/src/bundle/sign.rs
+++ b/lib/src/bundle/sign.rs
@@ -74,6 +74,18 @@
 }
 
 impl Refusal {
+    /// All reasons, so that each can be shown before it first occurs.
+    pub const REASONS: [&str; 8] = [
+        "too-large",
+        "not-text",
+        "no-signature",
+        "unknown-key",
+        "bad-signature",
+        "faults",
+        "wrong-site",
+        "seed-changed",
+    ];
+
     /// The reason as a short word, for counters and logs.
     pub fn reason(&self) -> &'static str {
         match self {
--- a/operator/src/meters/class.rs
+++ b/operator/src/meters/class.rs
@@ -46,12 +46,12 @@
             ),
             handshake: histogram(
                 "medlarspur_handshake_seconds",
-                "Time from an opening to the caller's first acknowledgement.",
+                "Time from an opening to the next packet of its flow here.",
                 &HANDSHAKE,
             ),
             length: histogram(
                 "medlarspur_flow_seconds",
-                "Time from a flow's opening to its end.",
+                "Time from the opening to the end of a flow that was opened here.",
                 &LENGTH,
             ),
         }
@@ -100,7 +100,8 @@
         self.wait.record(time.as_secs_f64());
     }
 
-    /// This long after its opening, a flow's caller acknowledged it.
+    /// This long after its opening, the next packet of a flow came. That ends
+    /// the handshake, if the fabric does not spray packets of a flow.
     pub fn handshake(&self, time: Duration) {
         self.handshake.record(time.as_secs_f64());
     }
--- a/operator/src/meters/family.rs
+++ b/operator/src/meters/family.rs
@@ -23,11 +23,15 @@
     Probes,
     /// Pauses of the process, by what was noticed.
     Pauses,
+    /// Bytes of control messages to peers, by kind of message.
+    ControlSent,
+    /// Bytes of control messages from peers, by kind of message.
+    ControlReceived,
 }
 
 impl Family {
     /// Every family.
-    pub const ALL: [Family; 10] = [
+    pub const ALL: [Family; 12] = [
         Family::Packets,
         Family::Flows,
         Family::Drops,
@@ -38,6 +42,8 @@
         Family::Platform,
         Family::Probes,
         Family::Pauses,
+        Family::ControlSent,
+        Family::ControlReceived,
     ];
 
     /// Its name in the metrics, to which the exporter adds `_total`.
@@ -53,6 +59,8 @@
             Family::Platform => "medlarspur_platform_calls",
             Family::Probes => "medlarspur_probes",
             Family::Pauses => "medlarspur_pauses",
+            Family::ControlSent => "medlarspur_control_sent_bytes",
+            Family::ControlReceived => "medlarspur_control_received_bytes",
         }
     }
 
@@ -65,6 +73,7 @@
             Family::Questions => "answer",
             Family::Rings => "ring",
             Family::Platform | Family::Probes => "result",
+            Family::ControlSent | Family::ControlReceived => "kind",
         }
     }
 
@@ -80,6 +89,8 @@
             Family::Platform => "Calls to the platform, by result.",
             Family::Probes => "Probes of targets, by result.",
             Family::Pauses => "Pauses of the process.",
+            Family::ControlSent => "Bytes of control messages to peers, by kind.",
+            Family::ControlReceived => "Bytes of control messages from peers, by kind.",
         }
     }
 }
@@ -87,51 +98,56 @@
 /// A value that is read at each scrape.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Gauge {
+    /// 1 while the instance serves, else 0.
+    Ready,
     /// The flows that the instance knows.
     FlowsHeld,
     /// The instances that it believes to be live.
     MembersLive,
     /// The version of the bundle in force, 0 without one.
     BundleVersion,
+    /// 1 while its version is known with two contents, else 0.
+    BundleConflict,
     /// The buckets with earlier owners that may hold flows.
     BucketsMoving,
-    /// The packets held back while a question is open.
-    PacketsHeld,
-    /// The exceptions that it keeps for others.
-    ExceptionsKept,
+    /// 1 while the last call to the platform was answered, else 0.
+    PlatformReachable,
 }
 
 impl Gauge {
     /// Every gauge.
-    pub const ALL: [Gauge; 6] = [
+    pub const ALL: [Gauge; 7] = [
+        Gauge::Ready,
         Gauge::FlowsHeld,
         Gauge::MembersLive,
         Gauge::BundleVersion,
+        Gauge::BundleConflict,
         Gauge::BucketsMoving,
-        Gauge::PacketsHeld,
-        Gauge::ExceptionsKept,
+        Gauge::PlatformReachable,
     ];
 
     /// Its name in the metrics.
     pub fn name(self) -> &'static str {
         match self {
+            Gauge::Ready => "medlarspur_ready",
             Gauge::FlowsHeld => "medlarspur_flows_held",
             Gauge::MembersLive => "medlarspur_members_live",
             Gauge::BundleVersion => "medlarspur_bundle_version",
+            Gauge::BundleConflict => "medlarspur_bundle_conflict",
             Gauge::BucketsMoving => "medlarspur_buckets_moving",
-            Gauge::PacketsHeld => "medlarspur_packets_held",
-            Gauge::ExceptionsKept => "medlarspur_exceptions_kept",
+            Gauge::PlatformReachable => "medlarspur_platform_reachable",
         }
     }
 
     pub(super) fn description(self) -> &'static str {
         match self {
+            Gauge::Ready => "1 while the instance serves.",
             Gauge::FlowsHeld => "Flows that the instance knows.",
             Gauge::MembersLive => "Instances that it believes to be live.",
             Gauge::BundleVersion => "Version of the bundle in force, 0 without one.",
+            Gauge::BundleConflict => "1 while this version is known with two contents.",
             Gauge::BucketsMoving => "Buckets with earlier owners that may hold flows.",
-            Gauge::PacketsHeld => "Packets held back while a question is open.",
-            Gauge::ExceptionsKept => "Exceptions that it keeps for others.",
+            Gauge::PlatformReachable => "1 while the last call to the platform was answered.",
         }
     }
 }
--- a/operator/src/meters/forwarder.rs
+++ b/operator/src/meters/forwarder.rs
@@ -5,7 +5,7 @@
 //! path nothing that other threads could slow down.
 
 use super::{Family, Meters};
-use medlarspur_lib::{forwarder::Counters, packet::PacketError};
+use medlarspur_lib::{forwarder::Counters, packet::PacketError, question::QuestionError};
 use std::sync::Arc;
 
 /// One series and where its value is found.
@@ -43,8 +43,22 @@
             let read = read.clone();
             self.observe(Family::Drops, error.label(), move || read().malformed[error as usize]);
         }
+        for error in QuestionError::ALL {
+            let read = read.clone();
+            self.observe(Family::Drops, foreign(error), move || read().foreign[error as usize]);
+        }
         let (taken, slept) = (read.clone(), read);
         self.observe(Family::Messages, "advert-taken", move || taken().adverts);
         self.observe(Family::Pauses, "slept", move || slept().slept);
     }
 }
+
+/// The reason of a datagram of a peer that is refused; those of callers'
+/// packets are other reasons.
+fn foreign(error: QuestionError) -> &'static str {
+    match error {
+        QuestionError::Length => "question-length",
+        QuestionError::Checksum => "question-checksum",
+        QuestionError::Kind => "question-kind",
+    }
+}
--- a/operator/tests/test_meters.rs
+++ b/operator/tests/test_meters.rs
@@ -74,6 +74,9 @@
         medlarspur_drops_total{reason="no-target"} 0
         medlarspur_drops_total{reason="not-ipv4"} 0
         medlarspur_drops_total{reason="overflow"} 0
+        medlarspur_drops_total{reason="question-checksum"} 0
+        medlarspur_drops_total{reason="question-kind"} 0
+        medlarspur_drops_total{reason="question-length"} 0
         medlarspur_drops_total{reason="transport"} 0
         medlarspur_drops_total{reason="truncated"} 0
         # HELP medlarspur_flows_total Flows, by event.
