daemon: test what operators see of running instances

The metrics and the refusal of a bundle pass through four packages and two threads, so only a running instance shows that they are joined up: histograms fill for each service and class, a bundle of a foreign key is counted and the one in force stays, two instances explain a flow alike, and `--check` tells every fault of the settings at once.

--- /dev/null
+++ b/daemon/tests/runner.rs
@@ -0,0 +1,4 @@
+//! Tests of the daemon as a process, beside stand-ins for its peers.
+
+mod test_check;
+mod test_operators;
--- /dev/null
+++ b/daemon/tests/test_operators.rs
@@ -0,0 +1,119 @@
+//! What operators see of running instances.
+
+use medlarspur_lib::{
+    bundle::{Class, SecretKey},
+    status::{Explanation, Reason, Status},
+};
+use medlarspur_testutils::{
+    caller::{Callers, Settings, Stream},
+    site::{Site, offers},
+    spread::Mode,
+    web,
+};
+use std::{
+    net::SocketAddrV4,
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Far longer than anything here takes on a busy machine.
+const LIMIT: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(50);
+
+fn site(instances: usize) -> Site {
+    web::silence_logs();
+    let program = Path::new(env!("CARGO_BIN_EXE_medlarspurd"));
+    let mut site = Site::start(program, Mode::Hash, &offers(2, 1)).expect("the site starts");
+    for _ in 0..instances {
+        site.join().expect("an instance joins");
+    }
+    site
+}
+
+fn get(operator: SocketAddrV4, path: &str) -> String {
+    let url = format!("http://{operator}{path}");
+    let mut answer = ureq::get(url).call().expect("an answer");
+    answer.body_mut().read_to_string().expect("text")
+}
+
+/// The sum of the series that begin with `start`.
+fn metric(operator: SocketAddrV4, start: &str) -> f64 {
+    let text = get(operator, "/metrics");
+    let series = text.lines().filter(|line| line.starts_with(start));
+    series.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok()).sum()
+}
+
+fn await_that(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LIMIT, "in vain: {what}");
+        thread::sleep(PAUSE);
+    }
+}
+
+fn stream(service: &str, class: Class, remote: &str) -> Stream {
+    let remote = remote.parse().expect("an address");
+    Stream { service: service.into(), class, remote, rate: 20.0, total: 0, size: 5000, hold: 200 }
+}
+
+#[test]
+fn histograms_fill_for_each_service_and_class() {
+    let site = site(1);
+    let operator = site.instances[0].operator;
+    let streams = vec![
+        stream("alertdesk", Class::Feed, "10.70.0.1:7001"),
+        stream("alertdesk", Class::Request, "10.70.0.1:7002"),
+        stream("ingest", Class::Upload, "10.70.0.2:7003"),
+    ];
+
+    let callers = Callers::start(Settings::new(site.fabric.callers), streams).expect("callers");
+
+    let classes = [("feed", "alertdesk"), ("request", "alertdesk"), ("upload", "ingest")];
+    for name in ["forward", "wait", "handshake", "flow"] {
+        for (class, service) in classes {
+            let count = format!(
+                "medlarspur_{name}_seconds_count{{class=\"{class}\",service=\"{service}\"}}"
+            );
+            await_that(&count, || metric(operator, &count) > 0.0);
+        }
+    }
+    assert!(metric(operator, "medlarspur_packets_total{event=\"forwarded\"}") > 0.0);
+    assert_eq!(metric(operator, "medlarspur_drops_total{reason=\"crossed\"}"), 0.0);
+    callers.stop(Duration::ZERO);
+}
+
+/// Somebody publishes a bundle that is signed by a key of another site. The
+/// instances must go on with the one that they have, and say why.
+#[test]
+fn a_refused_bundle_is_counted_and_the_one_in_force_stays() {
+    let mut site = site(2);
+    let operators: Vec<_> = site.instances.iter().map(|instance| instance.operator).collect();
+    site.layout.version = 9;
+    let foreign = site.layout.signed(&SecretKey::generate());
+
+    site.platform.publish(&foreign);
+
+    let refused = "medlarspur_bundles_total{outcome=\"unknown-key\"}";
+    await_that(refused, || operators.iter().any(|operator| metric(*operator, refused) > 0.0));
+    for operator in operators {
+        let status: Status = serde_json::from_str(&get(operator, "/status")).expect("a status");
+        assert_eq!(status.bundle.expect("in force").version.0, 1);
+        assert_eq!(metric(operator, "medlarspur_bundle_version"), 1.0);
+    }
+}
+
+#[test]
+fn two_instances_explain_a_flow_alike() {
+    let site = site(2);
+    let path = "/explain?flow=tcp:10.64.0.9:4000:10.70.0.1:7001";
+    let explain = |ix: usize| -> Explanation {
+        serde_json::from_str(&get(site.instances[ix].operator, path)).expect("an explanation")
+    };
+
+    let (one, two) = (explain(0), explain(1));
+
+    assert_eq!(one.reason, Reason::Table);
+    assert_eq!((&one.target, one.bucket), (&two.target, two.bucket));
+    assert!(one.target.is_some());
+}
