planner: keep new flows from targets that probes call ill

Until operators publish a bundle, each new flow of a dead target's buckets would wait for an answer that never comes. The probes' load reports reach the gate by the packet thread.

--- a/daemon/examples/bench/site.rs
+++ b/daemon/examples/bench/site.rs
@@ -30,7 +30,8 @@
     ];
     let (version, site, seed) = (Version(1), SiteName::new("sofia"), Seed([7; 16]));
     let bundle = Arc::new(Bundle { version, site, seed, services });
-    let mut draft = Draft::first(InstanceName::new("entry-1"), &bundle);
+    let mut draft = Draft::first(InstanceName::new("entry-1"), &bundle, Millis(0));
+    draft.advance(Millis(0));
     draft.commit().expect("the first view is a change")
 }
 
--- a/daemon/src/boot.rs
+++ b/daemon/src/boot.rs
@@ -21,6 +21,7 @@
 use medlarspur_operator::{Meters, MetersError, Operator, OperatorError};
 use medlarspur_peer::{PeerError, PeerSettings, PeerTls, Peers};
 use medlarspur_platform::{Http, Reader, ReaderError};
+use medlarspur_target::{self as target, INTERVAL, Prober, ProberError};
 use rtrb::RingBuffer;
 use serde::Serialize;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -40,6 +41,10 @@
 /// a whole bundle or list, and a newer one makes the older one worthless.
 const READINGS: usize = 8;
 
+/// How many results of probes may wait for the control thread: more than come
+/// in one of its rounds.
+const PROBES: usize = 1024;
+
 /// Why an instance can't run.
 #[derive(Debug, Snafu)]
 pub enum BootError {
@@ -61,6 +66,12 @@
         /// Why.
         source: ReaderError,
     },
+    /// The probes of targets.
+    #[snafu(display("cannot probe targets"))]
+    Probe {
+        /// Why.
+        source: ProberError,
+    },
     /// The metrics.
     #[snafu(display("cannot register the metrics"))]
     Metrics {
@@ -106,6 +117,8 @@
         Addresses { packets: fabric.local(), questions: questions.local(), control: peers.addr() };
     let (send, readings) = sync_channel(READINGS);
     let reader = Reader::start(Http::new(settings.platform), send).context(PlatformSnafu)?;
+    let (send, probed) = sync_channel(PROBES);
+    let prober = Prober::start(target::Http::new(), INTERVAL, send).context(ProbeSnafu)?;
     let (commands, obeyed) = RingBuffer::new(RING);
     let (adverts, outgoing) = RingBuffer::new(RING);
     let (looks, looked) = sync_channel(READINGS);
@@ -134,6 +147,7 @@
         checker: Checker::new(settings.keys.clone(), settings.site.clone(), meters),
         peers,
         platform: (reader, readings),
+        probes: (prober, probed),
         commands,
         adverts: outgoing,
         leave,
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -7,11 +7,13 @@
     shared::{Command, Outgoing, Shared, Stage},
 };
 use medlarspur_lib::{
-    bundle::{Bundle, Keys, Refusal, Signed},
+    bundle::{Bundle, Keys, Refusal, Service, Signed},
+    collections::Map,
     control::{Action, Controller, Event, TICK},
-    ids::{InstanceName, SiteName, Version},
+    ids::{DomainName, InstanceName, SiteName, TargetName, Version},
     members::{Candidate, Member},
     message::{HistoryRequest, Message},
+    plan, planner,
     spread::{self, Check, SignedText},
     time::Millis,
     view::Draft,
@@ -19,6 +21,7 @@
 use medlarspur_operator::{Family, Meters};
 use medlarspur_peer::PeerHandle;
 use medlarspur_platform::{Event as Platform, Listed, ListedState, Reader};
+use medlarspur_target::{Event as Probed, Prober, Verdict, is_prober};
 use rtrb::{Consumer, Producer};
 use snafu::Report;
 use std::{
@@ -37,6 +40,10 @@
 /// the second in which a bundle comes into force.
 const WAIT: Duration = Duration::from_millis(20);
 
+/// How often plans are thought over. The verdicts change every two seconds at
+/// most.
+const PLAN_PERIOD: Millis = Millis(1_000);
+
 /// How often history is asked of a peer at most.
 const HISTORY_PAUSE: Millis = Millis(1_000);
 
@@ -98,6 +105,8 @@
     pub peers: PeerHandle,
     /// The platform's reader, and what it brings.
     pub platform: (Reader, Receiver<Platform>),
+    /// The probes of targets, and what they bring.
+    pub probes: (Prober, Receiver<Probed>),
     /// To the packet thread.
     pub commands: Producer<Command>,
     /// From the packet thread.
@@ -112,8 +121,9 @@
 
 /// Runs until told to stop.
 pub fn run(parts: Control) {
-    let Control { settings, checker, peers, platform, commands, mut adverts, leave, clock, shared } =
-        parts;
+    let Control { settings, checker, peers, platform, probes, commands, .. } = parts;
+    let Control { mut adverts, leave, clock, shared, .. } = parts;
+    let settings_domain = settings.me.domain.clone();
     let mut thread = Thread {
         me: settings.me.addresses.control,
         name: settings.me.name.clone(),
@@ -125,6 +135,10 @@
         reader: platform.0,
         commands,
         asked: None,
+        verdicts: Map::default(),
+        planned: Millis(0),
+        prober: probes.0,
+        domain: settings_domain,
         shared: &shared,
     };
     let mut ticked = None;
@@ -141,6 +155,9 @@
         while let Some(message) = thread.peers.try_recv() {
             thread.event(now, Event::Peer(message));
         }
+        while let Ok(event) = probes.1.try_recv() {
+            thread.probed(event);
+        }
         while let Ok(outgoing) = adverts.pop() {
             thread.tell_keeper(outgoing);
         }
@@ -152,6 +169,7 @@
             left = true;
             thread.event(now, Event::SetLeaving);
         }
+        thread.plan(now);
         thread.publish(now);
         thread.show();
     }
@@ -168,6 +186,10 @@
     reader: Reader,
     commands: Producer<Command>,
     asked: Option<Millis>,
+    verdicts: Map<TargetName, Verdict>,
+    planned: Millis,
+    prober: Prober,
+    domain: DomainName,
     shared: &'a Shared,
 }
 
@@ -210,11 +232,8 @@
                 }
             }
             Action::ReadPlatform(reads) => self.reader.set_watching(reads),
-            Action::Ready => {
-                if self.shared.stage() == Stage::Starting {
-                    self.shared.enter(Stage::Serving);
-                }
-            }
+            // The instance serves once it has published a view.
+            Action::Ready => log::info!("ready=true"),
             Action::Slept { gap } => {
                 log::warn!("slept_ms={gap}");
                 self.command(Command::Distrust);
@@ -235,7 +254,7 @@
         match &mut self.draft {
             Some(draft) => draft.install(&bundle, now),
             None => {
-                let mut draft = Draft::first(self.name.clone(), &bundle);
+                let mut draft = Draft::first(self.name.clone(), &bundle, now);
                 draft.members(self.members.clone(), now);
                 for plan in self.controller.plans().iter() {
                     draft.plan(plan.clone(), now);
@@ -288,6 +307,64 @@
         }
     }
 
+    fn probed(&mut self, event: Probed) {
+        let before = self.verdicts.insert(event.target.clone(), event.verdict);
+        if before != Some(event.verdict) {
+            log::info!("target={} verdict={:?}", event.target, event.verdict);
+        }
+        self.command(Command::Probed(event));
+    }
+
+    /// Plans for the services for which this instance ranks first.
+    fn plan(&mut self, now: Millis) {
+        if now.since(self.planned) < PLAN_PERIOD {
+            return;
+        }
+        self.planned = now;
+        let Some(draft) = &self.draft else { return };
+        let specs: Vec<_> = draft.view().services.iter().map(|s| s.spec.clone()).collect();
+        let mut probed = Vec::new();
+        for spec in specs {
+            let authors = plan::authors(&self.name, &spec.name, self.members.iter());
+            for target in &spec.targets {
+                if let Some(address) = target.probe
+                    && (authors || self.probes(&target.name))
+                {
+                    probed.push((target.name.clone(), address));
+                }
+            }
+            if authors {
+                self.plan_service(now, &spec);
+            }
+        }
+        self.prober.set_targets(probed);
+    }
+
+    fn probes(&self, target: &TargetName) -> bool {
+        let domain = self.members.iter().filter(|m| m.domain == self.domain && m.eligible());
+        is_prober(&self.name, domain.map(|member| &member.name), target)
+    }
+
+    fn plan_service(&mut self, now: Millis, spec: &Service) {
+        // An author that has just started knows no verdicts, and would undo
+        // what the one before it planned.
+        let judged = spec.targets.iter().filter(|target| target.probe.is_some());
+        if judged.clone().any(|target| !self.verdicts.contains_key(&target.name)) {
+            return;
+        }
+        let is_bad = |name: &TargetName| {
+            self.verdicts.get(name).is_some_and(|verdict| *verdict != Verdict::Healthy)
+        };
+        let bad = judged.map(|target| target.name.clone()).filter(is_bad).collect();
+        let Some(moves) = planner::evade(spec, &bad) else { return };
+        let present = self.controller.plans().get(&spec.name);
+        if present.map_or(moves.is_empty(), |plan| plan.moves == moves) {
+            return;
+        }
+        log::info!("plan service={} moves={}", spec.name, moves.len());
+        self.event(now, Event::Propose { service: spec.name.clone(), moves });
+    }
+
     /// Lets operators see what the protocol knows.
     fn show(&self) {
         let conflict = self.controller.spread().conflict;
@@ -301,10 +378,16 @@
 
     fn publish(&mut self, now: Millis) {
         let Some(draft) = &mut self.draft else { return };
+        if !self.controller.ready() {
+            return;
+        }
         draft.advance(now);
         let Some(view) = draft.commit() else { return };
         let history = view.history_digest();
         self.shared.view.store(Some(view));
+        if self.shared.stage() == Stage::Starting {
+            self.shared.enter(Stage::Serving);
+        }
         self.event(now, Event::SetProgress { told: 0, history });
     }
 }
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -5,14 +5,15 @@
     bundle::{Class, Service},
     collections::Map,
     flows::{Belief, Flow, FlowMap},
-    forwarder::{Gate, Opening, Verdict},
-    ids::{FlowId, ServiceIx, TargetIx},
+    forwarder::{Gate, Opening, Verdict as Opened},
+    ids::{FlowId, ServiceIx, TargetIx, TargetName},
     members::MemberState,
     time::Millis,
     view::{TargetId, View},
 };
 use medlarspur_load as load;
 use medlarspur_operator::{ClassMeters, Meters};
+use medlarspur_target::{Event, Verdict};
 use std::{sync::Arc, time::Duration};
 
 /// What a caller is told before anything was measured.
@@ -33,6 +34,7 @@
     waiting: FlowMap<(Millis, Recorder)>,
     gate: load::Gate,
     places: Map<TargetId, (ServiceIx, TargetIx)>,
+    names: Map<TargetName, TargetId>,
     waits: Vec<Millis>,
     decided: Vec<(FlowId, load::Verdict)>,
     version: Option<medlarspur_lib::ids::Version>,
@@ -48,6 +50,7 @@
             waiting: FlowMap::default(),
             gate: load::Gate::new(load::Settings::default(), seed),
             places: Map::default(),
+            names: Map::default(),
             waits: Vec::new(),
             decided: Vec::new(),
             version: None,
@@ -61,6 +64,7 @@
         self.waiting.retain(|_, (since, _)| now.since(*since) < FORGOTTEN);
         self.places.clear();
         self.recorders.clear();
+        self.names.clear();
         for (at, spec) in view.bundle.services.iter().enumerate() {
             for port in &spec.ports {
                 let recorder = self.meters.class(&spec.name, port.class);
@@ -69,11 +73,27 @@
             for (position, target) in spec.targets.iter().enumerate() {
                 if let Some(id) = view.registry.named(&spec.name, &target.name) {
                     self.places.insert(id, (ServiceIx(at as u16), TargetIx(position as u16)));
+                    self.names.insert(target.name.clone(), id);
                 }
             }
         }
     }
 
+    /// Takes what a target's endpoint said, or that it said nothing.
+    pub fn probed(&mut self, now: Millis, event: &Event) {
+        let Some(&target) = self.names.get(&event.target) else { return };
+        let signal = match &event.told {
+            Some(told) => load::Signal::Told(load::Told {
+                healthy: event.verdict == Verdict::Healthy,
+                draining: told.draining,
+                slots: told.slots,
+                connections: told.connections,
+            }),
+            None => load::Signal::Mute,
+        };
+        self.signal(now, target, signal);
+    }
+
     fn note_wait(&mut self, service: ServiceIx, after: Millis) {
         if let Some(wait) = self.waits.get_mut(usize::from(service.0)) {
             *wait = after;
@@ -116,9 +136,9 @@
 }
 
 impl Gate for LoadGate {
-    fn open(&mut self, now: Millis, opening: &Opening) -> Verdict {
+    fn open(&mut self, now: Millis, opening: &Opening) -> Opened {
         let Some(&(service, target)) = self.places.get(&opening.target) else {
-            return Verdict::Refuse { after: FIRST_WAIT };
+            return Opened::Refuse { after: FIRST_WAIT };
         };
         let Opening { flow, caller, class, .. } = *opening;
         let verdict = self.gate.open(now, &load::Opening { flow, caller, service, class, target });
@@ -129,7 +149,7 @@
         translate(verdict)
     }
 
-    fn due(&mut self, now: Millis, decided: &mut Vec<(FlowId, Verdict)>) {
+    fn due(&mut self, now: Millis, decided: &mut Vec<(FlowId, Opened)>) {
         self.gate.due(now, &mut self.decided);
         for (flow, verdict) in std::mem::take(&mut self.decided) {
             self.note_decided(now, flow, verdict);
@@ -182,11 +202,11 @@
     Duration::from_millis(millis.0)
 }
 
-fn translate(verdict: load::Verdict) -> Verdict {
+fn translate(verdict: load::Verdict) -> Opened {
     match verdict {
-        load::Verdict::Admit => Verdict::Admit,
-        load::Verdict::Wait { .. } => Verdict::Wait,
-        load::Verdict::Refuse { after } => Verdict::Refuse { after },
+        load::Verdict::Admit => Opened::Admit,
+        load::Verdict::Wait { .. } => Opened::Wait,
+        load::Verdict::Refuse { after } => Opened::Refuse { after },
     }
 }
 
--- a/daemon/src/packets.rs
+++ b/daemon/src/packets.rs
@@ -152,6 +152,7 @@
             match command {
                 Command::Advert(advert) => self.forwarder.advert(now, &advert),
                 Command::Distrust => self.forwarder.distrust(now),
+                Command::Probed(event) => self.forwarder.gate().probed(now, &event),
             }
         }
         while let Ok(look) = self.looks.try_recv() {
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -22,6 +22,8 @@
     Advert(Advert),
     /// The process slept.
     Distrust,
+    /// A probe of a target has ended.
+    Probed(medlarspur_target::Event),
 }
 
 /// A question of an operator about flows.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod message;
 pub mod packet;
 pub mod plan;
+pub mod planner;
 pub mod question;
 pub mod settings;
 pub mod spread;
--- a/lib/src/table.rs
+++ b/lib/src/table.rs
@@ -85,7 +85,8 @@
     takers.into_iter().map(|taker| Seat::new(service, taker)).collect()
 }
 
-fn takes_new(target: &Target) -> bool {
+/// Whether a target is dealt buckets.
+pub(crate) fn takes_new(target: &Target) -> bool {
     target.state == TargetState::Active && target.weight > 0
 }
 
