view: carry a move out only when all know of it

An instance that skipped a version was counted as knowing the moves of that version. It publishes nothing before the others have its bundle. Ruled out: loss of questions, the fan-out limit.

--- a/lib/src/forwarder/adverts.rs
+++ b/lib/src/forwarder/adverts.rs
@@ -14,7 +14,7 @@
     keepers::Keepers,
     message::Advert,
     time::Millis,
-    view::{ServiceView, TargetId, View},
+    view::{ServiceKey, ServiceView, TargetId, View},
 };
 use std::collections::VecDeque;
 
@@ -101,17 +101,29 @@
         if changed.is_empty() {
             return;
         }
+        let mut moved = Set::default();
         for service in &changed {
             let name = &service.spec.name;
+            let scanned = self.scanned.get(name);
+            if scanned.is_some_and(|scanned| scanned.keepers != service.keepers) {
+                moved.insert(service.key);
+            }
             self.scanned.insert(name.clone(), scan_of(service));
             self.untold.insert(name.clone());
             self.queue.retain(|item| &item.service != name);
         }
-        self.scan(view, flows, |service| changed.iter().any(|c| c.key == service.key));
+        let wanted: Vec<_> = view
+            .services
+            .iter()
+            .map(|service| changed.iter().any(|other| other.key == service.key))
+            .collect();
+        self.scan(view, flows, &wanted, &moved);
     }
 
-    fn scan(&mut self, view: &View, flows: &Flows, wants: impl Fn(&ServiceView) -> bool) {
-        let wanted: Vec<_> = view.services.iter().map(|service| wants(service)).collect();
+    /// Queues the exceptions of the wanted services. What this instance was
+    /// told as a keeper goes on only where the duty has `moved` to others: its
+    /// openers may be gone, so that nobody else would tell the new keepers.
+    fn scan(&mut self, view: &View, flows: &Flows, wanted: &[bool], moved: &Set<ServiceKey>) {
         let positions = view.positions();
         let mut later = Vec::new();
         for (id, flow) in flows.iter() {
@@ -122,6 +134,9 @@
             match flow.belief {
                 Belief::Opened => self.push(view, service, id, flow.target),
                 Belief::Seen => later.push((service, id, flow.target)),
+                Belief::Told if moved.contains(&service.key) => {
+                    later.push((service, id, flow.target));
+                }
                 Belief::Told | Belief::Guessed => {}
             }
         }
--- a/lib/src/forwarder/held.rs
+++ b/lib/src/forwarder/held.rs
@@ -94,12 +94,10 @@
         }
     }
 
-    /// Whether the keepers can't know all: the move is fresh, an instance has
-    /// gone, or this instance has slept.
+    /// Whether the keepers are unlikely to know all: the move is fresh, or this
+    /// instance has slept.
     fn must_ask_all(&self, now: Millis, site: &Site<'_>) -> bool {
-        self.distrust.is_some()
-            || site.bucket().is_settling(now)
-            || site.view.has_orphans(site.service, now)
+        self.distrust.is_some() || site.bucket().is_settling(now)
     }
 
     fn ask(&mut self, site: &Site<'_>, wide: bool, nonce: u32, sink: &mut impl Sink) -> usize {
@@ -195,7 +193,7 @@
         }
         for bytes in &asking.packets {
             with_site(view, bytes, |packet, site| {
-                let orphan = view.has_orphans(site.service, now);
+                let orphan = !asking.certain && view.has_orphans(site.service, now);
                 if packet.mark() == Mark::Open || sure && !orphan {
                     self.unheld(now, packet, site, sink);
                 } else {
--- a/lib/src/forwarder/keeping.rs
+++ b/lib/src/forwarder/keeping.rs
@@ -24,6 +24,13 @@
     stamp: Stamp,
 }
 
+/// An instance that is gone, with what it told before.
+#[derive(Debug)]
+struct Gone {
+    at: Millis,
+    told: Map<ServiceName, Stamp>,
+}
+
 /// The buckets of a service that had exceptions at the last look.
 #[derive(Debug, Default)]
 struct Swept {
@@ -48,19 +55,29 @@
 pub(super) struct Keeping {
     told: Map<ServiceName, Map<InstanceName, Told>>,
     lives: Map<InstanceName, Incarnation>,
+    gone: Vec<Gone>,
     swept: Map<ServiceName, Swept>,
     cleared: Map<ServiceName, Cleared>,
 }
 
 impl Keeping {
-    /// Forgets what instances said that are gone or have started again.
-    pub(super) fn follow(&mut self, view: &View, _: Millis) {
-        self.lives =
+    /// Takes over who is there. What an instance told before it went still
+    /// counts: if that was all, its flows are known, else they are orphans for
+    /// as long as a flow may be silent.
+    pub(super) fn follow(&mut self, view: &View, now: Millis) {
+        let lives: Map<_, _> =
             view.others().map(|member| (member.name.clone(), member.incarnation)).collect();
-        let lives = &self.lives;
+        for (name, life) in &self.lives {
+            if lives.get(name) != Some(life) {
+                self.gone.push(Gone { at: now, told: told_by(&self.told, name) });
+            }
+        }
+        let longest = view.bundle.services.iter().map(|s| s.keepalive).max();
+        self.gone.retain(|gone| now.since(gone.at) < longest.unwrap_or_default());
         for told in self.told.values_mut() {
             told.retain(|name, told| lives.get(name) == Some(&told.life));
         }
+        self.lives = lives;
     }
 
     /// Notes how far an instance has told all.
@@ -80,33 +97,38 @@
         let Some(service) = view.keyed(q.service) else { return Word::Unknown };
         let bucket = service.bucket(q.flow);
         let keeps = service.keepers.of(bucket).any(|name| name == &view.me);
-        if !keeps || service.is_pending() || !self.is_complete(service) {
+        if !keeps || service.is_pending() || !self.is_complete(service, now) {
             return Word::Unknown;
         }
-        Word::NoException { empty: self.is_empty(view, service, bucket, now) }
+        Word::NoException { empty: self.is_empty(service, bucket, now) }
     }
 
-    fn is_complete(&self, service: &ServiceView) -> bool {
-        let told = self.told.get(&service.spec.name);
-        self.lives.keys().all(|name| {
+    fn is_complete(&self, service: &ServiceView, now: Millis) -> bool {
+        let name = &service.spec.name;
+        let told = self.told.get(name);
+        let by_all = self.lives.keys().all(|name| {
             told.and_then(|told| told.get(name)).is_some_and(|told| told.stamp >= service.stamp)
-        })
+        });
+        let orphan = |gone: &Gone| {
+            now.since(gone.at) < service.spec.keepalive
+                && gone.told.get(name).is_none_or(|stamp| *stamp < service.stamp)
+        };
+        by_all && !self.gone.iter().any(orphan)
     }
 
-    fn is_empty(&self, view: &View, service: &ServiceView, bucket: Bucket, now: Millis) -> bool {
+    fn is_empty(&self, service: &ServiceView, bucket: Bucket, now: Millis) -> bool {
         let state = service.state(bucket);
         let swept = self.swept.get(&service.spec.name);
         !state.is_settling(now)
-            && !view.has_orphans(service, now)
             && swept.is_some_and(|s| s.revision == service.revision && !s.busy.contains(&bucket))
     }
 
     /// Looks which buckets still have exceptions.
-    pub(super) fn sweep(&mut self, view: &View, flows: &Flows, _: Millis) {
+    pub(super) fn sweep(&mut self, view: &View, flows: &Flows, now: Millis) {
         self.swept = view
             .services
             .iter()
-            .filter(|service| self.may_clear(service))
+            .filter(|service| self.may_clear(service, now))
             .map(|service| (service.spec.name.clone(), Swept::new(service)))
             .collect();
         if self.swept.is_empty() {
@@ -125,8 +147,8 @@
         }
     }
 
-    fn may_clear(&self, service: &ServiceView) -> bool {
-        service.in_doubt() && !service.is_pending() && self.is_complete(service)
+    fn may_clear(&self, service: &ServiceView, now: Millis) -> bool {
+        service.in_doubt() && !service.is_pending() && self.is_complete(service, now)
     }
 
     /// Notes that a keeper said that a bucket has no exceptions left.
@@ -148,3 +170,11 @@
         })
     }
 }
+
+fn told_by(
+    told: &Map<ServiceName, Map<InstanceName, Told>>,
+    name: &InstanceName,
+) -> Map<ServiceName, Stamp> {
+    let stamp = |told: &Map<InstanceName, Told>| told.get(name).map(|told| told.stamp);
+    told.iter().filter_map(|(service, told)| Some((service.clone(), stamp(told)?))).collect()
+}
--- a/lib/src/forwarder/mod.rs
+++ b/lib/src/forwarder/mod.rs
@@ -31,7 +31,7 @@
     ids::{FlowId, InstanceName},
     message::Advert,
     packet::{Mark, Packet},
-    question::{Answer, Datagram, Question, QuestionError},
+    question::{Answer, Datagram, Question, QuestionError, Word},
     time::Millis,
     view::{BucketView, ServiceView, TargetId, View},
 };
@@ -63,8 +63,13 @@
 /// How many keep-alives a flow may miss before it is forgotten.
 const MISSED_KEEPALIVES: u64 = 4;
 
-/// How long after a pause nothing in the own picture is trusted unasked.
-const DISTRUST_TIME: Millis = Millis::secs(3);
+/// How long after a start or a pause nothing in the own picture is trusted
+/// unasked. A move that the others have not carried out yet, [`PENDING_LIMIT`]
+/// at most, is in nobody's history until then; the heartbeat that shows the
+/// difference comes within a second more, and asking for it waits a second.
+///
+/// [`PENDING_LIMIT`]: crate::view::PENDING_LIMIT
+const DISTRUST_TIME: Millis = Millis::secs(6);
 
 /// How often flows that are over are looked for.
 const SWEEP_TIME: Millis = Millis::secs(5);
@@ -340,9 +345,12 @@
     }
 
     fn reply(&mut self, now: Millis, from: SocketAddrV4, q: Question, sink: &mut impl Sink) {
-        let Some(view) = &self.view else { return };
         self.counters.questions += 1;
-        let word = self.keeping.word(view, &self.flows, &q, now);
+        // Silence would make the asker wait for its time limit.
+        let word = match &self.view {
+            Some(view) => self.keeping.word(view, &self.flows, &q, now),
+            None => Word::Unknown,
+        };
         let answer = Answer { flow: q.flow, nonce: q.nonce, word };
         sink.ask(from, Datagram::Answer(answer));
     }
--- a/lib/src/view/draft.rs
+++ b/lib/src/view/draft.rs
@@ -1,13 +1,13 @@
 //! The transaction that turns one view into the next.
 
 use super::{
-    BucketView, Earlier, HISTORY_DEPTH, PENDING_LIMIT, Ports, Registry, ServiceKey, ServiceView,
-    Stamp, TargetId, View,
+    BucketView, Earlier, HISTORY_DEPTH, PENDING_LIMIT, Pending, Ports, Registry, ServiceKey,
+    ServiceView, Stamp, TargetId, View,
 };
 use crate::{
     bundle::{Bundle, Service, TargetState},
     collections::Map,
-    ids::{Bucket, InstanceName, ServiceName, TargetName},
+    ids::{Bucket, InstanceName, ServiceName, TargetName, Version},
     keepers::Keepers,
     members::{Member, MemberState},
     message::{History, ServicePlan},
@@ -23,13 +23,20 @@
     view: View,
     plans: Map<ServiceName, ServicePlan>,
     changed: bool,
+    /// Until when nothing is published, while the first bundle is fresh.
+    fresh: Option<Millis>,
 }
 
 impl Draft {
     /// Starts with the first bundle that an instance accepts. Its buckets have
     /// their owners at once: this instance has moved nothing yet, and what the
     /// others moved before comes as history from them.
-    pub fn first(me: InstanceName, bundle: &Arc<Bundle>) -> Draft {
+    ///
+    /// Nothing is published before the others have the bundle too, or
+    /// [`PENDING_LIMIT`] has passed. Otherwise a new instance would open flows
+    /// at owners of which an instance that is behind has not heard, and that
+    /// one would send their next packets to the owner before.
+    pub fn first(me: InstanceName, bundle: &Arc<Bundle>, now: Millis) -> Draft {
         let view = View {
             epoch: 0,
             bundle: bundle.clone(),
@@ -42,8 +49,9 @@
             ports: Arc::default(),
             keys: Arc::default(),
         };
-        let mut draft = Draft { view, plans: Map::default(), changed: true };
-        draft.install(bundle, Millis(0));
+        let fresh = Some(now + PENDING_LIMIT);
+        let mut draft = Draft { view, plans: Map::default(), changed: true, fresh };
+        draft.install(bundle, now);
         draft
     }
 
@@ -57,9 +65,13 @@
         self.changed = true;
         self.view.bundle = bundle.clone();
         self.view.hasher = Hasher::new(bundle.seed);
+        let cause = Some(bundle.version);
         let mut registry = (*self.view.registry).clone();
-        let services: Vec<_> =
-            bundle.services.iter().map(|spec| self.service(spec, &mut registry, now)).collect();
+        let services: Vec<_> = bundle
+            .services
+            .iter()
+            .map(|spec| self.service(spec, &mut registry, now, cause))
+            .collect();
         self.view.registry = Arc::new(registry);
         self.view.services = services;
         self.view.ports = Arc::new(ports(bundle));
@@ -77,17 +89,18 @@
         self.changed = true;
         let mut registry = (*self.view.registry).clone();
         let spec = self.view.services[position].spec.clone();
-        self.view.services[position] = self.service(&spec, &mut registry, now);
+        self.view.services[position] = self.service(&spec, &mut registry, now, None);
         self.view.registry = Arc::new(registry);
     }
 
     /// Takes over who takes part.
     pub fn members(&mut self, members: Vec<Member>, now: Millis) {
+        // One that leaves by plan has told its keepers before it goes.
         let stays = |state| matches!(state, MemberState::Live | MemberState::Suspect);
-        let left = self.view.members.iter().any(|old| {
-            stays(old.state) && !members.iter().any(|new| new.name == old.name && stays(new.state))
-        });
-        if left {
+        let is_known = |old: &Member| {
+            members.iter().any(|new| new.name == old.name && new.state != MemberState::Dead)
+        };
+        if self.view.members.iter().any(|old| stays(old.state) && !is_known(old)) {
             self.view.departed = Some(now);
         }
         self.view.members = members.into();
@@ -124,11 +137,17 @@
 
     /// Carries out the moves whose time has come.
     pub fn advance(&mut self, now: Millis) {
-        let confirmed = self.is_confirmed();
+        let known = self.known_by_all();
+        let is_known = |version: Option<Version>| known.is_some() && version == known;
+        if is_known(Some(self.view.bundle.version)) || self.fresh.is_some_and(|at| now >= at) {
+            self.fresh = None;
+        }
+        let due = |state: &BucketView| {
+            state.pending.is_some_and(|pending| {
+                is_known(pending.version) || now.since(pending.since) >= PENDING_LIMIT
+            })
+        };
         for service in &mut self.view.services {
-            let due = |state: &BucketView| {
-                state.pending.is_some_and(|(_, at)| confirmed || now.since(at) >= PENDING_LIMIT)
-            };
             if !service.buckets.iter().any(due) {
                 continue;
             }
@@ -143,21 +162,20 @@
 
     /// The next view, if anything changed since the last.
     pub fn commit(&mut self) -> Option<Arc<View>> {
-        if !std::mem::take(&mut self.changed) {
+        if self.fresh.is_some() || !std::mem::take(&mut self.changed) {
             return None;
         }
         self.view.epoch += 1;
         Some(Arc::new(self.view.clone()))
     }
 
-    /// Whether every live instance has the bundle, so that all of them know
-    /// which buckets are about to move.
-    fn is_confirmed(&self) -> bool {
+    /// The bundle version that every live instance has, if all have the same.
+    /// One that is ahead does not count as having the earlier bundle too: it
+    /// may have skipped it, and then doesn't know which buckets that one moves.
+    fn known_by_all(&self) -> Option<Version> {
         let version = self.view.bundle.version;
-        self.view
-            .others()
-            .filter(|member| matches!(member.state, MemberState::Live | MemberState::Suspect))
-            .all(|member| member.version >= version)
+        let mut live = self.view.others().filter(|member| member.state != MemberState::Leaving);
+        live.all(|member| member.version == version).then_some(version)
     }
 
     fn service(
@@ -165,6 +183,7 @@
         spec: &Arc<Service>,
         registry: &mut Registry,
         now: Millis,
+        cause: Option<Version>,
     ) -> Arc<ServiceView> {
         let ids: Vec<_> = spec.targets.iter().map(|target| registry.enter(spec, target)).collect();
         let wanted = self.wanted(spec, &ids);
@@ -183,7 +202,8 @@
             });
         };
         let pairs = old.buckets.iter().zip(wanted);
-        let buckets: Vec<_> = pairs.map(|(state, wanted)| turn(state, wanted, now)).collect();
+        let buckets: Vec<_> =
+            pairs.map(|(state, wanted)| turn(state, wanted, now, cause)).collect();
         let moved = buckets != old.buckets;
         let stamp = if moved { self.stamp(&spec.name) } else { old.stamp };
         let revision = old.revision + u64::from(moved);
@@ -234,33 +254,37 @@
 }
 
 /// The state of a bucket that shall have the owner `wanted`.
-fn turn(state: &BucketView, wanted: Option<TargetId>, now: Millis) -> BucketView {
+fn turn(
+    state: &BucketView,
+    wanted: Option<TargetId>,
+    now: Millis,
+    cause: Option<Version>,
+) -> BucketView {
     let mut next = state.clone();
-    next.pending = match (state.owner, wanted) {
-        (owner, wanted) if owner == wanted => None,
-        (_, Some(target)) => {
-            let since = state.pending.filter(|(old, _)| *old == target).map(|(_, since)| since);
-            Some((target, since.unwrap_or(now)))
+    let under_way = state.pending.filter(|pending| Some(pending.target) == wanted);
+    next.pending = match wanted {
+        Some(target) if state.owner != wanted => {
+            Some(under_way.unwrap_or(Pending { target, since: now, version: cause }))
         }
         // No target takes new flows: the old ones stay where they are.
-        (_, None) => None,
+        _ => None,
     };
     if wanted.is_none() {
         carry_out_to(&mut next, None, now);
     }
     // A move that was called off may have been carried out by an instance that
     // was ahead, so its target may hold flows.
-    if let Some((target, _)) = state.pending
-        && next.pending.is_none_or(|(other, _)| other != target)
+    if let Some(pending) = state.pending
+        && under_way.is_none()
     {
-        remember(&mut next, Earlier { target, since: now });
+        remember(&mut next, Earlier { target: pending.target, since: now });
     }
     next
 }
 
 fn carry_out(state: &mut BucketView, now: Millis) {
-    let Some((target, _)) = state.pending.take() else { return };
-    carry_out_to(state, Some(target), now);
+    let Some(pending) = state.pending.take() else { return };
+    carry_out_to(state, Some(pending.target), now);
 }
 
 fn carry_out_to(state: &mut BucketView, owner: Option<TargetId>, now: Millis) {
--- a/lib/src/view/mod.rs
+++ b/lib/src/view/mod.rs
@@ -209,12 +209,24 @@
 pub struct BucketView {
     /// Gets its new flows; `None` while no target takes any.
     pub owner: Option<TargetId>,
-    /// Gets them soon, and since when that is known.
-    pub pending: Option<(TargetId, Millis)>,
+    /// Gets them soon.
+    pub pending: Option<Pending>,
     /// Earlier owners that may hold flows, the latest last.
     pub history: Vec<Earlier>,
 }
 
+/// A move that is known and not carried out yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pending {
+    /// The owner to be.
+    pub target: TargetId,
+    /// Since when it is known here.
+    pub since: Millis,
+    /// The bundle that causes it. Instances say which bundle they have, so the
+    /// move may be carried out early; of plans they don't say it.
+    pub version: Option<Version>,
+}
+
 /// An earlier owner of a bucket.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Earlier {
--- a/tests/tests/test_moves.rs
+++ b/tests/tests/test_moves.rs
@@ -1,7 +1,12 @@
 //! Flows survive the moves of their buckets, whichever instance gets their
 //! packets.
 
-use medlarspur_lib::time::Millis;
+use medlarspur_lib::{
+    ids::{InstanceName, TargetName},
+    message::ServicePlan,
+    planner,
+    time::Millis,
+};
 use medlarspur_testutils::{
     bundles::{FEEDS, Site, UPLOADS},
     fleet::{Fleet, Network},
@@ -15,14 +20,21 @@
     Fleet::new(8, 4, &site.bundle(), Network::default())
 }
 
-/// Opens `count` flows over some seconds, a second packet right after each.
+/// How many flows are opened at one moment.
+const TOGETHER: usize = 10;
+
+/// Opens `count` flows, some every few milliseconds, a second packet right
+/// after each.
 fn open_flows(fleet: &mut Fleet, traffic: &mut Traffic, count: usize) {
-    for number in 0..count {
-        let service = if number % 5 == 0 { UPLOADS } else { FEEDS };
-        let flow = traffic.open(fleet, service);
+    for first in (0..count).step_by(TOGETHER) {
+        let numbers = first..(first + TOGETHER).min(count);
+        let service = |number: usize| if number.is_multiple_of(5) { UPLOADS } else { FEEDS };
+        let flows: Vec<_> = numbers.map(|n| traffic.open(fleet, service(n))).collect();
         fleet.advance(Millis(5));
         traffic.collect(fleet);
-        traffic.send(fleet, flow, Part::Middle);
+        for flow in flows {
+            traffic.send(fleet, flow, Part::Middle);
+        }
     }
     settle(fleet, traffic);
 }
@@ -52,10 +64,10 @@
         let site = Site::new(14, 4);
         let mut fleet = fleet(&site);
         let mut traffic = Traffic::new(spread, (0..8).collect());
-        open_flows(&mut fleet, &mut traffic, 700);
+        open_flows(&mut fleet, &mut traffic, 4000);
 
         fleet.publish(&site.leaving("alertdesk-3").bundle());
-        open_flows(&mut fleet, &mut traffic, 700);
+        open_flows(&mut fleet, &mut traffic, 4000);
         keep_alive(&mut fleet, &mut traffic);
         keep_alive(&mut fleet, &mut traffic);
 
@@ -76,7 +88,127 @@
 
     fleet.publish(&site.leaving("alertdesk-3").bundle());
     fleet.advance(Millis::secs(2));
-    open_flows(&mut fleet, &mut traffic, 500);
+    open_flows(&mut fleet, &mut traffic, 4000);
 
     assert!(traffic.flows.iter().all(|flow| flow.target != Some(leaving)));
 }
+
+/// The instance that plans moves the buckets of an ill target. One instance
+/// hears of it 400 ms before another, opens a flow at the new owner, and the
+/// flow's next packet reaches the one that is behind. A user's new feed breaks
+/// right after it was opened.
+#[test]
+fn a_planned_move_breaks_no_flow_while_its_news_spreads() {
+    let site = Site::new(14, 4);
+    let mut fleet = fleet(&site);
+    let mut traffic = Traffic::new(Spread::Packets, (0..8).collect());
+    open_flows(&mut fleet, &mut traffic, 4000);
+
+    let service = site.bundle().services[0].clone();
+    let bad = [TargetName::new("alertdesk-5")].into_iter().collect();
+    let moves = planner::evade(&service, &bad).expect("one target is not most");
+    fleet.plan(&ServicePlan {
+        service: service.name.clone(),
+        sequence: 1,
+        author: InstanceName::new("i2"),
+        moves,
+    });
+    open_flows(&mut fleet, &mut traffic, 4000);
+    keep_alive(&mut fleet, &mut traffic);
+
+    assert_eq!(traffic.broken(), 0);
+}
+
+/// An instance is replaced while a target drains: another joins with an empty
+/// memory and gets packets of flows that it never saw, the old one leaves the
+/// fabric's list late. Users notice feeds that break when nothing failed.
+#[test]
+fn an_instance_is_replaced_while_a_target_drains() {
+    for spread in [Spread::Packets, Spread::Flows] {
+        let site = Site::new(14, 4);
+        let mut fleet = fleet(&site);
+        let mut traffic = Traffic::new(spread, (0..8).collect());
+        open_flows(&mut fleet, &mut traffic, 4000);
+
+        fleet.publish(&site.leaving("alertdesk-3").bundle());
+        fleet.advance(Millis(300));
+        fleet.join();
+        fleet.leave(2);
+        open_flows(&mut fleet, &mut traffic, 3000);
+        traffic.list(vec![0, 1, 3, 4, 5, 6, 7, 8]);
+        open_flows(&mut fleet, &mut traffic, 3000);
+        fleet.kill(2);
+        keep_alive(&mut fleet, &mut traffic);
+        keep_alive(&mut fleet, &mut traffic);
+
+        assert_eq!(traffic.broken(), 0, "{spread:?}");
+    }
+}
+
+/// An instance is paused by its host, a target leaves meanwhile, and it wakes
+/// with packets waiting and the old table. It must not take its old picture
+/// for the present one: a user's packet would go to a target that never knew
+/// the flow.
+#[test]
+fn an_instance_that_slept_asks_before_it_acts() {
+    let site = Site::new(14, 4);
+    let mut fleet = fleet(&site);
+    let mut traffic = Traffic::new(Spread::Packets, (0..8).collect());
+    open_flows(&mut fleet, &mut traffic, 4000);
+
+    fleet.freeze(4, true);
+    fleet.publish(&site.leaving("alertdesk-3").bundle());
+    traffic.list(vec![0, 1, 2, 3, 5, 6, 7]);
+    fleet.advance(Millis::secs(8));
+    open_flows(&mut fleet, &mut traffic, 4000);
+    fleet.freeze(4, false);
+    fleet.advance(Millis(5));
+    traffic.list((0..8).collect());
+    for flow in 0..traffic.flows.len() {
+        traffic.send(&mut fleet, flow, Part::Middle);
+    }
+    keep_alive(&mut fleet, &mut traffic);
+
+    assert_eq!(traffic.broken(), 0);
+}
+
+/// Operators call a target's leaving off two seconds after they published it.
+/// Flows of both times must stay where they are.
+#[test]
+fn a_move_that_is_called_off_breaks_nothing() {
+    for pause in [100, 700, 1500, 5000] {
+        let site = Site::new(14, 4);
+        let mut fleet = fleet(&site);
+        let mut traffic = Traffic::new(Spread::Packets, (0..8).collect());
+        open_flows(&mut fleet, &mut traffic, 3000);
+
+        let leaving = site.leaving("alertdesk-3");
+        fleet.publish(&leaving.bundle());
+        fleet.advance(Millis(pause));
+        fleet.publish(&leaving.returning("alertdesk-3").bundle());
+        open_flows(&mut fleet, &mut traffic, 4000);
+        keep_alive(&mut fleet, &mut traffic);
+
+        assert_eq!(traffic.broken(), 0, "after {pause} ms");
+    }
+}
+
+/// A killed instance's flows go on: under a fabric that sprays packets the
+/// others know them, under one that hashes flows they are found by their
+/// bucket's owner as long as it has not moved.
+#[test]
+fn a_killed_instance_breaks_no_flow_while_no_bucket_moves() {
+    for spread in [Spread::Packets, Spread::Flows] {
+        let site = Site::new(14, 4);
+        let mut fleet = fleet(&site);
+        let mut traffic = Traffic::new(spread, (0..8).collect());
+        open_flows(&mut fleet, &mut traffic, 4000);
+
+        fleet.kill(6);
+        traffic.list(vec![0, 1, 2, 3, 4, 5, 7]);
+        open_flows(&mut fleet, &mut traffic, 2000);
+        keep_alive(&mut fleet, &mut traffic);
+
+        assert_eq!(traffic.broken(), 0, "{spread:?}");
+    }
+}
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -7,7 +7,7 @@
     forwarder::{Forwarder, OpenGate, Sink},
     ids::{DomainName, Incarnation, InstanceName, Version},
     members::{Addresses, Member, MemberState},
-    message::{Advert, History},
+    message::{Advert, History, ServicePlan},
     question::Datagram,
     time::Millis,
     view::Draft,
@@ -22,6 +22,9 @@
 /// How often an instance does what is due.
 const TICK: Millis = Millis(5);
 
+/// How often histories are compared, like the heartbeats that carry digests.
+const ANTI_ENTROPY: Millis = Millis(1_000);
+
 /// How the instances reach each other.
 #[derive(Debug, Clone)]
 pub struct Network {
@@ -50,6 +53,7 @@
     Advert(Advert),
     History(History),
     Bundle(Arc<Bundle>),
+    Plan(ServicePlan),
     Members,
 }
 
@@ -186,17 +190,8 @@
     pub fn join(&mut self) -> usize {
         let ix = self.add();
         self.install(ix, self.bundle.clone());
+        self.refresh(ix);
         self.tell_members(self.network.news);
-        let histories: Vec<_> = self
-            .nodes
-            .iter()
-            .filter(|node| node.state == State::Up)
-            .filter_map(|node| node.draft.as_ref())
-            .flat_map(|draft| draft.view().histories(self.now))
-            .collect();
-        for history in histories {
-            self.post(self.network.news, ix, Mail::History(history));
-        }
         ix
     }
 
@@ -232,6 +227,19 @@
         }
     }
 
+    /// Publishes a plan; each instance on the side of its author hears of it
+    /// at a moment of its own.
+    pub fn plan(&mut self, plan: &ServicePlan) {
+        let author = self.nodes.iter().find(|node| node.member.name == plan.author);
+        let side = author.map_or(0, |node| node.side);
+        for ix in 0..self.nodes.len() {
+            if self.nodes[ix].side == side {
+                let delay = Millis(self.random(self.network.news.0 + 1));
+                self.post(delay, ix, Mail::Plan(plan.clone()));
+            }
+        }
+    }
+
     /// Kills an instance without a word.
     pub fn kill(&mut self, ix: usize) {
         self.nodes[ix].state = State::Gone;
@@ -251,6 +259,27 @@
         self.tell_members(self.network.detection);
     }
 
+    /// Anti-entropy: instances whose history differs from another's on their
+    /// side are told it.
+    fn exchange_history(&mut self) {
+        let now = self.now;
+        let known: Vec<_> = self
+            .nodes
+            .iter()
+            .filter(|node| matches!(node.state, State::Up | State::Leaving))
+            .filter_map(|node| Some((node.side, node.draft.as_ref()?.view())))
+            .map(|(side, view)| (side, view.history_digest(), view.histories(now)))
+            .collect();
+        for ix in 0..self.nodes.len() {
+            let Some(draft) = &self.nodes[ix].draft else { continue };
+            let (side, digest) = (self.nodes[ix].side, draft.view().history_digest());
+            let other = known.iter().find(|known| known.0 == side && known.1 != digest);
+            for history in other.map(|known| known.2.clone()).unwrap_or_default() {
+                self.post(self.network.news, ix, Mail::History(history));
+            }
+        }
+    }
+
     /// Puts the instances on the sides that `side` names.
     pub fn separate(&mut self, side: impl Fn(usize) -> u8) {
         for (ix, node) in self.nodes.iter_mut().enumerate() {
@@ -284,6 +313,9 @@
                 self.deliver(letter);
             }
             self.now = tick;
+            if tick.0.is_multiple_of(ANTI_ENTROPY.0) {
+                self.exchange_history();
+            }
             for ix in 0..self.nodes.len() {
                 self.tick(ix);
             }
@@ -312,7 +344,10 @@
         }
         if self.nodes[ix].state == State::Frozen {
             // News is told again by anti-entropy; the rest is lost.
-            if matches!(letter.mail, Mail::Bundle(_) | Mail::Members | Mail::History(_)) {
+            if matches!(
+                letter.mail,
+                Mail::Bundle(_) | Mail::Plan(_) | Mail::Members | Mail::History(_)
+            ) {
                 self.post(Millis(500), ix, letter.mail);
             }
             return;
@@ -328,6 +363,11 @@
                 }
             }
             Mail::Bundle(bundle) => self.install(ix, bundle),
+            Mail::Plan(plan) => {
+                if let Some(draft) = &mut self.nodes[ix].draft {
+                    draft.plan(plan, now);
+                }
+            }
             Mail::Members => self.refresh(ix),
         }
         self.commit(ix);
@@ -341,7 +381,7 @@
             Some(draft) if draft.view().bundle.version >= bundle.version => {}
             Some(draft) => draft.install(&bundle, now),
             None => {
-                node.draft = Some(Draft::first(node.member.name.clone(), &bundle));
+                node.draft = Some(Draft::first(node.member.name.clone(), &bundle, now));
                 node.forwarder.distrust(now);
             }
         }
--- a/testutils/src/traffic.rs
+++ b/testutils/src/traffic.rs
@@ -73,8 +73,10 @@
         ix
     }
 
-    /// Sends one packet of a flow through the fabric.
+    /// Sends one packet of a flow through the fabric: its first one again as
+    /// long as that has reached no target, as a caller's TCP does.
     pub fn send(&mut self, fleet: &mut Fleet, ix: usize, part: Part) {
+        let part = if self.flows[ix].target.is_none() { Part::Open } else { part };
         let packet = segment(&self.flows[ix].key, part);
         let place = match self.spread {
             Spread::Packets => fleet.random(self.listed.len() as u64) as usize,
