--- /dev/null
+++ b/load/examples/measure/main.rs
@@ -0,0 +1,63 @@
+//! Prints what callers get under each load pattern, with this crate's
+//! decisions and with the baselines: the table in `docs/measures/load.md`.
+//!
+//! `cargo run --release -p medlarspur-load --example measure [SCENE] [POLICY]`
+
+#[path = "../../tests/model/mod.rs"]
+mod model;
+mod scenes;
+
+use medlarspur_lib::bundle::Class;
+use model::{Model, outcome::Outcome, scene::Policy, scene::Scene};
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let scene_like = args.next().unwrap_or_default();
+    let policy_like = args.next().unwrap_or_default();
+    println!(
+        "| scene | service | fabric | policy | goodput % | requests % | uploads % | feeds % | \
+         others % | wait p50/p99 ms | refusal p99 ms | false | crossed | double | overrun | \
+         max/mean | CV | normal s |"
+    );
+    println!("|{}", "---|".repeat(18));
+    for scene in scenes::all().iter().filter(|s| s.name.contains(&scene_like)) {
+        for policy in Policy::ALL.into_iter().filter(|p| p.name().contains(&policy_like)) {
+            row(scene, policy, &Model::play(scene, policy));
+        }
+    }
+}
+
+fn row(scene: &Scene, policy: Policy, outcome: &Outcome) {
+    let part = |class| percent(outcome.through(scene, class, |_| true));
+    let hogs = scenes::HOGS;
+    let others = outcome.through(scene, Class::Request, |w| u32::from(w.caller) >> 24 != hogs);
+    let class = scene.loads[0].class;
+    let (most, spread) = outcome.imbalance(scene);
+    println!(
+        "| {} | {} | {} | {} | {:.1} | {} | {} | {} | {} | {}/{} | {} | {} | {} | {} | {} | {:.2} | \
+         {:.3} | {} |",
+        scene.name,
+        scene.site.name,
+        if scene.spray { "spray" } else { "hash" },
+        policy.name(),
+        outcome.goodput(scene) * 100.0,
+        part(Class::Request),
+        part(Class::Upload),
+        part(Class::Feed),
+        if scene.name.contains("callers") { percent(others) } else { "–".into() },
+        outcome.wait(scene, class, 0.5),
+        outcome.wait(scene, class, 0.99),
+        outcome.refused(0.99),
+        outcome.false_refusals,
+        outcome.crossed,
+        outcome.double_runs,
+        outcome.overrun,
+        most,
+        spread,
+        outcome.normal(scene).map_or("never".into(), |s| s.to_string()),
+    );
+}
+
+fn percent(part: f64) -> String {
+    if part.is_nan() { "–".into() } else { format!("{:.2}", part * 100.0) }
+}
--- /dev/null
+++ b/load/examples/measure/scenes.rs
@@ -0,0 +1,116 @@
+//! The scenes of the table.
+
+use crate::model::{
+    scene::{Fault, Load, Scene},
+    site::{Site, ajanvaraus, alertdesk, ingest, todisteet},
+};
+use medlarspur_lib::bundle::Class;
+use std::{net::Ipv4Addr, ops::Range};
+
+/// The first byte of the addresses of callers that take most.
+pub const HOGS: u32 = 77;
+/// How long a request, an upload and a feed take on average, in milliseconds.
+const REQUEST: f64 = 20.0;
+const UPLOAD: f64 = 3_000.0;
+const FEED: f64 = 30_000.0;
+/// When loads and faults begin.
+const START: u64 = 10_000;
+/// How long a scene goes on after them.
+const AFTER: u64 = 40_000;
+
+pub fn all() -> Vec<Scene> {
+    let mut scenes = Vec::new();
+    for site in [alertdesk(), ajanvaraus()] {
+        for spray in [true, false] {
+            let at = |scene: Scene| Scene { spray, ..scene };
+            scenes.extend([
+                at(requests("burst ×10", &site, 1_000, (0.3, 3.0))),
+                at(requests("saturation ×1.5", &site, 60_000, (0.6, 1.5))),
+                at(requests("saturation ×3", &site, 120_000, (0.6, 3.0))),
+                at(few_callers(&site)),
+                at(mixed(&site)),
+                at(feeds(&site)),
+                at(fault("slow target", &site, 1, Fault::Slow(20))),
+                at(fault("says idle", &site, 1, Fault::SaysIdle)),
+                at(fault("says full", &site, 1, Fault::SaysFull)),
+                at(fault("sheds", &site, 1, Fault::Shed)),
+                at(fault("all slow", &site, site.hosts, Fault::Slow(50))),
+            ]);
+        }
+    }
+    for site in [ingest(), todisteet()] {
+        for spray in [true, false] {
+            let at = |scene: Scene| Scene { spray, ..scene };
+            scenes.extend([
+                at(uploads("uploads ×1.5", &site, 1.5)),
+                at(uploads("uploads ×3", &site, 3.0)),
+                at(fault("says full", &site, 1, Fault::SaysFull)),
+            ]);
+        }
+    }
+    scenes
+}
+
+fn scene(name: &'static str, site: &Site, loaded: Range<u64>, loads: Vec<Load>) -> Scene {
+    let end = loaded.end + AFTER;
+    Scene { name, site: site.clone(), loads, faults: vec![], loaded, end, spray: true, seed: 42 }
+}
+
+/// Callers of a class at `parts` of the capacity outside and inside `loaded`.
+fn load(class: Class, site: &Site, loaded: &Range<u64>, parts: (f64, f64)) -> Load {
+    let (mean, full) = match class {
+        Class::Request => (REQUEST, site.capacity(REQUEST)),
+        Class::Upload => (UPLOAD, site.capacity(UPLOAD)),
+        Class::Feed => (FEED, site.hosts as f64 * f64::from(site.connections) * 1000.0 / FEED),
+    };
+    Load {
+        class,
+        rates: (parts.0 * full, parts.1 * full),
+        loaded: loaded.clone(),
+        mean,
+        callers: 20_000,
+        first: Ipv4Addr::new(10, 0, 0, 1),
+    }
+}
+
+fn requests(name: &'static str, site: &Site, span: u64, parts: (f64, f64)) -> Scene {
+    let loaded = START..START + span;
+    scene(name, site, loaded.clone(), vec![load(Class::Request, site, &loaded, parts)])
+}
+
+fn few_callers(site: &Site) -> Scene {
+    let loaded = START..START + 30_000;
+    let others = load(Class::Request, site, &loaded, (0.4, 0.4));
+    let few = Load {
+        callers: 3,
+        first: Ipv4Addr::new(HOGS as u8, 0, 0, 1),
+        ..load(Class::Request, site, &loaded, (0.0, 1.6))
+    };
+    scene("few callers ×2", site, loaded, vec![others, few])
+}
+
+fn mixed(site: &Site) -> Scene {
+    let loaded = START..START + 60_000;
+    let requests = load(Class::Request, site, &loaded, (0.2, 0.2));
+    let uploads = load(Class::Upload, site, &loaded, (0.2, 2.0));
+    scene("long uploads ×2", site, loaded, vec![requests, uploads])
+}
+
+/// Feeds at three times the connections, with requests in their room.
+fn feeds(site: &Site) -> Scene {
+    let loaded = START..START + 120_000;
+    let requests = load(Class::Request, site, &loaded, (0.2, 0.2));
+    let feeds = load(Class::Feed, site, &loaded, (0.3, 3.0));
+    scene("feeds ×3", site, loaded, vec![requests, feeds])
+}
+
+fn uploads(name: &'static str, site: &Site, part: f64) -> Scene {
+    let loaded = START..START + 120_000;
+    scene(name, site, loaded.clone(), vec![load(Class::Upload, site, &loaded, (0.4, part))])
+}
+
+fn fault(name: &'static str, site: &Site, targets: usize, fault: Fault) -> Scene {
+    let loaded = START..START + 60_000;
+    let requests = load(Class::Request, site, &loaded, (0.45, 0.45));
+    Scene { faults: vec![(0..targets, fault)], ..scene(name, site, loaded, vec![requests]) }
+}
--- a/load/src/gate.rs
+++ b/load/src/gate.rs
@@ -10,7 +10,7 @@
     refusal,
     retry::{Budget, Decision, Memory},
     settings::Settings,
-    state::{CLASSES, Service, Share, Target, at},
+    state::{CLASSES, Service, Target, at},
 };
 use medlarspur_lib::{
     bundle::Class,
@@ -18,7 +18,6 @@
     ids::{FlowId, ServiceIx, TargetIx},
     time::Millis,
 };
-use std::collections::VecDeque;
 
 /// Uploads whose opening is remembered to learn how long uploads take. They
 /// outlive the memory of decisions; when this is full, samples are lost.
@@ -41,8 +40,6 @@
     pub heavy: u64,
     /// Turned away because the caller came back early and the budget is spent.
     pub early: u64,
-    /// Turned away after having waited.
-    pub late: u64,
     /// Answered as before, because the opening was a repetition.
     pub repeated: u64,
 }
@@ -80,7 +77,6 @@
     Slots,
     Heavy,
     Early,
-    Late,
 }
 
 impl Gate {
@@ -267,10 +263,9 @@
         let leftover = newcomer.heavy || spent;
         let settings = &self.settings;
         let service = &mut self.services[place.service];
-        let share = Share { requests: service.requests, instances: self.instances };
-        let cost = service.cost(place.target, class);
-        let costs = [Class::Feed, Class::Request, Class::Upload]
-            .map(|class| service.cost(place.target, class));
+        let share = service.share(self.instances);
+        let costs = service.costs(place.target);
+        let cost = costs[at(class)];
         let target = &mut service.targets[place.target];
         if placement::leaving(now, target.load.state, &target.seen, service.believed) {
             return Err(Reason::Leaving);
@@ -281,22 +276,25 @@
             return Err(if leftover { scarce } else { Reason::Connections });
         }
         target.earn(now, settings, share, costs);
-        let told = class != Class::Upload || target.says_room(now, settings, share, cost);
-        let ahead = target.lines[at(class)].len();
-        let Some(ledger) = target.ledger(class) else { return Ok(None) };
-        if told && ahead == 0 && ledger.allows(cost, leftover) {
+        if class == Class::Upload && !target.says_room(now, settings, share, cost) {
+            return Err(Reason::Slots);
+        }
+        let Some((ledger, line)) = target.ledger(class) else { return Ok(None) };
+        if ledger.spent(cost) < 0.5 {
+            line.relax();
+        }
+        if ledger.allows(cost, leftover) {
+            ledger.pay(cost);
             return Ok(None);
         }
         if leftover {
             return Err(scarce);
         }
-        if !told {
-            return Err(Reason::Slots);
-        }
-        let delay = ledger.delay(cost, ahead);
-        let line = &mut target.lines[at(class)];
-        let until = line.join(now, *newcomer, delay, settings.patience).ok_or(Reason::Slots)?;
-        if ahead == 0 {
+        let first = line.is_empty();
+        let patience = settings.patience;
+        let until = line.join(now, *newcomer, ledger.delay(), patience).ok_or(Reason::Slots)?;
+        ledger.pay(cost);
+        if first {
             self.lines.push(place);
         }
         Ok(Some(until))
@@ -304,14 +302,10 @@
 
     fn admit(&mut self, now: Millis, place: Place, newcomer: &Newcomer) {
         let service = &mut self.services[place.service];
-        let cost = service.cost(place.target, place.class);
         service.overload[at(place.class)].admit(now);
         let target = &mut service.targets[place.target];
         target.connections.open();
         target.seen.open(now);
-        if let Some(ledger) = target.ledger(place.class) {
-            ledger.pay(cost);
-        }
         if place.class == Class::Upload {
             target.unheard += 1;
             if self.uploads.len() >= UPLOADS {
@@ -337,51 +331,35 @@
             Reason::Connections => self.counts.connections += 1,
             Reason::Heavy => self.counts.heavy += 1,
             Reason::Early => self.counts.early += 1,
-            Reason::Late => self.counts.late += 1,
             Reason::Slots => {}
         }
         after
     }
 
-    /// Decides on those in one line whose time has come.
+    /// Lets in those of one line whose time has come, or turns all away if
+    /// its target has begun to leave.
     fn serve(&mut self, now: Millis, place: Place, out: &mut Vec<(FlowId, Verdict)>) {
-        let mut late = VecDeque::new();
-        while let Some(next) = self.line(place).head().copied() {
-            let waits = matches!(self.memory.find(now, next.who.flow), Some(Decision::Waiting(_)));
-            let ready = self.ready(now, place);
-            if waits && ready.is_ok_and(|ready| !ready) && now < next.until {
-                break;
-            }
-            self.line(place).take();
-            match ready {
-                _ if !waits => {}
-                Ok(true) => {
-                    self.admit(now, place, &next.who);
-                    out.push((next.who.flow, Verdict::Admit));
+        let service = &self.services[place.service];
+        let target = &service.targets[place.target];
+        if placement::leaving(now, target.load.state, &target.seen, service.believed) {
+            while let Some(next) = self.line(place).give_up() {
+                if self.waits(now, next.who.flow) {
+                    let after = self.refuse(now, place, &next.who, Reason::Leaving);
+                    out.push((next.who.flow, Verdict::Refuse { after }));
                 }
-                Ok(false) => late.push_back((next, Reason::Late)),
-                Err(reason) => late.push_back((next, reason)),
             }
         }
-        for (next, reason) in late {
-            let after = self.refuse(now, place, &next.who, reason);
-            out.push((next.who.flow, Verdict::Refuse { after }));
+        while let Some(next) = self.line(place).take(now) {
+            if self.waits(now, next.who.flow) {
+                self.admit(now, place, &next.who);
+                out.push((next.who.flow, Verdict::Admit));
+            }
         }
     }
 
-    /// Whether the head of a line may go now, or why nobody in it may.
-    fn ready(&mut self, now: Millis, place: Place) -> Result<bool, Reason> {
-        let service = &mut self.services[place.service];
-        let share = Share { requests: service.requests, instances: self.instances };
-        let cost = service.cost(place.target, place.class);
-        let costs = [Class::Feed, Class::Request, Class::Upload]
-            .map(|class| service.cost(place.target, class));
-        let target = &mut service.targets[place.target];
-        if placement::leaving(now, target.load.state, &target.seen, service.believed) {
-            return Err(Reason::Leaving);
-        }
-        target.earn(now, &self.settings, share, costs);
-        Ok(target.ledger(place.class).is_none_or(|ledger| ledger.allows(cost, false)))
+    /// Whether the caller of a flow that waited still wants it.
+    fn waits(&self, now: Millis, flow: FlowId) -> bool {
+        matches!(self.memory.find(now, flow), Some(Decision::Waiting(_)))
     }
 
     fn tick(&mut self, now: Millis) {
--- a/load/src/placement.rs
+++ b/load/src/placement.rs
@@ -50,24 +50,46 @@
 const STALE: Millis = Millis::secs(10);
 /// Half-life of the counts of openings and answers, in milliseconds.
 const HALF_LIFE: f64 = 3_000.0;
-/// How much one hold time counts in the smoothed mean.
+/// How much one hold time counts in the smoothed mean of a target.
 const SMOOTHING: f64 = 1.0 / 16.0;
+/// The same for a service, which sees many times as many.
+const SERVICE_SMOOTHING: f64 = 1.0 / 128.0;
+/// How much longer than the mean one hold time may count. A caller whose
+/// answer got lost stays a second longer; uncut, one such made a target seem
+/// three times as slow to an instance that sees one end a second, and goodput
+/// under a spraying fabric fell to half of the capacity.
+const OUTLIER: f64 = 4.0;
 /// How many hold times make a mean that can be compared.
 const ENOUGH: u32 = 8;
 
 /// A smoothed mean of hold times in milliseconds.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Hold {
     mean: f64,
     samples: u32,
+    smoothing: f64,
+}
+
+impl Default for Hold {
+    fn default() -> Hold {
+        Hold { mean: 0.0, samples: 0, smoothing: SMOOTHING }
+    }
 }
 
 impl Hold {
+    /// The mean over all targets of a service.
+    pub fn of_service() -> Hold {
+        Hold { smoothing: SERVICE_SMOOTHING, ..Hold::default() }
+    }
+
     /// Takes in one hold time.
     pub fn add(&mut self, hold: Millis) {
-        let hold = (hold.0 as f64).max(1.0);
+        let mut hold = (hold.0 as f64).max(1.0);
+        if self.samples >= ENOUGH {
+            hold = hold.min(self.mean * OUTLIER);
+        }
         self.samples = self.samples.saturating_add(1);
-        let weight = SMOOTHING.max(1.0 / f64::from(self.samples));
+        let weight = self.smoothing.max(1.0 / f64::from(self.samples));
         self.mean += (hold - self.mean) * weight;
     }
 
--- a/load/src/queue.rs
+++ b/load/src/queue.rs
@@ -5,10 +5,10 @@
 //! with callers that have given up, everybody waits the longest wait and the
 //! work that comes out is done for nobody; one notices a p50 wait at the
 //! patience of the callers. Three bounds prevent it. The wait of an opening is
-//! known when it comes (the ledger says when the target has room), so what
-//! would wait too long is turned away *then*, not later. The line has a fixed
-//! length. And once a line has stood for [`STANDING`], newcomers are only held
-//! for [`SHORT`], so that it drains.
+//! known when it comes (the ledger says when the target has room, and is paid at
+//! once), so what would wait too long is turned away *then*, not later. The line has a fixed
+//! length. And once the savings were not half full for [`STANDING`], newcomers
+//! are only held for [`SHORT`], so that the line drains.
 //!
 //! The line of a class is served in order of arrival, which is the shortest
 //! remaining wait first. Serving the newest first was weighed: its losers are
@@ -19,7 +19,7 @@
 
 /// The longest line of one class before one target, at one instance.
 pub const LENGTH: usize = 64;
-/// How long a line may go without being empty before it counts as standing:
+/// How long a line may be needed before it counts as standing:
 /// two of the longest waits, so that a burst of a moment passes.
 pub const STANDING: Millis = Millis(500);
 /// How long newcomers are held while a line stands.
@@ -43,9 +43,7 @@
 pub struct Waiting {
     /// Who waits.
     pub who: Newcomer,
-    /// When it came.
-    pub since: Millis,
-    /// When it is given up.
+    /// When it goes to its target.
     pub until: Millis,
 }
 
@@ -57,24 +55,18 @@
 }
 
 impl Line {
-    /// How many wait.
-    pub fn len(&self) -> usize {
-        self.waiting.len()
-    }
-
     /// Whether nobody waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
 
-    /// How long a newcomer may be held now.
-    pub fn patience(&self, now: Millis, patience: Millis) -> Millis {
-        let standing = self.busy.is_some_and(|since| now.since(since) >= STANDING);
-        if standing { patience.min(SHORT) } else { patience }
+    /// The flows that wait.
+    pub fn flows(&self) -> impl Iterator<Item = FlowId> {
+        self.waiting.iter().map(|w| w.who.flow)
     }
 
     /// Puts an opening at the end if its wait is short enough and there is a
-    /// place; gives back when it will be decided at the latest.
+    /// place; gives back when it goes to its target.
     pub fn join(
         &mut self,
         now: Millis,
@@ -82,32 +74,29 @@
         delay: Millis,
         patience: Millis,
     ) -> Option<Millis> {
-        let patience = self.patience(now, patience);
+        let since = *self.busy.get_or_insert(now);
+        let standing = now.since(since) >= STANDING;
+        let patience = if standing { patience.min(SHORT) } else { patience };
         if delay > patience || self.waiting.len() >= LENGTH {
             return None;
         }
-        let until = now + patience;
-        self.busy.get_or_insert(now);
-        self.waiting.push_back(Waiting { who, since: now, until });
+        let until = now + delay;
+        self.waiting.push_back(Waiting { who, until });
         Some(until)
     }
 
-    /// The flows that wait.
-    pub fn flows(&self) -> impl Iterator<Item = FlowId> {
-        self.waiting.iter().map(|w| w.who.flow)
+    /// Takes note that the target has room to spare again.
+    pub fn relax(&mut self) {
+        self.busy = None;
     }
 
-    /// The opening that is next.
-    pub fn head(&self) -> Option<&Waiting> {
-        self.waiting.front()
+    /// Takes the opening that is next, if its time has come.
+    pub fn take(&mut self, now: Millis) -> Option<Waiting> {
+        self.waiting.pop_front_if(|next| next.until <= now)
     }
 
-    /// Takes the opening that is next.
-    pub fn take(&mut self) -> Option<Waiting> {
-        let next = self.waiting.pop_front();
-        if self.waiting.is_empty() {
-            self.busy = None;
-        }
-        next
+    /// Takes the opening that is next, whether its time has come or not.
+    pub fn give_up(&mut self) -> Option<Waiting> {
+        self.waiting.pop_front()
     }
 }
--- a/load/src/shares.rs
+++ b/load/src/shares.rs
@@ -55,16 +55,15 @@
         if leftover { self.credit >= self.cap(cost) / 2.0 } else { self.credit >= 0.0 }
     }
 
-    /// How long until work may be let in, with `ahead` pieces before it.
-    pub fn delay(&self, cost: f64, ahead: usize) -> Millis {
-        let missing = cost * ahead as f64 - self.credit;
-        if missing <= 0.0 {
+    /// How long until work may be let in, after all that was paid for.
+    pub fn delay(&self) -> Millis {
+        if self.credit >= 0.0 {
             return Millis(0);
         }
         if self.rate <= 0.0 {
             return Millis(u64::MAX);
         }
-        Millis((missing / self.rate).ceil() as u64)
+        Millis((-self.credit / self.rate).ceil() as u64)
     }
 
     /// The part of the savings that is spent, from 0 to 1.
@@ -77,6 +76,64 @@
     }
 }
 
+/// The lowest and the highest booking that is tried.
+const BOOKINGS: (f64, f64) = (1.25, 16.0);
+/// Where booking starts, and where it goes back to while there is room.
+const FIRST: f64 = 4.0;
+/// Hold times below this many times the unhurried ones leave slots idle.
+const IDLE: f64 = 2.0;
+/// Hold times above this many times the unhurried ones are mostly waiting.
+const WAITING: f64 = 3.0;
+/// How fast the booking changes in a second.
+const STEP: f64 = 1.1;
+/// How fast the unhurried hold time is forgotten in a second, so that work
+/// that has become longer for good is not taken for waiting for ever.
+const FORGET: f64 = 1.005;
+
+/// How much work is given to a target at once, in multiples of its slots.
+///
+/// A flow lasts longer than its work holds a slot: it takes its round trips,
+/// and an edge that sees no answers can't tell the two apart. With one flow
+/// for each slot, slots idle during round trips; with too many, work waits in
+/// the target. So the booking grows while work is turned away and flows are
+/// hardly longer than without load, and shrinks when they are much longer.
+#[derive(Debug, Clone)]
+pub struct Booking {
+    factor: f64,
+    unhurried: f64,
+}
+
+impl Booking {
+    /// Starts in the middle.
+    pub fn new() -> Booking {
+        Booking { factor: FIRST, unhurried: f64::MAX }
+    }
+
+    /// The multiple of the slots that may be given to a target.
+    pub fn factor(&self) -> f64 {
+        self.factor
+    }
+
+    /// Adjusts to how long flows lately took; called once a second.
+    pub fn adjust(&mut self, hold: Option<f64>, busy: bool) {
+        let Some(hold) = hold else { return };
+        self.unhurried = (self.unhurried * FORGET).min(hold);
+        let goal = match hold / self.unhurried {
+            _ if !busy => self.factor + (FIRST - self.factor) * (STEP - 1.0),
+            ratio if ratio < IDLE => self.factor * STEP,
+            ratio if ratio > WAITING => self.factor / STEP,
+            _ => self.factor,
+        };
+        self.factor = goal.clamp(BOOKINGS.0, BOOKINGS.1);
+    }
+}
+
+impl Default for Booking {
+    fn default() -> Booking {
+        Booking::new()
+    }
+}
+
 /// How far a target's word may be from the own count to be believed, as a
 /// part of its connections. The random walk of a day stays within it; a
 /// target that always says zero does not.
--- a/load/src/state.rs
+++ b/load/src/state.rs
@@ -7,7 +7,7 @@
     queue::Line,
     refusal::Overload,
     settings::Settings,
-    shares::{Connections, Ledger},
+    shares::{Booking, Connections, Ledger},
 };
 use medlarspur_lib::{bundle::Class, ids::ServiceName, time::Millis};
 
@@ -15,9 +15,10 @@
 pub(crate) const CLASSES: usize = 3;
 /// What work is taken to hold a slot for before any end was seen, by class.
 const FIRST_HOLDS: [f64; CLASSES] = [1.0, 50.0, 5_000.0];
-/// How much shorter than usual a target's work may seem. A target that sheds
-/// answers fast; taken at its word it would be given ever more to shed.
-const SHORTEST: f64 = 0.5;
+/// How much longer than usual a target's work must seem to count as longer;
+/// below that it is noise. Shorter never counts: a target that sheds answers
+/// fast, and would be given ever more to shed.
+const SLOWER: f64 = 1.5;
 /// How many pieces of work an idle target is given at once by each instance,
 /// however long they are.
 const DEPTH: f64 = 2.0;
@@ -44,6 +45,7 @@
     pub(crate) weights: Vec<u16>,
     pub(crate) overload: [Overload; CLASSES],
     pub(crate) holds: [Hold; CLASSES],
+    pub(crate) booking: Booking,
     /// Whether targets that say they drain are believed.
     pub(crate) believed: bool,
 }
@@ -87,16 +89,29 @@
             targets: Vec::new(),
             weights: Vec::new(),
             overload: Default::default(),
-            holds: Default::default(),
+            holds: [Hold::of_service(); CLASSES],
+            booking: Booking::new(),
             believed: true,
         }
     }
 
+    /// What the shares of its targets follow from.
+    pub(crate) fn share(&self, instances: u16) -> Share {
+        Share { requests: self.requests, instances, booking: self.booking.factor() }
+    }
+
+    /// What each class costs at a target.
+    pub(crate) fn costs(&self, target: usize) -> [f64; CLASSES] {
+        [Class::Feed, Class::Request, Class::Upload].map(|class| self.cost(target, class))
+    }
+
     /// Renews the weights.
     pub(crate) fn advise(&mut self, now: Millis) {
         let told = |t: &&Target| t.seen.told(now).is_some_and(|told| told.draining);
         let draining = self.targets.iter().filter(told).count();
         self.believed = placement::drains_believed(draining, self.targets.len());
+        let busy = self.overload[at(Class::Request)].lasts(now);
+        self.booking.adjust(self.holds[at(Class::Request)].mean(), busy);
         let mut views: Vec<View> = self.targets.iter_mut().map(Target::view).collect();
         placement::advise(now, self.balance, &mut views, &mut self.weights);
     }
@@ -105,7 +120,7 @@
     pub(crate) fn cost(&self, target: usize, class: Class) -> f64 {
         let usual = self.holds[at(class)].mean().unwrap_or(FIRST_HOLDS[at(class)]);
         let own = self.targets[target].holds[at(class)].mean().unwrap_or(usual);
-        own.max(usual * SHORTEST)
+        if own < usual * SLOWER { usual } else { own }
     }
 }
 
@@ -148,13 +163,14 @@
         }
     }
 
-    /// The ledger that a class is paid from; feeds hold no slot.
-    pub(crate) fn ledger(&mut self, class: Class) -> Option<&mut Ledger> {
-        match class {
-            Class::Feed => None,
-            Class::Request => Some(&mut self.requests),
-            Class::Upload => Some(&mut self.uploads),
-        }
+    /// The ledger that a class is paid from, and its line; feeds hold no slot.
+    pub(crate) fn ledger(&mut self, class: Class) -> Option<(&mut Ledger, &mut Line)> {
+        let ledger = match class {
+            Class::Feed => return None,
+            Class::Request => &mut self.requests,
+            Class::Upload => &mut self.uploads,
+        };
+        Some((ledger, &mut self.lines[at(class)]))
     }
 
     /// Brings both ledgers up to `now`.
@@ -165,13 +181,15 @@
         share: Share,
         costs: [f64; CLASSES],
     ) {
-        let Share { requests, instances } = share;
-        let booking = f64::from(settings.booking) / 100.0 / f64::from(instances.max(1));
-        let rate = |class| admission::slots(settings, requests, class, self.load.slots) * booking;
-        let (all, long) = (rate(Class::Request), rate(Class::Upload));
-        self.uploads.earn(now, long, costs[at(Class::Upload)]);
+        let Share { requests, instances, booking } = share;
+        let part = 1.0 / f64::from(instances.max(1));
+        let rate = |class| admission::slots(settings, requests, class, self.load.slots) * part;
+        let long = rate(Class::Upload);
+        let booked = long * f64::from(settings.booking) / 100.0;
+        self.uploads.earn(now, booked, costs[at(Class::Upload)]);
         let taken = self.uploads.spent(costs[at(Class::Upload)]) * long;
-        self.requests.earn(now, all - taken, costs[at(Class::Request)]);
+        let free = rate(Class::Request) - taken;
+        self.requests.earn(now, free * booking, costs[at(Class::Request)]);
     }
 
     /// Whether the target's own word leaves room for an upload. Between its
@@ -200,4 +218,6 @@
     pub(crate) requests: bool,
     /// How many instances are believed live.
     pub(crate) instances: u16,
+    /// How many requests are given to each slot.
+    pub(crate) booking: f64,
 }
--- /dev/null
+++ b/load/tests/model/scene.rs
@@ -0,0 +1,136 @@
+//! What is played: loads over time, faults of targets, and the policies that
+//! are compared.
+
+use super::site::Site;
+use medlarspur_lib::{bundle::Class, time::Millis};
+use medlarspur_load::{Gate, Opening, Verdict, random::Random};
+use std::{net::Ipv4Addr, ops::Range};
+
+/// Who decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// All decisions of this crate.
+    Gate,
+    /// Placement by this crate's advice, and everything is let in.
+    NoAdmission,
+    /// Each instance takes the targets in turn; everything is let in.
+    RoundRobin,
+    /// A hash names the target; everything is let in.
+    HashOnly,
+    /// Each instance admits up to the whole of a target.
+    NoShares,
+}
+
+impl Policy {
+    pub const ALL: [Policy; 5] =
+        [Policy::Gate, Policy::NoAdmission, Policy::RoundRobin, Policy::HashOnly, Policy::NoShares];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Policy::Gate => "medlarspur",
+            Policy::NoAdmission => "no admission",
+            Policy::RoundRobin => "round robin",
+            Policy::HashOnly => "hash only",
+            Policy::NoShares => "limits without shares",
+        }
+    }
+
+    /// Asks the gate, or lets everything in.
+    pub fn admits(self, gate: &mut Gate, now: Millis, opening: &Opening) -> Verdict {
+        match self {
+            Policy::Gate | Policy::NoShares => gate.open(now, opening),
+            Policy::NoAdmission | Policy::RoundRobin | Policy::HashOnly => Verdict::Admit,
+        }
+    }
+}
+
+/// What is wrong with a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Works at a part of its speed, in percent.
+    Slow(u8),
+    /// Resets half of the openings.
+    Shed,
+    /// Its endpoint always says that it is idle.
+    SaysIdle,
+    /// Its endpoint always says that it is full.
+    SaysFull,
+}
+
+/// Callers of one kind.
+#[derive(Debug, Clone)]
+pub struct Load {
+    pub class: Class,
+    /// Openings a second outside and inside the loaded time.
+    pub rates: (f64, f64),
+    pub loaded: Range<u64>,
+    /// Mean length of the work in milliseconds.
+    pub mean: f64,
+    /// How many callers there are, from the first address on.
+    pub callers: u32,
+    pub first: Ipv4Addr,
+}
+
+impl Load {
+    pub fn rate(&self, now: u64) -> f64 {
+        if self.loaded.contains(&now) { self.rates.1 } else { self.rates.0 }
+    }
+
+    /// Callers are spread over as many networks.
+    pub fn caller(&self, random: &mut Random) -> Ipv4Addr {
+        let ix = (random.draw() % u64::from(self.callers)) as u32;
+        Ipv4Addr::from(u32::from(self.first) + ix * 251)
+    }
+}
+
+/// A load pattern at a site, with faults.
+#[derive(Debug, Clone)]
+pub struct Scene {
+    pub name: &'static str,
+    pub site: Site,
+    pub loads: Vec<Load>,
+    pub faults: Vec<(Range<usize>, Fault)>,
+    /// When the load or fault is on, in milliseconds.
+    pub loaded: Range<u64>,
+    pub end: u64,
+    /// Whether each packet goes to any instance, or all of a flow to one.
+    pub spray: bool,
+    pub seed: u64,
+}
+
+impl Scene {
+    /// Whether the service has a request port.
+    pub fn requests(&self) -> bool {
+        self.loads.iter().any(|l| l.class == Class::Request)
+    }
+
+    /// How long a caller tries before it gives up.
+    pub fn patience(&self, class: Class) -> u64 {
+        match class {
+            Class::Request | Class::Feed => 10_000,
+            Class::Upload => 30_000,
+        }
+    }
+
+    pub fn fault(&self, now: u64, target: usize) -> Option<Fault> {
+        if !self.loaded.contains(&now) {
+            return None;
+        }
+        self.faults.iter().find(|(who, _)| who.contains(&target)).map(|(_, fault)| *fault)
+    }
+
+    pub fn speed(&self, now: u64, target: usize) -> f64 {
+        match self.fault(now, target) {
+            Some(Fault::Slow(percent)) => f64::from(percent) / 100.0,
+            _ => 1.0,
+        }
+    }
+
+    /// Slot-milliseconds that the targets have while loaded.
+    pub fn capacity(&self) -> f64 {
+        let span = (self.loaded.end - self.loaded.start) as f64;
+        let speed = |t| self.speed(self.loaded.start, t);
+        let speeds: f64 = (0..self.site.hosts).map(speed).sum();
+        speeds * f64::from(self.site.slots) * span
+    }
+}
