load: pace short work by the ends that come

An instance sees its part of all ends under either fabric, so the rate of ends is its share of the capacity without any estimate of hold times.

--- a/load/src/admission.rs
+++ b/load/src/admission.rs
@@ -72,13 +72,14 @@
 /// What callers took lately of one class.
 #[derive(Debug, Clone)]
 pub struct Takers {
+    class: Class,
     sketch: Sketch,
 }
 
 impl Takers {
     /// Counts from nothing; `seed` keeps callers from choosing their cells.
     pub fn new(seed: u64, class: Class) -> Takers {
-        Takers { sketch: Sketch::new(seed, window(class)) }
+        Takers { class, sketch: Sketch::new(seed, window(class)) }
     }
 
     /// Whether the caller or its network is above its part of `total`, the
@@ -92,14 +93,14 @@
         total: f64,
     ) -> bool {
         let part = |percent: u8| (total * f64::from(percent) / 100.0).max(FREE);
-        self.sketch.count(now, caller_key(service.0, caller)) >= part(settings.caller)
+        self.sketch.count(now, caller_key(service.0, self.class, caller)) >= part(settings.caller)
             || self.sketch.count(now, network_key(service.0, caller))
                 >= part(settings.network).max(FREE * 2.0)
     }
 
     /// Counts an admitted opening.
     pub fn admit(&mut self, now: Millis, service: ServiceIx, caller: Ipv4Addr) {
-        self.sketch.add(now, caller_key(service.0, caller));
+        self.sketch.add(now, caller_key(service.0, self.class, caller));
         self.sketch.add(now, network_key(service.0, caller));
         self.sketch.add(now, u64::MAX - u64::from(service.0));
     }
--- a/load/src/callers.rs
+++ b/load/src/callers.rs
@@ -11,7 +11,7 @@
 //! a ten-thousandth of all openings, so only who is near the limit can suffer.
 
 use crate::random::mix;
-use medlarspur_lib::time::Millis;
+use medlarspur_lib::{bundle::Class, time::Millis};
 use std::net::Ipv4Addr;
 
 /// Cells of one row; a power of two. 2 rows × 2 windows × 16,384 × 4 bytes
@@ -74,8 +74,8 @@
 }
 
 /// The key under which one caller of a service is counted.
-pub fn caller_key(service: u16, caller: Ipv4Addr) -> u64 {
-    u64::from(service) << 40 | u64::from(u32::from(caller))
+pub fn caller_key(service: u16, class: Class, caller: Ipv4Addr) -> u64 {
+    u64::from(service) << 40 | (class as u64) << 32 | u64::from(u32::from(caller))
 }
 
 /// The key under which a caller's network is counted.
--- a/load/src/gate.rs
+++ b/load/src/gate.rs
@@ -190,6 +190,9 @@
         };
         let Some(service) = self.services.get_mut(usize::from(closing.service.0)) else { return };
         let Some(target) = service.targets.get_mut(usize::from(closing.target.0)) else { return };
+        if closing.class == Class::Request {
+            service.pace.end(now);
+        }
         target.connections.close();
         if let Some(admitted) = admitted {
             let hold = now.since(admitted);
@@ -247,7 +250,7 @@
         let takers = &mut self.takers[at(class)];
         let total = takers.total(now, service);
         let heavy = takers.heavy(now, &self.settings, service, caller, total);
-        let early = self.budget.early(now, caller_key(service.0, caller));
+        let early = self.budget.early(now, caller_key(service.0, class, caller));
         Newcomer { flow, caller, heavy, early }
     }
 
@@ -323,7 +326,8 @@
     fn refuse(&mut self, now: Millis, place: Place, newcomer: &Newcomer, reason: Reason) -> Millis {
         let overload = &mut self.services[place.service].overload[at(place.class)];
         let after = overload.refuse(now, &mut self.random);
-        self.budget.told(caller_key(place.service as u16, newcomer.caller), now + after);
+        let key = caller_key(place.service as u16, place.class, newcomer.caller);
+        self.budget.told(key, now + after);
         self.memory.keep(now, newcomer.flow, Decision::Refused(now + after));
         self.counts.refused[at(place.class)] += 1;
         match reason {
--- a/load/src/placement.rs
+++ b/load/src/placement.rs
@@ -59,6 +59,9 @@
 /// three times as slow to an instance that sees one end a second, and goodput
 /// under a spraying fabric fell to half of the capacity.
 const OUTLIER: f64 = 4.0;
+/// How the least mean is forgotten with each hold time, so that work which
+/// has become longer for good is not taken for waiting for ever.
+const FORGET: f64 = 1.0 + 1e-5;
 /// How many hold times make a mean that can be compared.
 const ENOUGH: u32 = 8;
 
@@ -66,13 +69,14 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Hold {
     mean: f64,
+    least: f64,
     samples: u32,
     smoothing: f64,
 }
 
 impl Default for Hold {
     fn default() -> Hold {
-        Hold { mean: 0.0, samples: 0, smoothing: SMOOTHING }
+        Hold { mean: 0.0, least: f64::MAX, samples: 0, smoothing: SMOOTHING }
     }
 }
 
@@ -91,6 +95,14 @@
         self.samples = self.samples.saturating_add(1);
         let weight = self.smoothing.max(1.0 / f64::from(self.samples));
         self.mean += (hold - self.mean) * weight;
+        if self.samples >= ENOUGH {
+            self.least = (self.least * FORGET).min(self.mean);
+        }
+    }
+
+    /// How many times the least mean so far the present one is, or one.
+    pub fn stretch(&self) -> f64 {
+        if self.samples < ENOUGH { 1.0 } else { self.mean / self.least }
     }
 
     /// The mean, once enough was seen.
@@ -279,7 +291,8 @@
     Some(f64::from(told.slots) / f64::from(target.slots.max(1)))
 }
 
-fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+/// The lower median.
+pub(crate) fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
     let mut values: Vec<f64> = values.collect();
     if values.is_empty() {
         return None;
--- a/load/src/shares.rs
+++ b/load/src/shares.rs
@@ -76,61 +76,89 @@
     }
 }
 
-/// The lowest and the highest booking that is tried.
-const BOOKINGS: (f64, f64) = (1.25, 16.0);
-/// Where booking starts, and where it goes back to while there is room.
-const FIRST: f64 = 4.0;
-/// Hold times below this many times the unhurried ones leave slots idle.
-const IDLE: f64 = 2.0;
-/// Hold times above this many times the unhurried ones are mostly waiting.
-const WAITING: f64 = 3.0;
-/// How fast the booking changes in a second.
-const STEP: f64 = 1.1;
-/// How fast the unhurried hold time is forgotten in a second, so that work
-/// that has become longer for good is not taken for waiting for ever.
-const FORGET: f64 = 1.005;
-
-/// How much work is given to a target at once, in multiples of its slots.
+/// Half-life of the count of ends, in milliseconds: long enough to see some
+/// hundred ends at a few hundred a second, short enough to follow a change.
+const HALF_LIFE: f64 = 2_000.0;
+/// How many flows for each slot are let in while nothing is overloaded. A flow
+/// lasts longer than its work holds a slot, by its round trips.
+const FREE: f64 = 3.0;
+/// Work for each slot, work that waits included, that an overloaded target is
+/// kept at: some must wait, or slots idle between two pieces of work.
+const GOAL: f64 = 4.0;
+/// Below this, slots idle.
+const IDLE: f64 = 1.5;
+/// How much more than what ends is let in while slots idle.
+const PROBE: f64 = 1.15;
+/// How much less is let in for each piece of work above the goal. Reports lag
+/// by a second, in which a slot ends fifty short pieces of work; a stronger
+/// correction swings.
+const CORRECT: f64 = 0.01;
+/// The least that is let in, as a part of the free rate: with nothing let in,
+/// nothing would end, and the pace would never rise again.
+const LEAST: f64 = 0.1;
+/// How many ticks in a row slots must idle for the limit to go.
+const QUIET: u8 = 3;
+
+/// How fast short work is let in: as fast as such work ends.
 ///
-/// A flow lasts longer than its work holds a slot: it takes its round trips,
-/// and an edge that sees no answers can't tell the two apart. With one flow
-/// for each slot, slots idle during round trips; with too many, work waits in
-/// the target. So the booking grows while work is turned away and flows are
-/// hardly longer than without load, and shrinks when they are much longer.
-#[derive(Debug, Clone)]
-pub struct Booking {
-    factor: f64,
-    unhurried: f64,
+/// Neither the time that work holds a slot nor the number of flows in progress
+/// is known here: an edge that sees no answers can't tell work from round
+/// trips, and under a spraying fabric an instance sees few ends of its own
+/// flows, so a limit on flows in progress follows a late and noisy estimate
+/// and swings (goodput 61–66 % at three times the load). But while targets are
+/// saturated, ends come at their capacity, whoever opened the flows; and each
+/// instance sees its part of them under either fabric. That part is its share.
+#[derive(Debug, Clone, Default)]
+pub struct Pace {
+    ended: f64,
+    at: Millis,
+    limited: bool,
+    gain: f64,
+    quiet: u8,
 }
 
-impl Booking {
-    /// Starts in the middle.
-    pub fn new() -> Booking {
-        Booking { factor: FIRST, unhurried: f64::MAX }
+impl Pace {
+    /// Counts an end, whoever opened the flow.
+    pub fn end(&mut self, now: Millis) {
+        self.decay(now);
+        self.ended += 1.0;
     }
 
-    /// The multiple of the slots that may be given to a target.
-    pub fn factor(&self) -> f64 {
-        self.factor
+    /// Adjusts to the work for each slot, work that waits included; called
+    /// once a second. `busy` says that work is being turned away.
+    pub fn adjust(&mut self, now: Millis, backlog: f64, busy: bool) {
+        self.decay(now);
+        self.quiet = if backlog < 1.0 { self.quiet.saturating_add(1) } else { 0 };
+        if busy || backlog > GOAL {
+            self.limited = true;
+        }
+        if self.quiet >= QUIET {
+            self.limited = false;
+        }
+        self.gain = if backlog < IDLE {
+            PROBE
+        } else {
+            1.0 + ((GOAL - backlog) * CORRECT).clamp(-0.3, 0.05)
+        };
     }
 
-    /// Adjusts to how long flows lately took; called once a second.
-    pub fn adjust(&mut self, hold: Option<f64>, busy: bool) {
-        let Some(hold) = hold else { return };
-        self.unhurried = (self.unhurried * FORGET).min(hold);
-        let goal = match hold / self.unhurried {
-            _ if !busy => self.factor + (FIRST - self.factor) * (STEP - 1.0),
-            ratio if ratio < IDLE => self.factor * STEP,
-            ratio if ratio > WAITING => self.factor / STEP,
-            _ => self.factor,
-        };
-        self.factor = goal.clamp(BOOKINGS.0, BOOKINGS.1);
+    /// Openings a millisecond that this instance lets in for each slot, of
+    /// `slots` in the service and work that lasts `hold`.
+    pub fn rate(&self, slots: u32, hold: f64, instances: u16) -> f64 {
+        let free = FREE / hold / f64::from(instances.max(1));
+        if !self.limited {
+            return free;
+        }
+        let ends = self.ended * std::f64::consts::LN_2 / HALF_LIFE;
+        (ends * self.gain / f64::from(slots.max(1))).clamp(free * LEAST, free)
     }
-}
 
-impl Default for Booking {
-    fn default() -> Booking {
-        Booking::new()
+    fn decay(&mut self, now: Millis) {
+        let span = now.since(self.at).0;
+        if span > 0 {
+            self.at = now;
+            self.ended *= (-(span as f64) / HALF_LIFE).exp2();
+        }
     }
 }
 
@@ -144,6 +172,9 @@
 /// How long a new count takes a target's word for it: an instance that just
 /// started has seen no openings and would fill the target a second time.
 const UNSURE: Millis = Millis::secs(30);
+/// The part of the room up to which it does. One whose endpoint always says
+/// *full* must not be closed to all by that.
+const UNSURE_TAKEN: f64 = 0.7;
 
 /// This instance's part of the connections that a target holds.
 #[derive(Debug, Clone)]
@@ -173,7 +204,7 @@
         let part = f64::from(connections) / f64::from(instances.max(1));
         let room = f64::from(limit) / f64::from(instances.max(1));
         if now.since(self.since) < UNSURE {
-            self.count = self.count.max(part.min(room));
+            self.count = self.count.max(part.min(room * UNSURE_TAKEN));
         } else if (part - self.count).abs() <= room * BELIEVED {
             self.count += (part - self.count) * CORRECTION;
         }
--- a/load/src/state.rs
+++ b/load/src/state.rs
@@ -7,7 +7,7 @@
     queue::Line,
     refusal::Overload,
     settings::Settings,
-    shares::{Booking, Connections, Ledger},
+    shares::{Connections, Ledger, Pace},
 };
 use medlarspur_lib::{bundle::Class, ids::ServiceName, time::Millis};
 
@@ -18,7 +18,7 @@
 /// How much longer than usual a target's work must seem to count as longer;
 /// below that it is noise. Shorter never counts: a target that sheds answers
 /// fast, and would be given ever more to shed.
-const SLOWER: f64 = 1.5;
+const SLOWER: f64 = 2.0;
 /// How many pieces of work an idle target is given at once by each instance,
 /// however long they are.
 const DEPTH: f64 = 2.0;
@@ -45,7 +45,7 @@
     pub(crate) weights: Vec<u16>,
     pub(crate) overload: [Overload; CLASSES],
     pub(crate) holds: [Hold; CLASSES],
-    pub(crate) booking: Booking,
+    pub(crate) pace: Pace,
     /// Whether targets that say they drain are believed.
     pub(crate) believed: bool,
 }
@@ -90,19 +90,29 @@
             weights: Vec::new(),
             overload: Default::default(),
             holds: [Hold::of_service(); CLASSES],
-            booking: Booking::new(),
+            pace: Pace::default(),
             believed: true,
         }
     }
 
     /// What the shares of its targets follow from.
     pub(crate) fn share(&self, instances: u16) -> Share {
-        Share { requests: self.requests, instances, booking: self.booking.factor() }
+        let slots = self.targets.iter().map(|t| u32::from(t.load.slots)).sum();
+        let hold = self.usual(Class::Request);
+        let pace = self.pace.rate(slots, hold, instances);
+        Share { requests: self.requests, instances, pace }
     }
 
-    /// What each class costs at a target.
-    pub(crate) fn costs(&self, target: usize) -> [f64; CLASSES] {
-        [Class::Feed, Class::Request, Class::Upload].map(|class| self.cost(target, class))
+    /// The median of what targets say of their work for each slot, so that no
+    /// single one can speed up or slow down the whole service; without reports,
+    /// how much longer than ever flows last.
+    fn backlog(&self, now: Millis) -> f64 {
+        let told = |t: &Target| {
+            let told = t.seen.told(now)?;
+            Some(f64::from(told.slots) / f64::from(t.load.slots.max(1)))
+        };
+        let guess = || self.holds[at(Class::Request)].stretch();
+        placement::median(self.targets.iter().filter_map(told)).unwrap_or_else(guess)
     }
 
     /// Renews the weights.
@@ -111,16 +121,29 @@
         let draining = self.targets.iter().filter(told).count();
         self.believed = placement::drains_believed(draining, self.targets.len());
         let busy = self.overload[at(Class::Request)].lasts(now);
-        self.booking.adjust(self.holds[at(Class::Request)].mean(), busy);
+        let backlog = self.backlog(now);
+        self.pace.adjust(now, backlog, busy);
         let mut views: Vec<View> = self.targets.iter_mut().map(Target::view).collect();
         placement::advise(now, self.balance, &mut views, &mut self.weights);
     }
 
-    /// How long work of a class holds a slot of a target, in milliseconds.
+    /// How long a flow of a class usually lasts, in milliseconds.
+    fn usual(&self, class: Class) -> f64 {
+        self.holds[at(class)].mean().unwrap_or(FIRST_HOLDS[at(class)])
+    }
+
+    /// What a piece of work of a class costs at a target: a request counts as
+    /// one, an upload as the time that it lasts, both more if it is slow.
     pub(crate) fn cost(&self, target: usize, class: Class) -> f64 {
-        let usual = self.holds[at(class)].mean().unwrap_or(FIRST_HOLDS[at(class)]);
+        let usual = self.usual(class);
         let own = self.targets[target].holds[at(class)].mean().unwrap_or(usual);
-        if own < usual * SLOWER { usual } else { own }
+        let times = if own < usual * SLOWER { 1.0 } else { own / usual };
+        if class == Class::Upload { usual * times } else { times }
+    }
+
+    /// What each class costs at a target.
+    pub(crate) fn costs(&self, target: usize) -> [f64; CLASSES] {
+        [Class::Feed, Class::Request, Class::Upload].map(|class| self.cost(target, class))
     }
 }
 
@@ -181,15 +204,15 @@
         share: Share,
         costs: [f64; CLASSES],
     ) {
-        let Share { requests, instances, booking } = share;
+        let Share { requests, instances, pace } = share;
         let part = 1.0 / f64::from(instances.max(1));
-        let rate = |class| admission::slots(settings, requests, class, self.load.slots) * part;
-        let long = rate(Class::Upload);
-        let booked = long * f64::from(settings.booking) / 100.0;
+        let slots = |class| admission::slots(settings, requests, class, self.load.slots);
+        let (all, long) = (slots(Class::Request), slots(Class::Upload));
+        let booked = long * part * f64::from(settings.booking) / 100.0;
         self.uploads.earn(now, booked, costs[at(Class::Upload)]);
         let taken = self.uploads.spent(costs[at(Class::Upload)]) * long;
-        let free = rate(Class::Request) - taken;
-        self.requests.earn(now, free * booking, costs[at(Class::Request)]);
+        let free = if requests { all - taken } else { all };
+        self.requests.earn(now, free * pace, costs[at(Class::Request)]);
     }
 
     /// Whether the target's own word leaves room for an upload. Between its
@@ -201,13 +224,14 @@
         share: Share,
         cost: f64,
     ) -> bool {
-        let Some(Told { slots, .. }) = self.seen.told(now) else { return true };
+        let Some(Told { slots: told, .. }) = self.seen.told(now) else { return true };
         if self.uploads.spent(cost) < DOUBT {
             return true;
         }
         let unheard = self.unheard * u32::from(share.instances);
-        let limit = f64::from(self.load.slots) * f64::from(settings.booking) / 100.0;
-        f64::from(slots + unheard) < limit
+        let slots = admission::slots(settings, share.requests, Class::Upload, self.load.slots);
+        let limit = slots * f64::from(settings.booking) / 100.0;
+        f64::from(told + unheard) < limit
     }
 }
 
@@ -218,6 +242,6 @@
     pub(crate) requests: bool,
     /// How many instances are believed live.
     pub(crate) instances: u16,
-    /// How many requests are given to each slot.
-    pub(crate) booking: f64,
+    /// Requests a millisecond that are let in for each slot.
+    pub(crate) pace: f64,
 }
