load: bound the free pace by how long an unhurried flow lasts

The usual hold time grows with the wait in targets, so the bound on the pace fell below the capacity under load.

--- a/load/src/placement.rs
+++ b/load/src/placement.rs
@@ -105,6 +105,11 @@
         if self.samples < ENOUGH { 1.0 } else { self.mean / self.least }
     }
 
+    /// The least mean so far: how long a flow lasts that need not wait.
+    pub fn least(&self) -> Option<f64> {
+        (self.samples >= ENOUGH).then_some(self.least)
+    }
+
     /// The mean, once enough was seen.
     pub fn mean(&self) -> Option<f64> {
         (self.samples >= ENOUGH).then_some(self.mean)
--- a/load/src/state.rs
+++ b/load/src/state.rs
@@ -24,7 +24,7 @@
 const DEPTH: f64 = 2.0;
 /// How much of an upload ledger's savings must be spent before a target that
 /// says *full* is believed; one that always says so keeps getting some.
-const DOUBT: f64 = 0.5;
+const DOUBT: f64 = 0.05;
 
 /// Where a class stands in arrays by class.
 pub(crate) const fn at(class: Class) -> usize {
@@ -98,7 +98,8 @@
     /// What the shares of its targets follow from.
     pub(crate) fn share(&self, instances: u16) -> Share {
         let slots = self.targets.iter().map(|t| u32::from(t.load.slots)).sum();
-        let hold = self.usual(Class::Request);
+        let hold = self.holds[at(Class::Request)].least();
+        let hold = hold.unwrap_or(FIRST_HOLDS[at(Class::Request)]);
         let pace = self.pace.rate(slots, hold, instances);
         Share { requests: self.requests, instances, pace }
     }
