--- a/load/src/gate.rs
+++ b/load/src/gate.rs
@@ -279,8 +279,11 @@
             return Err(if leftover { scarce } else { Reason::Connections });
         }
         target.earn(now, settings, share, costs);
-        if class == Class::Upload && !target.says_room(now, settings, share, cost) {
-            return Err(Reason::Slots);
+        if class == Class::Upload {
+            let chance = target.chance(now, settings, share, cost);
+            if self.random.fraction() >= chance {
+                return Err(Reason::Slots);
+            }
         }
         let Some((ledger, line)) = target.ledger(class) else { return Ok(None) };
         if ledger.spent(cost) < 0.5 {
--- a/load/src/shares.rs
+++ b/load/src/shares.rs
@@ -19,7 +19,7 @@
 /// How much of the target's time may be saved up while nothing comes. The
 /// backlog that a burst makes in a target is bounded by this; at 100 ms half
 /// load waited, at 1000 ms a burst kept a target behind for a second.
-const SAVINGS: f64 = 250.0;
+const SAVINGS: f64 = 100.0;
 
 /// Slot-milliseconds that an instance may still spend on a target.
 #[derive(Debug, Clone)]
@@ -81,7 +81,7 @@
 const HALF_LIFE: f64 = 2_000.0;
 /// How many flows for each slot are let in while nothing is overloaded. A flow
 /// lasts longer than its work holds a slot, by its round trips.
-const FREE: f64 = 3.0;
+const FREE: f64 = 2.5;
 /// Work for each slot, work that waits included, that an overloaded target is
 /// kept at: some must wait, or slots idle between two pieces of work.
 const GOAL: f64 = 4.0;
@@ -162,6 +162,40 @@
     }
 }
 
+/// How long a target's word stands until the next one, in milliseconds.
+const REPORT: f64 = 1_000.0;
+/// Half-life of the count of openings, in milliseconds: some uploads long.
+const ASKED_HALF_LIFE: f64 = 5_000.0;
+
+/// How many openings of long work ask for a target here.
+///
+/// Long work outlasts the lag of reports, so what a target says is of use: it
+/// has room for two more. But all instances hear that at once, and each would
+/// let in two. Taking the others to be asked as often as itself, an instance
+/// lets each opening in with the chance that makes two of all of them.
+#[derive(Debug, Clone, Default)]
+pub struct Asked {
+    count: f64,
+    at: Millis,
+}
+
+impl Asked {
+    /// Counts an opening.
+    pub fn ask(&mut self, now: Millis) {
+        let span = now.since(self.at).0 as f64;
+        self.at = now;
+        self.count = self.count * (-span / ASKED_HALF_LIFE).exp2() + 1.0;
+    }
+
+    /// The chance with which to let one in, so that about `room` get in at all
+    /// `instances` together until the target speaks again.
+    pub fn chance(&self, room: f64, instances: u16) -> f64 {
+        let rate = self.count * std::f64::consts::LN_2 / ASKED_HALF_LIFE;
+        let expected = rate * REPORT * f64::from(instances.max(1));
+        (room / expected.max(1.0)).clamp(0.0, 1.0)
+    }
+}
+
 /// How far a target's word may be from the own count to be believed, as a
 /// part of its connections. The random walk of a day stays within it; a
 /// target that always says zero does not.
--- a/load/src/state.rs
+++ b/load/src/state.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     admission,
-    opening::{ServiceLoad, TargetLoad, Told},
+    opening::{ServiceLoad, TargetLoad},
     placement::{self, FULL, Hold, Seen, View},
     queue::Line,
     refusal::Overload,
     settings::Settings,
-    shares::{Connections, Ledger, Pace},
+    shares::{Asked, Connections, Ledger, Pace},
 };
 use medlarspur_lib::{bundle::Class, ids::ServiceName, time::Millis};
 
@@ -26,6 +26,12 @@
 /// says *full* is believed; one that always says so keeps getting some.
 const DOUBT: f64 = 0.05;
 
+/// How much more or less short work a target gets for each piece of work for
+/// a slot that it has less or more than the median.
+const CATCH_UP: f64 = 0.03;
+/// The bounds of that. A target that always says *idle* gets a tenth more.
+const TRIM: (f64, f64) = (0.6, 1.1);
+
 /// Where a class stands in arrays by class.
 pub(crate) const fn at(class: Class) -> usize {
     match class {
@@ -46,6 +52,7 @@
     pub(crate) overload: [Overload; CLASSES],
     pub(crate) holds: [Hold; CLASSES],
     pub(crate) pace: Pace,
+    pub(crate) backlog: f64,
     /// Whether targets that say they drain are believed.
     pub(crate) believed: bool,
 }
@@ -91,6 +98,7 @@
             overload: Default::default(),
             holds: [Hold::of_service(); CLASSES],
             pace: Pace::default(),
+            backlog: 0.0,
             believed: true,
         }
     }
@@ -101,13 +109,13 @@
         let hold = self.holds[at(Class::Request)].least();
         let hold = hold.unwrap_or(FIRST_HOLDS[at(Class::Request)]);
         let pace = self.pace.rate(slots, hold, instances);
-        Share { requests: self.requests, instances, pace }
+        Share { requests: self.requests, instances, backlog: self.backlog, pace }
     }
 
     /// The median of what targets say of their work for each slot, so that no
     /// single one can speed up or slow down the whole service; without reports,
     /// how much longer than ever flows last.
-    fn backlog(&self, now: Millis) -> f64 {
+    fn median(&self, now: Millis) -> f64 {
         let told = |t: &Target| {
             let told = t.seen.told(now)?;
             Some(f64::from(told.slots) / f64::from(t.load.slots.max(1)))
@@ -122,8 +130,8 @@
         let draining = self.targets.iter().filter(told).count();
         self.believed = placement::drains_believed(draining, self.targets.len());
         let busy = self.overload[at(Class::Request)].lasts(now);
-        let backlog = self.backlog(now);
-        self.pace.adjust(now, backlog, busy);
+        self.backlog = self.median(now);
+        self.pace.adjust(now, self.backlog, busy);
         let mut views: Vec<View> = self.targets.iter_mut().map(Target::view).collect();
         placement::advise(now, self.balance, &mut views, &mut self.weights);
     }
@@ -158,6 +166,7 @@
     pub(crate) lines: [Line; CLASSES],
     pub(crate) holds: [Hold; CLASSES],
     pub(crate) seen: Seen,
+    pub(crate) asked: Asked,
     /// Uploads let in here since the target last spoke.
     pub(crate) unheard: u32,
 }
@@ -172,6 +181,7 @@
             lines: Default::default(),
             holds: Default::default(),
             seen: Seen::new(cold),
+            asked: Asked::default(),
             unheard: 0,
         }
     }
@@ -205,7 +215,7 @@
         share: Share,
         costs: [f64; CLASSES],
     ) {
-        let Share { requests, instances, pace } = share;
+        let Share { requests, instances, pace, .. } = share;
         let part = 1.0 / f64::from(instances.max(1));
         let slots = |class| admission::slots(settings, requests, class, self.load.slots);
         let (all, long) = (slots(Class::Request), slots(Class::Upload));
@@ -213,26 +223,36 @@
         self.uploads.earn(now, booked, costs[at(Class::Upload)]);
         let taken = self.uploads.spent(costs[at(Class::Upload)]) * long;
         let free = if requests { all - taken } else { all };
+        let pace = pace * self.trim(now, share.backlog);
         self.requests.earn(now, free * pace, costs[at(Class::Request)]);
     }
 
-    /// Whether the target's own word leaves room for an upload. Between its
-    /// reports each instance takes the others to do as it does itself.
-    pub(crate) fn says_room(
-        &self,
+    /// The chance with which an upload gets in by the target's own word.
+    pub(crate) fn chance(
+        &mut self,
         now: Millis,
         settings: &Settings,
         share: Share,
         cost: f64,
-    ) -> bool {
-        let Some(Told { slots: told, .. }) = self.seen.told(now) else { return true };
+    ) -> f64 {
+        self.asked.ask(now);
         if self.uploads.spent(cost) < DOUBT {
-            return true;
+            return 1.0;
         }
-        let unheard = self.unheard * u32::from(share.instances);
+        let Some(told) = self.seen.told(now) else { return 1.0 };
         let slots = admission::slots(settings, share.requests, Class::Upload, self.load.slots);
         let limit = slots * f64::from(settings.booking) / 100.0;
-        f64::from(told + unheard) < limit
+        let room = limit - f64::from(told.slots + self.unheard);
+        self.asked.chance(room, share.instances)
+    }
+
+    /// How much faster or slower than the others the target gets short work,
+    /// so that one that fell behind catches up. Its word counts for little: a
+    /// wrong one may not bring it much more, nor take much away.
+    fn trim(&self, now: Millis, usual: f64) -> f64 {
+        let Some(told) = self.seen.told(now) else { return 1.0 };
+        let backlog = f64::from(told.slots) / f64::from(self.load.slots.max(1));
+        (1.0 + (usual - backlog) * CATCH_UP).clamp(TRIM.0, TRIM.1)
     }
 }
 
@@ -243,6 +263,8 @@
     pub(crate) requests: bool,
     /// How many instances are believed live.
     pub(crate) instances: u16,
+    /// The median work for each slot, work that waits included.
+    pub(crate) backlog: f64,
     /// Requests a millisecond that are let in for each slot.
     pub(crate) pace: f64,
 }
