--- a/load/src/placement.rs
+++ b/load/src/placement.rs
@@ -59,6 +59,8 @@
 /// three times as slow to an instance that sees one end a second, and goodput
 /// under a spraying fabric fell to half of the capacity.
 const OUTLIER: f64 = 4.0;
+/// How far the mean of a target moves towards that of all in a second.
+const RELAX: f64 = 0.1;
 /// How the least mean is forgotten with each hold time, so that work which
 /// has become longer for good is not taken for waiting for ever.
 const FORGET: f64 = 1.0 + 1e-5;
@@ -100,6 +102,13 @@
         }
     }
 
+    /// Moves the mean a bit towards that of all targets. An instance sees few
+    /// ends of each target; without this, what a target was like in a past
+    /// overload held its work back for a quarter of a minute.
+    pub fn relax(&mut self, usual: f64) {
+        self.mean += (usual - self.mean) * RELAX;
+    }
+
     /// How many times the least mean so far the present one is, or one.
     pub fn stretch(&self) -> f64 {
         if self.samples < ENOUGH { 1.0 } else { self.mean / self.least }
--- a/load/src/shares.rs
+++ b/load/src/shares.rs
@@ -19,7 +19,7 @@
 /// How much of the target's time may be saved up while nothing comes. The
 /// backlog that a burst makes in a target is bounded by this; at 100 ms half
 /// load waited, at 1000 ms a burst kept a target behind for a second.
-const SAVINGS: f64 = 100.0;
+const SAVINGS: f64 = 150.0;
 
 /// Slot-milliseconds that an instance may still spend on a target.
 #[derive(Debug, Clone)]
@@ -78,13 +78,13 @@
 
 /// Half-life of the count of ends, in milliseconds: long enough to see some
 /// hundred ends at a few hundred a second, short enough to follow a change.
-const HALF_LIFE: f64 = 2_000.0;
+const HALF_LIFE: f64 = 1_000.0;
 /// How many flows for each slot are let in while nothing is overloaded. A flow
 /// lasts longer than its work holds a slot, by its round trips.
 const FREE: f64 = 2.5;
 /// Work for each slot, work that waits included, that an overloaded target is
 /// kept at: some must wait, or slots idle between two pieces of work.
-const GOAL: f64 = 4.0;
+const GOAL: f64 = 8.0;
 /// Below this, slots idle.
 const IDLE: f64 = 1.5;
 /// How much more than what ends is let in while slots idle.
@@ -128,7 +128,7 @@
     /// once a second. `busy` says that work is being turned away.
     pub fn adjust(&mut self, now: Millis, backlog: f64, busy: bool) {
         self.decay(now);
-        self.quiet = if backlog < 1.0 { self.quiet.saturating_add(1) } else { 0 };
+        self.quiet = if backlog < IDLE { self.quiet.saturating_add(1) } else { 0 };
         if busy || backlog > GOAL {
             self.limited = true;
         }
