load: let no overload prolong itself, and keep uploads behind requests

Where requests share the slots, a target that says full is believed: it was given an upload by each instance in turn on the doubt that it lies.

--- a/load/src/gate.rs
+++ b/load/src/gate.rs
@@ -250,7 +250,9 @@
         let takers = &mut self.takers[at(class)];
         let total = takers.total(now, service);
         let heavy = takers.heavy(now, &self.settings, service, caller, total);
-        let early = self.budget.early(now, caller_key(service.0, class, caller));
+        let overload = &self.services[usize::from(service.0)].overload[at(class)];
+        let early =
+            overload.lasts(now) && self.budget.early(now, caller_key(service.0, class, caller));
         Newcomer { flow, caller, heavy, early }
     }
 
@@ -327,8 +329,9 @@
     }
 
     fn refuse(&mut self, now: Millis, place: Place, newcomer: &Newcomer, reason: Reason) -> Millis {
+        let full = matches!(reason, Reason::Slots | Reason::Connections);
         let overload = &mut self.services[place.service].overload[at(place.class)];
-        let after = overload.refuse(now, &mut self.random);
+        let after = overload.refuse(now, full, &mut self.random);
         let key = caller_key(place.service as u16, place.class, newcomer.caller);
         self.budget.told(key, now + after);
         self.memory.keep(now, newcomer.flow, Decision::Refused(now + after));
--- a/load/src/placement.rs
+++ b/load/src/placement.rs
@@ -40,6 +40,9 @@
 /// How many times the median hold time is slow. The smoothed mean of 16
 /// exponential times is off by 18 %, so twice is five deviations.
 const SLOW: f64 = 2.0;
+/// How many times the median hold time bears out a target that says that it
+/// is overloaded. Both together are taken in full.
+const AGREES: f64 = 1.3;
 /// How many times the median told load is overloaded.
 const LOADED: f64 = 1.5;
 /// How many deviations of an opening count must go unanswered to be no chance.
@@ -59,8 +62,6 @@
 /// three times as slow to an instance that sees one end a second, and goodput
 /// under a spraying fabric fell to half of the capacity.
 const OUTLIER: f64 = 4.0;
-/// How far the mean of a target moves towards that of all in a second.
-const RELAX: f64 = 0.1;
 /// How the least mean is forgotten with each hold time, so that work which
 /// has become longer for good is not taken for waiting for ever.
 const FORGET: f64 = 1.0 + 1e-5;
@@ -102,13 +103,6 @@
         }
     }
 
-    /// Moves the mean a bit towards that of all targets. An instance sees few
-    /// ends of each target; without this, what a target was like in a past
-    /// overload held its work back for a quarter of a minute.
-    pub fn relax(&mut self, usual: f64) {
-        self.mean += (usual - self.mean) * RELAX;
-    }
-
     /// How many times the least mean so far the present one is, or one.
     pub fn stretch(&self) -> f64 {
         if self.samples < ENOUGH { 1.0 } else { self.mean / self.least }
@@ -276,25 +270,26 @@
 
 fn goal(now: Millis, target: &View, holds: Option<f64>, loads: Option<f64>) -> f64 {
     let mut goal = target.seen.answered() * target.seen.kept();
-    if let (Some(hold), Some(median)) = (target.hold, holds)
-        && hold > median * SLOW
-    {
-        goal *= median / hold;
+    let slower = match (target.hold, holds) {
+        (Some(hold), Some(median)) => hold / median,
+        _ => 1.0,
+    };
+    let (word, agrees) = (word(now, target, loads), slower > AGREES);
+    if slower > SLOW || agrees && word < 1.0 {
+        goal *= 1.0 / slower;
     }
-    goal *= word(now, target, loads);
+    goal *= if agrees { word } else { word.max(TOLD_FLOOR) };
     goal.clamp(FLOOR, 1.0)
 }
 
-/// The factor that a target's own word asks for, within its bounds.
+/// The factor that a target's own word asks for.
 fn word(now: Millis, target: &View, loads: Option<f64>) -> f64 {
     let Some(told) = target.seen.told(now) else { return 1.0 };
     if !told.healthy {
         return TOLD_FLOOR;
     }
     match (load(now, target), loads) {
-        (Some(load), Some(median)) if load > 1.0 && load > median * LOADED => {
-            (median / load).max(TOLD_FLOOR)
-        }
+        (Some(load), Some(median)) if load > 1.0 && load > median * LOADED => median / load,
         _ => 1.0,
     }
 }
--- a/load/src/refusal.rs
+++ b/load/src/refusal.rs
@@ -41,13 +41,19 @@
     }
 
     /// Counts an opening that is turned away and says when to come back.
-    pub fn refuse(&mut self, now: Millis, random: &mut Random) -> Millis {
+    ///
+    /// `full` says that there was no room for anybody. Turning away only the
+    /// callers that take too much or come early must not by itself prolong the
+    /// overload that they are turned away for.
+    pub fn refuse(&mut self, now: Millis, full: bool, random: &mut Random) -> Millis {
         self.decay(now);
         self.refused += 1.0;
         if !self.lasts(now) {
             self.since = now;
         }
-        self.last = Some(now);
+        if full {
+            self.last = Some(now);
+        }
         let excess = (self.refused / self.admitted.max(1.0)).min(10.0);
         let lasted = now.since(self.since).0 as f64;
         let mean = SHORTEST.0 as f64 + lasted * 0.5 * excess.min(2.0);
--- a/load/src/shares.rs
+++ b/load/src/shares.rs
@@ -206,7 +206,7 @@
 /// How long a new count takes a target's word for it: an instance that just
 /// started has seen no openings and would fill the target a second time.
 const UNSURE: Millis = Millis::secs(30);
-/// The part of the room up to which it does. One whose endpoint always says
+/// The part of the room up to which a report can raise the count. One whose endpoint always says
 /// *full* must not be closed to all by that.
 const UNSURE_TAKEN: f64 = 0.7;
 
@@ -237,10 +237,13 @@
     pub fn told(&mut self, now: Millis, connections: u32, limit: u32, instances: u16) {
         let part = f64::from(connections) / f64::from(instances.max(1));
         let room = f64::from(limit) / f64::from(instances.max(1));
+        let high = part.min(room * UNSURE_TAKEN);
         if now.since(self.since) < UNSURE {
-            self.count = self.count.max(part.min(room * UNSURE_TAKEN));
-        } else if (part - self.count).abs() <= room * BELIEVED {
+            self.count = self.count.max(high);
+        } else if part < self.count && self.count - part <= room * BELIEVED {
             self.count += (part - self.count) * CORRECTION;
+        } else if high > self.count && high - self.count <= room * BELIEVED {
+            self.count += (high - self.count) * CORRECTION;
         }
     }
 
--- a/load/src/state.rs
+++ b/load/src/state.rs
@@ -23,7 +23,9 @@
 /// however long they are.
 const DEPTH: f64 = 2.0;
 /// How much of an upload ledger's savings must be spent before a target that
-/// says *full* is believed; one that always says so keeps getting some.
+/// says *full* is believed; one that always says so keeps getting some. Where
+/// requests share its slots it gets none: rather an idle slot than a request
+/// behind an upload.
 const DOUBT: f64 = 0.05;
 
 /// How much more or less short work a target gets for each piece of work for
@@ -132,10 +134,6 @@
         let busy = self.overload[at(Class::Request)].lasts(now);
         self.backlog = self.median(now);
         self.pace.adjust(now, self.backlog, busy);
-        for class in [Class::Request, Class::Upload] {
-            let usual = self.usual(class);
-            self.targets.iter_mut().for_each(|t| t.holds[at(class)].relax(usual));
-        }
         let mut views: Vec<View> = self.targets.iter_mut().map(Target::view).collect();
         placement::advise(now, self.balance, &mut views, &mut self.weights);
     }
@@ -223,7 +221,8 @@
         let part = 1.0 / f64::from(instances.max(1));
         let slots = |class| admission::slots(settings, requests, class, self.load.slots);
         let (all, long) = (slots(Class::Request), slots(Class::Upload));
-        let booked = long * part * f64::from(settings.booking) / 100.0;
+        let booking = if requests { 1.0 } else { f64::from(settings.booking) / 100.0 };
+        let booked = long * part * booking;
         self.uploads.earn(now, booked, costs[at(Class::Upload)]);
         let taken = self.uploads.spent(costs[at(Class::Upload)]) * long;
         let free = if requests { all - taken } else { all };
@@ -240,13 +239,13 @@
         cost: f64,
     ) -> f64 {
         self.asked.ask(now);
-        if self.uploads.spent(cost) < DOUBT {
+        if !share.requests && self.uploads.spent(cost) < DOUBT {
             return 1.0;
         }
         let Some(told) = self.seen.told(now) else { return 1.0 };
         let slots = admission::slots(settings, share.requests, Class::Upload, self.load.slots);
-        let limit = slots * f64::from(settings.booking) / 100.0;
-        let room = limit - f64::from(told.slots + self.unheard);
+        let booking = if share.requests { 1.0 } else { f64::from(settings.booking) / 100.0 };
+        let room = slots * booking - f64::from(told.slots + self.unheard);
         self.asked.chance(room, share.instances)
     }
 
--- a/load/tests/model/mod.rs
+++ b/load/tests/model/mod.rs
@@ -27,6 +27,8 @@
 const TRIP: u64 = 9;
 /// How much older each next instance's table is, in milliseconds.
 const LAG: u64 = 100;
+/// When an instance takes an opening that nothing followed for ended.
+const IDLE: u64 = 5_000;
 /// One in so many answers is lost, so that the caller repeats its opening.
 const LOST: u64 = 1000;
 
@@ -64,6 +66,7 @@
     Repeat { work: usize, tries: u32 },
     Finish { target: usize },
     Close { target: usize, work: usize, flow: u64, by: usize },
+    Idle { target: usize, work: usize, flow: u64, by: usize },
     Follow { target: usize, by: usize },
     Report { target: usize },
     Plan,
@@ -155,7 +158,11 @@
                 }
             }
             Event::Finish { target } => self.finish(target),
-            Event::Close { target, work, flow, by } => self.close(target, work, flow, by),
+            Event::Close { target, work, flow, by } => {
+                self.hosts[target].connections -= 1;
+                self.close(target, work, flow, by);
+            }
+            Event::Idle { target, work, flow, by } => self.close(target, work, flow, by),
             Event::Follow { target, by } => {
                 let signal = Signal::Followed { after: None };
                 self.gates[by].seen(
@@ -284,6 +291,7 @@
         let lost = self.random.draw().is_multiple_of(LOST);
         if sheds && self.random.draw().is_multiple_of(2) || self.hosts[target].full() {
             self.outcome.overrun += 1;
+            self.at(IDLE, Event::Idle { target, work: ix, flow: flow(ix, tries), by });
             self.retry(ix, 1000);
             return;
         }
@@ -334,7 +342,6 @@
     }
 
     fn close(&mut self, target: usize, work: usize, flow: u64, by: usize) {
-        self.hosts[target].connections -= 1;
         let closing = Closing {
             flow: FlowId(flow),
             service: ServiceIx(0),
