docs: tell operators what a site must provide and what each failure looks like

Every metric and every log line of a state change has its meaning and what to do; tests fail if a metric or a reason of the packet path is not on the page. What changes a machine's network was not run and is marked so.

--- a/operator/tests/runner.rs
+++ b/operator/tests/runner.rs
@@ -2,5 +2,6 @@
 
 mod fixtures;
 mod test_meters;
+mod test_pages;
 mod test_routes;
 mod test_server;
