--- a/daemon/examples/bench/main.rs
+++ b/daemon/examples/bench/main.rs
@@ -3,13 +3,14 @@
 //!
 //! ```text
 //! cargo run --release -p medlarspur-daemon --example bench
-//! cargo run --release -p medlarspur-daemon --example bench -- held 300000
+//! cargo run --release -p medlarspur-daemon --example bench -- slope flow-memory 300000
 //! ```
 
 mod memory;
 mod process;
 mod relay;
 mod site;
+mod slopes;
 
 use relay::Rate;
 
@@ -27,8 +28,8 @@
         }
         ["memory"] => print_memory(),
         ["relay"] => print_relay(),
-        ["held", flows] => print_held(flows.parse().expect("the number of flows is a number")),
-        _ => eprintln!("usage: bench [memory | relay | held FLOWS]"),
+        ["slope", name, size] => print_slope(name, size),
+        _ => eprintln!("usage: bench [memory | relay | slope NAME SIZE]"),
     }
 }
 
@@ -51,10 +52,10 @@
     }
 }
 
-/// One number of flows a process, since memory that an earlier table gave back
-/// would hide what the next one takes.
-fn print_held(flows: usize) {
-    let resident = memory::held(flows);
-    let bytes = resident as f64 / flows as f64;
-    println!("{flows} flows held: {} KiB resident, {bytes:.1} bytes a flow", resident / 1024);
+fn print_slope(name: &str, size: &str) {
+    let value = size.parse().ok().and_then(|size| slopes::measure(name, size));
+    match value {
+        Some(value) => println!("{size}: {value:.0}"),
+        None => eprintln!("no slope {name:?} at {size:?}"),
+    }
 }
--- a/daemon/examples/bench/memory.rs
+++ b/daemon/examples/bench/memory.rs
@@ -13,10 +13,12 @@
     packet::Packet,
     question,
     time::Millis,
+    view::View,
 };
 use std::{
     hint::black_box,
     net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -82,9 +84,14 @@
     std::array::from_fn(|ix| SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, ix as u8), 6080))
 }
 
+/// The view of Gromovestnik's services.
+pub fn view() -> Arc<View> {
+    site::view(&targets())
+}
+
 fn forwarder(flows: usize) -> Forwarder<OpenGate> {
     let mut forwarder = Forwarder::new(OpenGate, flows);
-    forwarder.install(site::view(&targets()), NOW);
+    forwarder.install(view(), NOW);
     forwarder
 }
 
@@ -130,12 +137,9 @@
         let mut forwarder = forwarder(flows);
         timed(|| pass(&mut forwarder, &middles))
     });
-    let mut warm = forwarder(flows);
-    pass(&mut warm, &openings);
-    let hit = median(flows, || timed(|| pass(&mut warm, &middles)));
     let copy = median(flows, || timed(|| copy(&middles)));
     vec![
-        row("whole path, hit", hit),
+        row("whole path, hit", hit(flows)),
         row("whole path, miss in mid-flow", miss),
         row("whole path, opening", open),
         row("of these: receive and send, no decision", copy),
@@ -145,6 +149,16 @@
     ]
 }
 
+/// The nanoseconds of a packet through the whole path when this many flows are
+/// known and their packets come in random order.
+pub fn hit(flows: usize) -> f64 {
+    let order = site::shuffled(flows);
+    let middles: Vec<_> = order.iter().rev().map(|&flow| site::middle(flow, SIZE)).collect();
+    let mut warm = forwarder(flows);
+    pass(&mut warm, &middles);
+    median(flows, || timed(|| pass(&mut warm, &middles)))
+}
+
 /// Batches in and out without looking at them.
 fn copy(packets: &[Vec<u8>]) {
     let mut wire = Repeat { packets, next: 0, counts: Counts::default() };
@@ -166,14 +180,14 @@
 }
 
 fn hash(packets: &[Vec<u8>]) {
-    let view = site::view(&targets());
+    let view = view();
     for packet in packets.iter().filter_map(|it| Packet::parse(black_box(it)).ok()) {
         black_box(view.hasher.id(&packet.key()));
     }
 }
 
 fn look_up(packets: &[Vec<u8>]) {
-    let view = site::view(&targets());
+    let view = view();
     for packet in packets.iter().filter_map(|it| Packet::parse(black_box(it)).ok()) {
         let key = packet.key();
         let id = view.hasher.id(&key);
--- /dev/null
+++ b/daemon/examples/bench/slopes.rs
@@ -0,0 +1,297 @@
+//! Costs of an instance's duties against one size each, for `docs/CAPACITY.md`.
+//!
+//! Each call measures one point in a process of its own, because memory that an
+//! earlier point gave back would hide what the next one takes.
+
+use crate::{
+    memory,
+    process::{resident, thread_nanos},
+};
+use medlarspur_fabric::Outbox;
+use medlarspur_lib::{
+    bundle::{Keys, SecretKey, Signed, sign},
+    forwarder::{Forwarder, OpenGate},
+    ids::{
+        DomainName, FlowId, Incarnation, InstanceName, ServiceName, SiteName, TargetName, Version,
+    },
+    members::{Addresses, Member, MemberState},
+    message::{Advert, Message},
+    question::{Datagram, Question},
+    settings::Secret,
+    time::Millis,
+    view::{Draft, ServiceKey},
+};
+use medlarspur_platform::{Etag, Http, Platform};
+use medlarspur_target::{Http as ProbeHttp, Probe};
+use prost::Message as _;
+use std::{
+    fmt::Write as _,
+    hint::black_box,
+    io::{BufRead, BufReader, Write as _},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+const NOW: Millis = Millis(1_000);
+/// The services and members of the target size, for the slopes that depend on
+/// two sizes.
+const SERVICES: usize = 3_400;
+const MEMBERS: usize = 1_000;
+/// How often a short work is repeated; the median counts.
+const REPEATS: usize = 5;
+
+/// Measures one point; nothing if there is no slope of this name.
+pub fn measure(name: &str, size: usize) -> Option<f64> {
+    Some(match name {
+        "flow-memory" => memory::held(size) as f64,
+        "hit-nanos" => memory::hit(size),
+        "kept-memory" => kept(size).0,
+        "kept-nanos" => kept(size).1,
+        "advert-bytes" => advert_bytes(size),
+        "view-memory" => view_memory(size),
+        "check-memory" => check_memory(size),
+        "check-micros" => check_micros(size),
+        "install-micros" => install_micros(size),
+        "members-micros" => members_micros(SERVICES, size),
+        "keepers-micros" => members_micros(size, MEMBERS),
+        "question-nanos" => question_nanos(size),
+        "probe-micros" => probe(size).0,
+        "probe-bytes" => probe(size).1,
+        "watch-micros" => watch(size).0,
+        "watch-bytes" => watch(size).1,
+        _ => return None,
+    })
+}
+
+fn median(mut round: impl FnMut() -> Duration) -> f64 {
+    let mut times: Vec<_> = (0..REPEATS).map(|_| round().as_nanos() as f64).collect();
+    times.sort_by(f64::total_cmp);
+    times[REPEATS / 2]
+}
+
+fn timed<T>(work: impl FnOnce() -> T) -> Duration {
+    let start = Instant::now();
+    black_box(work());
+    start.elapsed()
+}
+
+/// What a keeper spends on flows that others tell it: bytes and nanoseconds.
+fn kept(flows: usize) -> (f64, f64) {
+    let mut forwarder = Forwarder::new(OpenGate, 0);
+    let mut sent = memory::Sent::default();
+    forwarder.install(memory::view(), NOW);
+    let before = resident();
+    let mut time = Duration::ZERO;
+    for start in (0..flows).step_by(ADVERT) {
+        let advert = advert(start, ADVERT.min(flows - start));
+        time += timed(|| forwarder.advert(NOW, &advert));
+    }
+    sent.outbox = Outbox::new();
+    assert_eq!(forwarder.flows().len(), flows, "every flow is kept");
+    (resident().saturating_sub(before) as f64, time.as_nanos() as f64)
+}
+
+/// How many flows an advert has at the pace of an instance.
+const ADVERT: usize = 128;
+
+fn advert(start: usize, count: usize) -> Advert {
+    let target = |ix: usize| TargetName::new(&format!("alertdesk-{}", ix % 14));
+    let id = |ix: usize| FlowId((ix as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    Advert {
+        sender: InstanceName::new("entry-1"),
+        service: ServiceName::new("alertdesk"),
+        flows: (start..start + count).map(|ix| (id(ix), target(ix))).collect(),
+        told: None,
+    }
+}
+
+fn advert_bytes(flows: usize) -> f64 {
+    medlarspur_peer::encode(&Message::Advert(advert(0, flows))).encoded_len() as f64
+}
+
+/// A signed bundle with this many services of two targets each.
+fn bundle(services: usize, version: u64, weight: u16) -> (String, Keys) {
+    let key: SecretKey = "07".repeat(32).parse().expect("any 32 bytes are a key");
+    let mut text = format!(
+        "version: {version}\nsite: sofia\nseed: 00112233445566778899aabbccddeeff\nservices:\n"
+    );
+    for ix in 0..services {
+        let weight = if ix == 0 { weight } else { 100 };
+        let (high, low) = (ix / 250, ix % 250 + 1);
+        let _ = write!(
+            text,
+            "  - name: service-{ix}\n    address: 10.70.{high}.{low}\n    ports: [{{number: 7001, class: feed}}]\n    \
+             targets:\n      - {{name: a-{ix}, address: 10.1.{high}.{low}:6080, domain: lozenets, weight: {weight}}}\n      \
+             - {{name: b-{ix}, address: 10.2.{high}.{low}:6080, domain: druzhba}}\n"
+        );
+    }
+    let keys = Keys::new(vec![key.public()]);
+    (sign(&text, &key), keys)
+}
+
+fn check(text: &str, keys: &Keys) -> Signed {
+    Signed::check(text.as_bytes(), keys, &SiteName::new("sofia")).expect("the bundle is good")
+}
+
+fn check_micros(services: usize) -> f64 {
+    let (text, keys) = bundle(services, 1, 100);
+    eprintln!("{services} services are {} bytes of text", text.len());
+    median(|| timed(|| check(&text, &keys))) / 1e3
+}
+
+/// The memory of a bundle's values and text while they are in force.
+fn check_memory(services: usize) -> f64 {
+    let (text, keys) = bundle(services, 1, 100);
+    let before = resident();
+    let signed = check(&text, &keys);
+    let after = resident();
+    black_box(signed);
+    after.saturating_sub(before) as f64
+}
+
+fn draft(services: usize) -> Draft {
+    let (text, keys) = bundle(services, 1, 100);
+    Draft::first(InstanceName::new("entry-0"), &check(&text, &keys).bundle)
+}
+
+fn view_memory(services: usize) -> f64 {
+    let (text, keys) = bundle(services, 1, 100);
+    let signed = check(&text, &keys);
+    let before = resident();
+    let mut draft = Draft::first(InstanceName::new("entry-0"), &signed.bundle);
+    let view = draft.commit();
+    let after = resident();
+    black_box((view, draft));
+    after.saturating_sub(before) as f64
+}
+
+/// The time to put a bundle in force in which one target's weight changed.
+fn install_micros(services: usize) -> f64 {
+    let mut draft = draft(services);
+    let (text, keys) = bundle(services, 2, 50);
+    let next = check(&text, &keys).bundle;
+    median(|| {
+        timed(|| {
+            draft.install(&next, NOW);
+            draft.commit()
+        })
+    }) / 1e3
+}
+
+fn member(ix: usize) -> Member {
+    let address = |port| SocketAddrV4::new(Ipv4Addr::from(0x0a03_0000 + ix as u32), port);
+    Member {
+        name: InstanceName::new(&format!("entry-{ix}")),
+        domain: DomainName::new(&format!("domain-{}", ix % 10)),
+        incarnation: Incarnation(1),
+        state: MemberState::Live,
+        addresses: Addresses { packets: address(1), questions: address(2), control: address(3) },
+        version: Version(1),
+        told: 0,
+    }
+}
+
+/// The time to take over that one of the members is another.
+fn members_micros(services: usize, members: usize) -> f64 {
+    let mut draft = draft(services);
+    let mut all: Vec<_> = (0..members).map(member).collect();
+    draft.members(all.clone(), NOW);
+    let mut next = members;
+    median(|| {
+        next += 1;
+        all[0] = member(next);
+        timed(|| {
+            draft.members(all.clone(), NOW);
+            draft.commit()
+        })
+    }) / 1e3
+}
+
+fn question_nanos(count: usize) -> f64 {
+    let secret = Secret([7; 32]);
+    median(|| {
+        timed(|| {
+            for ix in 0..count {
+                let flow = FlowId(ix as u64);
+                let question = Question { flow, service: ServiceKey(1), nonce: ix as u32 };
+                let bytes = Datagram::Question(question).encode(&secret);
+                black_box(Datagram::decode(&bytes, &secret).is_ok());
+            }
+        })
+    })
+}
+
+/// An HTTP server that counts the bytes both ways.
+fn serve(answer: String) -> (SocketAddrV4, Arc<AtomicU64>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("loopback has free ports");
+    let SocketAddr::V4(address) = listener.local_addr().expect("it is bound") else {
+        unreachable!("it was bound to IPv4")
+    };
+    let bytes = Arc::new(AtomicU64::new(0));
+    let counter = bytes.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let (answer, counter) = (answer.clone(), counter.clone());
+            thread::spawn(move || converse(stream, &answer, &counter));
+        }
+    });
+    (address, bytes)
+}
+
+fn converse(mut stream: TcpStream, answer: &str, bytes: &AtomicU64) {
+    let _ = stream.set_nodelay(true);
+    let Ok(reader) = stream.try_clone() else { return };
+    for line in BufReader::new(reader).lines().map_while(Result::ok) {
+        bytes.fetch_add(line.len() as u64 + 2, Relaxed);
+        if line.is_empty() {
+            bytes.fetch_add(answer.len() as u64, Relaxed);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    }
+}
+
+/// Runs `work` on a thread of its own and answers its processor time in
+/// microseconds.
+fn processor(work: impl FnOnce() + Send + 'static) -> f64 {
+    const NAME: &str = "measured";
+    let builder = thread::Builder::new().name(NAME.to_owned());
+    let run = move || {
+        let before = thread_nanos(NAME);
+        work();
+        (thread_nanos(NAME) - before) as f64 / 1e3
+    };
+    builder.spawn(run).expect("there are threads left").join().expect("the work ends")
+}
+
+/// The cost of probes of a healthy target: microseconds and bytes above TCP.
+fn probe(count: usize) -> (f64, f64) {
+    let body = r#"{"slots":2,"connections":1999}"#;
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    let (address, bytes) = serve(answer);
+    let micros = processor(move || {
+        let http = ProbeHttp::new();
+        for _ in 0..count {
+            assert!(http.probe(address).told.is_some(), "the target is healthy");
+        }
+    });
+    (micros, bytes.load(Relaxed) as f64)
+}
+
+/// The cost of watches that bring nothing: microseconds and bytes above TCP.
+fn watch(count: usize) -> (f64, f64) {
+    let (address, bytes) = serve("HTTP/1.1 204 No Content\r\n\r\n".to_owned());
+    let micros = processor(move || {
+        let http = Http::new(address);
+        let etag = Etag::new("0123456789abcdef");
+        for _ in 0..count {
+            let content = http.bundle(Some(&etag), Duration::ZERO).expect("the platform is up");
+            assert!(content.is_none(), "nothing has changed");
+        }
+    });
+    (micros, bytes.load(Relaxed) as f64)
+}
