--- a/daemon/examples/bench/slopes.rs
+++ b/daemon/examples/bench/slopes.rs
@@ -9,7 +9,7 @@
 };
 use medlarspur_fabric::Outbox;
 use medlarspur_lib::{
-    bundle::{Keys, SecretKey, Signed, sign},
+    bundle::{Bundle, Keys, SecretKey, Signed, sign},
     forwarder::{Forwarder, OpenGate},
     ids::{
         DomainName, FlowId, Incarnation, InstanceName, ServiceName, SiteName, TargetName, Version,
@@ -19,7 +19,7 @@
     question::{Datagram, Question},
     settings::Secret,
     time::Millis,
-    view::{Draft, ServiceKey},
+    view::{Draft, PENDING_LIMIT, ServiceKey},
 };
 use medlarspur_platform::{Etag, Http, Platform};
 use medlarspur_target::{Http as ProbeHttp, Probe};
@@ -156,14 +156,20 @@
 
 fn draft(services: usize) -> Draft {
     let (text, keys) = bundle(services, 1, 100);
-    Draft::first(InstanceName::new("entry-0"), &check(&text, &keys).bundle)
+    begin(&check(&text, &keys).bundle)
+}
+
+fn begin(bundle: &Arc<Bundle>) -> Draft {
+    let mut draft = Draft::first(InstanceName::new("entry-0"), bundle, NOW);
+    draft.advance(NOW + PENDING_LIMIT);
+    draft
 }
 
 fn view_memory(services: usize) -> f64 {
     let (text, keys) = bundle(services, 1, 100);
     let signed = check(&text, &keys);
     let before = resident();
-    let mut draft = Draft::first(InstanceName::new("entry-0"), &signed.bundle);
+    let mut draft = begin(&signed.bundle);
     let view = draft.commit();
     let after = resident();
     black_box((view, draft));
@@ -173,11 +179,13 @@
 /// The time to put a bundle in force in which one target's weight changed.
 fn install_micros(services: usize) -> f64 {
     let mut draft = draft(services);
-    let (text, keys) = bundle(services, 2, 50);
-    let next = check(&text, &keys).bundle;
+    let (light, keys) = bundle(services, 2, 50);
+    let (full, _) = bundle(services, 3, 100);
+    let both = [check(&light, &keys).bundle, check(&full, &keys).bundle];
+    let mut turns = both.iter().cycle();
     median(|| {
         timed(|| {
-            draft.install(&next, NOW);
+            draft.install(turns.next().unwrap_or(&both[0]), NOW);
             draft.commit()
         })
     }) / 1e3
