daemon: show plans, probes and what changes in the fleet

Operators could see neither which plan is followed, nor why an instance is gone, nor that a version was signed off with two contents, except by a gauge. A change of a member, a plan or a conflict is now a log line, the status and explanations name the plan, probes are counted, and an explanation has the id by which the list of flows shows the flow. A change of a probe's verdict was logged twice; the prober's line stays. A test finds every series of a running instance on the page of metrics.

--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -24,6 +24,7 @@
         Some(target) => output::line(&format!("{} goes to {target}: {}", found.flow, found.reason)),
         None => output::line(&format!("{} goes nowhere: {}", found.flow, found.reason)),
     }
+    output::line(&format!("flow     {}", or_dash(found.id.as_ref())));
     output::line(&format!("service  {}", or_dash(found.service.as_ref())));
     output::line(&format!("class    {}", or_dash(found.class)));
     output::line(&format!("bucket   {}", or_dash(found.bucket)));
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -137,7 +137,7 @@
         table.row(vec![
             member.name.to_string(),
             member.domain.to_string(),
-            state(member.state).to_owned(),
+            member.state.to_string(),
             member.version.to_string(),
         ]);
     }
@@ -147,15 +147,6 @@
     table.print();
 }
 
-fn state(state: MemberState) -> &'static str {
-    match state {
-        MemberState::Live => "live",
-        MemberState::Suspect => "suspect",
-        MemberState::Leaving => "leaving",
-        MemberState::Dead => "dead",
-    }
-}
-
 fn print_services(status: &Status) {
     for service in &status.services {
         let (buckets, moving) = (service.buckets, service.moving);
--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -57,6 +57,7 @@
     fn explain(&self, flow: &FlowKey) -> Explanation {
         Explanation {
             flow: *flow,
+            id: Some(format!("{:016x}", 7)),
             service: Some(ServiceName::new("alertdesk")),
             class: Some(Class::Feed),
             bucket: Some(Bucket(17)),
--- a/cli/tests/test_instances.rs
+++ b/cli/tests/test_instances.rs
@@ -98,6 +98,7 @@
     expect![[r#"
         exit code 0
         tcp:10.9.0.1:40000:10.70.0.1:7001 goes to alert-2: in doubt, a flow stays with the earlier owner of its bucket
+        flow     0000000000000007
         service  alertdesk
         class    feed
         bucket   17
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -2,6 +2,7 @@
 //! view that the packet thread follows.
 
 use crate::{
+    changes,
     clock::Clock,
     meters::{ACCEPTED, INCOMPLETE},
     shared::{Command, Outgoing, Shared, Stage},
@@ -12,7 +13,7 @@
     control::{Action, Controller, Event, TICK},
     ids::{DomainName, InstanceName, SiteName, TargetName, Version},
     members::{Candidate, Member},
-    message::{HistoryRequest, Message},
+    message::{HistoryRequest, Message, ServicePlan},
     plan, planner,
     spread::{self, Check, SignedText},
     time::Millis,
@@ -224,9 +225,11 @@
                 if let Some(draft) = &mut self.draft {
                     draft.members(members.clone(), now);
                 }
+                changes::members(&self.members, &members);
                 self.members = members;
             }
             Action::Plan(plan) => {
+                self.show_plan(&plan);
                 if let Some(draft) = &mut self.draft {
                     draft.plan(plan, now);
                 }
@@ -308,10 +311,7 @@
     }
 
     fn probed(&mut self, event: Probed) {
-        let before = self.verdicts.insert(event.target.clone(), event.verdict);
-        if before != Some(event.verdict) {
-            log::info!("target={} verdict={:?}", event.target, event.verdict);
-        }
+        self.verdicts.insert(event.target.clone(), event.verdict);
         self.command(Command::Probed(event));
     }
 
@@ -361,7 +361,6 @@
         if present.map_or(moves.is_empty(), |plan| plan.moves == moves) {
             return;
         }
-        log::info!("plan service={} moves={}", spec.name, moves.len());
         self.event(now, Event::Propose { service: spec.name.clone(), moves });
     }
 
@@ -369,11 +368,23 @@
     fn show(&self) {
         let conflict = self.controller.spread().conflict;
         let version = self.controller.current().map(|text| text.version);
-        self.shared.conflict.store(conflict.is_some() && conflict == version, Relaxed);
+        let conflict = conflict.filter(|conflict| Some(*conflict) == version);
+        let known = self.shared.conflict.swap(conflict.is_some(), Relaxed);
+        if let Some(version) = conflict.filter(|_| !known) {
+            changes::conflict(version);
+        }
         let incarnation = self.controller.roster().me().incarnation;
         self.shared.incarnation.store(incarnation.0, Relaxed);
         self.shared.platform.store(Arc::new(self.reader.counts()));
         self.shared.peers.store(Arc::new(self.peers.counters()));
+        self.shared.probes.store(Arc::new(self.prober.counts()));
+    }
+
+    fn show_plan(&self, plan: &ServicePlan) {
+        changes::plan(plan);
+        let mut plans = Map::clone(&self.shared.plans.load());
+        plans.insert(plan.service.clone(), Arc::new(plan.clone()));
+        self.shared.plans.store(Arc::new(plans));
     }
 
     fn publish(&mut self, now: Millis) {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 //! See `docs/architecture.md`.
 
 pub mod boot;
+pub mod changes;
 pub mod clock;
 pub mod control;
 pub mod gate;
--- a/daemon/src/meters.rs
+++ b/daemon/src/meters.rs
@@ -9,6 +9,7 @@
 use medlarspur_operator::{Family, Gauge, Meters};
 use medlarspur_peer::{Counters as Peers, Kind};
 use medlarspur_platform::Counts as Platform;
+use medlarspur_target::Counts as Probes;
 use std::sync::{Arc, atomic::Ordering::Relaxed};
 
 /// The label of bundles that came into force.
@@ -39,6 +40,14 @@
     ("malformed", |counts| counts.malformed),
 ];
 
+const PROBES: [Series<Probes>; 5] = [
+    ("healthy", |counts| counts.healthy),
+    ("unhealthy", |counts| counts.unhealthy),
+    ("unreachable", |counts| counts.unreachable),
+    ("refused", |counts| counts.refused),
+    ("mute", |counts| counts.mute),
+];
+
 const MESSAGES: [Series<Peers>; 8] = [
     ("sent", |counters| counters.sent.iter().map(|it| it.messages).sum()),
     ("received", |counters| counters.received.iter().map(|it| it.messages).sum()),
@@ -57,6 +66,7 @@
     bundles(meters);
     wires(meters, shared);
     platform(meters, shared);
+    probes(meters, shared);
     peers(meters, shared);
     gauges(meters, shared);
     let read = shared.clone();
@@ -87,6 +97,15 @@
     meters.observe(Family::Rings, "platform", move || read.platform.load().full);
 }
 
+fn probes(meters: &Meters, shared: &Arc<Shared>) {
+    for (label, value) in PROBES {
+        let read = shared.clone();
+        meters.observe(Family::Probes, label, move || value(&read.probes.load()));
+    }
+    let read = shared.clone();
+    meters.observe(Family::Rings, "probes", move || read.probes.load().full);
+}
+
 fn peers(meters: &Meters, shared: &Arc<Shared>) {
     for (label, value) in MESSAGES {
         let read = shared.clone();
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -3,10 +3,17 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use medlarspur_lib::{
-    bundle::Signed, forwarder::Counters, ids::InstanceName, message::Advert, packet::FlowKey,
-    time::Millis, view::View,
+    bundle::Signed,
+    collections::Map,
+    forwarder::Counters,
+    ids::{InstanceName, ServiceName},
+    message::{Advert, ServicePlan},
+    packet::FlowKey,
+    time::Millis,
+    view::View,
 };
 use std::sync::{
+    Arc,
     atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering::Relaxed},
     mpsc::SyncSender,
 };
@@ -112,6 +119,10 @@
     pub questions: ArcSwap<medlarspur_fabric::Counts>,
     /// What the platform's reader counted; written by the control thread.
     pub platform: ArcSwap<medlarspur_platform::Counts>,
+    /// What the prober of targets counted; written by the control thread.
+    pub probes: ArcSwap<medlarspur_target::Counts>,
+    /// The plans that are followed; written by the control thread.
+    pub plans: ArcSwap<Map<ServiceName, Arc<ServicePlan>>>,
     /// What the control connections counted; written by the control thread.
     pub peers: ArcSwap<medlarspur_peer::Counters>,
     /// Set once to end all threads.
--- a/daemon/src/status.rs
+++ b/daemon/src/status.rs
@@ -5,12 +5,13 @@
     shared::{Known, Look, Shared, Stage},
 };
 use medlarspur_lib::{
-    ids::{Incarnation, TargetName},
+    ids::{FlowId, Incarnation, TargetName},
+    message::ServicePlan,
     packet::FlowKey,
     settings::Settings,
     status::{
-        BundleStatus, Explanation, FlowStatus, Life, MemberStatus, Owner, Reason, ServiceStatus,
-        Status as Shown, TargetStatus, Unready,
+        BundleStatus, Explanation, FlowStatus, Life, MemberStatus, Owner, PlanStatus, Reason,
+        ServiceStatus, Status as Shown, TargetStatus, Unready,
     },
     time::Millis,
     view::{BucketView, Registry, ServiceView, TargetId, View},
@@ -70,6 +71,17 @@
     }
 }
 
+impl Status {
+    fn services(&self, view: &View, flows: &[u64]) -> Vec<ServiceStatus> {
+        let plans = self.shared.plans.load();
+        let status = |service: &Arc<ServiceView>| {
+            let plan = plans.get(&service.spec.name).map(|plan| plan_status(plan));
+            ServiceStatus { plan, ..service_status(view, service, flows) }
+        };
+        view.services.iter().map(status).collect()
+    }
+}
+
 impl Source for Status {
     fn status(&self) -> Shown {
         let view = self.shared.view.load_full();
@@ -86,7 +98,7 @@
             unready: unready(stage),
             flows: self.shared.flows.load(Relaxed),
             members: view.as_ref().map(|view| members(view)).unwrap_or_default(),
-            services: view.as_ref().map(|view| services(view, &flows)).unwrap_or_default(),
+            services: view.as_ref().map(|view| self.services(view, &flows)).unwrap_or_default(),
         }
     }
 
@@ -95,6 +107,7 @@
         let known = self.ask(|reply| Look::One(*flow, reply)).flatten();
         let mut shown = Explanation {
             flow: *flow,
+            id: None,
             service: None,
             class: None,
             bucket: None,
@@ -107,6 +120,7 @@
         };
         let Some(view) = view else { return shown };
         shown.bundle = Some(self.bundle(&view));
+        shown.id = Some(flow_id(view.hasher.id(flow)));
         shown.reason = Reason::NoService;
         let Some((service, class)) = view.find(flow.service, flow.protocol) else { return shown };
         let bucket = service.bucket(view.hasher.id(flow));
@@ -116,7 +130,11 @@
         shown.bucket = Some(bucket);
         shown.keepers = service.keepers.of(bucket).cloned().collect();
         shown.history = owners(state, &view.registry, self.clock.now());
-        let (target, reason) = choose(known, state);
+        let plans = self.shared.plans.load();
+        let plan = plans.get(&service.spec.name);
+        shown.plan = plan.map(|plan| plan_status(plan));
+        let planned = plan.is_some_and(|plan| plan.moves.iter().any(|(b, _)| *b == bucket));
+        let (target, reason) = choose(known, state, planned);
         shown.target = target.map(|id| view.registry.get(id).name.clone());
         shown.reason = reason;
         shown
@@ -156,10 +174,6 @@
     view.members.iter().map(shown).collect()
 }
 
-fn services(view: &View, flows: &[u64]) -> Vec<ServiceStatus> {
-    view.services.iter().map(|service| service_status(view, service, flows)).collect()
-}
-
 fn service_status(view: &View, service: &ServiceView, flows: &[u64]) -> ServiceStatus {
     let targets: Vec<_> = service
         .spec
@@ -196,22 +210,32 @@
     state.history.iter().map(owner).collect()
 }
 
-fn choose(known: Option<Known>, state: &BucketView) -> (Option<TargetId>, Reason) {
+fn plan_status(plan: &ServicePlan) -> PlanStatus {
+    let (sequence, author) = (plan.sequence, plan.author.clone());
+    PlanStatus { sequence, author, moves: plan.moves.len() as u32 }
+}
+
+fn choose(known: Option<Known>, state: &BucketView, planned: bool) -> (Option<TargetId>, Reason) {
     match (known, state.owner) {
         (Some(known), _) => (Some(known.flow.target), Reason::Known),
         (None, _) if state.in_doubt() => (state.fallback(), Reason::History),
+        (None, Some(owner)) if planned => (Some(owner), Reason::Plan),
         (None, Some(owner)) => (Some(owner), Reason::Table),
         (None, None) => (None, Reason::NoTarget),
     }
 }
 
+fn flow_id(id: FlowId) -> String {
+    format!("{:016x}", id.0)
+}
+
 fn flow(view: &View, known: &Known) -> Option<FlowStatus> {
     let entry = view.registry.get(known.flow.target);
     let service = view.service(&entry.service)?;
     let state = service.state(service.bucket(known.id));
     let target: TargetName = entry.name.clone();
     Some(FlowStatus {
-        id: format!("{:016x}", known.id.0),
+        id: flow_id(known.id),
         service: entry.service.clone(),
         class: known.flow.class,
         target,
--- a/daemon/tests/test_operators.rs
+++ b/daemon/tests/test_operators.rs
@@ -117,3 +117,27 @@
     assert_eq!((&one.target, one.bucket), (&two.target, two.bucket));
     assert!(one.target.is_some());
 }
+
+/// An operator meets a reason in the metrics that no page explains.
+#[test]
+fn every_series_of_an_instance_is_described() {
+    let site = site(1);
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../docs/metrics.md");
+    let page = std::fs::read_to_string(page).expect("the page");
+
+    let text = get(site.instances[0].operator, "/metrics");
+
+    let described = |word: &str| page.contains(&format!("`{word}`"));
+    for line in text.lines().filter(|line| !line.starts_with('#')) {
+        let (series, _) = line.rsplit_once(' ').expect("a value");
+        match series.split_once('{') {
+            None => assert!(described(series), "{series}"),
+            Some((_, labels)) if labels.contains("service=") => {}
+            Some((name, labels)) => {
+                assert!(described(name), "{name}");
+                let label = labels.split('"').nth(1).expect("a label");
+                assert!(described(label), "{series}");
+            }
+        }
+    }
+}
--- a/lib/src/members/mod.rs
+++ b/lib/src/members/mod.rs
@@ -17,7 +17,7 @@
     rumours::MAX_RUMOURS,
 };
 use crate::ids::{DomainName, Incarnation, InstanceName, Version};
-use std::net::SocketAddrV4;
+use std::{fmt, net::SocketAddrV4};
 
 value! {
     /// Where an instance is reached.
@@ -94,3 +94,14 @@
         Dead,
     }
 }
+
+impl fmt::Display for MemberState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            MemberState::Live => "live",
+            MemberState::Suspect => "suspect",
+            MemberState::Leaving => "leaving",
+            MemberState::Dead => "dead",
+        })
+    }
+}
--- a/lib/src/status/explanation.rs
+++ b/lib/src/status/explanation.rs
@@ -17,6 +17,8 @@
         /// The flow that was asked about.
         #[serde(with = "super::text")]
         pub flow: FlowKey,
+        /// Its id in lists of flows, if a bundle is in force.
+        pub id: Option<String>,
         /// Its service, if the bundle in force has one at that address and port.
         pub service: Option<ServiceName>,
         /// The class of the port.
--- a/operator/tests/fixtures.rs
+++ b/operator/tests/fixtures.rs
@@ -42,6 +42,7 @@
     fn explain(&self, flow: &FlowKey) -> Explanation {
         Explanation {
             flow: *flow,
+            id: None,
             service: None,
             class: None,
             bucket: None,
