load: play each pattern of load in tests, and probe harder when slots idle

Tests play burst, few callers, uploads among requests, feeds, saturation, lying, slow, shedding and all slow targets at both sites' sizes under both fabrics. Recovery missed its 5 s at first (7 s after a minute at three times the load): while targets are nearly idle, 1.3 times what ends is let in instead of 1.15, and a target's hold time moves to that of all, so that what a burst left is forgotten.

--- a/load/examples/measure/main.rs
+++ b/load/examples/measure/main.rs
@@ -1,27 +1,41 @@
 //! Prints what callers get under each load pattern, with this crate's
 //! decisions and with the baselines: the table in `docs/measures/load.md`.
 //!
-//! `cargo run --release -p medlarspur-load --example measure [SCENE] [POLICY]`
+//! `cargo run --release -p medlarspur-load --example measure [SCENE] [POLICY] [SEED]`
 
+mod cost;
 #[path = "../../tests/model/mod.rs"]
 mod model;
-mod scenes;
 
 use medlarspur_lib::bundle::Class;
-use model::{Model, outcome::Outcome, scene::Policy, scene::Scene};
+use model::{
+    Model,
+    outcome::Outcome,
+    scene::{Policy, Scene},
+    scenes,
+};
 
 fn main() {
     let mut args = std::env::args().skip(1);
     let scene_like = args.next().unwrap_or_default();
     let policy_like = args.next().unwrap_or_default();
+    let seed = args.next().and_then(|seed| seed.parse().ok()).unwrap_or(42);
     println!(
         "| scene | service | fabric | policy | goodput % | requests % | uploads % | feeds % | \
          others % | wait p50/p99 ms | refusal p99 ms | false | crossed | double | overrun | \
          max/mean | CV | normal s |"
     );
     println!("|{}", "---|".repeat(18));
-    for scene in scenes::all().iter().filter(|s| s.name.contains(&scene_like)) {
-        for policy in Policy::ALL.into_iter().filter(|p| p.name().contains(&policy_like)) {
+    scenes_table(&scene_like, &policy_like, seed);
+    if scene_like.is_empty() {
+        cost::print();
+    }
+}
+
+fn scenes_table(scene_like: &str, policy_like: &str, seed: u64) {
+    for scene in scenes::all().into_iter().filter(|s| s.name.contains(scene_like)) {
+        let scene = &Scene { seed, ..scene };
+        for policy in Policy::ALL.into_iter().filter(|p| p.name().contains(policy_like)) {
             row(scene, policy, &Model::play(scene, policy));
         }
     }
--- a/load/src/placement.rs
+++ b/load/src/placement.rs
@@ -65,6 +65,9 @@
 /// three times as slow to an instance that sees one end a second, and goodput
 /// under a spraying fabric fell to half of the capacity.
 const OUTLIER: f64 = 4.0;
+/// How far the mean of a target moves towards that of all in a second. At a
+/// tenth, a slow target was no longer noticed under a spraying fabric.
+const RELAX: f64 = 0.05;
 /// How the least mean is forgotten with each hold time, so that work which
 /// has become longer for good is not taken for waiting for ever.
 const FORGET: f64 = 1.0 + 1e-5;
@@ -106,6 +109,13 @@
         }
     }
 
+    /// Moves the mean a bit towards that of all targets. Under a spraying
+    /// fabric an instance sees few ends of each target; without this, what a
+    /// target was like in a past burst holds its work back long after.
+    pub fn relax(&mut self, usual: f64) {
+        self.mean += (usual - self.mean) * RELAX;
+    }
+
     /// How many times the least mean so far the present one is, or one.
     pub fn stretch(&self) -> f64 {
         if self.samples < ENOUGH { 1.0 } else { self.mean / self.least }
--- a/load/src/shares.rs
+++ b/load/src/shares.rs
@@ -83,15 +83,17 @@
 /// lasts longer than its work holds a slot, by its round trips.
 const FREE: f64 = 2.5;
 /// Work for each slot, work that waits included, that an overloaded target is
-/// kept at: some must wait, or slots idle between two pieces of work.
-const GOAL: f64 = 9.0;
-/// Below this, slots idle.
-const IDLE: f64 = 1.5;
-/// How much more than what ends is let in while slots idle.
-const PROBE: f64 = 1.15;
+/// kept at. Some must wait, or slots idle while reports are a second old. In
+/// the model at three times the load, 4 gave 90–95 % goodput, 7 gave 96–98 %
+/// and 10 gave 97–99 %, with p99 waits of half a second throughout.
+const GOAL: f64 = 10.0;
+/// Below this, slots are about to idle.
+const IDLE: f64 = 3.0;
+/// How much more than what ends is let in then.
+const PROBE: f64 = 1.3;
 /// How much less is let in for each piece of work above the goal. Reports lag
-/// by a second, in which a slot ends fifty short pieces of work; a stronger
-/// correction swings.
+/// by a second, in which a slot ends fifty short pieces of work, so that a
+/// stronger correction swings.
 const CORRECT: f64 = 0.01;
 /// The least that is let in, as a part of the free rate: with nothing let in,
 /// nothing would end, and the pace would never rise again.
@@ -128,7 +130,7 @@
     /// once a second. `busy` says that work is being turned away.
     pub fn adjust(&mut self, now: Millis, backlog: f64, busy: bool) {
         self.decay(now);
-        self.quiet = if backlog < IDLE { self.quiet.saturating_add(1) } else { 0 };
+        self.quiet = if backlog < IDLE / 2.0 { self.quiet.saturating_add(1) } else { 0 };
         if busy || backlog > GOAL {
             self.limited = true;
         }
--- a/load/src/state.rs
+++ b/load/src/state.rs
@@ -134,6 +134,10 @@
         let busy = self.overload[at(Class::Request)].lasts(now);
         self.backlog = self.median(now);
         self.pace.adjust(now, self.backlog, busy);
+        for class in [Class::Request, Class::Upload] {
+            let usual = self.usual(class);
+            self.targets.iter_mut().for_each(|t| t.holds[at(class)].relax(usual));
+        }
         let mut views: Vec<View> = self.targets.iter_mut().map(Target::view).collect();
         placement::advise(now, self.balance, &mut views, &mut self.weights);
     }
--- a/load/tests/model/mod.rs
+++ b/load/tests/model/mod.rs
@@ -4,6 +4,7 @@
 pub mod host;
 pub mod outcome;
 pub mod scene;
+pub mod scenes;
 pub mod site;
 
 use self::{
--- a/load/examples/measure/scenes.rs
+++ b/load/tests/model/scenes.rs
@@ -1,6 +1,6 @@
-//! The scenes of the table.
+//! The patterns of load that are played, at the sizes of both sites.
 
-use crate::model::{
+use super::{
     scene::{Fault, Load, Scene},
     site::{Site, ajanvaraus, alertdesk, ingest, todisteet},
 };
@@ -73,12 +73,12 @@
     }
 }
 
-fn requests(name: &'static str, site: &Site, span: u64, parts: (f64, f64)) -> Scene {
+pub fn requests(name: &'static str, site: &Site, span: u64, parts: (f64, f64)) -> Scene {
     let loaded = START..START + span;
     scene(name, site, loaded.clone(), vec![load(Class::Request, site, &loaded, parts)])
 }
 
-fn few_callers(site: &Site) -> Scene {
+pub fn few_callers(site: &Site) -> Scene {
     let loaded = START..START + 30_000;
     let others = load(Class::Request, site, &loaded, (0.4, 0.4));
     let few = Load {
@@ -89,7 +89,7 @@
     scene("few callers ×2", site, loaded, vec![others, few])
 }
 
-fn mixed(site: &Site) -> Scene {
+pub fn mixed(site: &Site) -> Scene {
     let loaded = START..START + 60_000;
     let requests = load(Class::Request, site, &loaded, (0.2, 0.2));
     let uploads = load(Class::Upload, site, &loaded, (0.2, 2.0));
@@ -97,19 +97,19 @@
 }
 
 /// Feeds at three times the connections, with requests in their room.
-fn feeds(site: &Site) -> Scene {
+pub fn feeds(site: &Site) -> Scene {
     let loaded = START..START + 120_000;
     let requests = load(Class::Request, site, &loaded, (0.2, 0.2));
     let feeds = load(Class::Feed, site, &loaded, (0.3, 3.0));
     scene("feeds ×3", site, loaded, vec![requests, feeds])
 }
 
-fn uploads(name: &'static str, site: &Site, part: f64) -> Scene {
+pub fn uploads(name: &'static str, site: &Site, part: f64) -> Scene {
     let loaded = START..START + 120_000;
     scene(name, site, loaded.clone(), vec![load(Class::Upload, site, &loaded, (0.4, part))])
 }
 
-fn fault(name: &'static str, site: &Site, targets: usize, fault: Fault) -> Scene {
+pub fn fault(name: &'static str, site: &Site, targets: usize, fault: Fault) -> Scene {
     let loaded = START..START + 60_000;
     let requests = load(Class::Request, site, &loaded, (0.45, 0.45));
     Scene { faults: vec![(0..targets, fault)], ..scene(name, site, loaded, vec![requests]) }
--- a/load/tests/runner.rs
+++ b/load/tests/runner.rs
@@ -1,3 +1,7 @@
 //! One runner, so that the integration tests link once.
 
+#[allow(dead_code, reason = "the measure plays more of it")]
+mod model;
 mod test_gate;
+mod test_patterns;
+mod test_properties;
--- /dev/null
+++ b/load/tests/test_patterns.rs
@@ -0,0 +1,159 @@
+//! What callers get under each pattern of load, at both sites' sizes, with
+//! instances that decide separately. The bounds are those of the goals where
+//! they are met; `docs/measures/load.md` has the figures.
+
+use crate::model::{
+    Model,
+    outcome::Outcome,
+    scene::{Fault, Policy, Scene},
+    scenes,
+    site::{Site, ajanvaraus, alertdesk, ingest, todisteet},
+};
+use medlarspur_lib::bundle::Class;
+
+/// Plays a scene under both ways that a fabric spreads packets.
+fn play(scene: Scene) -> Vec<(Scene, Outcome)> {
+    let fabrics = [true, false].map(|spray| Scene { spray, ..scene.clone() });
+    let played = fabrics.map(|scene| (scene.clone(), Model::play(&scene, Policy::Gate)));
+    for (scene, outcome) in &played {
+        assert_eq!(outcome.false_refusals, 0, "{}", scene.name);
+        assert_eq!(outcome.double_runs, 0, "{}", scene.name);
+        assert!(outcome.refused(0.99) <= 50, "{}", scene.name);
+    }
+    played.into()
+}
+
+fn both(small: fn() -> Site, large: fn() -> Site) -> [Site; 2] {
+    [small(), large()]
+}
+
+fn requests_through(scene: &Scene, outcome: &Outcome) -> f64 {
+    outcome.through(scene, Class::Request, |_| true)
+}
+
+/// Three times as many motorists as there is room for try to book for a
+/// minute. Let in all, they wait longer than they stay, and work is done for
+/// nobody: the site is busy and no one gets a booking.
+#[test]
+fn saturation_leaves_the_targets_useful() {
+    for site in both(alertdesk, ajanvaraus) {
+        let scene = scenes::requests("saturation", &site, 60_000, (0.6, 3.0));
+        for (scene, outcome) in play(scene) {
+            let goodput = outcome.goodput(&scene);
+            assert!(goodput >= 0.95, "{} {} {goodput}", site.name, scene.spray);
+            let normal = outcome.normal(&scene);
+            assert!(normal.is_some_and(|s| s <= 5), "{} {normal:?}", site.name);
+        }
+    }
+}
+
+/// The same without admission, to show that the model has the failure.
+#[test]
+fn saturation_without_admission_does_work_for_nobody() {
+    let scene = scenes::requests("saturation", &alertdesk(), 30_000, (0.6, 3.0));
+    let outcome = Model::play(&scene, Policy::NoAdmission);
+    assert!(outcome.goodput(&scene) < 0.6, "{}", outcome.goodput(&scene));
+}
+
+/// A storm front: ten times the usual acknowledgements come in one second.
+/// Turned away, they would come back as a second burst.
+#[test]
+fn a_burst_of_a_second_gets_through() {
+    for site in both(alertdesk, ajanvaraus) {
+        for (scene, outcome) in play(scenes::requests("burst", &site, 1_000, (0.3, 3.0))) {
+            let through = requests_through(&scene, &outcome);
+            assert!(through >= 0.999, "{} {through}", site.name);
+            assert!(outcome.normal(&scene).is_some_and(|s| s <= 5), "{}", site.name);
+        }
+    }
+}
+
+/// Three misconfigured callers open four times as much as all others together.
+/// Served in order of arrival, a town's callers find the site full.
+#[test]
+fn a_few_callers_do_not_shut_out_the_others() {
+    for site in both(alertdesk, ajanvaraus) {
+        for (scene, outcome) in play(scenes::few_callers(&site)) {
+            let others = |w: &crate::model::Work| u32::from(w.caller) >> 24 != scenes::HOGS;
+            let through = outcome.through(&scene, Class::Request, others);
+            assert!(through >= 0.98, "{} {through}", site.name);
+        }
+    }
+}
+
+/// Stations upload twice what the slots take while acknowledgements come.
+/// Without room kept for them, these wait behind uploads for seconds.
+#[test]
+fn requests_get_through_beside_long_uploads() {
+    for site in both(alertdesk, ajanvaraus) {
+        for (scene, outcome) in play(scenes::mixed(&site)) {
+            let through = requests_through(&scene, &outcome);
+            assert!(through >= 0.98, "{} {} {through}", site.name, scene.spray);
+        }
+    }
+}
+
+/// Three times as many feeds come as there are connections. A target that is
+/// full of feeds drops the openings of acknowledgements.
+#[test]
+fn requests_get_through_beside_too_many_feeds() {
+    for site in both(alertdesk, ajanvaraus) {
+        for (scene, outcome) in play(scenes::feeds(&site)) {
+            let through = requests_through(&scene, &outcome);
+            assert!(through >= 0.999, "{} {through}", site.name);
+            assert_eq!(outcome.overrun, 0, "{}", site.name);
+        }
+    }
+}
+
+/// A target's load endpoint always says idle, or always says full. Believed,
+/// the first draws all work and the second pushes its own onto the others.
+#[test]
+fn a_lying_endpoint_moves_little() {
+    for site in [alertdesk(), ajanvaraus(), ingest(), todisteet()] {
+        for lie in [Fault::SaysIdle, Fault::SaysFull] {
+            for (scene, outcome) in play(scenes::fault("lie", &site, 1, lie)) {
+                let (most, _) = outcome.imbalance(&scene);
+                assert!(most <= 1.15, "{} {lie:?} {most}", site.name);
+            }
+        }
+    }
+}
+
+/// One target works at a fifth of its speed, or resets half of its openings.
+/// Callers that the table sends there wait or fail while the others idle.
+#[test]
+fn a_bad_target_costs_no_request() {
+    for site in both(alertdesk, ajanvaraus) {
+        for fault in [Fault::Slow(20), Fault::Shed] {
+            for (scene, outcome) in play(scenes::fault("bad", &site, 1, fault)) {
+                let through = requests_through(&scene, &outcome);
+                assert!(through >= 0.999, "{} {fault:?} {through}", site.name);
+            }
+        }
+    }
+}
+
+/// A database behind all targets halves their speed at once. Were the slowest
+/// looking ones taken out, the rest would be overrun one after the other.
+#[test]
+fn all_slow_at_once_takes_none_out() {
+    for site in both(alertdesk, ajanvaraus) {
+        let all = site.hosts;
+        for (scene, outcome) in play(scenes::fault("all slow", &site, all, Fault::Slow(50))) {
+            let through = requests_through(&scene, &outcome);
+            assert!(through >= 0.93, "{} {through}", site.name);
+            assert!(outcome.imbalance(&scene).0 <= 1.25, "{}", site.name);
+        }
+    }
+}
+
+/// Uploads come at three times the slots of a service that has nothing else.
+#[test]
+fn uploads_share_slots_among_instances() {
+    for site in both(ingest, todisteet) {
+        for (scene, outcome) in play(scenes::uploads("uploads", &site, 3.0)) {
+            assert!(outcome.goodput(&scene) >= 0.85, "{}", outcome.goodput(&scene));
+        }
+    }
+}
