--- a/daemon/examples/bench/slopes.rs
+++ b/daemon/examples/bench/slopes.rs
@@ -7,6 +7,7 @@
     memory,
     process::{resident, thread_nanos},
 };
+use medlarspur_daemon::gate::LoadGate;
 use medlarspur_fabric::Outbox;
 use medlarspur_lib::{
     bundle::{Bundle, Keys, SecretKey, Signed, sign},
@@ -21,6 +22,7 @@
     time::Millis,
     view::{Draft, PENDING_LIMIT, ServiceKey},
 };
+use medlarspur_operator::Meters;
 use medlarspur_platform::{Etag, Http, Platform};
 use medlarspur_target::{Http as ProbeHttp, Probe};
 use prost::Message as _;
@@ -59,6 +61,7 @@
         "install-micros" => install_micros(size),
         "members-micros" => members_micros(SERVICES, size),
         "keepers-micros" => members_micros(size, MEMBERS),
+        "follow-micros" => follow_micros(size),
         "question-nanos" => question_nanos(size),
         "probe-micros" => probe(size).0,
         "probe-bytes" => probe(size).1,
@@ -191,6 +194,22 @@
     }) / 1e3
 }
 
+/// The time that the packet thread stands still to take the next view.
+fn follow_micros(services: usize) -> f64 {
+    let mut draft = draft(services);
+    let mut forwarder =
+        Forwarder::new(LoadGate::new(1, Meters::new().expect("meters are registered once")), 0);
+    let (light, keys) = bundle(services, 2, 50);
+    let (full, _) = bundle(services, 3, 100);
+    let both = [check(&light, &keys).bundle, check(&full, &keys).bundle];
+    let mut turns = both.iter().cycle();
+    median(|| {
+        draft.install(turns.next().unwrap_or(&both[0]), NOW);
+        let view = draft.commit().expect("the bundle is another");
+        timed(|| forwarder.install(view, NOW))
+    }) / 1e3
+}
+
 fn member(ix: usize) -> Member {
     let address = |port| SocketAddrV4::new(Ipv4Addr::from(0x0a03_0000 + ix as u32), port);
     Member {
