testutils: poll a connection again only when bytes were queued

Sending nothing made each connection due at once, for ever: the callers' thread stood at a full core with 2000 feeds, its socket dropped packets and 999 feeds broke. A break now tells how it came about, which the search needed.

--- a/testutils/src/client.rs
+++ b/testutils/src/client.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     host::{Conn, Host, Stage},
-    task::{End, Task, Work},
+    task::{Breach, End, Task, Work},
 };
 use medlarspur_lib::{bundle::Class, collections::Map, time::Millis};
 use std::{collections::BTreeSet, net::Ipv4Addr};
@@ -19,6 +19,8 @@
     pub end: End,
     /// The target that answered, once one has.
     pub target: Option<String>,
+    /// When it ended.
+    pub at: Millis,
     /// From the opening to the first line of a feed or the whole answer.
     pub latency: Option<Millis>,
 }
@@ -156,7 +158,8 @@
         }
         let end = verdict.or(match stage {
             Stage::Finished if task.closing => Some(End::Completed),
-            Stage::Finished | Stage::Broken => Some(End::Broken),
+            Stage::Finished => Some(End::Broken(Breach::Short)),
+            Stage::Broken => Some(End::Broken(Breach::Reset)),
             _ => None,
         });
         let over = task.over(self.now);
@@ -177,7 +180,7 @@
                 self.finish(conn, End::Unanswered);
             }
         } else if silent {
-            self.finish(conn, End::Broken);
+            self.finish(conn, End::Broken(Breach::Silent));
         } else if task.over(self.now) {
             self.end_feed(conn);
         } else {
@@ -207,6 +210,6 @@
             _ => self.host.abort(conn),
         }
         let Task { work, target, latency, .. } = task;
-        self.outcomes.push(Outcome { work, end, target, latency });
+        self.outcomes.push(Outcome { work, end, target, at: self.now, latency });
     }
 }
--- a/testutils/src/host.rs
+++ b/testutils/src/host.rs
@@ -199,7 +199,9 @@
             return 0;
         };
         let sent = entry.socket().send_slice(bytes).unwrap_or(0);
-        self.schedule(conn, Some(self.now));
+        if sent > 0 {
+            self.schedule(conn, Some(self.now));
+        }
         sent
     }
 
--- a/testutils/src/report.rs
+++ b/testutils/src/report.rs
@@ -1,11 +1,14 @@
 //! What callers saw, counted for each service and class.
 
-use crate::{client::Outcome, task::End};
-use medlarspur_lib::bundle::Class;
+use crate::{
+    client::Outcome,
+    task::{Breach, End},
+};
+use medlarspur_lib::{bundle::Class, time::Millis};
 use std::collections::BTreeMap;
 
 /// The counts of one service and class.
-#[derive(Debug, Default, Clone, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Default, Clone, serde::Serialize)]
 pub struct Row {
     /// The pieces of work that were started.
     pub opened: u64,
@@ -29,10 +32,25 @@
     pub imbalance: f64,
     /// The ids of the work that was turned away, to look for among the runs.
     pub turned: Vec<String>,
+    /// Each piece of work that broke.
+    pub breaks: Vec<Break>,
     #[serde(skip)]
     latencies: Vec<u64>,
 }
 
+/// One piece of work that broke.
+#[derive(Debug, Clone, serde::Serialize)]
+pub struct Break {
+    /// The id of the work.
+    pub id: String,
+    /// The target that answered, if one did.
+    pub target: Option<String>,
+    /// How it broke.
+    pub cause: Breach,
+    /// When, in milliseconds since the callers started.
+    pub at: Millis,
+}
+
 /// All rows, by service and class.
 #[derive(Debug, Default, Clone, serde::Serialize)]
 pub struct Report {
@@ -51,7 +69,12 @@
         let row = self.row(&outcome.work.service, outcome.work.class);
         match outcome.end {
             End::Completed => row.completed += 1,
-            End::Broken => row.broken += 1,
+            End::Broken(cause) => {
+                row.broken += 1;
+                let Outcome { work, target, at, .. } = &outcome;
+                let (id, target) = (work.id.clone(), target.clone());
+                row.breaks.push(Break { id, target, cause, at: *at });
+            }
             End::Unanswered => row.unanswered += 1,
             End::Wrong => row.wrong += 1,
             End::Refused => {
--- a/testutils/src/task.rs
+++ b/testutils/src/task.rs
@@ -26,8 +26,8 @@
 pub enum End {
     /// The whole answer came, or the feed ran until the caller ended it.
     Completed,
-    /// It was established and then reset, silent or cut short.
-    Broken,
+    /// It was established and came to no good end.
+    Broken(Breach),
     /// It was turned away.
     Refused,
     /// Nothing answered the opening in time.
@@ -36,6 +36,18 @@
     Wrong,
 }
 
+/// How established work broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Breach {
+    /// A reset came.
+    Reset,
+    /// Nothing came for as long as the caller waits.
+    Silent,
+    /// The connection was closed before the whole answer.
+    Short,
+}
+
 /// How a line starts that turns work away.
 const REFUSAL: &[&str] = &["REFUSED", "HTTP/1.1 503"];
 
--- a/testutils/tests/test_host.rs
+++ b/testutils/tests/test_host.rs
@@ -5,7 +5,7 @@
     client::{Client, Outcome, Patience},
     profile::Profile,
     server::Server,
-    task::{End, Work},
+    task::{Breach, End, Work},
 };
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -100,7 +100,7 @@
 
     let outcomes = run(&mut client, &mut server, 1.0, 1);
 
-    assert_eq!(ends(&outcomes), [End::Broken]);
+    assert_eq!(ends(&outcomes), [End::Broken(Breach::Silent)]);
 }
 
 /// A caller's machine dies while its request is at work. Somebody who then
@@ -117,7 +117,7 @@
 
     let outcomes = run(&mut client, &mut server, 1.0, 1);
 
-    assert_eq!(ends(&outcomes), [End::Broken]);
+    assert_eq!(ends(&outcomes), [End::Broken(Breach::Silent)]);
     assert_eq!(server.seen.runs.get("r"), Some(&1));
 }
 
