testutils: read sockets in batches and end feeds one by one

3000 feeds that ended in one moment overflowed the sockets on their way, in step with each other at every repeat: 78 to 134 seemed broken and up to 870 never ended, through the plain relay as well. What has not ended when callers stop is counted and fails the run.

--- a/testutils/src/bin/site.rs
+++ b/testutils/src/bin/site.rs
@@ -207,14 +207,15 @@
     eprintln!("calls to the platform: bundle {}, instances {}", calls.bundle, calls.instances);
     let broken = report.iter().map(|(_, _, row)| row.broken).sum::<u64>();
     let wrong = report.iter().map(|(_, _, row)| row.wrong).sum::<u64>();
-    let faults = broken + wrong + strays + (double + false_turned) as u64;
+    let pending = report.iter().map(|(_, _, row)| row.pending).sum::<u64>();
+    let faults = broken + wrong + pending + strays + (double + false_turned) as u64;
     let completed = report.iter().all(|(_, _, row)| row.completed > 0);
     faults == 0 && completed
 }
 
 fn print_table(report: &Report) {
     println!(
-        "{:<10} {:<8} {:>7} {:>9} {:>7} {:>8} {:>10} {:>6} {:>7} {:>7} {:>9}",
+        "{:<10} {:<8} {:>7} {:>9} {:>7} {:>8} {:>10} {:>6} {:>7} {:>7} {:>7} {:>9}",
         "service",
         "class",
         "opened",
@@ -223,19 +224,21 @@
         "refused",
         "unanswered",
         "wrong",
+        "pending",
         "p50 ms",
         "p99 ms",
         "imbalance"
     );
     for (service, class, row) in report.iter() {
         println!(
-            "{service:<10} {class:<8} {:>7} {:>9} {:>7} {:>8} {:>10} {:>6} {:>7} {:>7} {:>9.2}",
+            "{service:<10} {class:<8} {:>7} {:>9} {:>7} {:>8} {:>10} {:>6} {:>7} {:>7} {:>7} {:>9.2}",
             row.opened,
             row.completed,
             row.broken,
             row.refused,
             row.unanswered,
             row.wrong,
+            row.pending,
             row.p50,
             row.p99,
             row.imbalance
--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -6,6 +6,7 @@
     fabric::lock,
     report::Report,
     task::Work,
+    udp::Inbox,
 };
 use medlarspur_lib::{bundle::Class, collections::Map, time::Millis};
 use std::{
@@ -68,8 +69,9 @@
 
 /// How long the socket is waited for at most.
 const TICK: Duration = Duration::from_millis(1);
-/// The largest datagram.
-const LARGEST: usize = 65_536;
+/// How many feeds of a caller end in one millisecond. Thousands that end at
+/// once overflow the sockets on their way, and their repeats do so again.
+const HANG_UPS: usize = 2;
 
 /// Callers that run in a thread of their own.
 pub struct Callers {
@@ -90,10 +92,9 @@
     pub fn start(settings: Settings, streams: Vec<Stream>) -> io::Result<Self> {
         let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
         socket.connect(settings.fabric)?;
-        socket.set_read_timeout(Some(TICK))?;
         let shared = Arc::new(Shared::default());
         let mut crowd = Crowd::new(&settings, streams, Arc::clone(&shared));
-        let thread = thread::spawn(move || crowd.run(&socket));
+        let thread = thread::spawn(move || crowd.run(Inbox::new(socket)));
         Ok(Self { shared, thread })
     }
 
@@ -136,7 +137,7 @@
     shared: Arc<Shared>,
     clock: Clock,
     turn: usize,
-    ended: bool,
+    ended: Millis,
 }
 
 impl Crowd {
@@ -146,21 +147,20 @@
         let homes = addrs.clone().enumerate().map(|(ix, addr)| (addr, ix)).collect();
         let clients = addrs.map(|addr| Client::new(addr, settings.patience)).collect();
         let streams = streams.into_iter().map(|stream| (stream, 0)).collect();
-        Self { clients, homes, streams, shared, clock: Clock::start(), turn: 0, ended: false }
+        Self { clients, homes, streams, shared, clock: Clock::start(), turn: 0, ended: Millis(0) }
     }
 
-    fn run(&mut self, socket: &UdpSocket) {
-        let mut buffer = vec![0; LARGEST];
+    fn run(&mut self, mut inbox: Inbox) {
         while !self.shared.stopped.load(Ordering::Relaxed) {
             let now = self.clock.now();
             match self.shared.phase.load(Ordering::Relaxed) {
                 OPENING => self.open(now),
-                ENDING if !self.ended => self.end(),
+                ENDING if now > self.ended => self.end(now),
                 _ => {}
             }
-            self.poll(now, socket);
-            if let Ok(len) = socket.recv(&mut buffer) {
-                self.receive(&buffer[..len]);
+            self.poll(now, &inbox.socket);
+            if inbox.take(TICK, |packet| self.receive(packet)).is_err() {
+                return;
             }
         }
     }
@@ -193,9 +193,11 @@
         self.clients[self.turn].open(now, work);
     }
 
-    fn end(&mut self) {
-        self.clients.iter_mut().for_each(Client::hang_up);
-        self.ended = true;
+    /// Ends a few feeds of the next caller.
+    fn end(&mut self, now: Millis) {
+        self.turn = (self.turn + 1) % self.clients.len();
+        self.clients[self.turn].hang_up(HANG_UPS);
+        self.ended = now;
     }
 
     fn poll(&mut self, now: Millis, socket: &UdpSocket) {
--- a/testutils/src/client.rs
+++ b/testutils/src/client.rs
@@ -117,9 +117,11 @@
         self.tasks.len()
     }
 
-    /// Ends every feed in an orderly way, as a caller does that goes home.
-    pub fn hang_up(&mut self) {
-        let feeds = self.tasks.iter().filter(|(_, task)| task.work.class == Class::Feed);
+    /// Ends up to `count` feeds in an orderly way, as a caller does that goes
+    /// home.
+    pub fn hang_up(&mut self, count: usize) {
+        let held = |task: &Task| task.work.class == Class::Feed && task.work.hold > Millis(0);
+        let feeds = self.tasks.iter().filter(|(_, task)| held(task)).take(count);
         let conns = feeds.map(|(&conn, _)| conn).collect::<Vec<_>>();
         for conn in conns {
             // One without its first line yet ends as soon as it has it.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod target;
 pub mod task;
 pub mod traffic;
+pub mod udp;
 pub mod web;
--- a/testutils/src/report.rs
+++ b/testutils/src/report.rs
@@ -22,6 +22,8 @@
     pub unanswered: u64,
     /// Those with an answer that belongs to others.
     pub wrong: u64,
+    /// Those that had not ended when the callers stopped.
+    pub pending: u64,
     /// The median time to the answer in milliseconds.
     pub p50: u64,
     /// The time within which 99 of 100 had their answer.
@@ -110,6 +112,8 @@
 
 impl Row {
     fn sum(&mut self) {
+        let ended = self.completed + self.broken + self.refused + self.unanswered + self.wrong;
+        self.pending = self.opened - ended;
         self.latencies.sort_unstable();
         let at = |percent: usize| {
             let ix = (self.latencies.len() * percent / 100).min(self.latencies.len().max(1) - 1);
--- a/testutils/src/target.rs
+++ b/testutils/src/target.rs
@@ -5,6 +5,7 @@
     fabric::{lock, v4},
     profile::{Profile, Seen},
     server::Server,
+    udp::Inbox,
     web::{self, Served},
 };
 use medlarspur_lib::time::Millis;
@@ -66,8 +67,6 @@
 
 /// How long a quiet target sleeps at most, so that it sees changes in time.
 const NAP: Millis = Millis(50);
-/// The largest datagram.
-const LARGEST: usize = 65_536;
 
 /// Targets in this process. Their threads end with it.
 pub struct Targets {
@@ -106,7 +105,7 @@
             let name = profile.name.clone();
             let shared = Arc::new(Shared::new(profile));
             let worker = Arc::clone(&shared);
-            thread::spawn(move || worker.run(&socket, returns));
+            thread::spawn(move || worker.run(Inbox::new(socket), returns));
             sites.push((Arc::clone(&shared), routes![health, load, seen, behave]));
             list.push(Running { name, addr, probe: any, shared });
         }
@@ -140,8 +139,7 @@
         }
     }
 
-    fn run(&self, socket: &UdpSocket, returns: SocketAddrV4) {
-        let mut buffer = vec![0; LARGEST];
+    fn run(&self, mut inbox: Inbox, returns: SocketAddrV4) {
         loop {
             let now = self.clock.now();
             let (packets, next) = {
@@ -151,17 +149,17 @@
             let dead = lock(&self.behaviour).dead;
             for packet in packets.iter().filter(|_| !dead) {
                 // A packet that can't be sent is lost, as in a real network.
-                let _ = socket.send_to(packet, returns);
+                let _ = inbox.socket.send_to(packet, returns);
             }
             let wait = next.unwrap_or(now + NAP).since(now).clamp(Millis(1), NAP);
-            if socket.set_read_timeout(Some(Duration::from_millis(wait.0))).is_err() {
+            let taken = inbox.take(Duration::from_millis(wait.0), |packet| {
+                if !dead {
+                    lock(&self.server).receive(packet);
+                }
+            });
+            if taken.is_err() {
                 return;
             }
-            if let Ok((len, _)) = socket.recv_from(&mut buffer)
-                && !dead
-            {
-                lock(&self.server).receive(&buffer[..len]);
-            }
         }
     }
 
