--- a/load/src/placement.rs
+++ b/load/src/placement.rs
@@ -42,8 +42,9 @@
 /// exponential times is off by 18 %, so twice is five deviations.
 const SLOW: f64 = 2.0;
 /// How many times the median hold time bears out a target that says that it
-/// is overloaded. Both together are taken in full.
-const AGREES: f64 = 1.3;
+/// is overloaded. Both together are taken in full. At 1.3, chance bore out a
+/// liar among four targets now and then (max/mean 1.17).
+const AGREES: f64 = 1.6;
 /// How many times the median told load is overloaded.
 const LOADED: f64 = 1.5;
 /// How many deviations of an opening count must go unanswered to be no chance.
--- a/load/tests/model/mod.rs
+++ b/load/tests/model/mod.rs
@@ -107,7 +107,7 @@
         let site = &scene.site;
         let mut gates = Vec::new();
         for ix in 0..site.instances {
-            let mut gate = Gate::new(Settings::default(), 1000 + u64::from(ix));
+            let mut gate = Gate::new(Settings::default(), scene.seed * 1000 + u64::from(ix));
             gate.set_instances(if policy == Policy::NoShares { 1 } else { site.instances });
             gate.set_services(Millis(0), vec![site.service(scene.requests())]);
             gates.push(gate);
