load: admit uploads by the room that targets say they have

Doubt in a target that says full let each instance put an upload there as soon as its share was saved up, which under load amounts to the whole capacity whatever targets say. Now it is a chance of 2 %.

--- a/load/src/gate.rs
+++ b/load/src/gate.rs
@@ -283,7 +283,7 @@
         }
         target.earn(now, settings, share, costs);
         if class == Class::Upload {
-            let chance = target.chance(now, settings, share, cost);
+            let chance = target.chance(now, settings, share);
             if self.random.fraction() >= chance {
                 return Err(Reason::Slots);
             }
--- a/load/src/settings.rs
+++ b/load/src/settings.rs
@@ -26,7 +26,7 @@
             reserve: 25,
             caller: 10,
             network: 25,
-            booking: 150,
+            booking: 200,
             patience: Millis(250),
             retries: 20,
         }
--- a/load/src/state.rs
+++ b/load/src/state.rs
@@ -19,14 +19,19 @@
 /// below that it is noise. Shorter never counts: a target that sheds answers
 /// fast, and would be given ever more to shed.
 const SLOWER: f64 = 2.0;
+/// The part of the room for uploads that is given away at once where requests
+/// share the slots. Instances that let in one upload too many block both slots
+/// of a target for seconds: with all of the room, 99.3–100 % of requests got
+/// through beside twice as many uploads as fit (16 runs), with half of it all,
+/// for a quarter less uploads.
+const CAUTION: f64 = 0.5;
 /// How many pieces of work an idle target is given at once by each instance,
 /// however long they are.
 const DEPTH: f64 = 2.0;
-/// How much of an upload ledger's savings must be spent before a target that
-/// says *full* is believed; one that always says so keeps getting some. Where
-/// requests share its slots it gets none: rather an idle slot than a request
-/// behind an upload.
-const DOUBT: f64 = 0.05;
+/// The chance with which an upload gets in at a target that says *full*; one
+/// that always says so keeps getting some. Where requests share its slots it
+/// gets none: rather an idle slot than a request behind an upload.
+const DOUBT: f64 = 0.02;
 
 /// How much more or less short work a target gets for each piece of work for
 /// a slot that it has less or more than the median.
@@ -235,22 +240,16 @@
     }
 
     /// The chance with which an upload gets in by the target's own word.
-    pub(crate) fn chance(
-        &mut self,
-        now: Millis,
-        settings: &Settings,
-        share: Share,
-        cost: f64,
-    ) -> f64 {
+    pub(crate) fn chance(&mut self, now: Millis, settings: &Settings, share: Share) -> f64 {
         self.asked.ask(now);
-        if !share.requests && self.uploads.spent(cost) < DOUBT {
-            return 1.0;
-        }
         let Some(told) = self.seen.told(now) else { return 1.0 };
         let slots = admission::slots(settings, share.requests, Class::Upload, self.load.slots);
         let booking = if share.requests { 1.0 } else { f64::from(settings.booking) / 100.0 };
         let room = slots * booking - f64::from(told.slots + self.unheard);
-        self.asked.chance(room, share.instances)
+        if share.requests {
+            return self.asked.chance(room * CAUTION, share.instances);
+        }
+        self.asked.chance(room, share.instances).max(DOUBT)
     }
 
     /// How much faster or slower than the others the target gets short work,
--- a/load/tests/test_patterns.rs
+++ b/load/tests/test_patterns.rs
@@ -88,7 +88,7 @@
     for site in both(alertdesk, ajanvaraus) {
         for (scene, outcome) in play(scenes::mixed(&site)) {
             let through = requests_through(&scene, &outcome);
-            assert!(through >= 0.98, "{} {} {through}", site.name, scene.spray);
+            assert!(through >= 0.999, "{} {} {through}", site.name, scene.spray);
         }
     }
 }
@@ -142,7 +142,7 @@
         let all = site.hosts;
         for (scene, outcome) in play(scenes::fault("all slow", &site, all, Fault::Slow(50))) {
             let through = requests_through(&scene, &outcome);
-            assert!(through >= 0.93, "{} {through}", site.name);
+            assert!(through >= 0.99, "{} {through}", site.name);
             assert!(outcome.imbalance(&scene).0 <= 1.25, "{}", site.name);
         }
     }
@@ -153,7 +153,7 @@
 fn uploads_share_slots_among_instances() {
     for site in both(ingest, todisteet) {
         for (scene, outcome) in play(scenes::uploads("uploads", &site, 3.0)) {
-            assert!(outcome.goodput(&scene) >= 0.85, "{}", outcome.goodput(&scene));
+            assert!(outcome.goodput(&scene) >= 0.93, "{}", outcome.goodput(&scene));
         }
     }
 }
