load: size the memory of decisions in advance

A table that grows under load holds up the packet thread. Counts and reasons move to a module of their own, and the measure gives the time of a decision and of a bundle with 3,400 services.

--- a/load/examples/measure/cost.rs
+++ b/load/examples/measure/cost.rs
@@ -3,10 +3,10 @@
 use crate::model::site;
 use medlarspur_lib::{
     bundle::Class,
-    ids::{FlowId, ServiceIx, TargetIx},
+    ids::{FlowId, ServiceIx, ServiceName, TargetIx},
     time::Millis,
 };
-use medlarspur_load::{Closing, Gate, Opening, Settings, random::Random};
+use medlarspur_load::{Closing, Gate, Opening, ServiceLoad, Settings, random::Random};
 use std::{hint::black_box, net::Ipv4Addr, time::Instant};
 
 /// Openings of one measurement: 100 s of 10,000 a second.
@@ -35,11 +35,35 @@
         let Opening { flow, service, class, target, .. } = *opening;
         gate.closed(now, &Closing { flow, service, class, target });
     });
+    let (install, tick) = fleet();
     println!("\n| step | ns |\n|---|---|");
     println!("| decide on an opening | {open:.0} |");
     println!("| answer a repeated opening | {again:.0} |");
     println!("| ask for due verdicts | {due:.0} |");
     println!("| take note of an end | {end:.0} |");
+    println!("| take over a bundle of 3,400 services | {install:.0} |");
+    println!("| renew the weights of 3,400 services, once a second | {tick:.0} |");
+}
+
+/// Time to take over a bundle and to renew all weights at the target size:
+/// 3,400 services with 5,600 targets.
+fn fleet() -> (f64, f64) {
+    let mut gate = Gate::new(Settings::default(), 1);
+    let services = || (0..3_400).map(fleet_service).collect();
+    gate.set_services(Millis(0), services());
+    let next = services();
+    let start = Instant::now();
+    gate.set_services(Millis(1), next);
+    let install = start.elapsed().as_nanos() as f64;
+    let start = Instant::now();
+    gate.due(Millis(1), &mut Vec::new());
+    (install, start.elapsed().as_nanos() as f64)
+}
+
+fn fleet_service(number: usize) -> ServiceLoad {
+    let hosts = if number.is_multiple_of(3) { 1 } else { 2 };
+    let service = site::Site { hosts, ..site::ingest() }.service(true);
+    ServiceLoad { name: ServiceName::new(&format!("service-{number}")), ..service }
 }
 
 fn opening(random: &mut Random) -> Opening {
--- a/load/src/gate.rs
+++ b/load/src/gate.rs
@@ -3,6 +3,7 @@
 use crate::{
     admission::{self, Takers},
     callers::caller_key,
+    counts::{Counts, Reason},
     opening::{Closing, Opening, ServiceLoad, Signal, Verdict},
     placement,
     queue::{Line, Newcomer},
@@ -23,27 +24,6 @@
 /// outlive the memory of decisions; when this is full, samples are lost.
 const UPLOADS: usize = 8_192;
 
-/// How often each outcome came about, for metrics.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Let in, by class: feed, request, upload.
-    pub admitted: [u64; CLASSES],
-    /// Held before the final verdict, by class.
-    pub waited: [u64; CLASSES],
-    /// Turned away, by class.
-    pub refused: [u64; CLASSES],
-    /// Turned away because the target is leaving or unknown.
-    pub leaving: u64,
-    /// Turned away for want of a connection.
-    pub connections: u64,
-    /// Turned away because the caller or its network takes too much.
-    pub heavy: u64,
-    /// Turned away because the caller came back early and the budget is spent.
-    pub early: u64,
-    /// Answered as before, because the opening was a repetition.
-    pub repeated: u64,
-}
-
 /// All decisions under load of one instance. It belongs to one thread.
 #[derive(Debug)]
 pub struct Gate {
@@ -69,16 +49,6 @@
     class: Class,
 }
 
-/// Why an opening is turned away.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Reason {
-    Leaving,
-    Connections,
-    Slots,
-    Heavy,
-    Early,
-}
-
 impl Gate {
     /// A gate that knows no service yet. `seed` differs for each instance, so
     /// that no two spread their refusals alike.
@@ -90,7 +60,7 @@
             settings,
             instances: 1,
             services: Vec::new(),
-            memory: Memory::default(),
+            memory: Memory::new(),
             budget: Budget::new(),
             takers,
             uploads: Map::default(),
@@ -138,8 +108,7 @@
         let known =
             self.services.get(place.service).is_some_and(|s| place.target < s.targets.len());
         if !known {
-            self.counts.leaving += 1;
-            self.counts.refused[at(opening.class)] += 1;
+            self.counts.refuse(opening.class, Reason::Leaving);
             return Verdict::Refuse { after: refusal::SHORTEST };
         }
         let newcomer = self.newcomer(now, opening);
@@ -336,14 +305,7 @@
         let key = caller_key(place.service as u16, place.class, newcomer.caller);
         self.budget.told(key, now + after);
         self.memory.keep(now, newcomer.flow, Decision::Refused(now + after));
-        self.counts.refused[at(place.class)] += 1;
-        match reason {
-            Reason::Leaving => self.counts.leaving += 1,
-            Reason::Connections => self.counts.connections += 1,
-            Reason::Heavy => self.counts.heavy += 1,
-            Reason::Early => self.counts.early += 1,
-            Reason::Slots => {}
-        }
+        self.counts.refuse(place.class, reason);
         after
     }
 
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod admission;
 pub mod callers;
+mod counts;
 mod gate;
 mod opening;
 pub mod placement;
@@ -22,7 +23,8 @@
 mod state;
 
 pub use crate::{
-    gate::{Counts, Gate},
+    counts::Counts,
+    gate::Gate,
     opening::{Closing, Opening, ServiceLoad, Signal, TargetLoad, Told, Verdict},
     settings::Settings,
 };
--- a/load/src/retry.rs
+++ b/load/src/retry.rs
@@ -11,8 +11,9 @@
 
 use medlarspur_lib::{collections::Map, ids::FlowId, time::Millis};
 
-/// Entries of one generation: 60 s of 4,000 openings a second, 8 MB.
-const GENERATION: usize = 240_000;
+/// Entries of one generation: 64 s of 3,500 openings a second. A table of
+/// 2^18 places holds just so many; two of them are 13 MB.
+const GENERATION: usize = 229_000;
 /// How long a generation is filled; an entry is known for one to two of them.
 /// The last repetition that a common TCP stack makes comes after 63 s.
 const SPAN: Millis = Millis::secs(64);
@@ -29,7 +30,7 @@
 }
 
 /// The decisions of the last minute, in bounded memory.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Memory {
     young: Map<FlowId, Decision>,
     old: Map<FlowId, Decision>,
@@ -37,6 +38,13 @@
 }
 
 impl Memory {
+    /// An empty memory with all its room, since a table that grows under load
+    /// holds up the packet thread for milliseconds.
+    pub fn new() -> Memory {
+        let room = || Map::with_capacity_and_hasher(GENERATION, Default::default());
+        Memory { young: room(), old: room(), start: Millis(0) }
+    }
+
     /// The decision for the flow, if it still holds.
     pub fn find(&self, now: Millis, flow: FlowId) -> Option<Decision> {
         let found = self.young.get(&flow).or_else(|| self.old.get(&flow))?;
@@ -77,6 +85,12 @@
     }
 }
 
+impl Default for Memory {
+    fn default() -> Memory {
+        Memory::new()
+    }
+}
+
 /// Callers of which the last refusal is remembered.
 const CALLERS: usize = 16_384;
 /// Repetitions that a quiet service may always take at once.
