--- /dev/null
+++ b/lib/examples/fleet_slopes.rs
@@ -0,0 +1,209 @@
+//! Measures in virtual time what the control path costs against the number of
+//! instances and of services; see `docs/measures/fleet.md`.
+//! `cargo run --release -p medlarspur-lib --example fleet_slopes`
+
+#[path = "../tests/fleet/net.rs"]
+#[allow(dead_code, reason = "shared with the tests")]
+mod net;
+
+use medlarspur_lib::{ids::DomainName, members::MemberState, time::Millis};
+use net::{Net, Traffic};
+use std::{fmt::Write, fs, sync::Arc, time::Instant};
+
+/// What gRPC and mutual TLS add to a call, as the example `call_cost` of
+/// `medlarspur-peer` measured it on the loopback, above TCP.
+const CALL: u64 = 181;
+/// Bytes of one service in a bundle of a megabyte with 3,400 services.
+const SERVICE_BYTES: usize = 300;
+
+fn main() {
+    println!("bytes: messages / with {CALL} B a call; sent by a node, averaged over all");
+    println!(
+        "{:>5} {:>5} | {:>13} {:>9} {:>7} {:>7} | {:>11} {:>8} {:>8} | {:>8} {:>8} {:>8} | {:>8}",
+        "nodes",
+        "svcs",
+        "steady B/s",
+        "calls/s",
+        "us/s",
+        "KB",
+        "change B",
+        "all ms",
+        "max ms",
+        "join s",
+        "dead s",
+        "cut B/s",
+        "heal s"
+    );
+    for nodes in [8, 32, 128, 512] {
+        measure(nodes, 100);
+    }
+    for services in [400, 1600, 3400] {
+        measure(32, services);
+    }
+}
+
+fn measure(nodes: usize, services: usize) {
+    let before = resident();
+    let mut net = fleet(nodes, services);
+    let joined = until(&mut net, 300, |net| all_know_all(net, nodes));
+    net.run(Millis::secs(30));
+    let memory = resident().saturating_sub(before) / nodes as u64;
+    let steady = steady(&mut net, nodes);
+    let change = change(&mut net, nodes, services);
+    let (dead, cut, heal) = fail(&mut net, nodes);
+    println!(
+        "{nodes:>5} {services:>5} | {} {:>9} {:>7.0} {:>7} | {} {:>8} {:>8} | {:>8.1} {:>8.1} {:>8} | {:>8.1}",
+        steady.sent,
+        steady.readers,
+        steady.cpu,
+        memory / 1024,
+        change.sent,
+        change.mean,
+        change.worst,
+        joined,
+        dead,
+        cut,
+        heal
+    );
+}
+
+/// Four failure domains to ten, as the fleet grows.
+fn fleet(nodes: usize, services: usize) -> Net {
+    let domains = if nodes < 128 { 4 } else { 10 };
+    let mut net = Net::new(nodes, domains, 7);
+    net.list = net.nodes.iter().map(|n| n.candidate()).collect();
+    net.platform = Some(bundle(1, services));
+    net
+}
+
+fn bundle(version: u64, services: usize) -> Arc<str> {
+    let mut text = format!("version: {version}\nsignature: {version:0128x}\nservices:\n");
+    let changed = version as usize * 37 % services;
+    for ix in 0..services {
+        let start = text.len();
+        let mark = if ix == changed { version } else { 0 };
+        write!(text, "  - name: s{ix}\n    balance: {mark}\n    note: ")
+            .expect("a string takes all");
+        while text.len() < start + SERVICE_BYTES {
+            text.push('x');
+        }
+        text.push('\n');
+    }
+    text.into()
+}
+
+struct Steady {
+    sent: String,
+    readers: usize,
+    cpu: f64,
+}
+
+const SPAN: u64 = 30;
+
+fn steady(net: &mut Net, nodes: usize) -> Steady {
+    let (sent, clock) = (total(net), Instant::now());
+    net.run(Millis::secs(SPAN));
+    let cpu = clock.elapsed().as_micros() as f64 / (nodes as u64 * SPAN) as f64;
+    Steady {
+        sent: rate(sent, total(net), nodes as u64 * SPAN, 13),
+        readers: net.nodes.iter().filter(|n| n.reading).count(),
+        cpu,
+    }
+}
+
+struct Change {
+    sent: String,
+    mean: u64,
+    worst: u64,
+}
+
+/// Publishes changes of one service and sees how long after the first node
+/// each has them.
+fn change(net: &mut Net, nodes: usize, services: usize) -> Change {
+    const CHANGES: u64 = 5;
+    let (mut mean, mut worst) = (0, 0);
+    let quiet = total(net);
+    net.run(Millis::secs(5));
+    let base = total(net);
+    let idle =
+        Traffic { messages: base.messages - quiet.messages, bytes: base.bytes - quiet.bytes };
+    for version in 2..2 + CHANGES {
+        let at = net.now;
+        net.platform = Some(bundle(version, services));
+        net.run(Millis::secs(5));
+        let taken =
+            net.nodes.iter().map(|n| n.accepted.last().map_or(u64::MAX, |(t, _)| t.since(at).0));
+        let taken: Vec<u64> = taken.collect();
+        mean += taken.iter().sum::<u64>() / (nodes as u64 * CHANGES);
+        worst = worst.max(taken.into_iter().max().unwrap_or(0));
+    }
+    let end = total(net);
+    let more = Traffic {
+        messages: (end.messages - base.messages).saturating_sub(CHANGES * idle.messages),
+        bytes: (end.bytes - base.bytes).saturating_sub(CHANGES * idle.bytes),
+    };
+    Change { sent: rate(Traffic::default(), more, nodes as u64 * CHANGES, 11), mean, worst }
+}
+
+/// Kills one node, then cuts a failure domain off for a minute.
+fn fail(net: &mut Net, nodes: usize) -> (f64, u64, f64) {
+    net.nodes[5].up = false;
+    let dead = until(net, 60, |net| seen_dead(net, 5));
+    let victims = (0..nodes).filter(|ix| net.nodes[*ix].me.domain == DomainName::new("d1")).count();
+    net.cut.insert(DomainName::new("d1"));
+    let before = total(net);
+    net.run(Millis::secs(60));
+    let after = total(net);
+    let cut = (after.bytes - before.bytes + CALL * (after.messages - before.messages))
+        / (60 * nodes as u64);
+    net.cut.clear();
+    assert!(victims > 0, "somebody is cut off");
+    let heal = until(net, 300, |net| all_know_all(net, nodes - 1));
+    (dead, cut, heal)
+}
+
+fn seen_dead(net: &Net, ix: usize) -> bool {
+    let name = &net.nodes[ix].me.name;
+    let others = net.nodes.iter().enumerate().filter(|(other, _)| *other != ix);
+    let dead = |n: &net::Node| {
+        n.controller.roster().get(name).is_some_and(|m| m.state == MemberState::Dead)
+    };
+    others.into_iter().all(|(_, n)| dead(n))
+}
+
+fn all_know_all(net: &Net, count: usize) -> bool {
+    let live = |n: &net::Node| n.members.iter().filter(|m| m.state == MemberState::Live).count();
+    net.nodes.iter().filter(|n| n.up).all(|n| live(n) == count)
+}
+
+/// Seconds until `done`, looked at ten times a second.
+fn until(net: &mut Net, limit: u64, done: impl Fn(&Net) -> bool) -> f64 {
+    let start = net.now;
+    while !done(net) {
+        if net.now.since(start) >= Millis::secs(limit) {
+            return f64::INFINITY;
+        }
+        net.run(Millis(100));
+    }
+    net.now.since(start).0 as f64 / 1000.0
+}
+
+fn total(net: &Net) -> Traffic {
+    net.nodes.iter().fold(Traffic::default(), |sum, n| Traffic {
+        messages: sum.messages + n.sent.messages,
+        bytes: sum.bytes + n.sent.bytes,
+    })
+}
+
+fn rate(from: Traffic, to: Traffic, by: u64, width: usize) -> String {
+    let bytes = to.bytes - from.bytes;
+    let whole = bytes + CALL * (to.messages - from.messages);
+    format!("{:>width$}", format!("{}/{}", bytes / by, whole / by))
+}
+
+/// Resident bytes of this process.
+fn resident() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|n| n.parse::<u64>().ok());
+    pages.unwrap_or(0) * 4096
+}
--- a/lib/src/control/beat.rs
+++ b/lib/src/control/beat.rs
@@ -138,10 +138,10 @@
         }
         self.start.peer();
         self.learn_all(now, beat);
-        self.note_heard(&sender.name, beat.members);
         let to = sender.addresses.control;
+        self.note_heard(now, &sender.name, beat.members, to);
         self.hear_bundle(now, sender, beat.digest);
-        self.compare_plans(now, beat.plans, to);
+        self.ask_plans(now, beat.plans, to);
         if beat.history != self.history {
             self.actions.push(Action::HistoryDiffers(to));
         }
@@ -158,8 +158,12 @@
         }
     }
 
-    fn note_heard(&mut self, name: &InstanceName, digest: u64) {
-        self.roster.heard(name, digest);
+    fn note_heard(&mut self, now: Millis, name: &InstanceName, digest: u64, to: SocketAddrV4) {
+        let differs = self.roster.heard(now, name, digest);
+        // One that starts knows nobody and need not wait for rumours.
+        if differs || !self.ready() {
+            self.ask_members(now, digest, to);
+        }
         let near = self.roster.neighbours().contains(name);
         if self.distrusts() && near && !self.heard.contains(name) {
             self.heard.push(name.clone());
--- a/lib/src/control/mod.rs
+++ b/lib/src/control/mod.rs
@@ -7,6 +7,7 @@
 //! `docs/design/bundle-spread.md` and `docs/design/plan.md`.
 
 mod beat;
+mod compare;
 mod event;
 mod start;
 
@@ -16,11 +17,11 @@
     start::{READY_LIMIT, START_WAIT},
 };
 
-use self::{beat::Beat, start::Start};
+use self::{beat::Beat, compare::Compare, start::Start};
 use crate::{
     ids::{InstanceName, ServiceName},
     members::{Candidate, Member, Roster},
-    message::{Message, PlanRequest, ServicePlan},
+    message::{Message, ServicePlan},
     plan::{self, Moves, Plans},
     spread::{Check, Refusal, SignedText, Spread, reads},
     time::Millis,
@@ -35,11 +36,6 @@
 /// How long an instance that slept distrusts its view, unless it hears from
 /// most of its neighbours before.
 pub const DISTRUST: Millis = Millis(5_000);
-/// How many bytes of plans answer one request. What is left over follows with
-/// the next heartbeats, so that a healed partition doesn't burst the budget.
-const PLAN_BYTES: usize = 4_096;
-/// How often plans are asked for at most.
-const PLAN_PAUSE: Millis = Millis(1_000);
 
 /// What a controller has to know from the settings.
 #[derive(Debug, Clone)]
@@ -62,13 +58,16 @@
     seeds: Vec<SocketAddrV4>,
     candidates: Vec<Candidate>,
     history: u64,
+    /// Whether this instance is among the readers of the platform.
+    reader: bool,
+    /// What it was told last to do about that.
     reading: bool,
     ticked: Option<Millis>,
     /// Until when the own view is distrusted after a sleep.
     distrust: Option<Millis>,
     /// Neighbours heard since the sleep.
     heard: Vec<InstanceName>,
-    asked_plans: Option<Millis>,
+    compare: Compare,
     actions: Vec<Action>,
 }
 
@@ -84,11 +83,12 @@
             seeds: settings.seeds,
             candidates: Vec::new(),
             history: 0,
+            reader: false,
             reading: false,
             ticked: None,
             distrust: None,
             heard: Vec::new(),
-            asked_plans: None,
+            compare: Compare::default(),
             actions: Vec::new(),
         }
     }
@@ -169,7 +169,10 @@
 
     fn publish_members(&mut self) {
         let changed = self.roster.refresh();
-        if changed || self.roster.take_progress() {
+        if changed {
+            self.reader = reads(self.roster.me(), self.roster.members());
+        }
+        if self.roster.take_progress() || changed {
             self.actions.push(Action::Members(self.roster.members().cloned().collect()));
         }
     }
@@ -177,7 +180,7 @@
     /// An instance that starts reads too, so that it may learn the highest
     /// bundle from both sides.
     fn choose_readers(&mut self) {
-        let reading = !self.start.ready() || reads(self.roster.me(), self.roster.members());
+        let reading = !self.start.ready() || self.reader;
         if reading != self.reading {
             self.reading = reading;
             self.actions.push(Action::ReadPlatform(reading));
@@ -265,6 +268,12 @@
             | Message::BundleOutline(_)
             | Message::PieceRequest(_)
             | Message::Pieces(_) => self.bundle(now, &message),
+            Message::MembersRequest(request) => self.answer_members(&request),
+            Message::MembersAnswer(answer) => {
+                for member in &answer.members {
+                    self.roster.learn(now, member);
+                }
+            }
             Message::PlanRequest(request) => self.answer_plans(&request),
             Message::Plan(plan) => self.follow(plan),
             Message::Leave(leave) => self.hear_leave(now, &leave),
@@ -298,30 +307,6 @@
         self.follow(next);
     }
 
-    fn answer_plans(&mut self, request: &PlanRequest) {
-        let mut left = PLAN_BYTES;
-        let mut answers = Vec::new();
-        for plan in self.plans.differing(&request.groups) {
-            let Some(rest) = left.checked_sub(plan.size()) else { break };
-            left = rest;
-            answers.push(Message::Plan(plan.clone()));
-        }
-        for answer in answers {
-            self.send(request.sender, answer);
-        }
-    }
-
-    fn compare_plans(&mut self, now: Millis, theirs: u64, to: SocketAddrV4) {
-        let due = self.asked_plans.is_none_or(|t| now.since(t) >= PLAN_PAUSE);
-        if theirs == self.plans.digest() || !due {
-            return;
-        }
-        self.asked_plans = Some(now);
-        let sender = self.addr();
-        let groups = self.plans.groups().to_vec();
-        self.send(to, Message::PlanRequest(PlanRequest { sender, groups }));
-    }
-
     fn set_progress(&mut self, told: u64, history: u64) {
         self.history = history;
         self.roster.set_progress(self.roster.me().version, told);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod document;
 pub mod flows;
 pub mod forwarder;
+pub mod groups;
 pub mod ids;
 pub mod keepers;
 pub mod members;
--- a/lib/src/members/mod.rs
+++ b/lib/src/members/mod.rs
@@ -11,7 +11,7 @@
 mod rumours;
 
 pub use self::{
-    neighbours::neighbours,
+    neighbours::{NEIGHBOURS, neighbours},
     rank::{rank, top},
     roster::{ACK_LIMIT, Roster, TOMBSTONE, suspicion},
     rumours::MAX_RUMOURS,
--- a/lib/src/members/neighbours.rs
+++ b/lib/src/members/neighbours.rs
@@ -11,24 +11,26 @@
 };
 use crate::ids::InstanceName;
 
+/// How many. A heartbeat and its answer are two calls of some 300 bytes, so
+/// each neighbour costs 0.6 KB/s of a node's 8 KB/s; four leave half of it for
+/// bundle, plan and adverts, and reach a thousand members in five hops.
+pub const NEIGHBOURS: usize = 4;
 /// Successors in the ring of the own failure domain: two, so that a member
 /// that dies together with its watcher still has one.
 const RING_NEAR: usize = 2;
-/// Ranked choices in the own failure domain.
-const RANKED_NEAR: usize = 1;
 /// Successors in the ring of the other failure domains.
 const RING_FAR: usize = 1;
-/// Ranked choices in other failure domains.
-const RANKED_FAR: usize = 2;
 
-/// The members among `others` that `me` watches, at most six.
+/// The members among `others` that `me` watches.
 pub fn neighbours<'a>(me: &Member, others: impl Iterator<Item = &'a Member>) -> Vec<InstanceName> {
     let (near, far): (Vec<&Member>, Vec<&Member>) =
         others.filter(|m| m.present()).partition(|m| m.domain == me.domain);
     let mut chosen = successors(me, &near, RING_NEAR);
     chosen.extend(successors(me, &far, RING_FAR));
-    chosen.extend(ranked(me, &near, RANKED_NEAR, &chosen));
-    chosen.extend(ranked(me, &far, RANKED_FAR, &chosen));
+    let left = near.iter().chain(&far).map(|m| &m.name).filter(|name| !chosen.contains(name));
+    let ranked = top(me.name.as_str(), NEIGHBOURS - chosen.len(), left, |name| name.as_str());
+    let ranked: Vec<InstanceName> = ranked.into_iter().cloned().collect();
+    chosen.extend(ranked);
     chosen
 }
 
@@ -43,9 +45,3 @@
 fn place(name: &InstanceName) -> u64 {
     rank("ring", name.as_str())
 }
-
-fn ranked(me: &Member, others: &[&Member], n: usize, chosen: &[InstanceName]) -> Vec<InstanceName> {
-    let left = others.iter().filter(|m| !chosen.contains(&m.name));
-    let names = left.map(|m| m.name.clone());
-    top(me.name.as_str(), n, names, |name| name.as_str())
-}
--- a/lib/src/members/roster.rs
+++ b/lib/src/members/roster.rs
@@ -1,17 +1,19 @@
 //! The members as one instance believes them to be, and how beliefs change.
 
-use super::{
-    Candidate, MAX_RUMOURS, Member, MemberState, neighbours, rank::rank, rumours::Rumours,
-};
+use super::{Candidate, Member, MemberState, neighbours, rank::rank, rumours::Rumours};
 use crate::{
+    groups::Groups,
     ids::{Incarnation, InstanceName, Version},
     time::Millis,
 };
-use std::{collections::BTreeMap, net::SocketAddrV4, ops::Bound};
+use std::{collections::BTreeMap, net::SocketAddrV4};
 
 /// How long a probe may stay unanswered before its target is suspected: three
 /// heartbeats, so that one lost or late one changes nothing.
 pub const ACK_LIMIT: Millis = Millis(3_000);
+/// How long views may differ before members are compared: time for rumours to
+/// flood the fleet, so that an ordinary change is not fetched as well.
+const DIFFER_LIMIT: Millis = Millis(2_000);
 /// How long a dead member is remembered. News older than its death that is
 /// still under way must not revive it, and after a partition of many minutes
 /// the sides find each other by asking the dead.
@@ -31,8 +33,7 @@
     others: BTreeMap<InstanceName, Entry>,
     rumours: Rumours,
     neighbours: Vec<InstanceName>,
-    cursor: Option<InstanceName>,
-    digest: u64,
+    groups: Groups,
     dirty: bool,
     progress: bool,
     /// Times that this instance refuted a wrong belief about itself.
@@ -46,21 +47,21 @@
     asked: Option<Millis>,
     /// When the belief last changed.
     changed: Millis,
-    /// Whether its view of the members differs from ours.
-    differs: bool,
+    /// Since when its view of the members differs from ours.
+    differs: Option<Millis>,
 }
 
 impl Roster {
     /// Starts with nobody known but `me`.
     pub fn new(me: Member) -> Roster {
-        let digest = fingerprint(&me);
+        let mut groups = Groups::default();
+        groups.toggle(me.name.as_str(), fingerprint(&me));
         Roster {
             me,
             others: BTreeMap::new(),
             rumours: Rumours::default(),
             neighbours: Vec::new(),
-            cursor: None,
-            digest,
+            groups,
             dirty: true,
             progress: false,
             refuted: 0,
@@ -100,7 +101,17 @@
 
     /// A digest of the members that take part; alike wherever the view is.
     pub fn digest(&self) -> u64 {
-        self.digest
+        self.groups.digest()
+    }
+
+    /// The digests of groups of members, to ask for those that differ.
+    pub fn groups(&self) -> Vec<u64> {
+        self.groups.to_vec()
+    }
+
+    /// The members in the groups whose digests differ from the asker's.
+    pub fn differing<'a>(&'a self, theirs: &'a [u64]) -> impl Iterator<Item = &'a Member> {
+        self.members().filter(|m| self.groups.differs(theirs, m.name.as_str()))
     }
 
     /// Whether somebody is known at the control address `addr`.
@@ -140,7 +151,7 @@
                 } else {
                     (news.version, news.told)
                 };
-                self.digest ^= fingerprint(&e.member) ^ fingerprint(news);
+                self.groups.toggle(news.name.as_str(), fingerprint(&e.member) ^ fingerprint(news));
                 e.member = Member { version: progress.0, told: progress.1, ..news.clone() };
                 e.changed = now;
                 e.asked = None;
@@ -156,9 +167,9 @@
             // Nobody is missed who was dead before we heard of it.
             None if news.state == MemberState::Dead => return false,
             None => {
-                self.digest ^= fingerprint(news);
+                self.groups.toggle(news.name.as_str(), fingerprint(news));
                 let entry =
-                    Entry { member: news.clone(), asked: None, changed: now, differs: false };
+                    Entry { member: news.clone(), asked: None, changed: now, differs: None };
                 self.others.insert(news.name.clone(), entry);
             }
         }
@@ -180,19 +191,24 @@
     }
 
     fn change_me(&mut self, change: impl FnOnce(&mut Member)) {
-        self.digest ^= fingerprint(&self.me);
+        let before = fingerprint(&self.me);
         change(&mut self.me);
-        self.digest ^= fingerprint(&self.me);
+        self.groups.toggle(self.me.name.as_str(), before ^ fingerprint(&self.me));
         self.dirty = true;
     }
 
     /// Records that `name` spoke to us directly and how it sees the members.
-    pub fn heard(&mut self, name: &InstanceName, digest: u64) {
-        let differs = digest != self.digest;
-        if let Some(e) = self.others.get_mut(name) {
-            e.asked = None;
-            e.differs = differs;
+    /// Returns whether its view has differed for so long that rumours can't
+    /// be what is still under way.
+    pub fn heard(&mut self, now: Millis, name: &InstanceName, digest: u64) -> bool {
+        let differs = digest != self.digest();
+        let Some(e) = self.others.get_mut(name) else { return false };
+        e.asked = None;
+        if !differs {
+            e.differs = None;
+            return false;
         }
+        now.since(*e.differs.get_or_insert(now)) >= DIFFER_LIMIT
     }
 
     /// Records that a probe went to `name`.
@@ -250,46 +266,18 @@
     }
 
     /// The news for a heartbeat to `name`: what we hold of it, if that is not
-    /// that it lives, so that it can refute; then rumours; then, if its view
-    /// differs, some of all members in turn, which repairs what rumours missed.
+    /// that it lives, so that it can refute; then rumours.
     pub fn news_for(&mut self, name: Option<&InstanceName>) -> Vec<Member> {
-        let fleet = self.others.len();
         let others = &self.others;
-        let mut news = self.rumours.take(fleet, |n| others.get(n).map(|e| &e.member));
+        let mut news = self.rumours.take(|n| others.get(n).map(|e| &e.member));
         let entry = name.and_then(|n| self.others.get(n));
         if let Some(e) = entry
             && e.member.state != MemberState::Live
         {
             news.insert(0, e.member.clone());
         }
-        if entry.is_some_and(|e| e.differs) {
-            self.fill(&mut news);
-        }
         news
     }
-
-    fn fill(&mut self, news: &mut Vec<Member>) {
-        while news.len() < MAX_RUMOURS {
-            let Some(next) = self.next_in_turn() else { return };
-            if news.iter().any(|m| m.name == next.name) {
-                return;
-            }
-            news.push(next);
-        }
-    }
-
-    fn next_in_turn(&mut self) -> Option<Member> {
-        let after =
-            self.cursor.as_ref().map_or(Bound::Unbounded, |name| Bound::Excluded(name.clone()));
-        let next = self
-            .others
-            .range((after, Bound::Unbounded))
-            .next()
-            .or_else(|| self.others.iter().next());
-        let member = next.map(|(_, e)| e.member.clone())?;
-        self.cursor = Some(member.name.clone());
-        Some(member)
-    }
 }
 
 fn at(member: &Member, addr: SocketAddrV4) -> bool {
--- a/lib/src/message/mod.rs
+++ b/lib/src/message/mod.rs
@@ -34,6 +34,20 @@
         pub rumours: Vec<Member>,
     }
 
+    /// Asks for the members about which the asker and the asked differ.
+    pub struct MembersRequest {
+        /// Where the answer goes.
+        pub sender: SocketAddrV4,
+        /// The asker's digests over its members, one a group of names.
+        pub groups: Vec<u64>,
+    }
+
+    /// Members as the sender believes them to be.
+    pub struct MembersAnswer {
+        /// Some of those about which asker and asked differ.
+        pub members: Vec<Member>,
+    }
+
     /// Asks for the bundle in force, naming the text that the asker has.
     pub struct BundleRequest {
         /// Where the answer goes.
@@ -161,6 +175,10 @@
 pub enum Message {
     /// See [`Heartbeat`].
     Heartbeat(Box<Heartbeat>),
+    /// See [`MembersRequest`].
+    MembersRequest(MembersRequest),
+    /// See [`MembersAnswer`].
+    MembersAnswer(MembersAnswer),
     /// See [`BundleRequest`].
     BundleRequest(BundleRequest),
     /// See [`BundleDelta`].
--- a/lib/src/message/size.rs
+++ b/lib/src/message/size.rs
@@ -21,6 +21,8 @@
     pub fn size(&self) -> usize {
         let body = match self {
             Message::Heartbeat(m) => heartbeat(m),
+            Message::MembersRequest(m) => ADDR + 8 * m.groups.len(),
+            Message::MembersAnswer(m) => m.members.iter().map(member).sum(),
             Message::BundleRequest(m) => ADDR + m.base.map_or(0, |_| DIGEST),
             Message::BundleDelta(m) => delta(m),
             Message::BundleOutline(m) => ADDR + FIELD + DIGEST + 8 * m.pieces.len(),
@@ -56,6 +58,13 @@
     member(&m.sender) + FIELD + DIGEST + 3 * FIXED + rumours
 }
 
+impl Member {
+    /// About how many bytes it takes on the wire.
+    pub fn size(&self) -> usize {
+        member(self)
+    }
+}
+
 fn member(m: &Member) -> usize {
     let names = m.name.as_str().len() + m.domain.as_str().len() + 2 * FIELD;
     let numbers = number(m.incarnation.0) + number(m.version.0) + number(m.told);
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -7,18 +7,14 @@
 
 use crate::{
     collections::Map,
+    groups::Groups,
     ids::{InstanceName, ServiceName},
-    members::{Member, rank, top},
+    members::{Member, top},
     message::ServicePlan,
 };
 use siphasher::sip::SipHasher13;
 use std::{cmp::Ordering, hash::Hasher};
 
-/// Into how many groups services are hashed when plans are compared: enough
-/// that a difference leads to a few services of the 3,400, and few enough
-/// that a request stays near half a kilobyte.
-pub const GROUPS: usize = 64;
-
 /// Whether `me` is the one that plans for `service`.
 pub fn authors<'a>(
     me: &InstanceName,
@@ -39,13 +35,13 @@
 #[derive(Debug, Default, Clone)]
 pub struct Plans {
     plans: Map<ServiceName, ServicePlan>,
-    groups: Vec<u64>,
+    groups: Groups,
 }
 
 impl Plans {
     /// Starts with nothing moved.
     pub fn new() -> Plans {
-        Plans { plans: Map::default(), groups: vec![0; GROUPS] }
+        Plans::default()
     }
 
     /// The plan of `service`.
@@ -59,8 +55,7 @@
         if held.is_some_and(|held| order(&plan, held).is_le()) {
             return false;
         }
-        let group = group(&plan.service);
-        self.groups[group] ^= held.map_or(0, fingerprint) ^ fingerprint(&plan);
+        self.groups.toggle(plan.service.as_str(), held.map_or(0, fingerprint) ^ fingerprint(&plan));
         self.plans.insert(plan.service.clone(), plan);
         true
     }
@@ -78,31 +73,23 @@
 
     /// A digest over all plans; alike wherever they are alike.
     pub fn digest(&self) -> u64 {
-        self.groups.iter().fold(0, |all, g| all.rotate_left(1) ^ g)
+        self.groups.digest()
     }
 
     /// A digest a group of services.
-    pub fn groups(&self) -> &[u64] {
-        &self.groups
+    pub fn groups(&self) -> Vec<u64> {
+        self.groups.to_vec()
     }
 
     /// The plans in the groups whose digest differs from the asker's.
     pub fn differing<'a>(&'a self, groups: &'a [u64]) -> impl Iterator<Item = &'a ServicePlan> {
-        let differs = |plan: &&ServicePlan| {
-            let group = group(&plan.service);
-            groups.get(group) != Some(&self.groups[group])
-        };
-        self.plans.values().filter(differs)
+        self.plans.values().filter(|plan| self.groups.differs(groups, plan.service.as_str()))
     }
 }
 
 /// Buckets with the targets that they go to.
 pub type Moves = Vec<(crate::ids::Bucket, crate::ids::TargetName)>;
 
-fn group(service: &ServiceName) -> usize {
-    (rank("plan", service.as_str()) % GROUPS as u64) as usize
-}
-
 fn fingerprint(plan: &ServicePlan) -> u64 {
     let mut h = SipHasher13::new();
     h.write(plan.service.as_str().as_bytes());
--- a/lib/tests/fleet/net.rs
+++ b/lib/tests/fleet/net.rs
@@ -68,16 +68,27 @@
     pub members: Vec<Member>,
     pub slept: usize,
     pub calls: usize,
-    pub sent: usize,
+    /// Messages and their bytes on the wire, transport apart.
+    pub sent: Traffic,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
 }
 
 pub fn text(version: u64, services: usize) -> Arc<str> {
     let mut text = format!("version: {version}\nservices:\n");
+    let changed = version as usize % services.max(1);
     for i in 0..services {
         text += &format!(
             "  - name: s{i}\n    address: 198.51.100.{i}\n    keepalive: {}\n",
             30 + version % 3
         );
+        if i == changed {
+            text += &format!("    balance: {version}\n");
+        }
     }
     text.into()
 }
@@ -189,7 +200,9 @@
 
     fn post(&mut self, from: SocketAddrV4, to: SocketAddrV4, message: Message) {
         if let Some(node) = self.at(from) {
-            self.nodes[node].sent += 1;
+            let sent = &mut self.nodes[node].sent;
+            sent.messages += 1;
+            sent.bytes += message.size() as u64;
         }
         if self.random(100) < self.faults.lost {
             return;
@@ -249,6 +262,16 @@
 }
 
 impl Node {
+    /// Its line in the platform's list.
+    pub fn candidate(&self) -> Candidate {
+        Candidate {
+            name: self.me.name.clone(),
+            domain: self.me.domain.clone(),
+            control: self.me.addresses.control,
+            leaving: false,
+        }
+    }
+
     fn new(me: Member, seeds: Vec<SocketAddrV4>) -> Node {
         Node {
             controller: start(&me, seeds),
@@ -261,7 +284,7 @@
             members: Vec::new(),
             slept: 0,
             calls: 0,
-            sent: 0,
+            sent: Traffic::default(),
         }
     }
 }
--- /dev/null
+++ b/lib/tests/fleet/test_faults.rs
@@ -0,0 +1,148 @@
+//! Faults that come together, in any order.
+
+use crate::net::{Faults, Net, member, text};
+use medlarspur_lib::{
+    control::Event,
+    ids::{DomainName, Incarnation, InstanceName},
+    members::{Member, MemberState, Roster},
+    time::Millis,
+};
+use proptest::prelude::*;
+use std::sync::Arc;
+
+/// One thing that goes wrong, or right again.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    Publish(u64),
+    Race(u64),
+    Stale(u64),
+    PlatformDown,
+    Kill(usize),
+    Restart(usize),
+    Sleep(usize),
+    Wake(usize),
+    Cut(usize),
+    Heal,
+    Loss(u64),
+}
+
+const NODES: usize = 8;
+const DOMAINS: usize = 4;
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (1u64..9).prop_map(Fault::Publish),
+        (1u64..9).prop_map(Fault::Race),
+        (1u64..9).prop_map(Fault::Stale),
+        Just(Fault::PlatformDown),
+        (0..NODES).prop_map(Fault::Kill),
+        (0..NODES).prop_map(Fault::Restart),
+        (0..NODES).prop_map(Fault::Sleep),
+        (0..NODES).prop_map(Fault::Wake),
+        (0..DOMAINS).prop_map(Fault::Cut),
+        Just(Fault::Heal),
+        (0u64..60).prop_map(Fault::Loss),
+    ]
+}
+
+fn apply(net: &mut Net, fault: Fault) {
+    match fault {
+        Fault::Publish(version) | Fault::Stale(version) => net.platform = Some(text(version, 4)),
+        Fault::Race(version) => {
+            let (a, b): (Arc<str>, Arc<str>) = (text(version, 5), text(version, 6));
+            net.event(0, Event::PlatformBundle(a));
+            net.event(1, Event::PlatformBundle(b));
+        }
+        Fault::PlatformDown => net.platform = None,
+        Fault::Kill(ix) => net.nodes[ix].up = false,
+        Fault::Restart(ix) => net.restart(ix),
+        Fault::Sleep(ix) => net.nodes[ix].asleep = true,
+        Fault::Wake(ix) => net.nodes[ix].asleep = false,
+        Fault::Cut(d) => {
+            net.cut.insert(DomainName::new(&format!("d{d}")));
+        }
+        Fault::Heal => net.cut.clear(),
+        Fault::Loss(lost) => net.faults = Faults { lost, doubled: 20, delay: 40 },
+    }
+}
+
+/// What one instance that never fails has in force.
+fn witness(net: &Net) -> Option<Arc<str>> {
+    let up = net.nodes.iter().filter_map(|n| n.controller.current());
+    up.max_by_key(|t| t.order()).map(|t| t.text.clone())
+}
+
+proptest! {
+    /// Whatever goes wrong, alone, together or twice: no instance goes back to
+    /// an older bundle, and soon after all is well again, all have the highest
+    /// one that any has and see each other as live. Otherwise some callers
+    /// would be sent by a withdrawn bundle for as long as nobody notices.
+    #[test]
+    fn fleet_agrees_after_any_faults(
+        seed in any::<u64>(),
+        faults in proptest::collection::vec((fault(), 0u64..8), 1..12),
+    ) {
+        let mut net = Net::new(NODES, DOMAINS, seed);
+        net.run(Millis::secs(6));
+        for (fault, pause) in faults {
+            apply(&mut net, fault);
+            net.run(Millis::secs(pause));
+        }
+
+        net.faults = Faults { delay: 3, ..Faults::default() };
+        net.cut.clear();
+        for ix in 0..NODES {
+            net.nodes[ix].asleep = false;
+            if !net.nodes[ix].up {
+                net.restart(ix);
+            }
+        }
+        net.run(Millis::secs(25));
+
+        let highest = witness(&net).expect("a bundle was in force");
+        prop_assert!(net.all_have(&highest), "some lack the highest");
+        prop_assert!(net.never_back());
+        prop_assert!(net.all_live(), "some are not seen as live");
+    }
+
+    /// Beliefs about members arrive in any order, again and again. Whoever has
+    /// heard all of them believes the same.
+    #[test]
+    fn beliefs_do_not_depend_on_order(
+        news in proptest::collection::vec((1usize..4, 1u64..4, 0usize..3), 1..20)
+            .prop_flat_map(|news| (Just(news.clone()), Just(news).prop_shuffle())),
+    ) {
+        let states = [MemberState::Live, MemberState::Suspect, MemberState::Leaving];
+        let believed = |news: &[(usize, u64, usize)]| {
+            let mut roster = Roster::new(member(0, 1, 1));
+            for (ix, incarnation, state) in news {
+                let belief = Member { state: states[*state], ..member(*ix, 1, *incarnation) };
+                roster.learn(Millis(0), &belief);
+            }
+            roster
+        };
+
+        let (a, b) = (believed(&news.0), believed(&news.1));
+
+        prop_assert!(a.members().eq(b.members()));
+        prop_assert_eq!(a.digest(), b.digest());
+    }
+}
+
+/// News of a member's life before its death arrives late. If it revived the
+/// dead one, duties would be given to it again and questions wait for it.
+#[test]
+fn late_news_does_not_revive_the_dead() {
+    let mut roster = Roster::new(member(0, 1, 1));
+    let live = member(1, 1, 5);
+    roster.learn(Millis(0), &live);
+    roster.learn(Millis(1), &Member { state: MemberState::Dead, ..live.clone() });
+
+    roster.learn(Millis(2), &live);
+    roster.learn(Millis(3), &Member { incarnation: Incarnation(4), ..live.clone() });
+
+    let state = |roster: &Roster| roster.get(&InstanceName::new("i1")).map(|m| m.state);
+    assert_eq!(state(&roster), Some(MemberState::Dead));
+    roster.learn(Millis(4), &Member { incarnation: Incarnation(6), ..live });
+    assert_eq!(state(&roster), Some(MemberState::Live));
+}
--- a/peer/examples/generate.rs
+++ b/peer/examples/generate.rs
@@ -1,6 +1,7 @@
 //! Writes `src/generated.rs` from `proto/peer.proto`; run it in `peer/` after
 //! a change of the latter. The result is committed, so that the build needs
-//! no generator: `cargo run -p medlarspur-peer --example generate`.
+//! no generator. New messages are generated before code names them:
+//! `cargo run -p medlarspur-peer --example generate`.
 
 use snafu::{ResultExt, Whatever};
 use std::{fs, path::Path};
--- a/peer/src/counters.rs
+++ b/peer/src/counters.rs
@@ -37,7 +37,10 @@
 
     fn of(envelope: &Envelope) -> Option<Kind> {
         Some(match envelope.message.as_ref()? {
-            Message::Heartbeat(_) | Message::Leave(_) => Kind::Members,
+            Message::Heartbeat(_)
+            | Message::Leave(_)
+            | Message::MembersRequest(_)
+            | Message::MembersAnswer(_) => Kind::Members,
             Message::BundleRequest(_)
             | Message::BundleDelta(_)
             | Message::BundleOutline(_)
--- a/peer/src/decode.rs
+++ b/peer/src/decode.rs
@@ -26,6 +26,13 @@
 pub fn decode(envelope: wire::Envelope) -> Decoded<Message> {
     Ok(match envelope.message.context(AbsentSnafu { field: "message" })? {
         Kind::Heartbeat(m) => Message::Heartbeat(Box::new(heartbeat(m)?)),
+        Kind::MembersRequest(m) => Message::MembersRequest(message::MembersRequest {
+            sender: addr(m.sender)?,
+            groups: m.groups,
+        }),
+        Kind::MembersAnswer(m) => Message::MembersAnswer(message::MembersAnswer {
+            members: m.members.into_iter().map(member).collect::<Decoded<_>>()?,
+        }),
         Kind::BundleRequest(m) => Message::BundleRequest(message::BundleRequest {
             sender: addr(m.sender)?,
             base: if m.base.is_empty() { None } else { Some(digest(&m.base)?) },
--- a/peer/src/encode.rs
+++ b/peer/src/encode.rs
@@ -14,6 +14,13 @@
 pub fn encode(message: &Message) -> wire::Envelope {
     let kind = match message {
         Message::Heartbeat(m) => Kind::Heartbeat(heartbeat(m)),
+        Message::MembersRequest(m) => Kind::MembersRequest(wire::MembersRequest {
+            sender: addr(m.sender),
+            groups: m.groups.clone(),
+        }),
+        Message::MembersAnswer(m) => Kind::MembersAnswer(wire::MembersAnswer {
+            members: m.members.iter().map(member).collect(),
+        }),
         Message::BundleRequest(m) => Kind::BundleRequest(wire::BundleRequest {
             sender: addr(m.sender),
             base: m.base.map(Vec::from).unwrap_or_default(),
--- a/peer/src/generated.rs
+++ b/peer/src/generated.rs
@@ -9,7 +9,10 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Envelope {
-    #[prost(oneof = "envelope::Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "envelope::Message",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+    )]
     pub message: ::core::option::Option<envelope::Message>,
 }
 /// Nested message and enum types in `Envelope`.
@@ -40,6 +43,10 @@
         History(super::History),
         #[prost(message, tag = "12")]
         Leave(super::Leave),
+        #[prost(message, tag = "13")]
+        MembersRequest(super::MembersRequest),
+        #[prost(message, tag = "14")]
+        MembersAnswer(super::MembersAnswer),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -88,6 +95,18 @@
     pub rumours: ::prost::alloc::vec::Vec<Member>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MembersRequest {
+    #[prost(message, optional, tag = "1")]
+    pub sender: ::core::option::Option<Addr>,
+    #[prost(fixed64, repeated, tag = "2")]
+    pub groups: ::prost::alloc::vec::Vec<u64>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct MembersAnswer {
+    #[prost(message, repeated, tag = "1")]
+    pub members: ::prost::alloc::vec::Vec<Member>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BundleRequest {
     #[prost(message, optional, tag = "1")]
     pub sender: ::core::option::Option<Addr>,
--- a/peer/tests/test_wire.rs
+++ b/peer/tests/test_wire.rs
@@ -4,8 +4,9 @@
 use medlarspur_lib::{
     ids::{Bucket, FlowId, InstanceName, ServiceName, TargetName, Version},
     message::{
-        Advert, BundleDelta, BundleOutline, BundleRequest, History, HistoryRequest, Leave, Message,
-        Piece, PieceRequest, Pieces, PlanRequest, ServicePlan,
+        Advert, BundleDelta, BundleOutline, BundleRequest, History, HistoryRequest, Leave,
+        MembersAnswer, MembersRequest, Message, Piece, PieceRequest, Pieces, PlanRequest,
+        ServicePlan,
     },
 };
 use medlarspur_peer::{decode, encode};
@@ -89,7 +90,15 @@
 }
 
 fn any_message() -> impl Strategy<Value = Message> {
-    prop_oneof![(0..20u64).prop_map(heartbeat), bundle_message(), table_message()]
+    let request = MembersRequest { sender: addr(6082), groups: vec![7; 64] };
+    let answer = |n| MembersAnswer { members: (0..n).map(member).collect() };
+    prop_oneof![
+        Just(Message::MembersRequest(request)),
+        (0..20u64).prop_map(move |n| Message::MembersAnswer(answer(n))),
+        (0..20u64).prop_map(heartbeat),
+        bundle_message(),
+        table_message()
+    ]
 }
 
 proptest! {
