members: see whether an instance has a duty without ranking all

The control thread asks once a second for each service whether to plan for it, and for each target whether to probe it.

--- a/daemon/examples/bench/slopes.rs
+++ b/daemon/examples/bench/slopes.rs
@@ -17,6 +17,7 @@
     },
     members::{Addresses, Member, MemberState},
     message::{Advert, Message},
+    plan,
     question::{Datagram, Question},
     settings::Secret,
     time::Millis,
@@ -62,6 +63,7 @@
         "members-micros" => members_micros(SERVICES, size),
         "keepers-micros" => members_micros(size, MEMBERS),
         "follow-micros" => follow_micros(size),
+        "duties-micros" => duties_micros(size),
         "question-nanos" => question_nanos(size),
         "probe-micros" => probe(size).0,
         "probe-bytes" => probe(size).1,
@@ -239,6 +241,16 @@
     }) / 1e3
 }
 
+/// The time to see for each service of the target size whether to plan for it.
+fn duties_micros(members: usize) -> f64 {
+    let all: Vec<_> = (0..members).map(member).collect();
+    let services: Vec<_> =
+        (0..SERVICES).map(|ix| ServiceName::new(&format!("service-{ix}"))).collect();
+    let me = &all[0].name;
+    let count = || services.iter().filter(|it| plan::authors(me, it, all.iter())).count();
+    median(|| timed(count)) / 1e3
+}
+
 fn question_nanos(count: usize) -> f64 {
     let secret = Secret([7; 32]);
     median(|| {
--- a/lib/src/members/mod.rs
+++ b/lib/src/members/mod.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     neighbours::{NEIGHBOURS, neighbours},
-    rank::{rank, top},
+    rank::{is_top, rank, top},
     roster::{ACK_LIMIT, Roster, TOMBSTONE, suspicion},
     rumours::MAX_RUMOURS,
 };
--- a/lib/src/members/rank.rs
+++ b/lib/src/members/rank.rs
@@ -26,3 +26,21 @@
     ranked.truncate(n);
     ranked.into_iter().map(|(_, item)| item).collect()
 }
+
+/// Whether `me` is among the `n` of `names` that rank highest for the duty
+/// `key`, as [`top`] would tell. It stops at the `n`-th name above `me`: asked
+/// for each of thousands of duties, it looks at a few names and not at all.
+pub fn is_top<'a>(key: &str, n: usize, me: &str, names: impl Iterator<Item = &'a str>) -> bool {
+    let mine = rank(key, me);
+    let mut above = 0;
+    let mut listed = false;
+    for name in names {
+        let other = rank(key, name);
+        listed |= name == me;
+        above += usize::from(other > mine || other == mine && name < me);
+        if above >= n {
+            return false;
+        }
+    }
+    listed
+}
--- a/lib/src/plan.rs
+++ b/lib/src/plan.rs
@@ -9,7 +9,7 @@
     collections::Map,
     groups::Groups,
     ids::{InstanceName, ServiceName},
-    members::{Member, top},
+    members::{Member, is_top},
     message::ServicePlan,
 };
 use siphasher::sip::SipHasher13;
@@ -21,8 +21,8 @@
     service: &ServiceName,
     members: impl Iterator<Item = &'a Member>,
 ) -> bool {
-    let live: Vec<&InstanceName> = members.filter(|m| m.eligible()).map(|m| &m.name).collect();
-    top(service.as_str(), 1, live.into_iter(), |name| name.as_str()).first() == Some(&me)
+    let live = members.filter(|m| m.eligible()).map(|m| m.name.as_str());
+    is_top(service.as_str(), 1, me.as_str(), live)
 }
 
 /// Orders two plans of one service. The moves come last: an author that lost
--- a/lib/src/spread/readers.rs
+++ b/lib/src/spread/readers.rs
@@ -5,10 +5,7 @@
 //! deaths without a word between them; while views differ there may be one
 //! more or one less for some seconds, which costs a few calls.
 
-use crate::{
-    ids::InstanceName,
-    members::{Member, top},
-};
+use crate::members::{Member, is_top};
 
 /// Readers in each failure domain: two, so that one may die unnoticed.
 pub const READERS: usize = 2;
@@ -16,6 +13,5 @@
 /// Whether `me` is among the readers of its failure domain.
 pub fn reads<'a>(me: &Member, members: impl Iterator<Item = &'a Member>) -> bool {
     let near = members.filter(|m| m.domain == me.domain && m.eligible());
-    let names: Vec<&InstanceName> = near.map(|m| &m.name).collect();
-    top("platform", READERS, names.into_iter(), |name| name.as_str()).contains(&&me.name)
+    is_top("platform", READERS, me.name.as_str(), near.map(|m| m.name.as_str()))
 }
--- a/lib/tests/edge.rs
+++ b/lib/tests/edge.rs
@@ -2,4 +2,5 @@
 
 mod edge {
     mod test_draft;
+    mod test_rank;
 }
--- a/target/src/assignment.rs
+++ b/target/src/assignment.rs
@@ -19,5 +19,5 @@
     domain: impl Iterator<Item = &'a InstanceName>,
     target: &TargetName,
 ) -> bool {
-    members::top(target.as_str(), PROBERS, domain, |it| it.as_str()).contains(&me)
+    members::is_top(target.as_str(), PROBERS, me.as_str(), domain.map(|it| it.as_str()))
 }
