testutils: tell taken slots as a target's load and call from many networks

The product's reader takes the load's slots for those that are taken, work that waits included; the stand-in told how many there are, so that every target seemed full. Callers now come from networks of their own, since what one network may take is limited.

--- a/testutils/src/caller.rs
+++ b/testutils/src/caller.rs
@@ -60,6 +60,10 @@
     }
 }
 
+/// The step from one caller's address to the next: ordinary callers come from
+/// networks of their own, and what one network may take is limited.
+const STRIDE: u32 = 257;
+
 /// Work goes on being opened.
 const OPENING: u8 = 0;
 /// No more work is opened; feeds go on.
@@ -142,8 +146,8 @@
 
 impl Crowd {
     fn new(settings: &Settings, streams: Vec<Stream>, shared: Arc<Shared>) -> Self {
-        let addrs =
-            (0..settings.count).map(|ix| Ipv4Addr::from_bits(settings.first.to_bits() + ix));
+        let addrs = (0..settings.count)
+            .map(|ix| Ipv4Addr::from_bits(settings.first.to_bits() + ix * STRIDE));
         let homes = addrs.clone().enumerate().map(|(ix, addr)| (addr, ix)).collect();
         let clients = addrs.map(|addr| Client::new(addr, settings.patience)).collect();
         let streams = streams.into_iter().map(|stream| (stream, 0)).collect();
--- a/testutils/src/server.rs
+++ b/testutils/src/server.rs
@@ -60,6 +60,11 @@
         self.sessions.len()
     }
 
+    /// How much work has a slot or waits for one.
+    pub fn work(&self) -> usize {
+        self.busy.len() + self.queue.len()
+    }
+
     /// Its load: the fuller of its slots and its connections, from 0 to 1.
     pub fn load(&self) -> f64 {
         let part = |used: usize, all: usize| used as f64 / all.max(1) as f64;
@@ -90,7 +95,7 @@
         self.now = self.now.max(now);
         self.started.get_or_insert(now);
         let mut packets = self.host.poll(self.now);
-        self.work();
+        self.do_work();
         packets.extend(self.host.poll(self.now));
         packets
     }
@@ -111,7 +116,7 @@
         }
     }
 
-    fn work(&mut self) {
+    fn do_work(&mut self) {
         for conn in self.host.ready() {
             self.serve(conn);
         }
--- a/testutils/src/target.rs
+++ b/testutils/src/target.rs
@@ -42,7 +42,7 @@
 pub struct Load {
     /// The connections that the target holds.
     pub connections: usize,
-    /// The slots that it has.
+    /// The slots that are taken, work that waits for one included.
     pub slots: usize,
     /// From 0, idle, to 1, full.
     pub load: f64,
@@ -188,7 +188,7 @@
 
     fn measure(&self) -> Load {
         let server = lock(&self.server);
-        let (connections, slots) = (server.connections(), server.profile.slots);
+        let (connections, slots) = (server.connections(), server.work());
         Load { connections, slots, load: server.load() }
     }
 }
--- a/testutils/tests/test_path.rs
+++ b/testutils/tests/test_path.rs
@@ -80,6 +80,9 @@
 
     let completed = report.iter().map(|(_, _, row)| row.completed).collect::<Vec<_>>();
     assert_eq!(completed, [40, 40, 40], "{report:?}");
+    let load = ureq::get(format!("http://{}/load", targets.list[0].probe)).call().unwrap();
+    let load = load.into_body().read_to_string().unwrap();
+    assert!(load.contains(r#""slots":0"#), "{load}");
     let runs = targets.list.iter().map(|running| running.seen().runs.len()).sum::<usize>();
     assert_eq!(runs, 40);
 }
