testutils: test the faults that the stand-ins play

Cut-off and leaving instances, endpoints that lie, shedding, a cold start and a full target: tests of the product rely on each.

--- a/testutils/tests/runner.rs
+++ b/testutils/tests/runner.rs
@@ -1,5 +1,6 @@
 //! One runner, so that the tests link once.
 
+mod test_faults;
 mod test_host;
 mod test_path;
 mod test_platform;
--- a/testutils/tests/test_host.rs
+++ b/testutils/tests/test_host.rs
@@ -15,16 +15,16 @@
 const CALLER: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
 const PORTS: [(u16, Class); 3] = [(1, Class::Feed), (2, Class::Request), (3, Class::Upload)];
 
-fn server() -> Server {
+pub fn server() -> Server {
     Server::new(Profile::new("a", "alertdesk", SERVICE, &PORTS))
 }
 
-fn client() -> Client {
+pub fn client() -> Client {
     let patience = Patience { opening: Millis::secs(100), silence: Millis::secs(100) };
     Client::new(CALLER, patience)
 }
 
-fn work(id: &str, class: Class) -> Work {
+pub fn work(id: &str, class: Class) -> Work {
     let port = PORTS.iter().find(|&&(_, other)| other == class).map_or(9, |&(port, _)| port);
     let remote = SocketAddrV4::new(SERVICE, port);
     let hold = Millis::secs(20);
@@ -41,7 +41,7 @@
 }
 
 /// Runs both ends until the caller has nothing under way, losing packets.
-fn run(client: &mut Client, server: &mut Server, loss: f64, seed: u64) -> Vec<Outcome> {
+pub fn run(client: &mut Client, server: &mut Server, loss: f64, seed: u64) -> Vec<Outcome> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut now = Millis(100);
     while client.pending() > 0 && now < Millis::secs(2000) {
@@ -60,7 +60,7 @@
     client.outcomes()
 }
 
-fn ends(outcomes: &[Outcome]) -> Vec<End> {
+pub fn ends(outcomes: &[Outcome]) -> Vec<End> {
     outcomes.iter().map(|outcome| outcome.end).collect()
 }
 
--- a/testutils/tests/test_path.rs
+++ b/testutils/tests/test_path.rs
@@ -25,13 +25,13 @@
 const ADDRESS: Ipv4Addr = Ipv4Addr::new(10, 70, 0, 1);
 const PORTS: [(u16, Class); 3] = [(1, Class::Feed), (2, Class::Request), (3, Class::Upload)];
 
-fn targets(fabric: &Fabric) -> Targets {
+pub fn targets(fabric: &Fabric) -> Targets {
     let profiles = ["a", "b"].map(|name| Profile::new(name, "alertdesk", ADDRESS, &PORTS));
     Targets::start(profiles.to_vec(), fabric.returns).unwrap()
 }
 
 /// An instance that picks the target by the caller's port and keeps no state.
-fn relay(name: &str, targets: &Targets) -> Listed {
+pub fn relay(name: &str, targets: &Targets) -> Listed {
     let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let SocketAddr::V4(packets) = socket.local_addr().unwrap() else { unreachable!() };
     let addrs = targets.list.iter().map(|running| running.addr).collect::<Vec<_>>();
@@ -48,14 +48,14 @@
     Listed { name, domain, state, packets, questions: packets, control: packets }
 }
 
-fn stream(port: u16, class: Class, total: u64) -> Stream {
+pub fn stream(port: u16, class: Class, total: u64) -> Stream {
     let remote = SocketAddrV4::new(ADDRESS, port);
     let service = "alertdesk".into();
     Stream { service, class, remote, rate: 200.0, total, size: 30_000, hold: 600_000 }
 }
 
 /// Calls until all streams are opened, then ends in an orderly way.
-fn call(fabric: &Fabric, streams: Vec<Stream>, patience: Patience) -> Report {
+pub fn call(fabric: &Fabric, streams: Vec<Stream>, patience: Patience) -> Report {
     let all = streams.iter().map(|stream| stream.total).sum::<u64>();
     let settings = Settings { patience, ..Settings::new(fabric.callers) };
     let callers = Callers::start(settings, streams).unwrap();
