--- a/lib/tests/fleet/test_plan.rs
+++ b/lib/tests/fleet/test_plan.rs
@@ -109,6 +109,29 @@
     assert_eq!((plan.sequence, plan.moves.len()), (3, 3));
 }
 
+/// The author is frozen and nobody plans meanwhile. Woken up, it has loads and
+/// members of an old picture; a plan of them would be the highest one and all
+/// would follow it.
+#[test]
+fn woken_author_plans_nothing_until_refreshed() {
+    let mut net = settled();
+    let members: Vec<Member> = net.nodes.iter().map(|n| n.me.clone()).collect();
+    let author = members.iter().position(|m| authors(&m.name, &service(0), members.iter()));
+    let author = author.expect("somebody plans");
+    net.nodes[author].asleep = true;
+    net.run(Millis::secs(4));
+    net.nodes[author].asleep = false;
+    net.event(author, Event::Tick);
+
+    propose_at_all(&mut net, 0, 3);
+
+    let planned = |net: &Net| net.nodes[author].controller.plans().get(&service(0)).is_some();
+    assert!(!planned(&net));
+    net.run(Millis::secs(6));
+    propose_at_all(&mut net, 0, 3);
+    assert!(planned(&net));
+}
+
 proptest! {
     /// Plans arrive in any order, again and again, from several authors; some
     /// lost their memory and use a sequence twice.
