--- a/peer/tests/runner.rs
+++ b/peer/tests/runner.rs
@@ -2,4 +2,5 @@
 
 mod fixtures;
 mod test_connections;
+mod test_fleet;
 mod test_wire;
--- /dev/null
+++ b/peer/tests/test_fleet.rs
@@ -0,0 +1,124 @@
+//! Control state machines joined by real connections.
+
+use crate::fixtures::{Authority, addr, eventually, start};
+use medlarspur_lib::{
+    control::{Action, ControlSettings, Controller, Event, TICK},
+    ids::{DomainName, Incarnation, InstanceName, Version},
+    members::{Addresses, Member, MemberState},
+    spread::Check,
+    time::Millis,
+};
+use medlarspur_peer::PeerHandle;
+use std::{convert::Infallible, net::SocketAddrV4, time::Instant};
+
+struct TakeAll;
+
+impl Check for TakeAll {
+    type Error = Infallible;
+
+    fn check(&self, text: &str) -> Result<Version, Infallible> {
+        Ok(Version(text.lines().count() as u64))
+    }
+}
+
+struct Instance {
+    controller: Controller<TakeAll>,
+    peers: PeerHandle,
+    ticked: Option<Millis>,
+    born: Instant,
+}
+
+impl Instance {
+    fn new(n: u8, authority: &Authority, seeds: Vec<SocketAddrV4>) -> Instance {
+        let peers = start("gromovestnik", Some(authority.issue()));
+        let me = Member {
+            name: InstanceName::new(&format!("i{n}")),
+            domain: DomainName::new(&format!("d{}", n % 2)),
+            incarnation: Incarnation(1),
+            state: MemberState::Live,
+            addresses: Addresses { packets: addr(1), questions: addr(2), control: peers.addr() },
+            version: Version(0),
+            told: 0,
+        };
+        let controller = Controller::new(ControlSettings { me, seeds }, TakeAll);
+        Instance { controller, peers, ticked: None, born: Instant::now() }
+    }
+
+    fn event(&mut self, event: Event) {
+        let now = Millis::from(self.born.elapsed());
+        for action in self.controller.handle(now, event) {
+            if let Action::Send { to, message } = action {
+                self.peers.send(to, message);
+            }
+        }
+    }
+
+    fn turn(&mut self) {
+        while let Some(message) = self.peers.try_recv() {
+            self.event(Event::Peer(message));
+        }
+        let now = Millis::from(self.born.elapsed());
+        if self.ticked.is_none_or(|t| now.since(t) >= TICK) {
+            self.ticked = Some(now);
+            self.event(Event::Tick);
+        }
+    }
+
+    fn has(&self, text: &str) -> bool {
+        self.controller.current().is_some_and(|t| &*t.text == text)
+    }
+
+    fn sees(&self, state: MemberState) -> usize {
+        self.controller.roster().members().filter(|m| m.state == state).count()
+    }
+}
+
+fn fleet() -> Vec<Instance> {
+    let authority = Authority::new();
+    let first = Instance::new(0, &authority, Vec::new());
+    let seeds = vec![first.peers.addr()];
+    let rest = (1..4).map(|n| Instance::new(n, &authority, seeds.clone()));
+    std::iter::once(first).chain(rest).collect()
+}
+
+fn turn_all(fleet: &mut [Instance]) {
+    fleet.iter_mut().for_each(Instance::turn);
+}
+
+/// Four instances know one address among them. A bundle that one of them reads
+/// has to be in force at all, and a change of it has to follow.
+#[test]
+fn bundle_reaches_all_over_mutual_tls() {
+    let mut fleet = fleet();
+
+    fleet[2].event(Event::PlatformBundle("a: 1\n".into()));
+    let first = eventually(|| {
+        turn_all(&mut fleet);
+        fleet.iter().all(|i| i.has("a: 1\n") && i.sees(MemberState::Live) == 4)
+    });
+    fleet[3].event(Event::PlatformBundle("a: 1\nb: 2\n".into()));
+    let second = eventually(|| {
+        turn_all(&mut fleet);
+        fleet.iter().all(|i| i.has("a: 1\nb: 2\n"))
+    });
+
+    assert!(first && second);
+}
+
+/// One instance is killed: its connections end. The others have to find it
+/// dead, or they would ask it about flows and callers would wait.
+#[test]
+fn killed_instance_is_found_dead_over_mutual_tls() {
+    let mut fleet = fleet();
+    assert!(eventually(|| {
+        turn_all(&mut fleet);
+        fleet.iter().all(|i| i.sees(MemberState::Live) == 4)
+    }));
+
+    drop(fleet.pop());
+
+    assert!(eventually(|| {
+        turn_all(&mut fleet);
+        fleet.iter().all(|i| i.sees(MemberState::Dead) == 1 && i.sees(MemberState::Live) == 3)
+    }));
+}
