--- a/lib/src/members/rumours.rs
+++ b/lib/src/members/rumours.rs
@@ -2,6 +2,7 @@
 
 use super::{Member, NEIGHBOURS};
 use crate::{collections::Map, ids::InstanceName};
+use std::collections::BTreeSet;
 
 /// How many rumours one heartbeat carries at most. With eight heartbeats a
 /// second and some 80 bytes a rumour this adds 3 KB/s at most, even when a
@@ -15,34 +16,40 @@
 /// The names of members with news, each with how often it was passed on.
 #[derive(Debug, Default)]
 pub(super) struct Rumours {
-    sent: Map<InstanceName, u32>,
+    told: Map<InstanceName, u32>,
+    /// The same, the least told first: a failure domain's worth of news must
+    /// not be sorted anew for each heartbeat.
+    order: BTreeSet<(u32, InstanceName)>,
 }
 
 impl Rumours {
     /// Marks `name` as news.
     pub(super) fn add(&mut self, name: &InstanceName) {
-        self.sent.insert(name.clone(), 0);
+        self.put(name.clone(), 0);
     }
 
-    /// Takes the least told rumours for one message, `fleet` being the number
-    /// of members. A rumour that was told often enough is dropped.
+    fn put(&mut self, name: InstanceName, n: u32) {
+        if let Some(before) = self.told.insert(name.clone(), n) {
+            self.order.remove(&(before, name.clone()));
+        }
+        self.order.insert((n, name));
+    }
+
+    /// Takes the least told rumours for one message. A rumour that was told
+    /// often enough is dropped.
     pub(super) fn take<'a>(
         &mut self,
         find: impl Fn(&InstanceName) -> Option<&'a Member>,
     ) -> Vec<Member> {
-        if self.sent.is_empty() {
-            return Vec::new();
-        }
-        let mut order: Vec<(u32, InstanceName)> =
-            self.sent.iter().map(|(name, n)| (*n, name.clone())).collect();
-        order.sort_unstable();
-        order.truncate(MAX_RUMOURS);
-        let told: Vec<Member> = order.iter().filter_map(|(_, name)| find(name).cloned()).collect();
-        for (n, name) in order {
-            if n + 1 >= REPEATS {
-                self.sent.remove(&name);
+        let picked: Vec<(u32, InstanceName)> =
+            self.order.iter().take(MAX_RUMOURS).cloned().collect();
+        let told = picked.iter().filter_map(|(_, name)| find(name).cloned()).collect();
+        for (n, name) in picked {
+            if n + 1 < REPEATS {
+                self.put(name, n + 1);
             } else {
-                self.sent.insert(name, n + 1);
+                self.told.remove(&name);
+                self.order.remove(&(n, name));
             }
         }
         told
