--- /dev/null
+++ b/testutils/src/bin/capacity/slopes.rs
@@ -0,0 +1,123 @@
+//! Measured points and the lines through them.
+
+use medlarspur_lib::collections::Map;
+use serde::Deserialize;
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+use std::fmt::Write;
+
+/// The fewest sizes that make a slope.
+const LEAST_POINTS: usize = 4;
+
+/// Why slopes can't be used.
+#[derive(Debug, Snafu)]
+pub enum SlopesError {
+    /// The text is not what it should be.
+    #[snafu(display("the slopes cannot be parsed"))]
+    Parse { source: serde_norway::Error },
+    /// Too few sizes tell nothing of the way between them.
+    #[snafu(display("slope `{name}` has fewer than {LEAST_POINTS} sizes"))]
+    Points { name: String },
+    /// The roles need a slope that is not there.
+    #[snafu(display("slope `{name}` was not measured"))]
+    Missing { name: String },
+}
+
+/// What was measured against one size.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Slope {
+    pub name: String,
+    pub what: String,
+    pub x: String,
+    pub y: String,
+    pub command: String,
+    pub points: Vec<(f64, f64)>,
+}
+
+/// All slopes by name, in the order of the text.
+#[derive(Debug)]
+pub struct Slopes {
+    list: Vec<Slope>,
+    places: Map<String, usize>,
+}
+
+/// The straight line nearest to the points, by least squares.
+#[derive(Debug, Clone, Copy)]
+pub struct Line {
+    pub start: f64,
+    pub rise: f64,
+    /// The share of the points' variance that it explains.
+    pub fit: f64,
+}
+
+impl Line {
+    /// The value of the line at a size, never below zero.
+    pub fn at(&self, x: f64) -> f64 {
+        (self.start + self.rise * x).max(0.0)
+    }
+}
+
+impl Slope {
+    pub fn line(&self) -> Line {
+        let count = self.points.len() as f64;
+        let mean = |of: fn(&(f64, f64)) -> f64| self.points.iter().map(of).sum::<f64>() / count;
+        let (x, y) = (mean(|it| it.0), mean(|it| it.1));
+        let sum = |of: &dyn Fn(f64, f64) -> f64| -> f64 {
+            self.points.iter().map(|it| of(it.0 - x, it.1 - y)).sum()
+        };
+        let (xx, xy, yy) = (sum(&|x, _| x * x), sum(&|x, y| x * y), sum(&|_, y| y * y));
+        let rise = if xx > 0.0 { xy / xx } else { 0.0 };
+        let fit = if yy > 0.0 { rise * xy / yy } else { 1.0 };
+        Line { start: y - rise * x, rise, fit }
+    }
+}
+
+impl Slopes {
+    pub fn parse(text: &str) -> Result<Slopes, SlopesError> {
+        let list: Vec<Slope> = serde_norway::from_str(text).context(ParseSnafu)?;
+        for slope in &list {
+            let enough = slope.points.len() >= LEAST_POINTS;
+            ensure!(enough, PointsSnafu { name: slope.name.as_str() });
+        }
+        let places = list.iter().enumerate().map(|(at, it)| (it.name.clone(), at)).collect();
+        Ok(Slopes { list, places })
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Slope> {
+        self.list.iter()
+    }
+
+    /// The value of a slope's line at a size.
+    pub fn at(&self, name: &str, x: f64) -> Result<f64, SlopesError> {
+        let place = self.places.get(name).context(MissingSnafu { name })?;
+        Ok(self.list[*place].line().at(x))
+    }
+
+    /// The slopes as a table in Markdown.
+    pub fn table(&self) -> String {
+        let mut text =
+            "| slope | what | sizes | line | fit r² |\n|---|---|---|---|---|\n".to_owned();
+        for slope in &self.list {
+            let line = slope.line();
+            let sizes: Vec<_> = slope.points.iter().map(|it| format!("{}", it.0)).collect();
+            let Slope { name, what, x, y, .. } = slope;
+            let (sizes, start, rise) = (sizes.join(", "), line.start, line.rise);
+            let _ = writeln!(
+                text,
+                "| `{name}` | {what} | {sizes} {x} | {start:.0} + {rise:.4} {y} | {:.3} |",
+                line.fit
+            );
+        }
+        text + &self.commands()
+    }
+
+    /// The commands that gave the slopes, each once.
+    fn commands(&self) -> String {
+        let general = |it: &Slope| it.command.replace(&it.name, "NAME");
+        let mut commands: Vec<_> = self.list.iter().map(general).collect();
+        commands.sort();
+        commands.dedup();
+        let lines = commands.iter().map(|it| format!("- `{it}`\n"));
+        format!("\nMeasured by\n\n{}", lines.collect::<String>())
+    }
+}
