--- a/lib/src/bundle/parse.rs
+++ b/lib/src/bundle/parse.rs
@@ -2,7 +2,7 @@
 
 use super::{Bundle, Class, Port, Protocol, Seed, Service, Target, TargetState, check};
 use crate::{
-    document::{self, Fault, Node, Report},
+    document::{self, Fault, Lines, Node, Report},
     ids::{DomainName, ServiceName, SiteName, TargetName, Version},
     time::Millis,
 };
@@ -47,7 +47,17 @@
     ///
     /// Returns every fault of the text, each with its line and what to do.
     pub fn parse(text: &str) -> Result<Bundle, Report> {
-        document::read(text, MAX_TEXT, bundle)
+        document::read(text, MAX_TEXT, Lines::Find, bundle)
+    }
+
+    /// As [`Bundle::parse`], but faults have no lines, which costs as much as
+    /// reading a sound bundle at most.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the text.
+    pub fn parse_quickly(text: &str) -> Result<Bundle, Report> {
+        document::read(text, MAX_TEXT, Lines::Skip, bundle)
     }
 }
 
--- a/lib/src/bundle/sign.rs
+++ b/lib/src/bundle/sign.rs
@@ -129,7 +129,7 @@
         let key = keys.get(line.key).context(UnknownKeySnafu { key: line.key })?;
         let fits = key.verify(&message(content), &line.signature);
         ensure!(fits, BadSignatureSnafu { key: line.key });
-        let bundle = Bundle::parse(content).context(FaultsSnafu)?;
+        let bundle = Bundle::parse_quickly(content).context(FaultsSnafu)?;
         ensure!(
             bundle.site == *site,
             WrongSiteSnafu { found: bundle.site, expected: site.clone() }
--- a/lib/src/document/fault.rs
+++ b/lib/src/document/fault.rs
@@ -22,6 +22,12 @@
         /// The greatest length in bytes.
         limit: usize,
     },
+    /// More brackets are open at once than any reader takes.
+    #[snafu(display("more than {limit} brackets are open at once"))]
+    TooDeep {
+        /// The greatest number of open brackets.
+        limit: usize,
+    },
     /// A field that must be there is not.
     #[snafu(display("the field `{field}` is missing"))]
     Missing {
@@ -99,6 +105,7 @@
             Fault::TooLarge { .. } => {
                 "leave out fields that have their default, or use the short form `{a: b}`".into()
             }
+            Fault::TooDeep { .. } => "close the brackets".into(),
             Fault::Missing { field } => format!("add `{field}:`"),
             Fault::Unknown { known } => format!("remove it, or use one of {}", known.join(", ")),
             Fault::Kind { expected: "text", found: "a number" } => "put it in quotes".into(),
@@ -129,14 +136,16 @@
 
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.line {
-            Some(line) => write!(f, "line {line}: ")?,
-            None => f.write_str("line ?: ")?,
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
         }
         write!(f, "{}: {}; {}", self.path, self.fault, self.fault.advice())
     }
 }
 
+/// How many faults a report shows as text; a log would drown in thousands.
+const SHOWN: usize = 64;
+
 /// Every fault of a document, in the order of their lines. Never empty.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
@@ -148,12 +157,13 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (ix, problem) in self.problems.iter().enumerate() {
-            if ix > 0 {
-                f.write_str("\n")?;
-            }
-            write!(f, "{problem}")?;
+        for (ix, problem) in self.problems.iter().take(SHOWN).enumerate() {
+            let start = if ix > 0 { "\n" } else { "" };
+            write!(f, "{start}{problem}")?;
+        }
+        match self.problems.len().saturating_sub(SHOWN) {
+            0 => Ok(()),
+            more => write!(f, "\nand {more} more"),
         }
-        Ok(())
     }
 }
--- a/lib/src/document/mod.rs
+++ b/lib/src/document/mod.rs
@@ -12,5 +12,5 @@
 pub use self::{
     fault::{Fault, Problem, Report},
     path::{Path, Step},
-    reader::{Fields, Node, Sink, read},
+    reader::{Fields, Lines, Node, Sink, read},
 };
--- a/lib/src/document/reader.rs
+++ b/lib/src/document/reader.rs
@@ -9,10 +9,25 @@
 use serde_norway::{Mapping, Value};
 use std::{cell::RefCell, ops::RangeInclusive, str::FromStr};
 
-/// How many faults get a line. Each costs one more read of the text, and no
-/// author works through more at once; without the bound a broken document of
-/// a megabyte would keep its reader busy for minutes.
+/// How many faults get a line where lines are asked for. Each costs one more
+/// read of the text, and no author works through more at once; without the
+/// bound a broken document of a megabyte would take minutes.
 const LOCATED: usize = 64;
+/// How many brackets may be open at once. The YAML library looks at all open
+/// ones for each further token, so a few hundred thousand, as a broken file
+/// may have, would keep it busy for minutes.
+const DEPTH: usize = 1000;
+
+/// Whether faults get the lines on which they stand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lines {
+    /// For authors: the first faults do.
+    Find,
+    /// For instances: none does. The reads for the lines of a large document
+    /// take seconds, in which an instance would miss its heartbeats.
+    Skip,
+}
+
 /// How much of a wrong text a fault repeats, in characters.
 const QUOTED: usize = 60;
 /// The greatest length of a name; that of a label in DNS.
@@ -27,19 +42,41 @@
 pub fn read<T>(
     text: &str,
     limit: usize,
+    lines: Lines,
     walk: impl FnOnce(&Node<'_>) -> Option<T>,
 ) -> Result<T, Report> {
     let sink = Sink::default();
     if text.len() > limit {
         sink.note(Path::default(), Fault::TooLarge { size: text.len(), limit });
-        return Err(sink.report(""));
+        return Err(sink.report(text, Lines::Skip));
+    }
+    if is_deep(text) {
+        sink.note(Path::default(), Fault::TooDeep { limit: DEPTH });
+        return Err(sink.report(text, Lines::Skip));
     }
     let document: Value = serde_norway::from_str(text).map_err(|error| syntax(&error))?;
     let top = Node { value: &document, path: Path::default(), sink: &sink };
     match walk(&top) {
         Some(found) if sink.is_empty() => Ok(found),
-        _ => Err(sink.report(text)),
+        _ => Err(sink.report(text, lines)),
+    }
+}
+
+/// Whether too many brackets are open at once. Brackets in quotes count too:
+/// no sound document comes near the limit by them.
+fn is_deep(text: &str) -> bool {
+    let mut depth = 0usize;
+    for byte in text.bytes() {
+        match byte {
+            b'[' | b'{' => depth += 1,
+            b']' | b'}' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > DEPTH {
+            return true;
+        }
     }
+    false
 }
 
 fn syntax(error: &serde_norway::Error) -> Report {
@@ -62,9 +99,10 @@
         self.0.borrow().is_empty()
     }
 
-    fn report(self, text: &str) -> Report {
+    fn report(self, text: &str, lines: Lines) -> Report {
         let mut problems = self.0.into_inner();
-        for problem in problems.iter_mut().take(LOCATED) {
+        let located = if lines == Lines::Find { LOCATED } else { 0 };
+        for problem in problems.iter_mut().take(located) {
             problem.line = locate::line(text, &problem.path);
         }
         problems.sort_by_key(|problem| problem.line.unwrap_or(usize::MAX));
--- a/lib/src/settings/parse.rs
+++ b/lib/src/settings/parse.rs
@@ -3,7 +3,7 @@
 use super::{LogForm, Secret, Settings, Tls};
 use crate::{
     bundle::{Keys, PublicKey},
-    document::{self, Fault, Fields, Node, Report},
+    document::{self, Fault, Fields, Lines, Node, Report},
     ids::{DomainName, InstanceName, SiteName},
 };
 use std::{net::SocketAddrV4, path::PathBuf};
@@ -36,7 +36,7 @@
     ///
     /// Returns every fault of the text, each with its line and what to do.
     pub fn parse(text: &str) -> Result<Settings, Report> {
-        document::read(text, MAX_TEXT, settings)
+        document::read(text, MAX_TEXT, Lines::Find, settings)
     }
 }
 
