--- a/lib/src/forwarder/adverts.rs
+++ b/lib/src/forwarder/adverts.rs
@@ -134,11 +134,11 @@
             };
             match flow.belief {
                 Belief::Opened => self.push(view, service, id, flow.target),
-                Belief::Seen => later.push((service, id, flow.target)),
+                Belief::Seen | Belief::Guessed => later.push((service, id, flow.target)),
                 Belief::Told if moved.contains(&service.key) => {
                     later.push((service, id, flow.target));
                 }
-                Belief::Told | Belief::Guessed => {}
+                Belief::Told => {}
             }
         }
         for (service, id, target) in later {
