view: keep the history of a bucket that went to and fro

Cause: a target named twice kept only its last loss, and peers did not say whether a target had been the owner or only about to become it; so an orphan went to a target that never had it. The digest counts each target once.

--- a/daemon/src/status.rs
+++ b/daemon/src/status.rs
@@ -134,7 +134,8 @@
         let plan = plans.get(&service.spec.name);
         shown.plan = plan.map(|plan| plan_status(plan));
         let planned = plan.is_some_and(|plan| plan.moves.iter().any(|(b, _)| *b == bucket));
-        let (target, reason) = choose(known, state, planned);
+        let (target, reason) =
+            choose(known, state, planned, view.orphaned(service, self.clock.now()));
         shown.target = target.map(|id| view.registry.get(id).name.clone());
         shown.reason = reason;
         shown
@@ -215,10 +216,15 @@
     PlanStatus { sequence, author, moves: plan.moves.len() as u32 }
 }
 
-fn choose(known: Option<Known>, state: &BucketView, planned: bool) -> (Option<TargetId>, Reason) {
+fn choose(
+    known: Option<Known>,
+    state: &BucketView,
+    planned: bool,
+    orphaned: Millis,
+) -> (Option<TargetId>, Reason) {
     match (known, state.owner) {
         (Some(known), _) => (Some(known.flow.target), Reason::Known),
-        (None, _) if state.in_doubt() => (state.fallback(None), Reason::History),
+        (None, _) if state.in_doubt() => (state.fallback(orphaned), Reason::History),
         (None, Some(owner)) if planned => (Some(owner), Reason::Plan),
         (None, Some(owner)) => (Some(owner), Reason::Table),
         (None, None) => (None, Reason::NoTarget),
--- a/lib/src/message/mod.rs
+++ b/lib/src/message/mod.rs
@@ -139,12 +139,24 @@
         pub told: Option<u64>,
     }
 
+    /// That a target lost a bucket.
+    pub struct Loss {
+        /// The bucket.
+        pub bucket: Bucket,
+        /// The target that may still hold flows of it.
+        pub target: TargetName,
+        /// How many milliseconds ago that was.
+        pub age: u64,
+        /// Whether it was the owner, and not only about to become it.
+        pub owned: bool,
+    }
+
     /// Earlier owners of buckets that may still hold flows.
     pub struct History {
         /// The service of the buckets.
         pub service: ServiceName,
-        /// Bucket, earlier owner, and how many milliseconds ago it lost it.
-        pub owners: Vec<(Bucket, TargetName, u64)>,
+        /// The earlier owners, bucket by bucket.
+        pub owners: Vec<Loss>,
     }
 
     /// Says that an instance leaves by plan and hands over.
--- a/lib/src/message/size.rs
+++ b/lib/src/message/size.rs
@@ -35,7 +35,7 @@
             Message::Advert(m) => advert(m),
             Message::HistoryRequest(_) => ADDR,
             Message::History(m) => {
-                let owners = m.owners.iter().map(|(_, target, _)| target.as_str().len() + 10);
+                let owners = m.owners.iter().map(|loss| loss.target.as_str().len() + 12);
                 m.service.as_str().len() + FIELD + owners.sum::<usize>()
             }
             Message::Leave(m) => m.sender.as_str().len() + FIELD + number(m.incarnation.0),
--- a/lib/src/view/draft.rs
+++ b/lib/src/view/draft.rs
@@ -138,15 +138,15 @@
         else {
             return;
         };
-        for (bucket, name, age) in &news.owners {
-            let Some(target) = registry.named(&news.service, name) else { continue };
-            let since = now.since(Millis(*age));
-            if is_news(service, *bucket, target) {
+        for loss in &news.owners {
+            let Some(target) = registry.named(&news.service, &loss.target) else { continue };
+            if is_news(service, loss.bucket, target) {
                 let service = Arc::make_mut(service);
                 service.revision += 1;
-                let state = &mut service.buckets[usize::from(bucket.0)];
+                let state = &mut service.buckets[usize::from(loss.bucket.0)];
                 state.stamp = state.stamp.max(service.stamp);
-                remember(state, Earlier { target, since, owned: true });
+                let since = now.since(Millis(loss.age));
+                remember(state, Earlier { target, since, owned: loss.owned });
                 self.changed = true;
             }
         }
@@ -329,12 +329,17 @@
     })
 }
 
-/// Notes an earlier owner as the latest, once.
+/// Notes an earlier owner. When there are too many, the oldest that is named
+/// more than once goes first, since its flows are still found by the other.
 fn remember(state: &mut BucketView, earlier: Earlier) {
-    state.history.retain(|old| old.target != earlier.target);
     state.history.push(earlier);
     state.history.sort_by_key(|earlier| earlier.since);
     if state.history.len() > HISTORY_DEPTH {
-        state.history.remove(0);
+        let again = |ix: &usize| {
+            let target = state.history[*ix].target;
+            state.history[*ix + 1..].iter().any(|earlier| earlier.target == target)
+        };
+        let oldest = (0..state.history.len()).find(again).unwrap_or(0);
+        state.history.remove(oldest);
     }
 }
--- a/lib/src/view/mod.rs
+++ b/lib/src/view/mod.rs
@@ -24,7 +24,7 @@
     ids::{Bucket, InstanceName, ServiceName, Version},
     keepers::Keepers,
     members::{Member, MemberState},
-    message::History,
+    message::{History, Loss},
     packet::Hasher,
     time::Millis,
 };
@@ -84,8 +84,12 @@
         let mut owners = Vec::new();
         for (bucket, state) in service.buckets.iter().enumerate() {
             for earlier in &state.history {
-                let name = self.registry.get(earlier.target).name.clone();
-                owners.push((Bucket(bucket as u16), name, now.since(earlier.since).0));
+                owners.push(Loss {
+                    bucket: Bucket(bucket as u16),
+                    target: self.registry.get(earlier.target).name.clone(),
+                    age: now.since(earlier.since).0,
+                    owned: earlier.owned,
+                });
             }
         }
         (!owners.is_empty()).then(|| History { service: service.spec.name.clone(), owners })
@@ -97,7 +101,7 @@
         let mut digest = 0;
         for service in &self.services {
             for (bucket, state) in service.buckets.iter().enumerate() {
-                for earlier in &state.history {
+                for earlier in state.distinct() {
                     let key = self.registry.get(earlier.target).key.0;
                     digest ^= key.wrapping_add(bucket as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
                 }
@@ -162,11 +166,15 @@
 
     /// When the first instance went of those that have gone not longer ago than
     /// a flow may be silent: flows may have been known only to that one.
-    pub fn orphaned(&self, service: &ServiceView, now: Millis) -> Option<Millis> {
+    ///
+    /// One may always have gone that is not missed yet.
+    pub fn orphaned(&self, service: &ServiceView, now: Millis) -> Millis {
         let keepalive = service.spec.keepalive;
-        let departure = self.departed.iter().find(|d| now.since(d.noticed) < keepalive)?;
-        let before = if departure.unseen { keepalive } else { DETECTION };
-        Some(departure.noticed - before)
+        match self.departed.iter().find(|d| now.since(d.noticed) < keepalive) {
+            Some(departure) if departure.unseen => departure.noticed - keepalive,
+            Some(departure) => departure.noticed - DETECTION,
+            None => now - DETECTION,
+        }
     }
 }
 
@@ -274,6 +282,16 @@
         BucketView { owner, ..BucketView::default() }
     }
 
+    /// The targets of the history, each once; they appear in it more than once
+    /// when the bucket went to and fro.
+    pub fn distinct(&self) -> impl Iterator<Item = &Earlier> {
+        let is_first = |ix: usize| {
+            let target = self.history[ix].target;
+            !self.history[..ix].iter().any(|earlier| earlier.target == target)
+        };
+        (0..self.history.len()).filter(move |&ix| is_first(ix)).map(|ix| &self.history[ix])
+    }
+
     /// Whether a flow that is not known here may go elsewhere than to the
     /// owner, so that others have to be asked.
     pub fn in_doubt(&self) -> bool {
@@ -289,10 +307,9 @@
     /// The target that most likely has a flow of which nobody knows. If an
     /// instance went at `orphaned`, that is the bucket's owner of that time,
     /// else the owner before the last move.
-    pub fn fallback(&self, orphaned: Option<Millis>) -> Option<TargetId> {
+    pub fn fallback(&self, orphaned: Millis) -> Option<TargetId> {
         let owners = || self.history.iter().filter(|earlier| earlier.owned);
-        let lost_since = |at| owners().find(|earlier| earlier.since >= at);
-        if let Some(earlier) = orphaned.and_then(lost_since) {
+        if let Some(earlier) = owners().find(|earlier| earlier.since >= orphaned) {
             return Some(earlier.target);
         }
         match self.pending {
--- a/peer/src/decode.rs
+++ b/peer/src/decode.rs
@@ -164,8 +164,10 @@
 }
 
 fn history(m: &wire::History) -> Decoded<message::History> {
-    let owner =
-        |o: &wire::Owner| Ok((Bucket(small("bucket", o.bucket)?), target(&o.target)?, o.age));
+    let owner = |o: &wire::Owner| {
+        let bucket = Bucket(small("bucket", o.bucket)?);
+        Ok(message::Loss { bucket, target: target(&o.target)?, age: o.age, owned: !o.called_off })
+    };
     Ok(message::History {
         service: service(&m.service)?,
         owners: m.owners.iter().map(owner).collect::<Decoded<_>>()?,
--- a/peer/src/encode.rs
+++ b/peer/src/encode.rs
@@ -152,8 +152,11 @@
 
 fn history(m: &message::History) -> wire::History {
     let owners = m.owners.iter();
-    let owner = |(bucket, target, age): &(medlarspur_lib::ids::Bucket, TargetName, u64)| {
-        wire::Owner { bucket: bucket.0.into(), target: target.to_string(), age: *age }
+    let owner = |loss: &message::Loss| wire::Owner {
+        bucket: loss.bucket.0.into(),
+        target: loss.target.to_string(),
+        age: loss.age,
+        called_off: !loss.owned,
     };
     wire::History { service: m.service.to_string(), owners: owners.map(owner).collect() }
 }
--- a/peer/src/generated.rs
+++ b/peer/src/generated.rs
@@ -237,6 +237,9 @@
     pub target: ::prost::alloc::string::String,
     #[prost(uint64, tag = "3")]
     pub age: u64,
+    /// Only about to become the owner when the move was called off.
+    #[prost(bool, tag = "4")]
+    pub called_off: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct History {
--- a/peer/tests/test_wire.rs
+++ b/peer/tests/test_wire.rs
@@ -4,7 +4,7 @@
 use medlarspur_lib::{
     ids::{Bucket, FlowId, InstanceName, ServiceName, TargetName, Version},
     message::{
-        Advert, BundleDelta, BundleOutline, BundleRequest, History, HistoryRequest, Leave,
+        Advert, BundleDelta, BundleOutline, BundleRequest, History, HistoryRequest, Leave, Loss,
         MembersAnswer, MembersRequest, Message, Piece, PieceRequest, Pieces, PlanRequest,
         ServicePlan,
     },
@@ -65,7 +65,9 @@
     let service = || ServiceName::new("alertdesk");
     let author = || InstanceName::new("lozenets-1");
     let flows = proptest::collection::vec((any::<u64>().prop_map(FlowId), target()), 0..99);
-    let owners = proptest::collection::vec((bucket(), target(), 0..100_000u64), 0..99);
+    let loss = (bucket(), target(), 0..100_000u64, any::<bool>())
+        .prop_map(|(bucket, target, age, owned)| Loss { bucket, target, age, owned });
+    let owners = proptest::collection::vec(loss, 0..99);
     prop_oneof![
         proptest::collection::vec(any::<u64>(), 64)
             .prop_map(|groups| Message::PlanRequest(PlanRequest { sender: addr(6082), groups })),
