traffic: send packets to instances that have a view

An instance without one drops a packet and the caller's TCP repeats it; without that a flow was silent for longer than its keep-alive, seen in a trace. Keepers allow for the detection time when they judge what one that went had told.

--- a/lib/src/forwarder/keeping.rs
+++ b/lib/src/forwarder/keeping.rs
@@ -75,7 +75,7 @@
             }
         }
         let longest = view.bundle.services.iter().map(|s| s.keepalive).max();
-        self.gone.retain(|gone| now.since(gone.at) < longest.unwrap_or_default());
+        self.gone.retain(|gone| now.since(gone.at) < longest.unwrap_or_default() + DETECTION);
         for told in self.told.values_mut() {
             told.retain(|name, told| lives.get(name) == Some(&told.life));
         }
@@ -116,7 +116,7 @@
             told.and_then(|told| told.get(name)).is_some_and(|told| told.stamp >= stamp)
         });
         let orphan = |gone: &Gone| {
-            now.since(gone.at) < service.spec.keepalive
+            now.since(gone.at) < service.spec.keepalive + DETECTION
                 && gone.told.get(name).is_none_or(|told| *told < stamp)
         };
         // One that went before this instance came could have told it nothing.
--- a/testutils/src/traffic.rs
+++ b/testutils/src/traffic.rs
@@ -107,11 +107,15 @@
             return;
         }
         let packet = segment(&self.flows[ix].key, part);
+        // An instance that has no view yet drops the packet, and the caller's
+        // TCP sends it again until it reaches one that has.
+        let ready = |ix: &usize| fleet.nodes[*ix].forwarder.view().is_some();
+        let listed: Vec<_> = self.listed.iter().copied().filter(ready).collect();
         let place = match self.spread {
-            Spread::Packets => fleet.random(self.listed.len() as u64) as usize,
-            Spread::Flows => rank(&self.flows[ix].key, &self.listed),
+            Spread::Packets => fleet.random(listed.len() as u64) as usize,
+            Spread::Flows => rank(&self.flows[ix].key, &listed),
         };
-        let instance = self.listed[place];
+        let instance = listed[place];
         self.flows[ix].trace.push(Step::Sent(fleet.now, part, instance));
         fleet.receive(instance, &packet);
         self.collect(fleet);
