bundle: let operators set the limits of the decisions under load

Operators drive the system by bundles only, and the limits were fixed in the daemon. A bundle may now set each; what it does not set is as the decisions have it, so that their defaults stand in one place.

--- a/cli/src/commands/bundle_show.rs
+++ b/cli/src/commands/bundle_show.rs
@@ -24,6 +24,16 @@
 fn print(bundle: &Bundle) {
     output::line(&format!("version {} for {}", bundle.version, bundle.site));
     output::line(&format!("seed {}", bundle.seed));
+    let limits = &bundle.limits;
+    output::line(&format!(
+        "limits: reserve {}, caller {}, network {}, booking {}, patience {}, retries {}",
+        or_dash(limits.reserve),
+        or_dash(limits.caller),
+        or_dash(limits.network),
+        or_dash(limits.booking),
+        or_dash(limits.patience.map(Span)),
+        or_dash(limits.retries),
+    ));
     for service in &bundle.services {
         print_service(service);
     }
--- a/daemon/examples/bench/site.rs
+++ b/daemon/examples/bench/site.rs
@@ -1,7 +1,7 @@
 //! The site that is measured: Gromovestnik's services and callers' packets.
 
 use medlarspur_lib::{
-    bundle::{Bundle, Class, Port, Protocol, Seed, Service, Target, TargetState},
+    bundle::{Bundle, Class, Limits, Port, Protocol, Seed, Service, Target, TargetState},
     ids::{DomainName, InstanceName, ServiceName, SiteName, TargetName, Version},
     time::Millis,
     view::{Draft, View},
@@ -29,7 +29,7 @@
         service("ingest", ADDRESSES[1], Class::Upload, ingest),
     ];
     let (version, site, seed) = (Version(1), SiteName::new("sofia"), Seed([7; 16]));
-    let bundle = Arc::new(Bundle { version, site, seed, services });
+    let bundle = Arc::new(Bundle { version, site, seed, services, limits: Limits::default() });
     let mut draft = Draft::first(InstanceName::new("entry-1"), &bundle, Millis(0));
     draft.advance(Millis(0));
     draft.commit().expect("the first view is a change")
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -2,7 +2,7 @@
 //! the targets of the view and the positions that the decisions work with.
 
 use medlarspur_lib::{
-    bundle::{Class, Service},
+    bundle::{Class, Limits, Service},
     collections::Map,
     flows::{Belief, Flow, FlowMap},
     forwarder::{Gate, Opening, Verdict as Opened},
@@ -58,6 +58,7 @@
     }
 
     fn install(&mut self, view: &View, now: Millis) {
+        self.gate.set_settings(settings(&view.bundle.limits));
         let services = view.bundle.services.iter().map(|spec| service_load(spec)).collect();
         self.gate.set_services(now, services);
         self.waits = vec![FIRST_WAIT; view.bundle.services.len()];
@@ -210,6 +211,19 @@
     }
 }
 
+/// The settings of the decisions: what the bundle sets, and their defaults.
+pub fn settings(limits: &Limits) -> load::Settings {
+    let default = load::Settings::default();
+    load::Settings {
+        reserve: limits.reserve.unwrap_or(default.reserve),
+        caller: limits.caller.unwrap_or(default.caller),
+        network: limits.network.unwrap_or(default.network),
+        booking: limits.booking.unwrap_or(default.booking),
+        patience: limits.patience.unwrap_or(default.patience),
+        retries: limits.retries.unwrap_or(default.retries),
+    }
+}
+
 fn service_load(spec: &Service) -> load::ServiceLoad {
     let targets = spec.targets.iter().map(|target| load::TargetLoad {
         name: target.name.clone(),
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -1,4 +1,5 @@
 //! Tests of the daemon as a process, beside stand-ins for its peers.
 
 mod test_check;
+mod test_limits;
 mod test_operators;
--- a/lib/src/bundle/diff.rs
+++ b/lib/src/bundle/diff.rs
@@ -1,6 +1,6 @@
 //! What differs between two bundles, for people who sign one off.
 
-use super::{Bundle, Service, Target};
+use super::{Bundle, Limits, Service, Target};
 use crate::{
     ids::{ServiceName, TargetName},
     time::Span,
@@ -89,6 +89,7 @@
     changes.field("version", old.version, new.version);
     changes.field("site", &old.site, &new.site);
     changes.field("seed", old.seed, new.seed);
+    changes.limits(&old.limits, &new.limits);
     for service in &old.services {
         match find(new, &service.name) {
             Some(later) => changes.service(service, later),
@@ -154,6 +155,15 @@
         self.found.push(Change { service, target, field: None, from, to });
     }
 
+    fn limits(&mut self, old: &Limits, new: &Limits) {
+        self.field("limits.reserve", show(old.reserve), show(new.reserve));
+        self.field("limits.caller", show(old.caller), show(new.caller));
+        self.field("limits.network", show(old.network), show(new.network));
+        self.field("limits.booking", show(old.booking), show(new.booking));
+        self.field("limits.patience", show(old.patience.map(Span)), show(new.patience.map(Span)));
+        self.field("limits.retries", show(old.retries), show(new.retries));
+    }
+
     fn service(&mut self, old: &Service, new: &Service) {
         self.service = Some(old.name.clone());
         self.field("ports", ports(old), ports(new));
@@ -182,7 +192,7 @@
         self.field("slots", old.slots, new.slots);
         self.field("connections", old.connections, new.connections);
         self.field("state", old.state, new.state);
-        self.field("probe", probe(old), probe(new));
+        self.field("probe", show(old.probe), show(new.probe));
         self.target = None;
     }
 }
@@ -191,6 +201,6 @@
     service.refusal.as_ref().map_or_else(|| "none".to_owned(), |text| format!("{text:?}"))
 }
 
-fn probe(target: &Target) -> String {
-    target.probe.map_or_else(|| "none".to_owned(), |probe| probe.to_string())
+fn show<T: fmt::Display>(value: Option<T>) -> String {
+    value.map_or_else(|| "none".to_owned(), |value| value.to_string())
 }
--- a/lib/src/bundle/mod.rs
+++ b/lib/src/bundle/mod.rs
@@ -39,6 +39,26 @@
         pub seed: Seed,
         /// The services, in the order of the text.
         pub services: Vec<Arc<Service>>,
+        /// The limits of the decisions under load.
+        pub limits: Limits,
+    }
+
+    /// The limits of the decisions under load, alike for all services. What
+    /// is not set is as those decisions have it by themselves.
+    #[derive(Default, serde::Serialize)]
+    pub struct Limits {
+        /// Room kept for requests, in percent of slots and connections.
+        pub reserve: Option<u8>,
+        /// What one caller may take of a busy service, in percent.
+        pub caller: Option<u8>,
+        /// What one caller network (a /24) may take of it, in percent.
+        pub network: Option<u8>,
+        /// The mean work given to a target, in percent of its slots.
+        pub booking: Option<u16>,
+        /// The longest that an opening is held.
+        pub patience: Option<Millis>,
+        /// Repeated tries let in beside new ones while busy, in percent.
+        pub retries: Option<u8>,
     }
 
     /// One service: an address, its ports and the targets that serve them.
--- a/lib/src/bundle/parse.rs
+++ b/lib/src/bundle/parse.rs
@@ -1,6 +1,6 @@
 //! From the YAML text of a bundle to its values.
 
-use super::{Bundle, Class, Port, Protocol, Seed, Service, Target, TargetState, check};
+use super::{Bundle, Class, Limits, Port, Protocol, Seed, Service, Target, TargetState, check};
 use crate::{
     document::{self, Fault, Lines, Node, Report},
     ids::{DomainName, ServiceName, SiteName, TargetName, Version},
@@ -33,7 +33,8 @@
 const SLOTS: u16 = 2;
 const CONNECTIONS: u32 = 2000;
 
-const BUNDLE_FIELDS: &[&str] = &["version", "site", "seed", "services"];
+const BUNDLE_FIELDS: &[&str] = &["version", "site", "seed", "services", "limits"];
+const LIMIT_FIELDS: &[&str] = &["reserve", "caller", "network", "booking", "patience", "retries"];
 const SERVICE_FIELDS: &[&str] =
     &["name", "address", "ports", "buckets", "keepalive", "refusal", "balance", "targets"];
 const PORT_FIELDS: &[&str] = &["number", "protocol", "class"];
@@ -67,11 +68,31 @@
     let site = fields.required("site").and_then(|node| node.name());
     let seed = fields.required("seed").and_then(|node| seed(&node));
     let services = fields.required("services").and_then(|node| services(&node));
+    let limits = fields.or("limits", Limits::default(), limits);
     Some(Bundle {
         version: Version(version?),
         site: SiteName::new(site?),
         seed: seed?,
         services: services?,
+        limits: limits?,
+    })
+}
+
+fn limits(node: &Node<'_>) -> Option<Limits> {
+    let fields = node.fields(LIMIT_FIELDS)?;
+    let reserve = fields.maybe("reserve", |node| node.small(0..=90));
+    let caller = fields.maybe("caller", |node| node.small(1..=100));
+    let network = fields.maybe("network", |node| node.small(1..=100));
+    let booking = fields.maybe("booking", |node| node.small(100..=400));
+    let patience = fields.maybe("patience", |node| node.span(Millis(0)..=Millis::secs(5)));
+    let retries = fields.maybe("retries", |node| node.small(0..=100));
+    Some(Limits {
+        reserve: reserve?,
+        caller: caller?,
+        network: network?,
+        booking: booking?,
+        patience: patience?,
+        retries: retries?,
     })
 }
 
@@ -106,7 +127,7 @@
     };
     let keepalive =
         fields.or("keepalive", KEEPALIVE, |node| node.span(Millis::secs(1)..=Millis::secs(3600)));
-    let refusal = fields.or("refusal", None, |node| refusal(node).map(Some));
+    let refusal = fields.maybe("refusal", refusal);
     let balance = fields.or("balance", BALANCE, |node| node.small(0..=100));
     Some(Service {
         name: ServiceName::new(name?),
@@ -211,7 +232,7 @@
     let connections = fields.or("connections", CONNECTIONS, |node| node.small(1..=10_000_000));
     let state =
         fields.or("state", TargetState::Active, |node| node.checked("active or leaving", state));
-    let probe = fields.or("probe", None, |node| socket(node).map(Some));
+    let probe = fields.maybe("probe", socket);
     Some(Target {
         name: TargetName::new(name?),
         address: address?,
--- a/lib/src/document/reader.rs
+++ b/lib/src/document/reader.rs
@@ -295,6 +295,15 @@
         found.or_else(|| self.node.fault(Fault::Missing { field: name }))
     }
 
+    /// What `get` makes of the field `name`, if it is there.
+    pub fn maybe<T>(
+        &self,
+        name: &str,
+        get: impl FnOnce(&Node<'d>) -> Option<T>,
+    ) -> Option<Option<T>> {
+        self.or(name, None, |node| get(node).map(Some))
+    }
+
     /// What `get` makes of the field `name`, or `default` if it is not there.
     pub fn or<T>(
         &self,
--- a/lib/src/settings/parse.rs
+++ b/lib/src/settings/parse.rs
@@ -54,7 +54,7 @@
     let keys = fields.required("keys").and_then(|node| keys(&node));
     let peers = fields.or("peers", Vec::new(), peers);
     let secret = fields.required("secret").and_then(|node| secret(&node));
-    let tls = fields.or("tls", None, |node| tls(node).map(Some));
+    let tls = fields.maybe("tls", tls);
     let log = fields.or("log", LogForm::Text, |node| node.checked("text or json", log_form));
     Some(Settings {
         site: SiteName::new(site?),
--- a/lib/tests/edge/test_draft.rs
+++ b/lib/tests/edge/test_draft.rs
@@ -1,5 +1,5 @@
 use medlarspur_lib::{
-    bundle::{Bundle, Class, Port, Protocol, Seed, Service, Target, TargetState},
+    bundle::{Bundle, Class, Limits, Port, Protocol, Seed, Service, Target, TargetState},
     ids::{DomainName, Incarnation, InstanceName, ServiceName, SiteName, TargetName, Version},
     members::{Addresses, Member, MemberState},
     time::Millis,
@@ -51,7 +51,8 @@
     let services =
         vec![service("ajanvaraus", 1, state), service("todisteet", 2, TargetState::Active)];
     let (site, seed) = (SiteName::new("uusimaa"), Seed([1; 16]));
-    Arc::new(Bundle { version: Version(version), site, seed, services })
+    let limits = Limits::default();
+    Arc::new(Bundle { version: Version(version), site, seed, services, limits })
 }
 
 fn member(name: &str, state: MemberState, version: u64) -> Member {
--- a/lib/tests/product/test_bundle.rs
+++ b/lib/tests/product/test_bundle.rs
@@ -3,7 +3,7 @@
 use super::fixtures::bundle_text;
 use expect_test::{Expect, expect};
 use medlarspur_lib::{
-    bundle::{Bundle, Class, MAX_TEXT, Protocol, TargetState},
+    bundle::{Bundle, Class, Limits, MAX_TEXT, Protocol, TargetState},
     ids::Version,
     time::Millis,
 };
@@ -46,6 +46,30 @@
     assert_eq!((target.state, desk.targets[1].probe), (TargetState::Active, None));
 }
 
+#[test]
+fn limits_are_read_one_by_one() {
+    let text = bundle_text() + "limits: {reserve: 40, patience: 100ms}\n";
+
+    let limits = Bundle::parse(&text).expect("sound").limits;
+
+    let (reserve, patience) = (Some(40), Some(Millis(100)));
+    assert_eq!(limits, Limits { reserve, patience, ..Limits::default() });
+}
+
+#[test]
+fn limits_out_of_range_are_refused() {
+    let text = bundle_text() + "limits: {reserve: 91, booking: 99, patience: 6s, callers: 5}\n";
+
+    faults(
+        &text,
+        expect![[r#"
+        line 28: limits.callers: unknown field; remove it, or use one of reserve, caller, network, booking, patience, retries
+        line 28: limits.reserve: 91 is out of range; choose a value from 0 to 90
+        line 28: limits.booking: 99 is out of range; choose a value from 100 to 400
+        line 28: limits.patience: 6s is out of range; choose a value from 0s to 5s"#]],
+    );
+}
+
 #[test]
 fn all_faults_come_in_one_report() {
     faults(
--- a/lib/tests/product/test_diff.rs
+++ b/lib/tests/product/test_diff.rs
@@ -32,10 +32,12 @@
         ("keepalive: 2m", "keepalive: 1500ms"),
         ("    refusal: \"busy {seconds}\"\n", ""),
         ("slots: 3", "slots: 4"),
+        ("seed: 00", "limits: {patience: 1s}\nseed: 00"),
     ]);
 
     expect![[r#"
         ~ version: 7 -> 8
+        ~ limits.patience: none -> 1s
         ~ alertdesk ports: 10.70.0.1 tcp/7001 feed udp/7002 request -> 10.70.0.1 tcp/7003 feed udp/7002 request
         - alertdesk alert-1 (10.1.0.1:6080)
         ~ alertdesk alert-2 state: leaving -> active
--- a/lib/tests/product/test_pages.rs
+++ b/lib/tests/product/test_pages.rs
@@ -45,11 +45,11 @@
 #[test]
 fn every_field_of_a_bundle_is_described() {
     let page = page("bundle.md");
-    let text = "{x: 1, services: [{x: 1, ports: [{x: 1}], targets: [{x: 1}]}]}";
+    let text = "{x: 1, limits: {x: 1}, services: [{x: 1, ports: [{x: 1}], targets: [{x: 1}]}]}";
 
     let report = Bundle::parse(text).expect_err("unknown fields");
 
-    assert!(known(&report).len() > 20);
+    assert!(known(&report).len() > 28);
     assert_eq!(undescribed(&page, &report), Vec::<&str>::new());
 }
 
--- a/load/src/gate.rs
+++ b/load/src/gate.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Decides by other settings from now on.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Takes over a bundle's services, in its order. What was learnt of a
     /// service or target stays with its name; openings that wait for a target
     /// that is gone are turned away by the next [`Gate::due`].
--- a/testutils/src/bundles.rs
+++ b/testutils/src/bundles.rs
@@ -1,7 +1,7 @@
 //! Checked bundles for tests, built without text.
 
 use medlarspur_lib::{
-    bundle::{Bundle, Class, Port, Protocol, Seed, Service, Target, TargetState},
+    bundle::{Bundle, Class, Limits, Port, Protocol, Seed, Service, Target, TargetState},
     ids::{DomainName, ServiceName, SiteName, TargetName, Version},
     time::Millis,
 };
@@ -91,6 +91,7 @@
                 self.service(0, "alertdesk", *FEEDS.ip(), first),
                 self.service(1, "ingest", *UPLOADS.ip(), second),
             ],
+            limits: Limits::default(),
         })
     }
 
