--- a/lib/src/control/compare.rs
+++ b/lib/src/control/compare.rs
@@ -13,7 +13,7 @@
 /// How many bytes of members or plans answer one request. What is left over
 /// follows with later requests, so that a healed partition doesn't burst the
 /// budget of 8 KB/s.
-const ANSWER_BYTES: usize = 4_096;
+const ANSWER_BYTES: usize = 2_048;
 /// How often each is asked for at most.
 const PAUSE: Millis = Millis(1_000);
 /// The same at a start, when a fleet of a thousand is to be learned within
--- a/lib/src/members/rumours.rs
+++ b/lib/src/members/rumours.rs
@@ -5,13 +5,13 @@
 use std::collections::BTreeSet;
 
 /// How many rumours one heartbeat carries at most. With eight heartbeats a
-/// second and some 80 bytes a rumour this adds 3 KB/s at most, even when a
-/// failure domain goes and hundreds of members change at once.
-pub const MAX_RUMOURS: usize = 5;
-/// How often a rumour is passed on: about once to each neighbour and each who
-/// has this one as a neighbour. Connections lose nothing while they stand, so
+/// second and some 80 bytes a rumour this adds 2.6 KB/s at most, even when a
+/// failure domain goes or returns and hundreds of members change at once.
+pub const MAX_RUMOURS: usize = 4;
+/// How often a rumour is passed on: about once on each kept connection, since
+/// both of its ends pass it on. Connections lose nothing while they stand, so
 /// that this floods the fleet; what a broken one lost is found by the digests.
-const REPEATS: u32 = 2 * NEIGHBOURS as u32;
+const REPEATS: u32 = NEIGHBOURS as u32;
 
 /// The names of members with news, each with how often it was passed on.
 #[derive(Debug, Default)]
