daemon: keep each log entry on one line

An error with its causes was written over four lines, so that a search for it found neither the cause nor, in a collected log, the instance.

--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -2,4 +2,5 @@
 
 mod test_check;
 mod test_limits;
+mod test_logs;
 mod test_operators;
