--- a/daemon/src/boot.rs
+++ b/daemon/src/boot.rs
@@ -1,8 +1,9 @@
 //! From checked settings to a running instance.
 
 use crate::{
+    checker::Checker,
     clock::Clock,
-    control::{self, Checker, Control},
+    control::{self, Control},
     gate::LoadGate,
     life::Life,
     meters,
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -3,30 +3,29 @@
 
 use crate::{
     changes,
+    checker::Checker,
     clock::Clock,
     meters::{ACCEPTED, INCOMPLETE},
     shared::{Command, Outgoing, Shared, Stage},
 };
 use medlarspur_lib::{
-    bundle::{Bundle, Keys, Refusal, Service, Signed},
+    bundle::Service,
     collections::Map,
     control::{Action, Controller, Event, TICK},
-    ids::{DomainName, InstanceName, SiteName, TargetName, Version},
+    ids::{DomainName, InstanceName, TargetName},
     members::{Candidate, Member},
     message::{HistoryRequest, Message, ServicePlan},
     plan, planner,
-    spread::{self, Check, SignedText},
+    spread::{self, SignedText},
     time::Millis,
     view::Draft,
 };
-use medlarspur_operator::{Family, Meters};
 use medlarspur_peer::PeerHandle;
 use medlarspur_platform::{Event as Platform, Listed, ListedState, Reader};
 use medlarspur_target::{Event as Probed, Prober, Verdict, is_prober};
 use rtrb::{Consumer, Producer};
 use snafu::Report;
 use std::{
-    cell::RefCell,
     net::SocketAddrV4,
     sync::{
         Arc,
@@ -48,54 +47,6 @@
 /// How often history is asked of a peer at most.
 const HISTORY_PAUSE: Millis = Millis(1_000);
 
-/// Checks bundles against the settings and the bundle in force, and keeps the
-/// values of the last one that passed, so that they are parsed only once.
-pub struct Checker {
-    keys: Keys,
-    site: SiteName,
-    passed: RefCell<Vec<Signed>>,
-    force: RefCell<Option<Arc<Bundle>>>,
-    meters: Meters,
-}
-
-impl Checker {
-    /// Trusts `keys` for bundles of `site`, and counts what comes of each.
-    pub fn new(keys: Keys, site: SiteName, meters: Meters) -> Checker {
-        Checker { keys, site, passed: RefCell::default(), force: RefCell::default(), meters }
-    }
-
-    fn count(&self, outcome: &'static str) {
-        self.meters.count(Family::Bundles, outcome).add(1);
-    }
-
-    fn signed(&self, text: &str) -> Result<Signed, Refusal> {
-        let signed = Signed::check(text.as_bytes(), &self.keys, &self.site)?;
-        if let Some(force) = self.force.borrow().as_ref() {
-            signed.follows(force)?;
-        }
-        Ok(signed)
-    }
-
-    /// The values of a text that has just passed.
-    fn take(&self, text: &SignedText) -> Option<Signed> {
-        let passed = self.passed.take();
-        let signed = passed.into_iter().find(|signed| signed.digest == text.digest)?;
-        self.force.replace(Some(signed.bundle.clone()));
-        Some(signed)
-    }
-}
-
-impl Check for &Checker {
-    type Error = Refusal;
-
-    fn check(&self, text: &str) -> Result<Version, Refusal> {
-        let signed = self.signed(text).inspect_err(|refusal| self.count(refusal.reason()))?;
-        let version = signed.bundle.version;
-        self.passed.borrow_mut().push(signed);
-        Ok(version)
-    }
-}
-
 /// What the control thread works with.
 pub struct Control {
     /// The protocol between instances.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod boot;
 pub mod changes;
+pub mod checker;
 pub mod clock;
 pub mod control;
 pub mod gate;
