--- a/lib/tests/fleet/test_faults.rs
+++ b/lib/tests/fleet/test_faults.rs
@@ -3,7 +3,7 @@
 use crate::net::{Faults, Net, member, text};
 use medlarspur_lib::{
     control::Event,
-    ids::{DomainName, Incarnation, InstanceName},
+    ids::{Bucket, DomainName, Incarnation, InstanceName, ServiceName, TargetName},
     members::{Member, MemberState, Roster},
     time::Millis,
 };
@@ -24,6 +24,7 @@
     Cut(usize),
     Heal,
     Loss(u64),
+    Plan(u8, u16),
 }
 
 const NODES: usize = 8;
@@ -42,6 +43,7 @@
         (0..DOMAINS).prop_map(Fault::Cut),
         Just(Fault::Heal),
         (0u64..60).prop_map(Fault::Loss),
+        (0u8..4, 0u16..4).prop_map(|(service, moves)| Fault::Plan(service, moves)),
     ]
 }
 
@@ -62,11 +64,22 @@
             net.cut.insert(DomainName::new(&format!("d{d}")));
         }
         Fault::Heal => net.cut.clear(),
+        Fault::Plan(service, moves) => plan(net, service, moves),
         Fault::Loss(lost) => net.faults = Faults { lost, doubled: 20, delay: 40 },
     }
 }
 
-/// What one instance that never fails has in force.
+/// Each instance wants buckets moved; those that believe that they plan do so.
+fn plan(net: &mut Net, service: u8, moves: u16) {
+    for ix in 0..NODES {
+        let target = |ix: usize| TargetName::new(&format!("t{ix}"));
+        let moves = (0..moves).map(|b| (Bucket(b), target(ix))).collect();
+        let service = ServiceName::new(&format!("s{service}"));
+        net.event(ix, Event::Propose { service, moves });
+    }
+}
+
+/// The highest bundle that any instance has in force.
 fn witness(net: &Net) -> Option<Arc<str>> {
     let up = net.nodes.iter().filter_map(|n| n.controller.current());
     up.max_by_key(|t| t.order()).map(|t| t.text.clone())
@@ -75,8 +88,9 @@
 proptest! {
     /// Whatever goes wrong, alone, together or twice: no instance goes back to
     /// an older bundle, and soon after all is well again, all have the highest
-    /// one that any has and see each other as live. Otherwise some callers
-    /// would be sent by a withdrawn bundle for as long as nobody notices.
+    /// one that any has, follow the same plans and see each other as live.
+    /// Otherwise some callers would be sent by a withdrawn bundle, or two new
+    /// flows of one bucket to two targets, for as long as nobody notices.
     #[test]
     fn fleet_agrees_after_any_faults(
         seed in any::<u64>(),
@@ -103,6 +117,8 @@
         prop_assert!(net.all_have(&highest), "some lack the highest");
         prop_assert!(net.never_back());
         prop_assert!(net.all_live(), "some are not seen as live");
+        let plans = net.nodes.iter().map(|n| n.controller.plans().digest());
+        prop_assert!(plans.clone().all(|digest| Some(digest) == plans.clone().next()), "plans differ");
     }
 
     /// Beliefs about members arrive in any order, again and again. Whoever has
