load: let in uploads singly while targets say nothing

Shares that were saved up were all spent when a crowd of uploads came: without reports sixteen of them met at a target with two slots, and 36 % of the requests beside them got through. Now what is let in is what would end in a second.

--- a/load/src/gate.rs
+++ b/load/src/gate.rs
@@ -258,7 +258,7 @@
         }
         target.earn(now, settings, share, costs);
         if class == Class::Upload {
-            let chance = target.chance(now, settings, share);
+            let chance = target.chance(now, settings, share, cost);
             if self.random.fraction() >= chance {
                 return Err(Reason::Slots);
             }
--- a/load/src/shares.rs
+++ b/load/src/shares.rs
@@ -169,7 +169,7 @@
 }
 
 /// How often a target is asked, in milliseconds.
-const REPORT: f64 = 1_000.0;
+pub(crate) const REPORT: f64 = 1_000.0;
 /// Half-life of the count of openings, in milliseconds: some uploads long.
 const ASKED_HALF_LIFE: f64 = 5_000.0;
 
--- a/load/src/state.rs
+++ b/load/src/state.rs
@@ -244,12 +244,23 @@
     }
 
     /// The chance with which an upload gets in by the target's own word.
-    pub(crate) fn chance(&mut self, now: Millis, settings: &Settings, share: Share) -> f64 {
+    /// Without one, the room is what ends in a second if uploads last for
+    /// `hold`: saved up shares would all be spent at once when a crowd comes.
+    pub(crate) fn chance(
+        &mut self,
+        now: Millis,
+        settings: &Settings,
+        share: Share,
+        hold: f64,
+    ) -> f64 {
         self.asked.ask(now);
-        let Some(told) = self.seen.told(now) else { return 1.0 };
         let slots = admission::slots(settings, share.requests, Class::Upload, self.load.slots);
         let booking = if share.requests { 1.0 } else { f64::from(settings.booking) / 100.0 };
-        let room = slots * booking - f64::from(told.slots + self.unheard);
+        let room = match self.seen.told(now) {
+            Some(told) => slots * booking - f64::from(told.slots + self.unheard),
+            None if share.requests => slots * CAUTION * shares::REPORT / hold,
+            None => slots * booking * shares::REPORT / hold,
+        };
         if share.requests {
             return self.asked.chance(room * CAUTION, share.instances);
         }
--- a/load/tests/model/scene.rs
+++ b/load/tests/model/scene.rs
@@ -55,6 +55,8 @@
     SaysIdle,
     /// Its endpoint always says that it is full.
     SaysFull,
+    /// Its endpoint does not answer.
+    SaysNothing,
 }
 
 /// Callers of one kind.
--- a/load/tests/model/scenes.rs
+++ b/load/tests/model/scenes.rs
@@ -29,6 +29,7 @@
                 at(requests("saturation ×3", &site, 120_000, (0.6, 3.0))),
                 at(few_callers(&site)),
                 at(mixed(&site)),
+                at(silent(mixed(&site))),
                 at(feeds(&site)),
                 at(fault("slow target", &site, 1, Fault::Slow(20))),
                 at(fault("says idle", &site, 1, Fault::SaysIdle)),
@@ -106,6 +107,12 @@
     scene("long uploads ×2", site, loaded, vec![requests, uploads])
 }
 
+/// The same scene while no target's endpoint answers.
+pub fn silent(scene: Scene) -> Scene {
+    let faults = vec![(0..scene.site.hosts, Fault::SaysNothing)];
+    Scene { name: "long uploads ×2, no reports", faults, ..scene }
+}
+
 /// Feeds at three times the connections, with requests in their room.
 pub fn feeds(site: &Site) -> Scene {
     let loaded = START..START + 120_000;
--- a/load/tests/test_patterns.rs
+++ b/load/tests/test_patterns.rs
@@ -94,6 +94,18 @@
     }
 }
 
+/// The same while the targets' load endpoints don't answer. Shares that were
+/// saved up would be spent on uploads at once, and requests wait behind them.
+#[test]
+fn requests_get_through_beside_long_uploads_without_reports() {
+    for site in both(alertdesk, ajanvaraus) {
+        for (scene, outcome) in play(scenes::silent(scenes::mixed(&site))) {
+            let through = requests_through(&scene, &outcome);
+            assert!(through >= 0.95, "{} {} {through}", site.name, scene.spray);
+        }
+    }
+}
+
 /// Three times as many feeds come as there are connections. A target that is
 /// full of feeds drops the openings of acknowledgements.
 #[test]
