view: keep a bucket's doubts apart from its owner

Each bucket had room for a pending move and a history, 64 bytes that hardly any bucket uses: at 3,400 services of 1,024 buckets the tables took 225 MB of the 256 MB that a node may have. Both are now behind a pointer that is set only while the bucket is in doubt: 58 MB. Services that have never changed are also passed over when moves are carried out, which happens fifty times a second.

--- a/daemon/src/status.rs
+++ b/daemon/src/status.rs
@@ -207,7 +207,7 @@
         target: registry.get(earlier.target).name.clone(),
         since: now.since(earlier.since),
     };
-    state.history.iter().map(owner).collect()
+    state.history().iter().map(owner).collect()
 }
 
 fn plan_status(plan: &ServicePlan) -> PlanStatus {
--- a/lib/src/view/draft.rs
+++ b/lib/src/view/draft.rs
@@ -1,8 +1,8 @@
 //! The transaction that turns one view into the next.
 
 use super::{
-    BucketView, Earlier, HISTORY_DEPTH, PENDING_LIMIT, Pending, Ports, Registry, ServiceKey,
-    ServiceView, Stamp, TargetId, View,
+    BucketView, Earlier, PENDING_LIMIT, Pending, Ports, Registry, ServiceKey, ServiceView, Stamp,
+    TargetId, View,
 };
 use crate::{
     bundle::{Bundle, Service, TargetState},
@@ -141,7 +141,7 @@
                 let service = Arc::make_mut(service);
                 service.revision += 1;
                 let state = &mut service.buckets[usize::from(bucket.0)];
-                remember(state, Earlier { target, since });
+                state.remember(Earlier { target, since });
                 self.changed = true;
             }
         }
@@ -155,12 +155,12 @@
             self.fresh = None;
         }
         let due = |state: &BucketView| {
-            state.pending.is_some_and(|pending| {
+            state.pending().is_some_and(|pending| {
                 is_known(pending.version) || now.since(pending.since) >= PENDING_LIMIT
             })
         };
         for service in &mut self.view.services {
-            if !service.buckets.iter().any(due) {
+            if service.revision == 0 || !service.buckets.iter().any(due) {
                 continue;
             }
             self.changed = true;
@@ -280,29 +280,30 @@
     cause: Option<Version>,
 ) -> BucketView {
     let mut next = state.clone();
-    let under_way = state.pending.filter(|pending| Some(pending.target) == wanted);
-    next.pending = match wanted {
+    let under_way = state.pending().filter(|pending| Some(pending.target) == wanted);
+    next.set_pending(match wanted {
         Some(target) if state.owner != wanted => {
             Some(under_way.unwrap_or(Pending { target, since: now, version: cause }))
         }
         // No target takes new flows: the old ones stay where they are.
         _ => None,
-    };
+    });
     if wanted.is_none() {
         carry_out_to(&mut next, None, now);
     }
     // A move that was called off may have been carried out by an instance that
     // was ahead, so its target may hold flows.
-    if let Some(pending) = state.pending
+    if let Some(pending) = state.pending()
         && under_way.is_none()
     {
-        remember(&mut next, Earlier { target: pending.target, since: now });
+        next.remember(Earlier { target: pending.target, since: now });
     }
     next
 }
 
 fn carry_out(state: &mut BucketView, now: Millis) {
-    let Some(pending) = state.pending.take() else { return };
+    let Some(pending) = state.pending() else { return };
+    state.set_pending(None);
     carry_out_to(state, Some(pending.target), now);
 }
 
@@ -310,23 +311,13 @@
     if let Some(old) = state.owner
         && Some(old) != owner
     {
-        remember(state, Earlier { target: old, since: now });
+        state.remember(Earlier { target: old, since: now });
     }
     state.owner = owner;
 }
 
 fn is_news(service: &ServiceView, bucket: Bucket, target: TargetId) -> bool {
     service.buckets.get(usize::from(bucket.0)).is_some_and(|state| {
-        state.owner != Some(target) && !state.history.iter().any(|e| e.target == target)
+        state.owner != Some(target) && !state.history().iter().any(|e| e.target == target)
     })
 }
-
-/// Notes an earlier owner as the latest, once.
-fn remember(state: &mut BucketView, earlier: Earlier) {
-    state.history.retain(|old| old.target != earlier.target);
-    state.history.push(earlier);
-    state.history.sort_by_key(|earlier| earlier.since);
-    if state.history.len() > HISTORY_DEPTH {
-        state.history.remove(0);
-    }
-}
--- a/lib/src/view/mod.rs
+++ b/lib/src/view/mod.rs
@@ -76,9 +76,12 @@
     }
 
     fn history(&self, service: &ServiceView, now: Millis) -> Option<History> {
+        if service.revision == 0 {
+            return None;
+        }
         let mut owners = Vec::new();
         for (bucket, state) in service.buckets.iter().enumerate() {
-            for earlier in &state.history {
+            for earlier in state.history() {
                 let name = self.registry.get(earlier.target).name.clone();
                 owners.push((Bucket(bucket as u16), name, now.since(earlier.since).0));
             }
@@ -90,9 +93,9 @@
     /// which they were learnt, so that peers can compare what they know.
     pub fn history_digest(&self) -> u64 {
         let mut digest = 0;
-        for service in &self.services {
+        for service in self.services.iter().filter(|service| service.revision > 0) {
             for (bucket, state) in service.buckets.iter().enumerate() {
-                for earlier in &state.history {
+                for earlier in state.history() {
                     let key = self.registry.get(earlier.target).key.0;
                     digest ^= key.wrapping_add(bucket as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
                 }
@@ -184,7 +187,7 @@
 impl ServiceView {
     /// Whether some bucket is about to move.
     pub fn is_pending(&self) -> bool {
-        self.revision > 0 && self.buckets.iter().any(|state| state.pending.is_some())
+        self.revision > 0 && self.buckets.iter().any(|state| state.pending().is_some())
     }
 
     /// Whether some bucket has an earlier owner or is about to move.
@@ -210,10 +213,16 @@
 pub struct BucketView {
     /// Gets its new flows; `None` while no target takes any.
     pub owner: Option<TargetId>,
-    /// Gets them soon.
-    pub pending: Option<Pending>,
-    /// Earlier owners that may hold flows, the latest last.
-    pub history: Vec<Earlier>,
+    /// What hardly any bucket has. A large site has millions of buckets, and
+    /// with room for this in each their table alone would take 205 MB.
+    doubt: Option<Box<Doubt>>,
+}
+
+/// Why a flow of a bucket may go elsewhere than to its owner.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+struct Doubt {
+    pending: Option<Pending>,
+    history: Vec<Earlier>,
 }
 
 /// A move that is known and not carried out yet.
@@ -243,24 +252,59 @@
         BucketView { owner, ..BucketView::default() }
     }
 
+    /// The move that is about to give its new flows to another target.
+    pub fn pending(&self) -> Option<Pending> {
+        self.doubt.as_ref()?.pending
+    }
+
+    /// Earlier owners that may hold flows, the latest last.
+    pub fn history(&self) -> &[Earlier] {
+        self.doubt.as_ref().map_or(&[], |doubt| &doubt.history)
+    }
+
     /// Whether a flow that is not known here may go elsewhere than to the
     /// owner, so that others have to be asked.
     pub fn in_doubt(&self) -> bool {
-        self.pending.is_some() || !self.history.is_empty()
+        self.doubt.is_some()
+    }
+
+    fn set_pending(&mut self, pending: Option<Pending>) {
+        if self.pending() != pending {
+            self.edit(|doubt| doubt.pending = pending);
+        }
+    }
+
+    /// Notes an earlier owner as the latest, once.
+    fn remember(&mut self, earlier: Earlier) {
+        self.edit(|doubt| {
+            doubt.history.retain(|old| old.target != earlier.target);
+            doubt.history.push(earlier);
+            doubt.history.sort_by_key(|earlier| earlier.since);
+            if doubt.history.len() > HISTORY_DEPTH {
+                doubt.history.remove(0);
+            }
+        });
+    }
+
+    /// Changes the doubt and drops one that has become empty.
+    fn edit(&mut self, change: impl FnOnce(&mut Doubt)) {
+        let mut doubt = self.doubt.take().unwrap_or_default();
+        change(&mut doubt);
+        self.doubt = (*doubt != Doubt::default()).then_some(doubt);
     }
 
     /// Whether the move is so fresh that the keepers can't know all.
     pub fn is_settling(&self, now: Millis) -> bool {
         let fresh = |earlier: &Earlier| now.since(earlier.since) < SETTLE_TIME;
-        self.pending.is_some() || self.history.last().is_some_and(fresh)
+        self.pending().is_some() || self.history().last().is_some_and(fresh)
     }
 
     /// The target that most likely has a flow of which nobody can be asked:
     /// the one that had the bucket longest before the move.
     pub fn fallback(&self) -> Option<TargetId> {
-        match self.pending {
+        match self.pending() {
             Some(_) => self.owner,
-            None => self.history.last().map(|earlier| earlier.target).or(self.owner),
+            None => self.history().last().map(|earlier| earlier.target).or(self.owner),
         }
     }
 }
--- a/lib/tests/edge/test_draft.rs
+++ b/lib/tests/edge/test_draft.rs
@@ -3,7 +3,7 @@
     ids::{DomainName, Incarnation, InstanceName, ServiceName, SiteName, TargetName, Version},
     members::{Addresses, Member, MemberState},
     time::Millis,
-    view::{Draft, PENDING_LIMIT, View},
+    view::{BucketView, Draft, PENDING_LIMIT, View},
 };
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
@@ -165,3 +165,8 @@
 
     assert_eq!(found, [50, 60, 50].map(|host| address(host, 6080)));
 }
+
+#[test]
+fn a_bucket_without_doubt_stays_at_16_bytes() {
+    assert_eq!(size_of::<BucketView>(), 16);
+}
