--- a/daemon/examples/bench/site.rs
+++ b/daemon/examples/bench/site.rs
@@ -25,17 +25,38 @@
 pub fn view(targets: &[SocketAddrV4; TARGETS]) -> Arc<View> {
     let (alerts, ingest) = targets.split_at(HOSTS[0]);
     let services = vec![
-        service("alertdesk", ADDRESSES[0], Class::Feed, alerts),
-        service("ingest", ADDRESSES[1], Class::Upload, ingest),
+        service("alertdesk", ADDRESSES[0], Class::Feed, 4096, alerts),
+        service("ingest", ADDRESSES[1], Class::Upload, 4096, ingest),
     ];
-    let (version, site, seed) = (Version(1), SiteName::new("sofia"), Seed([7; 16]));
-    let bundle = Arc::new(Bundle { version, site, seed, services, limits: Limits::default() });
+    let bundle = bundle(services);
     let mut draft = Draft::first(InstanceName::new("entry-1"), &bundle, Millis(0));
     draft.advance(Millis(0));
     draft.commit().expect("the first view is a change")
 }
 
-fn service(name: &str, address: Ipv4Addr, class: Class, targets: &[SocketAddrV4]) -> Arc<Service> {
+/// A bundle of many services with two targets and 1,024 buckets each, made
+/// without text: what parsing gives back would hide what comes after it.
+pub fn many(services: usize) -> Arc<Bundle> {
+    let address = |net, ix| Ipv4Addr::from(u32::from(Ipv4Addr::new(10, net, 0, 0)) + ix as u32);
+    let services = (0..services).map(|ix| {
+        let targets = [1, 2].map(|net| SocketAddrV4::new(address(net, ix), 6080));
+        service(&format!("service-{ix}"), address(70, ix), Class::Feed, 1024, &targets)
+    });
+    bundle(services.collect())
+}
+
+fn bundle(services: Vec<Arc<Service>>) -> Arc<Bundle> {
+    let (version, site, seed) = (Version(1), SiteName::new("sofia"), Seed([7; 16]));
+    Arc::new(Bundle { version, site, seed, services, limits: Limits::default() })
+}
+
+fn service(
+    name: &str,
+    address: Ipv4Addr,
+    class: Class,
+    buckets: u16,
+    targets: &[SocketAddrV4],
+) -> Arc<Service> {
     let targets = targets.iter().enumerate().map(|(ix, &address)| Target {
         name: TargetName::new(&format!("{name}-{ix}")),
         address,
@@ -50,7 +71,7 @@
         name: ServiceName::new(name),
         address,
         ports: vec![Port { number: PORT, protocol: Protocol::Tcp, class }],
-        buckets: 4096,
+        buckets,
         keepalive: Millis::secs(30),
         refusal: None,
         balance: 50,
--- a/daemon/examples/bench/slopes.rs
+++ b/daemon/examples/bench/slopes.rs
@@ -6,6 +6,7 @@
 use crate::{
     memory,
     process::{resident, thread_nanos},
+    site,
 };
 use medlarspur_daemon::gate::LoadGate;
 use medlarspur_fabric::Outbox;
@@ -171,10 +172,9 @@
 }
 
 fn view_memory(services: usize) -> f64 {
-    let (text, keys) = bundle(services, 1, 100);
-    let signed = check(&text, &keys);
+    let bundle = site::many(services);
     let before = resident();
-    let mut draft = begin(&signed.bundle);
+    let mut draft = begin(&bundle);
     let view = draft.commit();
     let after = resident();
     black_box((view, draft));
