--- a/testutils/src/bin/capacity/roles.rs
+++ b/testutils/src/bin/capacity/roles.rs
@@ -27,6 +27,9 @@
 /// The text of a service with two targets in a bundle, in bytes.
 const SERVICE_TEXT: f64 = 247.0;
 
+/// What carries the repair after a partition; no part of an ordinary second.
+const HEALING: &str = "bounded rumours";
+
 /// The limits of letter 1 for control on a node.
 const CORE: Limit = Limit { most: 1.8, unit: Unit::Core };
 const MEMORY: Limit = Limit { most: 256e6, unit: Unit::Bytes };
@@ -205,7 +208,8 @@
     let beats = s.at("steady-bytes", NODES)?;
     let work = s.at("steady-micros", NODES)? / 1e4;
     let memory = s.at("member-memory", NODES)?;
-    let change = s.at("change-bytes", 0.0)? * CHANGES / DAY;
+    let change = s.at("change-bytes", NODES)? * CHANGES / DAY;
+    let healing = s.at("heal-bytes", NODES)?;
     let last = s.at("change-millis", NODES)?;
     let keepers = share(TURNOVER * s.at("members-micros", NODES)?);
     let duties = share(DAY * s.at("duties-micros", NODES)?);
@@ -228,6 +232,13 @@
         row(role, "heartbeats and what they carry", beats, TRAFFIC, few),
         row(role, "the same in processor time", work, CORE, few),
         row(role, "the controller's memory", memory, MEMORY, "one entry a member"),
+        row(
+            role,
+            "after a failure domain was cut off, until all know all",
+            healing,
+            TRAFFIC,
+            HEALING,
+        ),
         row(role, "changes spread, mean of a day", change, TRAFFIC, "pieces that differ"),
         row(role, "a change reaches the last node", last, IN_FORCE, "pushed along the neighbours"),
     ])
@@ -261,7 +272,7 @@
     for row in rows {
         match row.limit.unit {
             Unit::Core => core += row.value,
-            Unit::Rate => traffic += row.value,
+            Unit::Rate if row.carrier != HEALING => traffic += row.value,
             _ => {}
         }
     }
