--- a/lib/src/forwarder/keeping.rs
+++ b/lib/src/forwarder/keeping.rs
@@ -9,7 +9,7 @@
 use super::Site;
 use crate::{
     collections::{Map, Set},
-    flows::{Belief, Flows},
+    flows::Flows,
     ids::{Bucket, Incarnation, InstanceName, ServiceName},
     message::Advert,
     question::{Question, Word},
@@ -93,7 +93,8 @@
 
     /// What to answer to a question.
     pub(super) fn word(&self, view: &View, flows: &Flows, q: &Question, now: Millis) -> Word {
-        if let Some(flow) = flows.get(q.flow).filter(|flow| flow.belief > Belief::Guessed) {
+        // A guess counts too: where it was wrong, the flow is broken already.
+        if let Some(flow) = flows.get(q.flow) {
             return Word::Known(view.registry.get(flow.target).key);
         }
         let Some(service) = view.keyed(q.service) else { return Word::Unknown };
@@ -101,7 +102,7 @@
         let keeps = service.keepers.of(bucket).any(|name| name == &view.me);
         if !keeps
             || service.is_pending()
-            || !self.is_complete(service, service.state(bucket).stamp, now)
+            || !self.is_complete(service, service.state(bucket).stamp(), now)
         {
             return Word::Unknown;
         }
--- a/lib/src/view/draft.rs
+++ b/lib/src/view/draft.rs
@@ -1,7 +1,7 @@
 //! The transaction that turns one view into the next.
 
 use super::{
-    BucketView, Departure, Earlier, HISTORY_DEPTH, PENDING_LIMIT, Pending, Ports, Registry,
+    BucketView, Departure, Earlier, PENDING_LIMIT, Pending, Ports, Registry, START_TIME,
     ServiceKey, ServiceView, Stamp, TargetId, View,
 };
 use crate::{
@@ -35,9 +35,10 @@
     /// their owners at once: this instance has moved nothing yet, and what the
     /// others moved before comes as history from them.
     ///
-    /// Nothing is published before [`PENDING_LIMIT`] has passed. Otherwise a
-    /// new instance would open flows at owners of which an instance that is
-    /// behind has not heard, or before the others know it and can ask it.
+    /// Nothing is published before [`START_TIME`] has passed. Otherwise a new
+    /// instance would open flows at owners of which an instance that is behind
+    /// has not heard, or before the others know it and can ask it, or would
+    /// judge unknown flows before it knows which buckets have moved.
     pub fn first(me: InstanceName, bundle: &Arc<Bundle>, now: Millis) -> Draft {
         let view = View {
             epoch: 0,
@@ -51,7 +52,7 @@
             ports: Arc::default(),
             keys: Arc::default(),
         };
-        let fresh = Some(now + PENDING_LIMIT);
+        let fresh = Some(now + START_TIME);
         let mut draft = Draft { view, plans: Map::default(), changed: true, fresh };
         draft.install(bundle, now);
         draft
@@ -144,9 +145,9 @@
                 let service = Arc::make_mut(service);
                 service.revision += 1;
                 let state = &mut service.buckets[usize::from(loss.bucket.0)];
-                state.stamp = state.stamp.max(service.stamp);
                 let since = now.since(Millis(loss.age));
-                remember(state, Earlier { target, since, owned: loss.owned });
+                state.remember(Earlier { target, since, owned: loss.owned });
+                state.set_stamp(state.stamp().max(service.stamp));
                 self.changed = true;
             }
         }
@@ -158,12 +159,12 @@
         let is_known = |version: Option<Version>| known.is_some() && version == known;
         self.fresh = self.fresh.filter(|at| now < *at);
         let due = |state: &BucketView| {
-            state.pending.is_some_and(|pending| {
+            state.pending().is_some_and(|pending| {
                 is_known(pending.version) || now.since(pending.since) >= PENDING_LIMIT
             })
         };
         for service in &mut self.view.services {
-            if !service.buckets.iter().any(due) {
+            if service.revision == 0 || !service.buckets.iter().any(due) {
                 continue;
             }
             self.changed = true;
@@ -285,32 +286,33 @@
     stamp: Stamp,
 ) -> BucketView {
     let mut next = state.clone();
-    let under_way = state.pending.filter(|pending| Some(pending.target) == wanted);
-    next.pending = match wanted {
+    let under_way = state.pending().filter(|pending| Some(pending.target) == wanted);
+    next.set_pending(match wanted {
         Some(target) if state.owner != wanted => {
             Some(under_way.unwrap_or(Pending { target, since: now, version: cause }))
         }
         // No target takes new flows: the old ones stay where they are.
         _ => None,
-    };
+    });
     if wanted.is_none() {
         carry_out_to(&mut next, None, now);
     }
     // A move that was called off may have been carried out by an instance that
     // was ahead, so its target may hold flows.
-    if let Some(pending) = state.pending
+    if let Some(pending) = state.pending()
         && under_way.is_none()
     {
-        remember(&mut next, Earlier { target: pending.target, since: now, owned: false });
+        next.remember(Earlier { target: pending.target, since: now, owned: false });
     }
     if next != *state {
-        next.stamp = stamp;
+        next.set_stamp(stamp);
     }
     next
 }
 
 fn carry_out(state: &mut BucketView, now: Millis) {
-    let Some(pending) = state.pending.take() else { return };
+    let Some(pending) = state.pending() else { return };
+    state.set_pending(None);
     carry_out_to(state, Some(pending.target), now);
 }
 
@@ -318,28 +320,14 @@
     if let Some(old) = state.owner
         && Some(old) != owner
     {
-        remember(state, Earlier { target: old, since: now, owned: true });
+        state.remember(Earlier { target: old, since: now, owned: true });
     }
     state.owner = owner;
 }
 
 fn is_news(service: &ServiceView, bucket: Bucket, target: TargetId) -> bool {
-    service.buckets.get(usize::from(bucket.0)).is_some_and(|state| {
-        state.owner != Some(target) && !state.history.iter().any(|e| e.target == target)
-    })
-}
-
-/// Notes an earlier owner. When there are too many, the oldest that is named
-/// more than once goes first, since its flows are still found by the other.
-fn remember(state: &mut BucketView, earlier: Earlier) {
-    state.history.push(earlier);
-    state.history.sort_by_key(|earlier| earlier.since);
-    if state.history.len() > HISTORY_DEPTH {
-        let again = |ix: &usize| {
-            let target = state.history[*ix].target;
-            state.history[*ix + 1..].iter().any(|earlier| earlier.target == target)
-        };
-        let oldest = (0..state.history.len()).find(again).unwrap_or(0);
-        state.history.remove(oldest);
-    }
+    service
+        .buckets
+        .get(usize::from(bucket.0))
+        .is_some_and(|state| !state.history().iter().any(|earlier| earlier.target == target))
 }
--- a/lib/src/view/mod.rs
+++ b/lib/src/view/mod.rs
@@ -12,9 +12,11 @@
 //! one that is behind, and the old owner would reset it. See
 //! `docs/design/moves.md`.
 
+mod bucket;
 mod draft;
 mod registry;
 
+pub use bucket::{BucketView, Earlier, Pending};
 pub use draft::Draft;
 pub use registry::{Registry, ServiceKey, TargetEntry, TargetId, TargetKey};
 
@@ -38,6 +40,11 @@
 /// few hundred milliseconds to spread.
 pub const PENDING_LIMIT: Millis = Millis(1_200);
 
+/// How long a new instance serves nothing after its first bundle: a move may be
+/// pending for [`PENDING_LIMIT`], and the heartbeat that shows its history to
+/// differ comes within a second.
+pub const START_TIME: Millis = Millis(2_500);
+
 /// How long after a move all members, and not only the keepers, are asked
 /// about an unknown flow: covers a handshake in flight and the time that the
 /// exceptions take to reach their keepers under the control budget.
@@ -46,7 +53,7 @@
 /// How long an instance may be gone before it is missed: some heartbeats and
 /// the time for refuting a suspicion. A bucket that moved meanwhile was another
 /// target's when the instance opened its flows.
-pub const DETECTION: Millis = Millis(5_000);
+pub const DETECTION: Millis = Millis(12_000);
 
 /// How many earlier owners a bucket remembers.
 pub const HISTORY_DEPTH: usize = 8;
@@ -81,9 +88,12 @@
     }
 
     fn history(&self, service: &ServiceView, now: Millis) -> Option<History> {
+        if service.revision == 0 {
+            return None;
+        }
         let mut owners = Vec::new();
         for (bucket, state) in service.buckets.iter().enumerate() {
-            for earlier in &state.history {
+            for earlier in state.history() {
                 owners.push(Loss {
                     bucket: Bucket(bucket as u16),
                     target: self.registry.get(earlier.target).name.clone(),
@@ -99,7 +109,7 @@
     /// which they were learnt, so that peers can compare what they know.
     pub fn history_digest(&self) -> u64 {
         let mut digest = 0;
-        for service in &self.services {
+        for service in self.services.iter().filter(|service| service.revision > 0) {
             for (bucket, state) in service.buckets.iter().enumerate() {
                 for earlier in state.distinct() {
                     let key = self.registry.get(earlier.target).key.0;
@@ -217,7 +227,7 @@
 impl ServiceView {
     /// Whether some bucket is about to move.
     pub fn is_pending(&self) -> bool {
-        self.revision > 0 && self.buckets.iter().any(|state| state.pending.is_some())
+        self.revision > 0 && self.buckets.iter().any(|state| state.pending().is_some())
     }
 
     /// Whether some bucket has an earlier owner or is about to move.
@@ -237,84 +247,3 @@
         &self.buckets[usize::from(bucket.0)]
     }
 }
-
-/// Where one bucket stands.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct BucketView {
-    /// Gets its new flows; `None` while no target takes any.
-    pub owner: Option<TargetId>,
-    /// Gets them soon.
-    pub pending: Option<Pending>,
-    /// Earlier owners that may hold flows, the latest last.
-    pub history: Vec<Earlier>,
-    /// The bundle and plan by which it last moved: who has told all up to here
-    /// has told the bucket's exceptions.
-    pub stamp: Stamp,
-}
-
-/// A move that is known and not carried out yet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Pending {
-    /// The owner to be.
-    pub target: TargetId,
-    /// Since when it is known here.
-    pub since: Millis,
-    /// The bundle that causes it. Instances say which bundle they have, so the
-    /// move may be carried out early; of plans they don't say it.
-    pub version: Option<Version>,
-}
-
-/// An earlier owner of a bucket.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Earlier {
-    /// The target.
-    pub target: TargetId,
-    /// When this instance saw it lose the bucket.
-    pub since: Millis,
-    /// Whether it was the owner here, and not only about to become it when the
-    /// move was called off: then few flows, if any, were opened at it.
-    pub owned: bool,
-}
-
-impl BucketView {
-    /// A bucket that has always had this owner.
-    pub fn settled(owner: Option<TargetId>) -> BucketView {
-        BucketView { owner, ..BucketView::default() }
-    }
-
-    /// The targets of the history, each once; they appear in it more than once
-    /// when the bucket went to and fro.
-    pub fn distinct(&self) -> impl Iterator<Item = &Earlier> {
-        let is_first = |ix: usize| {
-            let target = self.history[ix].target;
-            !self.history[..ix].iter().any(|earlier| earlier.target == target)
-        };
-        (0..self.history.len()).filter(move |&ix| is_first(ix)).map(|ix| &self.history[ix])
-    }
-
-    /// Whether a flow that is not known here may go elsewhere than to the
-    /// owner, so that others have to be asked.
-    pub fn in_doubt(&self) -> bool {
-        self.pending.is_some() || !self.history.is_empty()
-    }
-
-    /// Whether the move is so fresh that the keepers can't know all.
-    pub fn is_settling(&self, now: Millis) -> bool {
-        let fresh = |earlier: &Earlier| now.since(earlier.since) < SETTLE_TIME;
-        self.pending.is_some() || self.history.last().is_some_and(fresh)
-    }
-
-    /// The target that most likely has a flow of which nobody knows. If an
-    /// instance went at `orphaned`, that is the bucket's owner of that time,
-    /// else the owner before the last move.
-    pub fn fallback(&self, orphaned: Millis) -> Option<TargetId> {
-        let owners = || self.history.iter().filter(|earlier| earlier.owned);
-        if let Some(earlier) = owners().find(|earlier| earlier.since >= orphaned) {
-            return Some(earlier.target);
-        }
-        match self.pending {
-            Some(_) => self.owner,
-            None => owners().next_back().map(|earlier| earlier.target).or(self.owner),
-        }
-    }
-}
--- a/load/src/gate.rs
+++ b/load/src/gate.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Decides by other settings from now on.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Takes over a bundle's services, in its order. What was learnt of a
     /// service or target stays with its name; openings that wait for a target
     /// that is gone are turned away by the next [`Gate::due`].
@@ -253,7 +258,7 @@
         }
         target.earn(now, settings, share, costs);
         if class == Class::Upload {
-            let chance = target.chance(now, settings, share);
+            let chance = target.chance(now, settings, share, cost);
             if self.random.fraction() >= chance {
                 return Err(Reason::Slots);
             }
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -27,7 +27,7 @@
 
 /// How long a fleet has run when a test begins: longer than an instance is new
 /// to its peers.
-const WARM_UP: Millis = Millis(40_000);
+const WARM_UP: Millis = Millis(50_000);
 
 /// How the instances reach each other.
 #[derive(Debug, Clone)]
