--- a/lib/src/forwarder/adverts.rs
+++ b/lib/src/forwarder/adverts.rs
@@ -18,6 +18,9 @@
 };
 use std::collections::VecDeque;
 
+/// Stands for a revision that has to be looked through again.
+const STALE: u64 = u64::MAX;
+
 /// How many flows are told in a second: at 16 bytes each this is 2 KB/s.
 const FLOWS_PER_SECOND: u64 = 128;
 
@@ -152,7 +155,7 @@
         // One that leaves tells the flows at the present owner too. They are no
         // exceptions, but while an earlier departure makes keepers doubt, an
         // unknown flow is taken for one.
-        if !state.in_doubt() || state.owner == Some(target) && !view.is_leaving() {
+        if !state.in_doubt() || state.owner == Some(target) && !view.leaving {
             return;
         }
         for keeper in service.keepers.of(bucket).filter(|name| **name != view.me) {
@@ -219,12 +222,13 @@
         let period = view.bundle.services.iter().map(|s| s.keepalive).min();
         if period.is_some_and(|period| now.since(self.refreshed) >= period) {
             self.refreshed = now;
-            self.scanned.clear();
+            // The keepers stay noted, so that a change of them is still seen.
+            self.scanned.values_mut().for_each(|scanned| scanned.revision = STALE);
         }
     }
 }
 
 fn scan_of(view: &View, service: &ServiceView) -> Scanned {
     let (revision, keepers) = (service.revision, service.keepers.clone());
-    Scanned { revision, keepers, leaving: view.is_leaving() }
+    Scanned { revision, keepers, leaving: view.leaving }
 }
--- a/lib/src/forwarder/keeping.rs
+++ b/lib/src/forwarder/keeping.rs
@@ -11,6 +11,7 @@
     collections::{Map, Set},
     flows::Flows,
     ids::{Bucket, Incarnation, InstanceName, ServiceName},
+    keepers::Keepers,
     message::Advert,
     question::{Question, Word},
     time::Millis,
@@ -56,6 +57,7 @@
     told: Map<ServiceName, Map<InstanceName, Told>>,
     lives: Map<InstanceName, Incarnation>,
     gone: Vec<Gone>,
+    keepers: Map<ServiceName, Keepers>,
     born: Option<Millis>,
     swept: Map<ServiceName, Swept>,
     cleared: Map<ServiceName, Cleared>,
@@ -76,12 +78,27 @@
         }
         let longest = view.bundle.services.iter().map(|s| s.keepalive).max();
         self.gone.retain(|gone| now.since(gone.at) < longest.unwrap_or_default() + DETECTION);
+        self.forget_told(view);
         for told in self.told.values_mut() {
             told.retain(|name, told| lives.get(name) == Some(&told.life));
         }
         self.lives = lives;
     }
 
+    /// Forgets what was told of services whose keepers have changed. Who kept
+    /// other buckets of a service before has been told that all is told, but
+    /// not the exceptions of the buckets that it keeps now; it would deny them
+    /// until they come.
+    fn forget_told(&mut self, view: &View) {
+        for service in view.services.iter().filter(|service| service.in_doubt()) {
+            let name = &service.spec.name;
+            if self.keepers.get(name) != Some(&service.keepers) {
+                self.keepers.insert(name.clone(), service.keepers.clone());
+                self.told.remove(name);
+            }
+        }
+    }
+
     /// Notes how far an instance has told all.
     pub(super) fn told(&mut self, advert: &Advert) {
         let (Some(stamp), Some(&life)) = (advert.told, self.lives.get(&advert.sender)) else {
--- a/lib/src/forwarder/mod.rs
+++ b/lib/src/forwarder/mod.rs
@@ -299,6 +299,9 @@
     ) {
         self.counters.opened += 1;
         self.flows.note(site.id, Flow::admitted(owner, site.class, now));
+        if site.view.leaving {
+            self.adverts.exception(site.view, site.id, owner);
+        }
         self.send(packet.bytes(), owner, site, sink);
     }
 
--- a/lib/src/view/draft.rs
+++ b/lib/src/view/draft.rs
@@ -48,6 +48,7 @@
             services: Vec::new(),
             members: Arc::from([]),
             me,
+            leaving: false,
             departed: vec![Departure { noticed: now, unseen: true }],
             ports: Arc::default(),
             keys: Arc::default(),
@@ -114,6 +115,9 @@
             self.view.departed.push(Departure { noticed: now, unseen: false });
             self.view.departed.retain(|d| now.since(d.noticed) < LONGEST_SILENCE);
         }
+        let me = &self.view.me;
+        self.view.leaving = (members.iter())
+            .any(|member| &member.name == me && member.state == MemberState::Leaving);
         let same = eligible(&self.view.members).eq(eligible(&members));
         self.view.members = members.into();
         self.changed = true;
@@ -310,10 +314,12 @@
     next
 }
 
+/// The old owner is noted before the move is struck out: a bucket that is
+/// without doubt in between would forget its stamp.
 fn carry_out(state: &mut BucketView, now: Millis) {
     let Some(pending) = state.pending() else { return };
-    state.set_pending(None);
     carry_out_to(state, Some(pending.target), now);
+    state.set_pending(None);
 }
 
 fn carry_out_to(state: &mut BucketView, owner: Option<TargetId>, now: Millis) {
--- a/lib/src/view/mod.rs
+++ b/lib/src/view/mod.rs
@@ -75,6 +75,8 @@
     pub members: Arc<[Member]>,
     /// This instance.
     pub me: InstanceName,
+    /// Whether this instance leaves.
+    pub leaving: bool,
     /// The instances that have gone, the earliest first.
     pub departed: Vec<Departure>,
     ports: Arc<Ports>,
@@ -161,12 +163,6 @@
         self.services.iter().find(|service| &service.spec.name == name)
     }
 
-    /// Whether this instance leaves.
-    pub fn is_leaving(&self) -> bool {
-        let mut members = self.members.iter();
-        members.any(|member| member.name == self.me && member.state == MemberState::Leaving)
-    }
-
     /// The other instances that can be asked.
     pub fn others(&self) -> impl Iterator<Item = &Member> {
         self.members
