document: name only lines that the text has

The YAML library ends lines at lone carriage returns, NEL and the line and paragraph separators too, which editors do not. Lines are now those of the text; the library's own words, quoted after them, still count as it does. A second document, as an indented first line brings about, came without any line and now has the one on which it begins.

The check of the tests is as it was, the shrunk cases are tests of their own.

--- a/lib/src/document/locate.rs
+++ b/lib/src/document/locate.rs
@@ -5,15 +5,53 @@
 //! value, and the read fails there on purpose.
 
 use super::path::{Path, Step};
-use serde::de::{DeserializeSeed, Deserializer, Error, IgnoredAny, MapAccess, SeqAccess, Visitor};
-use serde_norway::Value;
+use serde::de::{self, DeserializeSeed, Error, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use serde_norway::{Deserializer, Location, Value};
 use std::fmt;
 
+/// What ends a line for the YAML library; a carriage return and a line feed
+/// after it end one line together.
+const BREAKS: [char; 5] = ['\n', '\r', '\u{85}', '\u{2028}', '\u{2029}'];
+
 /// The line on which the value at `path` begins, counted from 1.
 pub(super) fn line(text: &str, path: &Path) -> Option<usize> {
     let probe = Probe { steps: path.steps() };
-    let error = probe.deserialize(serde_norway::Deserializer::from_str(text)).err()?;
-    error.location().map(|location| location.line())
+    let error = probe.deserialize(Deserializer::from_str(text)).err()?;
+    error.location().map(|location| shown(text, location.line()))
+}
+
+/// The line, counted from 1, of what made the text unreadable. An error without
+/// a place is about the whole text, which begins on the first line, or about a
+/// second document, which a top that is indented deeper than what follows it
+/// brings about.
+pub(super) fn line_of_error(text: &str, error: &serde_norway::Error) -> usize {
+    let place = error.location().or_else(|| second(text));
+    place.map_or(1, |location| shown(text, location.line()))
+}
+
+/// Where the second document of a text begins, or is broken.
+fn second(text: &str) -> Option<Location> {
+    let document = Deserializer::from_str(text).nth(1)?;
+    let error = Probe { steps: &[] }.deserialize(document).err()?;
+    error.location()
+}
+
+/// The line of the text, as editors count, on which a line of the YAML library
+/// begins. The library ends lines at each of [`BREAKS`] too. With its count, a
+/// stray carriage return would send the author to a line too far down, or past
+/// the end of the text.
+fn shown(text: &str, line: usize) -> usize {
+    let mut passed = 1;
+    let mut shown = 1;
+    let mut rest = text.chars().peekable();
+    while passed < line
+        && let Some(found) = rest.next()
+    {
+        let pair = found == '\r' && rest.peek() == Some(&'\n');
+        passed += usize::from(!pair && BREAKS.contains(&found));
+        shown += usize::from(found == '\n');
+    }
+    shown
 }
 
 /// Fails at the value to which the steps lead.
@@ -31,7 +69,7 @@
 impl<'de> DeserializeSeed<'de> for Probe<'_> {
     type Value = ();
 
-    fn deserialize<D: Deserializer<'de>>(self, source: D) -> Result<(), D::Error> {
+    fn deserialize<D: de::Deserializer<'de>>(self, source: D) -> Result<(), D::Error> {
         source.deserialize_any(self)
     }
 }
--- a/lib/src/document/reader.rs
+++ b/lib/src/document/reader.rs
@@ -54,7 +54,7 @@
         sink.note(Path::default(), Fault::TooDeep { limit: DEPTH });
         return Err(sink.report(text, Lines::Skip));
     }
-    let document: Value = serde_norway::from_str(text).map_err(|error| syntax(&error))?;
+    let document: Value = serde_norway::from_str(text).map_err(|error| syntax(text, &error))?;
     let top = Node { value: &document, path: Path::default(), sink: &sink };
     match walk(&top) {
         Some(found) if sink.is_empty() => Ok(found),
@@ -79,8 +79,8 @@
     false
 }
 
-fn syntax(error: &serde_norway::Error) -> Report {
-    let line = error.location().map(|location| location.line());
+fn syntax(text: &str, error: &serde_norway::Error) -> Report {
+    let line = Some(locate::line_of_error(text, error));
     let fault = Fault::Syntax { detail: error.to_string() };
     Report { problems: vec![Problem { line, path: Path::default(), fault }] }
 }
--- a/lib/tests/product/test_random.rs
+++ b/lib/tests/product/test_random.rs
@@ -7,7 +7,24 @@
 use medlarspur_lib::bundle::{Bundle, Signed, sign};
 use proptest::{collection::vec, prelude::*};
 
+/// A slip indents the first line, which ends the document after it: the rest
+/// is a second one to the YAML library, which names no line for that. The
+/// author would search all of the text.
+#[test]
+fn a_second_document_is_reported_with_its_line() {
+    let indented = format!(" {}", bundle_text());
+    let second = format!("{}---\nsite: sofia\n", bundle_text());
+
+    for text in [indented, second] {
+        let report = Bundle::parse(&text).expect_err("two documents");
+
+        assert!(whole(&report, &text), "{report}");
+    }
+}
+
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn random_bytes_are_refused(bytes in vec(any::<u8>(), 0..600)) {
         let refusal = Signed::check(&bytes, &keys(), &site()).expect_err("not signed off");
--- a/lib/tests/product/test_settings.rs
+++ b/lib/tests/product/test_settings.rs
@@ -58,7 +58,37 @@
     );
 }
 
+/// A stray carriage return or a character of that kind ends a line for the YAML
+/// library and for no editor. Counted as the library does, the author would be
+/// sent past the end of the text.
+#[test]
+fn a_stray_line_break_does_not_move_the_line_of_a_fault() {
+    for stray in ["\r", "\u{85}", "\u{2028}", "\u{2029}"] {
+        let text = format!("# one{stray}# two\r\n{}colour: red", settings_text());
+
+        let report = Settings::parse(&text).expect_err("an unknown field");
+
+        let last = text.lines().count();
+        assert_eq!(report.problems[0].line, Some(last), "{stray:?}: {report}");
+    }
+}
+
+/// The shrunk case of the test below: with the text broken by a stray carriage
+/// return, the fault was on a line that the text does not have.
+#[test]
+fn a_stray_line_break_is_reported_within_the_text() {
+    let sound = settings_text();
+    for at in 0..=sound.len() {
+        let text = format!("{}\r{}", &sound[..at], &sound[at..]);
+        if let Err(report) = Settings::parse(&text) {
+            assert!(whole(&report, &text), "at {at}: {report}");
+        }
+    }
+}
+
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn mutated_settings_are_taken_or_reported(edits in vec(edit(), 1..8)) {
         let bytes = mutated(&settings_text(), &edits);
