--- a/fabric/tests/test_memory.rs
+++ b/fabric/tests/test_memory.rs
@@ -20,6 +20,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn every_datagram_is_received_or_counted(sizes in prop::collection::vec(0..2 * MAX_DATAGRAM, 0..200)) {
         let mut wire = Memory::default();
--- a/fabric/tests/test_outbox.rs
+++ b/fabric/tests/test_outbox.rs
@@ -7,6 +7,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn all_are_sent_whole_and_in_order(sizes in prop::collection::vec(1..1500usize, 0..3 * BATCH)) {
         let mut outbox = Outbox::new();
--- a/lib/tests/edge/test_rank.rs
+++ b/lib/tests/edge/test_rank.rs
@@ -2,6 +2,8 @@
 use proptest::prelude::*;
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     /// Two ways to ask who has a duty must agree, or it would have two
     /// instances or none.
     #[test]
--- a/lib/tests/fleet/test_faults.rs
+++ b/lib/tests/fleet/test_faults.rs
@@ -86,6 +86,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     /// Whatever goes wrong, alone, together or twice: no instance goes back to
     /// an older bundle, and soon after all is well again, all have the highest
     /// one that any has, follow the same plans and see each other as live.
--- a/lib/tests/fleet/test_plan.rs
+++ b/lib/tests/fleet/test_plan.rs
@@ -133,6 +133,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     /// Plans arrive in any order, again and again, from several authors; some
     /// lost their memory and use a sequence twice.
     #[test]
--- a/lib/tests/fleet/test_spread.rs
+++ b/lib/tests/fleet/test_spread.rs
@@ -247,6 +247,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     /// A byte too many or too few and the signature no longer holds: the
     /// change would be in force on the platform's readers only.
     #[test]
--- a/load/tests/test_properties.rs
+++ b/load/tests/test_properties.rs
@@ -55,7 +55,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(128))]
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Instances forget nothing that a caller was told: while a decision is
     /// remembered, a repeated opening gets the same one, whoever waits gets one
--- a/peer/tests/test_wire.rs
+++ b/peer/tests/test_wire.rs
@@ -102,6 +102,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn message_comes_back_as_it_was(message in any_message()) {
         prop_assert_eq!(decode(encode(&message)), Ok(message));
--- a/target/tests/test_verdict.rs
+++ b/target/tests/test_verdict.rs
@@ -71,6 +71,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn five_like_answers_settle_it_whatever_was_before(
         before in prop::collection::vec(any_outcome(), 0..50),
--- a/testutils/tests/test_host.rs
+++ b/testutils/tests/test_host.rs
@@ -122,7 +122,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(24))]
+    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn loss_delays_and_never_breaks(seed: u64, loss in 0.0..0.1f64) {
