tests: fault whole processes under load

Faults of processes were played only by the fleet in one process so far. These five tests run medlarspurd itself under the spraying fabric with feeds, requests and uploads, and kill, freeze and end an instance, take the platform away and bring it back with an old bundle, and publish two bundles of one version. After each, every feed and upload has come to its good end, nothing ran twice and no packet reached a target of the other service.

--- a/tests/tests/runner.rs
+++ b/tests/tests/runner.rs
@@ -1,3 +1,4 @@
 //! One runner, so that the integration tests link once.
 
 mod test_moves;
+mod test_processes;
--- /dev/null
+++ b/tests/tests/test_processes.rs
@@ -0,0 +1,242 @@
+//! Faults of whole processes, with instances in processes of their own.
+
+use medlarspur_lib::{
+    bundle::{Class, TargetState},
+    status::{BundleStatus, Status},
+};
+use medlarspur_testutils::{
+    caller::{Callers, Settings, Stream},
+    platform::Fault,
+    profile::Seen,
+    report::Row,
+    site::{Site, offers},
+    spread::Mode,
+    web,
+};
+use nix::sys::signal::Signal;
+use std::{
+    collections::BTreeMap,
+    env,
+    net::SocketAddrV4,
+    path::PathBuf,
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Far longer than anything here takes on a busy machine.
+const LIMIT: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(50);
+/// How long the fabric goes on sending to an instance that is gone.
+const LAG: Duration = Duration::from_millis(500);
+/// Long enough for every feed to carry some lines and their acknowledgements.
+const LINES: Duration = Duration::from_secs(2);
+const FEEDS: u64 = 60;
+
+/// A site under a fabric that sprays packets, and its callers.
+struct Trial {
+    site: Site,
+    callers: Callers,
+}
+
+/// The daemon, which `cargo test --workspace` builds beside the tests' folder.
+fn program() -> PathBuf {
+    let own = env::current_exe().expect("the path of the test");
+    let folder = own.ancestors().nth(2).expect("the folder of the build");
+    let program = folder.join("medlarspurd");
+    assert!(program.exists(), "{program:?} is missing; build the daemon first");
+    program
+}
+
+fn stream(service: &str, class: Class, remote: &str, rate: f64, total: u64) -> Stream {
+    let (service, remote) = (service.into(), remote.parse().expect("an address"));
+    Stream { service, class, remote, rate, total, size: 50_000, hold: 3_600_000 }
+}
+
+/// Starts the instances and the callers, and waits until all feeds are begun.
+fn trial(instances: usize) -> Trial {
+    web::silence_logs();
+    let mut site = Site::start(&program(), Mode::Spray, &offers(4, 3)).expect("the site starts");
+    for _ in 0..instances {
+        site.join().expect("an instance joins");
+    }
+    let streams = vec![
+        stream("alertdesk", Class::Feed, "10.70.0.1:7001", 60.0, FEEDS),
+        stream("alertdesk", Class::Request, "10.70.0.1:7002", 20.0, 0),
+        stream("ingest", Class::Upload, "10.70.0.2:7003", 8.0, 0),
+    ];
+    let callers = Callers::start(Settings::new(site.fabric.callers), streams).expect("callers");
+    let begun =
+        || callers.report().iter().any(|(_, class, row)| class == "feed" && row.opened == FEEDS);
+    await_that("the feeds begin", begun);
+    Trial { site, callers }
+}
+
+impl Trial {
+    /// Ends the callers and checks what holds after every fault: each feed and
+    /// upload came to its good end, nothing ran twice, and no packet reached a
+    /// target of the other service.
+    fn conclude(self) {
+        let report = self.callers.stop(LIMIT);
+        for (service, class, row) in report.iter() {
+            assert_eq!(bad(row), [0; 3], "{service} {class}: {row:?}");
+            assert!(row.completed > 0, "{service} {class}: {row:?}");
+        }
+        assert_eq!(report.rows["alertdesk"]["feed"].completed, FEEDS, "{report:?}");
+        let seen: Vec<Seen> = self.site.targets.list.iter().map(|target| target.seen()).collect();
+        let mut runs = BTreeMap::<&str, u32>::new();
+        for (id, count) in seen.iter().flat_map(|seen| &seen.runs) {
+            *runs.entry(id).or_default() += count;
+        }
+        assert!(runs.values().all(|&count| count == 1), "{runs:?}");
+        let turned = report.iter().flat_map(|(_, _, row)| &row.turned);
+        assert_eq!(turned.filter(|id| runs.contains_key(id.as_str())).count(), 0);
+        assert_eq!(seen.iter().map(|seen| seen.strays).sum::<u64>(), 0);
+        let stored = seen.iter().map(|seen| seen.stored).sum::<u64>();
+        assert_eq!(stored, report.rows["ingest"]["upload"].completed);
+    }
+
+    fn operators(&self) -> Vec<SocketAddrV4> {
+        self.site.instances.iter().map(|instance| instance.operator).collect()
+    }
+}
+
+fn bad(row: &Row) -> [u64; 3] {
+    [row.broken, row.wrong, row.pending]
+}
+
+fn await_that(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LIMIT, "in vain: {what}");
+        thread::sleep(PAUSE);
+    }
+}
+
+fn bundle(operator: SocketAddrV4) -> BundleStatus {
+    let mut answer = ureq::get(format!("http://{operator}/status")).call().expect("an answer");
+    let text = answer.body_mut().read_to_string().expect("text");
+    let status: Status = serde_json::from_str(&text).expect("a status");
+    status.bundle.expect("a bundle in force")
+}
+
+fn await_version(operators: &[SocketAddrV4], version: u64) {
+    await_that("the version", || operators.iter().all(|it| bundle(*it).version.0 == version));
+}
+
+/// Looks for a while whether an instance leaves the version.
+fn assert_stays(operators: &[SocketAddrV4], version: u64) {
+    let start = Instant::now();
+    while start.elapsed() < LINES {
+        for operator in operators {
+            assert_eq!(bundle(*operator).version.0, version);
+        }
+        thread::sleep(PAUSE);
+    }
+}
+
+/// The host of an instance loses power. The fabric goes on sending it a third
+/// of all packets for a while, and what only that instance knew is gone. A
+/// user whose flow is then guessed wrong gets a reset and loses the feed.
+#[test]
+fn a_killed_instance_breaks_no_feed() {
+    let mut trial = trial(3);
+
+    trial.site.kill().expect("it is killed");
+    thread::sleep(LAG);
+    await_that("it is gone", || {
+        trial.site.sweep();
+        trial.site.instances.len() == 2
+    });
+    thread::sleep(LINES);
+
+    trial.conclude();
+}
+
+/// The host of an instance pauses it, and a target leaves meanwhile. It wakes
+/// with an old bundle and with old packets in its socket. If it acted on the
+/// old bundle, feeds would break, or a request that another instance has
+/// placed already would run a second time.
+#[test]
+fn a_frozen_instance_wakes_to_the_newer_bundle() {
+    let mut trial = trial(3);
+    let operators = trial.operators();
+
+    trial.site.instances[1].signal(Signal::SIGSTOP).expect("it is frozen");
+    trial.site.publish_leaving("alertdesk-1");
+    await_version(&[operators[0], operators[2]], 2);
+    thread::sleep(LINES);
+    trial.site.instances[1].signal(Signal::SIGCONT).expect("it is woken");
+
+    await_version(&operators, 2);
+    assert_stays(&operators, 2);
+    trial.conclude();
+}
+
+/// The platform's configuration service is down for long, and comes back from
+/// an old copy. An instance that starts meanwhile has only its peers to ask.
+/// If one took the old bundle for the present one, a target that has left
+/// would get new work, and flows of its buckets would break.
+#[test]
+fn an_outage_of_the_platform_changes_nothing() {
+    let mut trial = trial(2);
+    let old = trial.site.signed();
+    trial.site.publish_leaving("alertdesk-1");
+    await_version(&trial.operators(), 2);
+
+    trial.site.platform.set_fault(Fault { down: true, ..Fault::default() });
+    trial.site.join().expect("it gets ready by its peers");
+    let operators = trial.operators();
+    assert_stays(&operators, 2);
+    trial.site.platform.publish(&old);
+    trial.site.platform.set_fault(Fault::default());
+    let calls = trial.site.platform.calls().bundle;
+    await_that("the old bundle is read", || trial.site.platform.calls().bundle > calls + 3);
+
+    assert_stays(&operators, 2);
+    trial.conclude();
+}
+
+/// Two operators publish at once and both count up from the same version. The
+/// platform hands one bundle to some readers and the other to the rest.
+/// Instances that stayed apart would send one flow to two targets; operators
+/// have to see that there was a race, since one of the changes is not in force.
+#[test]
+fn a_race_of_operators_ends_in_one_bundle() {
+    let mut trial = trial(3);
+    let operators = trial.operators();
+    let mut other = trial.site.layout.clone();
+    trial.site.layout.set_state("alertdesk-2", TargetState::Leaving);
+    let second = trial.site.signed();
+    other.set_state("alertdesk-1", TargetState::Leaving);
+    trial.site.layout = other;
+
+    trial.site.platform.set_fault(Fault { second: Some(second), ..Fault::default() });
+    trial.site.platform.publish(&trial.site.signed());
+
+    let agreed = || {
+        let bundles: Vec<_> = operators.iter().map(|operator| bundle(*operator)).collect();
+        let alike = |it: &BundleStatus| it.version.0 == 2 && it.digest == bundles[0].digest;
+        bundles.iter().all(|it| alike(it) && it.conflict)
+    };
+    await_that("the instances agree and show the conflict", agreed);
+    let digest = bundle(operators[0]).digest;
+    assert_stays(&operators, 2);
+    assert!(operators.iter().all(|operator| bundle(*operator).digest == digest));
+    trial.conclude();
+}
+
+/// An instance is taken out for an update while uploads run through it. Users
+/// notice uploads that are cut and have to be sent again.
+#[test]
+fn an_instance_that_leaves_cuts_no_upload() {
+    let mut trial = trial(3);
+
+    trial.site.leave().expect("it is asked to leave");
+    await_that("it ends", || {
+        trial.site.sweep();
+        trial.site.instances.len() == 2
+    });
+    thread::sleep(LINES);
+
+    trial.conclude();
+}
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -188,7 +188,12 @@
     /// Publishes a bundle in which the target leaves.
     pub fn publish_leaving(&mut self, target: &str) {
         self.layout.set_state(target, TargetState::Leaving);
-        self.platform.publish(&self.layout.signed(&self.key));
+        self.platform.publish(&self.signed());
+    }
+
+    /// The text of the layout as it stands, signed off by the site's key.
+    pub fn signed(&self) -> String {
+        self.layout.signed(&self.key)
     }
 
     /// Lets the target turn away openings from now on.
