gate: let a leaving target take work until its buckets have moved

A bundle that says that a target leaves makes its buckets pending; new flows go to it until the move is carried out, up to 1.2 s later. The gate went by the bundle's word and refused them at once, though nobody else got them either. It now closes a target when its last bucket has moved. Only the leaving targets that still own a bucket are looked at when a view is published, and only when the revision of their service has changed; usually there are none.

--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -1,15 +1,21 @@
 //! The decisions on openings, bound to the packet path: it translates between
 //! the targets of the view and the positions that the decisions work with.
+//!
+//! A target that leaves takes new work for as long as it owns a bucket: a move
+//! is carried out up to 1.2 s after the bundle that causes it, and until then
+//! its new flows go to the old owner. Refused there by the bundle's word alone,
+//! callers are turned away during each planned change while the other targets
+//! have room.
 
 use medlarspur_lib::{
-    bundle::{Class, Limits, Service},
+    bundle::{Class, Limits, Service, TargetState},
     collections::Map,
     flows::{Belief, Flow, FlowMap},
     forwarder::{Gate, Opening, Verdict as Opened},
     ids::{FlowId, ServiceIx, TargetIx, TargetName},
     members::MemberState,
     time::Millis,
-    view::{TargetId, View},
+    view::{ServiceView, TargetId, View},
 };
 use medlarspur_load as load;
 use medlarspur_operator::{ClassMeters, Meters};
@@ -26,6 +32,16 @@
 /// Where what happens to one class of a service is recorded.
 type Recorder = Arc<ClassMeters>;
 
+/// A target that leaves and still owns a bucket.
+#[derive(Debug, Clone, Copy)]
+struct Holder {
+    service: ServiceIx,
+    target: TargetIx,
+    id: TargetId,
+    /// The revision of the service that this was seen in.
+    revision: u64,
+}
+
 /// The gate of one instance.
 pub struct LoadGate {
     meters: Meters,
@@ -35,6 +51,8 @@
     gate: load::Gate,
     places: Map<TargetId, (ServiceIx, TargetIx)>,
     names: Map<TargetName, TargetId>,
+    /// Few or none: a view is published often, and only these are looked at.
+    holders: Vec<Holder>,
     waits: Vec<Millis>,
     decided: Vec<(FlowId, load::Verdict)>,
     version: Option<medlarspur_lib::ids::Version>,
@@ -51,6 +69,7 @@
             gate: load::Gate::new(load::Settings::default(), seed),
             places: Map::default(),
             names: Map::default(),
+            holders: Vec::new(),
             waits: Vec::new(),
             decided: Vec::new(),
             version: None,
@@ -59,7 +78,13 @@
 
     fn install(&mut self, view: &View, now: Millis) {
         self.gate.set_settings(settings(&view.bundle.limits));
-        let services = view.bundle.services.iter().map(|spec| service_load(spec)).collect();
+        let mut services: Vec<_> =
+            view.bundle.services.iter().map(|spec| service_load(spec)).collect();
+        self.holders = holders(view);
+        for Holder { service, target, .. } in &self.holders {
+            let service = &mut services[usize::from(service.0)];
+            service.targets[usize::from(target.0)].state = TargetState::Active;
+        }
         self.gate.set_services(now, services);
         self.waits = vec![FIRST_WAIT; view.bundle.services.len()];
         self.waiting.retain(|_, (since, _)| now.since(*since) < FORGOTTEN);
@@ -95,6 +120,24 @@
         self.signal(now, target, signal);
     }
 
+    /// Closes the leaving targets whose last bucket has moved. Within a bundle
+    /// no leaving target gets a bucket back.
+    fn release(&mut self, view: &View) {
+        let gate = &mut self.gate;
+        self.holders.retain_mut(|holder| {
+            let service = &view.services[usize::from(holder.service.0)];
+            if service.revision == holder.revision {
+                return true;
+            }
+            holder.revision = service.revision;
+            let owns = owns(service, holder.id);
+            if !owns {
+                gate.leave(holder.service, holder.target);
+            }
+            owns
+        });
+    }
+
     fn note_wait(&mut self, service: ServiceIx, after: Millis) {
         if let Some(wait) = self.waits.get_mut(usize::from(service.0)) {
             *wait = after;
@@ -196,7 +239,38 @@
             self.version = Some(view.bundle.version);
             self.install(view, now);
         }
+        self.release(view);
+    }
+}
+
+/// The leaving targets that still own a bucket. A service whose buckets never
+/// moved has none, which spares a large site the look at most of its buckets.
+fn holders(view: &View) -> Vec<Holder> {
+    let mut found = Vec::new();
+    for (at, service) in view.services.iter().enumerate() {
+        if service.revision == 0 {
+            continue;
+        }
+        for (position, target) in service.spec.targets.iter().enumerate() {
+            if target.state != TargetState::Leaving {
+                continue;
+            }
+            let id = view.registry.named(&service.spec.name, &target.name);
+            if let Some(id) = id.filter(|id| owns(service, *id)) {
+                found.push(Holder {
+                    service: ServiceIx(at as u16),
+                    target: TargetIx(position as u16),
+                    id,
+                    revision: service.revision,
+                });
+            }
+        }
     }
+    found
+}
+
+fn owns(service: &ServiceView, target: TargetId) -> bool {
+    service.buckets.iter().any(|bucket| bucket.owner == Some(target))
 }
 
 fn span(millis: Millis) -> Duration {
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_check;
 mod test_checker;
+mod test_gate;
 mod test_limits;
 mod test_logs;
 mod test_operators;
--- a/load/src/gate.rs
+++ b/load/src/gate.rs
@@ -14,7 +14,7 @@
     state::{CLASSES, Service, Target, at},
 };
 use medlarspur_lib::{
-    bundle::Class,
+    bundle::{Class, TargetState},
     collections::Map,
     ids::{FlowId, ServiceIx, TargetIx},
     time::Millis,
@@ -95,6 +95,14 @@
         self.find_lines();
     }
 
+    /// Says that a target gets no new work from now on. Openings that wait for
+    /// it are turned away by the next [`Gate::due`].
+    pub fn leave(&mut self, service: ServiceIx, target: TargetIx) {
+        if let Some(target) = self.target(service, target) {
+            target.load.state = TargetState::Leaving;
+        }
+    }
+
     /// Says how many instances are believed live, this one included.
     pub fn set_instances(&mut self, instances: u16) {
         self.instances = instances.max(1);
