--- a/tests/tests/runner.rs
+++ b/tests/tests/runner.rs
@@ -2,3 +2,4 @@
 
 mod test_changes;
 mod test_moves;
+mod test_processes;
