gate: place nothing at a leaving target after a sleep

An instance that is frozen while a target leaves hears of it when it wakes, and its buckets are then pending for up to 1.2 s more. Since the gate lets a leaving target take work until its buckets have moved, the woken instance placed openings there long after the others had moved them, when the target may go down.

--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -6,10 +6,16 @@
 //! its new flows go to the old owner. Refused there by the bundle's word alone,
 //! callers are turned away during each planned change while the other targets
 //! have room.
+//!
+//! An instance that slept may learn of a bundle long after the others. It still
+//! waits with the moves, but the others have carried them out, and the target
+//! may be about to go down: work placed there would be cut. Until its news is
+//! fresh again, it goes by the bundle's word.
 
 use medlarspur_lib::{
     bundle::{Class, Limits, Service, TargetState},
     collections::Map,
+    control::DISTRUST,
     flows::{Belief, Flow, FlowMap},
     forwarder::{Gate, Opening, Verdict as Opened},
     ids::{FlowId, ServiceIx, TargetIx, TargetName},
@@ -56,6 +62,8 @@
     waits: Vec<Millis>,
     decided: Vec<(FlowId, load::Verdict)>,
     version: Option<medlarspur_lib::ids::Version>,
+    /// Until when the bundle may be news to this instance alone.
+    waking: Millis,
 }
 
 impl LoadGate {
@@ -73,6 +81,15 @@
             waits: Vec::new(),
             decided: Vec::new(),
             version: None,
+            waking: Millis(0),
+        }
+    }
+
+    /// Says that this process slept.
+    pub fn wake(&mut self, now: Millis) {
+        self.waking = now + DISTRUST;
+        for holder in self.holders.drain(..) {
+            self.gate.leave(holder.service, holder.target);
         }
     }
 
@@ -80,7 +97,7 @@
         self.gate.set_settings(settings(&view.bundle.limits));
         let mut services: Vec<_> =
             view.bundle.services.iter().map(|spec| service_load(spec)).collect();
-        self.holders = holders(view);
+        self.holders = if now < self.waking { Vec::new() } else { holders(view) };
         for Holder { service, target, .. } in &self.holders {
             let service = &mut services[usize::from(service.0)];
             service.targets[usize::from(target.0)].state = TargetState::Active;
--- a/daemon/src/packets.rs
+++ b/daemon/src/packets.rs
@@ -127,12 +127,17 @@
 impl Thread<'_> {
     fn watch_clock(&mut self, now: Millis) {
         if now.since(self.last) > SLEPT {
-            self.forwarder.distrust(now);
+            self.wake(now);
             log::warn!("slept_ms={}", now.since(self.last));
         }
         self.last = now;
     }
 
+    fn wake(&mut self, now: Millis) {
+        self.forwarder.distrust(now);
+        self.forwarder.gate().wake(now);
+    }
+
     fn follow(&mut self, now: Millis) {
         let Some(view) = self.view.load() else { return };
         if view.epoch == self.installed {
@@ -151,7 +156,7 @@
         while let Ok(command) = self.commands.pop() {
             match command {
                 Command::Advert(advert) => self.forwarder.advert(now, &advert),
-                Command::Distrust => self.forwarder.distrust(now),
+                Command::Distrust => self.wake(now),
                 Command::Probed(event) => self.forwarder.gate().probed(now, &event),
             }
         }
--- a/daemon/tests/test_gate.rs
+++ b/daemon/tests/test_gate.rs
@@ -106,3 +106,36 @@
 
     assert_eq!(verdict, Verdict::Admit);
 }
+
+/// An instance is frozen while a target leaves, and hears of it when it wakes.
+/// The others have long moved the buckets, so the target may go down at any
+/// moment: a user's work that is placed there is cut.
+#[test]
+fn an_instance_that_slept_places_nothing_at_a_leaving_target() {
+    let (mut draft, mut gate) = started("active");
+    gate.wake(START);
+    draft.install(&bundle(2, "leaving"), START);
+    let pending = draft.commit().expect("a change");
+    gate.follow(&pending, START);
+
+    let verdict = open(&mut gate, &pending, START, 1);
+
+    assert!(pending.services[0].is_pending());
+    assert!(matches!(verdict, Verdict::Refuse { .. }), "{verdict:?}");
+}
+
+/// An instance has heard that a target leaves and is frozen before it has
+/// carried the moves out.
+#[test]
+fn an_instance_that_sleeps_amid_a_move_places_nothing_at_the_old_owner() {
+    let (mut draft, mut gate) = started("active");
+    draft.install(&bundle(2, "leaving"), START);
+    let pending = draft.commit().expect("a change");
+    gate.follow(&pending, START);
+    let awake = START + Millis::secs(8);
+
+    gate.wake(awake);
+    let verdict = open(&mut gate, &pending, awake, 1);
+
+    assert!(matches!(verdict, Verdict::Refuse { .. }), "{verdict:?}");
+}
