tests: let the target that left turn openings away

A woken instance, or one that took the old bundle back, would place new work at the target that has left. Without the drain that target still served such work and nobody noticed. Now an opening that reaches it fails the test.

--- a/tests/tests/test_processes.rs
+++ b/tests/tests/test_processes.rs
@@ -30,6 +30,8 @@
 const LAG: Duration = Duration::from_millis(500);
 /// Long enough for every feed to carry some lines and their acknowledgements.
 const LINES: Duration = Duration::from_secs(2);
+/// How long after the news that it leaves a target must still take openings.
+const DRAIN: Duration = Duration::from_secs(2);
 const FEEDS: u64 = 60;
 
 /// A site under a fabric that sprays packets, and its callers.
@@ -73,8 +75,8 @@
 
 impl Trial {
     /// Ends the callers and checks what holds after every fault: each feed and
-    /// upload came to its good end, nothing ran twice, and no packet reached a
-    /// target of the other service.
+    /// upload came to its good end, nothing ran twice, no packet reached a target
+    /// of the other service, and no opening one that has left.
     fn conclude(self) {
         let report = self.callers.stop(LIMIT);
         for (service, class, row) in report.iter() {
@@ -91,6 +93,7 @@
         let turned = report.iter().flat_map(|(_, _, row)| &row.turned);
         assert_eq!(turned.filter(|id| runs.contains_key(id.as_str())).count(), 0);
         assert_eq!(seen.iter().map(|seen| seen.strays).sum::<u64>(), 0);
+        assert_eq!(seen.iter().map(|seen| seen.late).sum::<u64>(), 0);
         let stored = seen.iter().map(|seen| seen.stored).sum::<u64>();
         assert_eq!(stored, report.rows["ingest"]["upload"].completed);
     }
@@ -164,7 +167,8 @@
     trial.site.instances[1].signal(Signal::SIGSTOP).expect("it is frozen");
     trial.site.publish_leaving("alertdesk-1");
     await_version(&[operators[0], operators[2]], 2);
-    thread::sleep(LINES);
+    thread::sleep(DRAIN);
+    trial.site.drain("alertdesk-1");
     trial.site.instances[1].signal(Signal::SIGCONT).expect("it is woken");
 
     await_version(&operators, 2);
@@ -182,6 +186,8 @@
     let old = trial.site.signed();
     trial.site.publish_leaving("alertdesk-1");
     await_version(&trial.operators(), 2);
+    thread::sleep(DRAIN);
+    trial.site.drain("alertdesk-1");
 
     trial.site.platform.set_fault(Fault { down: true, ..Fault::default() });
     trial.site.join().expect("it gets ready by its peers");
