forwarder: distrust the own picture after a cut has healed

Cause: what moved on one side of a cut is unknown on the other until their histories are exchanged, about a second after they find each other. In that time a bucket that moved to and fro during the cut looks as if it had never moved, and unknown flows of it go to its owner unasked. An instance that sees one come back which was missed and had not ended now asks for some seconds, as after a sleep. Ruled out before: the order of bundles, which converge at once, and keepers, which are told within the time of the distrust.

--- a/lib/src/forwarder/keeping.rs
+++ b/lib/src/forwarder/keeping.rs
@@ -57,6 +57,7 @@
     told: Map<ServiceName, Map<InstanceName, Told>>,
     lives: Map<InstanceName, Incarnation>,
     gone: Vec<Gone>,
+    missed: Map<InstanceName, Incarnation>,
     keepers: Map<ServiceName, Keepers>,
     born: Option<Millis>,
     swept: Map<ServiceName, Swept>,
@@ -67,13 +68,17 @@
     /// Takes over who is there. What an instance told before it went still
     /// counts: if that was all, its flows are known, else they are orphans for
     /// as long as a flow may be silent.
-    pub(super) fn follow(&mut self, view: &View, now: Millis) {
+    ///
+    /// Answers whether one has come back that was missed and had not ended: the
+    /// two were cut off from each other.
+    pub(super) fn follow(&mut self, view: &View, now: Millis) -> bool {
         self.born.get_or_insert(now);
         let lives: Map<_, _> =
             view.others().map(|member| (member.name.clone(), member.incarnation)).collect();
         for (name, life) in &self.lives {
             if lives.get(name) != Some(life) {
                 self.gone.push(Gone { at: now, told: told_by(&self.told, name) });
+                self.missed.insert(name.clone(), *life);
             }
         }
         let longest = view.bundle.services.iter().map(|s| s.keepalive).max();
@@ -82,7 +87,13 @@
         for told in self.told.values_mut() {
             told.retain(|name, told| lives.get(name) == Some(&told.life));
         }
+        let mut healed = false;
+        self.missed.retain(|name, life| {
+            healed |= lives.get(name) == Some(life);
+            !lives.contains_key(name)
+        });
         self.lives = lives;
+        healed
     }
 
     /// Forgets what was told of services whose keepers have changed. Who kept
--- a/lib/src/forwarder/mod.rs
+++ b/lib/src/forwarder/mod.rs
@@ -134,7 +134,12 @@
 
     /// Takes the next view.
     pub fn install(&mut self, view: Arc<View>, now: Millis) {
-        self.keeping.follow(&view, now);
+        // Until those who were cut off have told each other what moved
+        // meanwhile, either side's picture is old for the other's flows.
+        if self.keeping.follow(&view, now) {
+            self.distrust = Some(now + DISTRUST_TIME);
+            self.counters.healed += 1;
+        }
         self.adverts.follow(&view, &self.flows);
         self.gate.follow(&view, now);
         self.view = Some(view);
--- a/tests/tests/test_moves.rs
+++ b/tests/tests/test_moves.rs
@@ -49,6 +49,18 @@
     settle(fleet, traffic);
 }
 
+/// Sends a packet of every flow of several traffics within a keep-alive.
+fn keep_all_alive(fleet: &mut Fleet, traffics: &mut [Traffic]) {
+    let most = traffics.iter().map(|traffic| traffic.flows.len()).max().unwrap_or(0);
+    let pause = Millis(KEEPALIVE.0 / most.max(1) as u64);
+    for flow in 0..most {
+        for traffic in traffics.iter_mut().filter(|traffic| flow < traffic.flows.len()) {
+            traffic.send(fleet, flow, Part::Middle);
+        }
+        fleet.advance(pause);
+    }
+}
+
 fn settle(fleet: &mut Fleet, traffic: &mut Traffic) {
     fleet.advance(Millis(100));
     traffic.collect(fleet);
@@ -212,3 +224,48 @@
         assert_eq!(traffic.broken(), 0, "{spread:?}");
     }
 }
+
+/// Two of four failure domains are cut off for a minute. Each side goes on
+/// serving its callers; only one side can read the bundles in which a target
+/// leaves and takes work again, so the other never hears of the move. After the
+/// cut any packet may reach any instance again, and a feed that was opened
+/// during the move must not be sent elsewhere by an instance of the other side.
+#[test]
+fn a_cut_that_heals_breaks_no_flow() {
+    let sides = [vec![0, 1, 4, 5], vec![2, 3, 6, 7]];
+    let site = Site::new(14, 4);
+    let mut fleet = fleet(&site);
+    let mut number = 0;
+    let mut traffic = sides.clone().map(|list| {
+        number += 1;
+        Traffic::new(Spread::Packets, list).numbered(number)
+    });
+    for traffic in &mut traffic {
+        open_flows(&mut fleet, traffic, 1000);
+    }
+
+    fleet.separate(|ix| u8::from(sides[1].contains(&ix)));
+    fleet.advance(Millis::secs(15));
+    let leaving = site.leaving("alertdesk-3");
+    fleet.publish_on(0, &leaving.bundle());
+    for traffic in &mut traffic {
+        open_flows(&mut fleet, traffic, 4000);
+    }
+    let returned = leaving.returning("alertdesk-3").bundle();
+    fleet.publish_on(0, &returned);
+    keep_all_alive(&mut fleet, &mut traffic);
+    fleet.heal();
+    fleet.publish(&returned);
+    fleet.advance(Millis(450));
+    for traffic in &mut traffic {
+        traffic.list((0..8).collect());
+    }
+    for traffic in &mut traffic {
+        for flow in 0..traffic.flows.len() {
+            traffic.send(&mut fleet, flow, Part::Middle);
+        }
+    }
+    keep_all_alive(&mut fleet, &mut traffic);
+
+    assert_eq!(traffic.map(|traffic| traffic.broken()), [0, 0]);
+}
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -231,6 +231,16 @@
         }
     }
 
+    /// Publishes a bundle that only the instances on one side can read.
+    pub fn publish_on(&mut self, side: u8, bundle: &Arc<Bundle>) {
+        for ix in
+            (0..self.nodes.len()).filter(|&ix| self.nodes[ix].side == side).collect::<Vec<_>>()
+        {
+            let delay = Millis(self.random(self.network.news.0 + 1));
+            self.post(delay, ix, Mail::Bundle(bundle.clone()));
+        }
+    }
+
     /// Publishes a plan; each instance on the side of its author hears of it
     /// at a moment of its own.
     pub fn plan(&mut self, plan: &ServicePlan) {
@@ -301,6 +311,12 @@
         self.tell_members(self.network.detection);
     }
 
+    /// Ends all cuts; the sides find each other as fast as other news spreads.
+    pub fn heal(&mut self) {
+        self.nodes.iter_mut().for_each(|node| node.side = 0);
+        self.tell_members(self.network.news);
+    }
+
     /// Lets one instance have a packet from the fabric.
     pub fn receive(&mut self, ix: usize, packet: &[u8]) {
         let now = self.now;
--- a/testutils/src/traffic.rs
+++ b/testutils/src/traffic.rs
@@ -6,6 +6,9 @@
 use medlarspur_lib::{collections::Map, packet::FlowKey, time::Millis};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+/// The address of the first caller, 10.0.0.0.
+const FIRST_CALLER: u32 = 0x0a00_0000;
+
 /// How long a caller waits for the answer to its first packet.
 const RETRANSMIT: Millis = Millis(1_000);
 
@@ -58,6 +61,7 @@
     /// All flows, by the order in which they were opened.
     pub flows: Vec<Flow>,
     spread: Spread,
+    first: u32,
     listed: Vec<usize>,
     index: Map<FlowKey, usize>,
 }
@@ -65,7 +69,13 @@
 impl Traffic {
     /// No flow yet; the fabric sends to the instances in `listed`.
     pub fn new(spread: Spread, listed: Vec<usize>) -> Traffic {
-        Traffic { flows: Vec::new(), spread, listed, index: Map::default() }
+        Traffic { flows: Vec::new(), spread, first: FIRST_CALLER, listed, index: Map::default() }
+    }
+
+    /// Calls from other addresses than the traffic of another number.
+    pub fn numbered(mut self, number: u32) -> Traffic {
+        self.first += number << 16;
+        self
     }
 
     /// The instances that the fabric sends to from now on.
@@ -77,7 +87,7 @@
     /// handshake, its second.
     pub fn open(&mut self, fleet: &mut Fleet, service: SocketAddrV4) -> usize {
         let number = self.flows.len() as u32;
-        let ip = Ipv4Addr::from(0x0a00_0000 + number / 20_000);
+        let ip = Ipv4Addr::from(self.first + number / 20_000);
         let caller = SocketAddrV4::new(ip, 20_000 + (number % 20_000) as u16);
         let key = FlowKey { protocol: medlarspur_lib::bundle::Protocol::Tcp, caller, service };
         self.index.insert(key, self.flows.len());
