--- /dev/null
+++ b/tests/examples/moves.rs
@@ -0,0 +1,133 @@
+//! Measures what moves do to flows, beside simpler load balancers on the same
+//! packets, in virtual time. Prints a table for `docs/measures/moves.md`; the
+//! number of flows and a seed may follow.
+
+#[path = "moves/baseline.rs"]
+mod baseline;
+#[path = "moves/run.rs"]
+mod run;
+
+use baseline::Baseline;
+use medlarspur_lib::time::Millis;
+use medlarspur_testutils::traffic::Spread;
+use run::Run;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// How many flows are open before the event.
+const FLOWS: usize = 8_000;
+/// How many are opened after it, beside those of the fabric's lag.
+const LATER: usize = 4_000;
+/// The target that leaves, and where it is.
+const LEAVER: (&str, SocketAddrV4) =
+    ("alertdesk-3", SocketAddrV4::new(Ipv4Addr::new(127, 8, 0, 3), 5555));
+
+/// Instances, and the failure domains that they are in, of the two sites.
+const SITES: [(usize, u64); 2] = [(8, 4), (7, 3)];
+
+/// The head of a site's table.
+const HEADER: &str = "\
+| event | fabric | flows | broken | silent | max/mean | B/s before | B/s in event | worst second \
+| last new, ms | modulo | consistent | history |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|";
+
+/// What happens to a run.
+type Event = (&'static str, fn(&mut Run));
+
+const EVENTS: [Event; 13] = [
+    ("nothing", |_| {}),
+    ("instance leaves by plan", |run| run.leave(2)),
+    ("instance killed", |run| {
+        run.kill(6);
+        run.unlist(6);
+    }),
+    ("instance joins", Run::join),
+    ("two instances killed", |run| {
+        run.kill(6);
+        run.kill(1);
+        run.unlist(6);
+        run.unlist(1);
+    }),
+    ("instance killed, another leaves", |run| {
+        run.kill(6);
+        run.leave(2);
+        run.unlist(6);
+    }),
+    ("target leaves", leave),
+    ("target leaves, instance killed 0.5 s later", |run| {
+        leave(run);
+        run.open(LATER / 5);
+        run.kill(6);
+        run.unlist(6);
+    }),
+    ("target leaves, instance killed 3 s later", |run| {
+        leave(run);
+        run.open(LATER);
+        run.advance(Millis(900));
+        run.kill(6);
+        run.unlist(6);
+    }),
+    ("target added to each service", |run| run.publish(|site| site.grown())),
+    ("leaving called off after 0.7 s", |run| {
+        leave(run);
+        run.open(1_200);
+        run.call_off(LEAVER.0);
+    }),
+    ("domain cut off for a minute", |run| cut(run, |_| {})),
+    ("domain cut off, target leaves meanwhile", |run| cut(run, leave)),
+];
+
+fn leave(run: &mut Run) {
+    run.drain(LEAVER.0);
+}
+
+/// The first domain's instances hear no others; the fabric reaches all.
+fn cut(run: &mut Run, event: fn(&mut Run)) {
+    let domains = run.domains as usize;
+    run.fleet.separate(|ix| u8::from(ix % domains == 0));
+    run.advance(Millis::secs(5));
+    event(run);
+    run.open(LATER);
+    run.keep_alive();
+    run.advance(Millis::secs(22));
+    run.fleet.separate(|_| 0);
+}
+
+fn main() {
+    let argument = |place| std::env::args().nth(place).and_then(|text| text.parse().ok());
+    let flows = argument(1).unwrap_or(FLOWS as u64) as usize;
+    let seed = argument(2).unwrap_or(1);
+    for (instances, domains) in SITES {
+        println!("\n{instances} instances in {domains} failure domains:\n\n{HEADER}");
+        for (name, event) in EVENTS {
+            for spread in [Spread::Packets, Spread::Flows] {
+                let run = Run::new(instances, domains, spread, seed);
+                measure(run, flows, name, spread, event);
+            }
+        }
+    }
+}
+
+/// Prints one row.
+fn measure(mut run: Run, flows: usize, name: &str, spread: Spread, event: fn(&mut Run)) {
+    run.open(flows);
+    run.keep_alive();
+    let start = run.mark();
+    run.keep_alive();
+    let [before, _] = run.control(start);
+    let start = run.mark();
+    event(&mut run);
+    run.open(LATER);
+    run.keep_alive();
+    run.keep_alive();
+    let [mean, peak] = run.control(start);
+    let (broken, ratio) = run.outcome();
+    let others = [Baseline::Modulo, Baseline::Consistent, Baseline::History];
+    let others = others.map(|baseline| run.baseline(baseline));
+    let others = others.map(|(broken, ratio)| format!("{broken} ({ratio:.2})")).join(" | ");
+    let fabric = if spread == Spread::Packets { "spray" } else { "hash" };
+    let (count, silent) = (run.traffic.flows.len(), run.silent());
+    let last = run.left.map_or("–".into(), |at| run.last_new(LEAVER.1, at).0.to_string());
+    println!(
+        "| {name} | {fabric} | {count} | {broken} | {silent} | {ratio:.2} | {before} | {mean} | {peak} | {last} | {others} |"
+    );
+}
--- /dev/null
+++ b/tests/examples/moves/run.rs
@@ -0,0 +1,211 @@
+//! One run: a fleet, its traffic, and what both did.
+
+use crate::baseline::{Baseline, Past, active};
+use medlarspur_lib::{bundle::Bundle, collections::Map, time::Millis};
+use medlarspur_testutils::{
+    bundles::{FEEDS, Site, UPLOADS},
+    fleet::{Fleet, Network, State},
+    traffic::{Flow, Part, Spread, Step, Traffic},
+};
+use std::{net::SocketAddrV4, sync::Arc};
+
+/// How often each flow sends at least.
+const KEEPALIVE: Millis = Millis::secs(30);
+/// How many flows are opened at one moment.
+const TOGETHER: usize = 10;
+/// The time between such moments: two thousand new flows a second.
+const BETWEEN: Millis = Millis(5);
+/// How finely the control bytes of a second are counted.
+const STEP: Millis = Millis(100);
+/// How long the fabric goes on sending to an instance that was killed.
+const LIST_LAG: Millis = Millis::secs(1);
+
+/// A fleet before a site's targets.
+pub struct Run {
+    /// The instances.
+    pub fleet: Fleet,
+    /// The flows.
+    pub traffic: Traffic,
+    /// How many failure domains there are.
+    pub domains: u64,
+    /// When a target was told to leave, if it still is.
+    pub left: Option<Millis>,
+    site: Site,
+    past: Past,
+    listed: Vec<usize>,
+    mark: (Millis, u64),
+    peak: u64,
+}
+
+impl Run {
+    /// A fleet that has run for a while.
+    pub fn new(instances: usize, domains: u64, spread: Spread, seed: u64) -> Run {
+        let site = Site::new(14, 4);
+        let fleet =
+            Fleet::new(instances, domains, &site.bundle(), Network { seed, ..Network::default() });
+        let listed: Vec<_> = (0..instances).collect();
+        let traffic = Traffic::new(spread, listed.clone());
+        let mut past = Past::default();
+        past.publish(Millis(0), site.bundle());
+        Run {
+            fleet,
+            traffic,
+            domains,
+            left: None,
+            site,
+            past,
+            listed,
+            mark: (Millis(0), 0),
+            peak: 0,
+        }
+    }
+
+    /// Lets time pass and watches the control bytes of each second.
+    pub fn advance(&mut self, span: Millis) {
+        let end = self.fleet.now + span;
+        while self.fleet.now < end {
+            self.fleet.advance(end.since(self.fleet.now).min(STEP));
+            if self.fleet.now.since(self.mark.0) >= Millis::secs(1) {
+                self.peak = self.peak.max(self.fleet.control - self.mark.1);
+                self.mark = (self.fleet.now, self.fleet.control);
+            }
+        }
+    }
+
+    /// Opens flows, a fifth of them uploads, a second packet right after each.
+    pub fn open(&mut self, count: usize) {
+        for first in (0..count).step_by(TOGETHER) {
+            let flows: Vec<_> = (first..(first + TOGETHER).min(count))
+                .map(|number| if number.is_multiple_of(5) { UPLOADS } else { FEEDS })
+                .map(|service| self.traffic.open(&mut self.fleet, service))
+                .collect();
+            self.advance(BETWEEN);
+            self.traffic.collect(&mut self.fleet);
+            for flow in flows {
+                self.traffic.send(&mut self.fleet, flow, Part::Middle);
+            }
+        }
+        self.settle();
+    }
+
+    /// Sends a packet of every flow, spread over a keep-alive's time.
+    pub fn keep_alive(&mut self) {
+        let (start, count) = (self.fleet.now, self.traffic.flows.len());
+        for flow in 0..count {
+            self.traffic.send(&mut self.fleet, flow, Part::Middle);
+            let due = Millis(KEEPALIVE.0 * (flow as u64 + 1) / count as u64);
+            let pause = Millis(due.0.saturating_sub(self.fleet.now.since(start).0));
+            self.advance(pause);
+        }
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        self.advance(Millis(100));
+        self.traffic.collect(&mut self.fleet);
+    }
+
+    /// Publishes the site as `change` makes it.
+    pub fn publish(&mut self, change: impl FnOnce(Site) -> Site) {
+        self.site = change(self.site.clone());
+        let bundle = self.site.bundle();
+        self.fleet.publish(&bundle);
+        self.past.publish(self.fleet.now, bundle);
+    }
+
+    /// Publishes that a target leaves.
+    pub fn drain(&mut self, target: &str) {
+        self.publish(|site| site.leaving(target));
+        self.left = Some(self.fleet.now);
+    }
+
+    /// Publishes that a target that was to leave stays.
+    pub fn call_off(&mut self, target: &str) {
+        self.publish(|site| site.returning(target));
+        self.left = None;
+    }
+
+    /// Kills an instance; the fabric's list lags.
+    pub fn kill(&mut self, ix: usize) {
+        self.fleet.kill(ix);
+        self.past.end(ix, self.fleet.now);
+    }
+
+    /// The fabric's list loses an instance after its lag, with new flows on.
+    pub fn unlist(&mut self, ix: usize) {
+        self.open((LIST_LAG.0 / BETWEEN.0) as usize * TOGETHER);
+        self.listed.retain(|&other| other != ix);
+        self.traffic.list(self.listed.clone());
+    }
+
+    /// An instance leaves by plan.
+    pub fn leave(&mut self, ix: usize) {
+        self.fleet.leave(ix);
+        self.unlist(ix);
+        self.fleet.retire(ix);
+        self.past.end(ix, self.fleet.now);
+    }
+
+    /// An instance joins and gets packets at once.
+    pub fn join(&mut self) {
+        self.listed.push(self.fleet.join());
+        self.traffic.list(self.listed.clone());
+    }
+
+    /// Starts the measure of the control bytes.
+    pub fn mark(&mut self) -> (Millis, u64) {
+        self.peak = 0;
+        self.mark = (self.fleet.now, self.fleet.control);
+        self.mark
+    }
+
+    /// Bytes a second an instance since `start`: the mean and the worst second.
+    pub fn control(&self, start: (Millis, u64)) -> [u64; 2] {
+        let up = self.fleet.nodes.iter().filter(|node| node.state != State::Gone).count() as u64;
+        let millis = self.fleet.now.since(start.0).0.max(1);
+        [(self.fleet.control - start.1) * 1000 / millis / up, self.peak / up]
+    }
+
+    /// Flows whose last packet came to no target.
+    pub fn silent(&self) -> usize {
+        let silent = |flow: &&Flow| matches!(flow.trace.last(), Some(Step::Sent(..)));
+        self.traffic.flows.iter().filter(silent).count()
+    }
+
+    /// How long after `since` a flow was last opened at a target.
+    pub fn last_new(&self, target: SocketAddrV4, since: Millis) -> Millis {
+        let flows = self.traffic.flows.iter().filter(|flow| flow.target == Some(target));
+        flows.map(|flow| flow.opened).max().unwrap_or(since).since(since)
+    }
+
+    /// Broken flows and imbalance, of the fleet.
+    pub fn outcome(&self) -> (usize, f64) {
+        let broken = self.traffic.flows.iter().filter(|flow| flow.broken).count();
+        let ends = self.traffic.flows.iter().filter_map(|flow| flow.target);
+        (broken, imbalance(&self.site.bundle(), ends))
+    }
+
+    /// Broken flows and imbalance, of a baseline on the same packets.
+    pub fn baseline(&self, baseline: Baseline) -> (usize, f64) {
+        let fates: Vec<_> =
+            self.traffic.flows.iter().map(|flow| self.past.replay(baseline, flow)).collect();
+        let broken = fates.iter().filter(|fate| fate.broken).count();
+        (broken, imbalance(&self.site.bundle(), fates.iter().filter_map(|fate| fate.last)))
+    }
+}
+
+/// The most flows of a target over the mean, for the service where it is worse;
+/// targets that leave do not count.
+fn imbalance(bundle: &Arc<Bundle>, ends: impl Iterator<Item = SocketAddrV4>) -> f64 {
+    let mut counts: Map<SocketAddrV4, usize> = Map::default();
+    for target in ends {
+        *counts.entry(target).or_default() += 1;
+    }
+    let ratio = |service: &Arc<medlarspur_lib::bundle::Service>| {
+        let each: Vec<_> =
+            active(service).map(|target| counts.get(&target).copied().unwrap_or(0)).collect();
+        let mean = each.iter().sum::<usize>() as f64 / each.len() as f64;
+        each.into_iter().max().unwrap_or(0) as f64 / mean
+    };
+    bundle.services.iter().map(ratio).fold(0.0, f64::max)
+}
