forwarder: send no opening with data to a target

What goes wrong: a SYN with data (TCP Fast Open) may run at once; its repetition may reach another target while its bucket moves and run there too. Such openings are dropped and counted, and the caller's TCP repeats them without data. Pauses and cuts have series of their own in the metrics.

--- a/lib/src/forwarder/counters.rs
+++ b/lib/src/forwarder/counters.rs
@@ -42,6 +42,8 @@
     pub adverts: u64,
     /// Flows forgotten after silence or an end.
     pub expired: u64,
+    /// Openings dropped because they carried data already.
+    pub loaded: u64,
     /// Openings dropped after a sleep; their callers repeat them.
     pub postponed: u64,
     /// How often instances came back that had been cut off.
--- a/lib/src/forwarder/mod.rs
+++ b/lib/src/forwarder/mod.rs
@@ -71,6 +71,12 @@
 /// [`PENDING_LIMIT`]: crate::view::PENDING_LIMIT
 const DISTRUST_TIME: Millis = Millis::secs(6);
 
+/// What a SYN without data takes of the sequence space. One with data (TCP Fast
+/// Open) is dropped: a target may run it at once, and its repetition, while its
+/// bucket moves, may reach another target and run there too. The caller's TCP
+/// repeats the SYN without the data.
+const SYN_ALONE: u32 = 1;
+
 /// How long a process that slept opens nothing: the time of one repetition of
 /// a caller's SYN; the bundle in force reaches it within milliseconds.
 const WAKE_TIME: Millis = Millis::secs(1);
@@ -203,6 +209,10 @@
         if self.known(now, packet, &site, sink) || self.is_refusal(now, packet, &site, sink) {
             return;
         }
+        if packet.mark() == Mark::Open && packet.length() > SYN_ALONE {
+            self.counters.loaded += 1;
+            return;
+        }
         if packet.mark() == Mark::Open && self.woken.is_some_and(|until| now < until) {
             self.counters.postponed += 1;
             return;
--- a/operator/src/meters/forwarder.rs
+++ b/operator/src/meters/forwarder.rs
@@ -11,7 +11,7 @@
 /// One series and where its value is found.
 type Series = (Family, &'static str, fn(&Counters) -> u64);
 
-const SERIES: [Series; 17] = [
+const SERIES: [Series; 20] = [
     (Family::Packets, "received", |counters| counters.packets),
     (Family::Packets, "forwarded", |counters| counters.forwarded),
     (Family::Packets, "known", |counters| counters.hits),
@@ -23,7 +23,10 @@
     (Family::Drops, "no-service", |counters| counters.strangers),
     (Family::Drops, "no-target", |counters| counters.ownerless),
     (Family::Drops, "crossed", |counters| counters.crossed),
+    (Family::Drops, "syn-with-data", |counters| counters.loaded),
+    (Family::Drops, "after-sleep", |counters| counters.postponed),
     (Family::Drops, "overflow", |counters| counters.overflow),
+    (Family::Pauses, "healed", |counters| counters.healed),
     (Family::Questions, "asked", |counters| counters.asked),
     (Family::Questions, "found", |counters| counters.found),
     (Family::Questions, "denied", |counters| counters.denied),
--- a/operator/tests/test_meters.rs
+++ b/operator/tests/test_meters.rs
@@ -66,6 +66,7 @@
     expect![[r##"
         # HELP medlarspur_drops_total Packets and datagrams that were dropped.
         # TYPE medlarspur_drops_total counter
+        medlarspur_drops_total{reason="after-sleep"} 0
         medlarspur_drops_total{reason="crossed"} 0
         medlarspur_drops_total{reason="flags"} 0
         medlarspur_drops_total{reason="fragment"} 0
@@ -77,6 +78,7 @@
         medlarspur_drops_total{reason="question-checksum"} 0
         medlarspur_drops_total{reason="question-kind"} 0
         medlarspur_drops_total{reason="question-length"} 0
+        medlarspur_drops_total{reason="syn-with-data"} 0
         medlarspur_drops_total{reason="transport"} 0
         medlarspur_drops_total{reason="truncated"} 0
         # HELP medlarspur_flows_total Flows, by event.
@@ -95,6 +97,7 @@
         medlarspur_packets_total{event="unknown"} 0
         # HELP medlarspur_pauses_total Pauses of the process.
         # TYPE medlarspur_pauses_total counter
+        medlarspur_pauses_total{event="healed"} 0
         medlarspur_pauses_total{event="slept"} 0
         # HELP medlarspur_questions_total Questions to peers about flows, by answer.
         # TYPE medlarspur_questions_total counter
--- a/tests/tests/test_moves.rs
+++ b/tests/tests/test_moves.rs
@@ -2,15 +2,17 @@
 //! packets.
 
 use medlarspur_lib::{
+    bundle::Protocol,
     ids::{InstanceName, TargetName},
     message::ServicePlan,
+    packet::FlowKey,
     planner,
     time::Millis,
 };
 use medlarspur_testutils::{
-    bundles::{FEEDS, Site, UPLOADS},
+    bundles::{FEEDS, REQUESTS, Site, UPLOADS},
     fleet::{Fleet, Network},
-    traffic::{Part, Spread, Traffic},
+    traffic::{Part, Spread, Traffic, segment},
 };
 
 const KEEPALIVE: Millis = Millis::secs(30);
@@ -269,3 +271,23 @@
 
     assert_eq!(traffic.map(|traffic| traffic.broken()), [0, 0]);
 }
+
+/// A caller's system uses TCP Fast Open and sends its request along with the
+/// first packet. The answer is lost, the packet is repeated while its bucket
+/// moves, and another target gets it: a booking would be committed twice.
+#[test]
+fn an_opening_with_data_reaches_no_target() {
+    let site = Site::new(14, 4);
+    let mut fleet = fleet(&site);
+    let caller = "10.0.0.1:40000".parse().expect("an address");
+    let key = FlowKey { protocol: Protocol::Tcp, caller, service: REQUESTS };
+    let mut packet = segment(&key, Part::Open);
+    packet.extend(b"REQ 1");
+    packet[3] = packet.len() as u8;
+
+    fleet.receive(0, &packet);
+    fleet.advance(Millis::secs(1));
+
+    assert!(fleet.packets.is_empty());
+    assert_eq!(fleet.nodes[0].forwarder.counters().loaded, 1);
+}
