tests: see that a wrong answer leads to no other service

Now a peer's answer that names a target of another service is played; without the check both packets reach that target.

--- a/tests/tests/runner.rs
+++ b/tests/tests/runner.rs
@@ -3,3 +3,4 @@
 mod test_changes;
 mod test_moves;
 mod test_processes;
+mod test_services;
--- /dev/null
+++ b/tests/tests/test_services.rs
@@ -0,0 +1,68 @@
+//! No packet reaches a target of another service.
+
+use medlarspur_lib::{
+    bundle::Protocol,
+    forwarder::Sink,
+    ids::{InstanceName, ServiceName, TargetName},
+    message::Advert,
+    packet::FlowKey,
+    question::{Answer, Datagram, Question, Word},
+};
+use medlarspur_testutils::{
+    bundles::{FEEDS, Site},
+    fleet::{Fleet, Network},
+    traffic::{Part, segment},
+};
+use std::net::SocketAddrV4;
+
+/// What an instance sends.
+#[derive(Debug, Default)]
+struct Sent {
+    packets: Vec<SocketAddrV4>,
+    questions: Vec<Question>,
+}
+
+impl Sink for Sent {
+    fn forward(&mut self, target: SocketAddrV4, _: &[u8]) {
+        self.packets.push(target);
+    }
+
+    fn answer(&mut self, _: Vec<u8>) {}
+
+    fn ask(&mut self, _: SocketAddrV4, datagram: Datagram) {
+        if let Datagram::Question(question) = datagram {
+            self.questions.push(question);
+        }
+    }
+
+    fn advert(&mut self, _: &InstanceName, _: Advert) {}
+}
+
+fn feed() -> FlowKey {
+    let caller = "10.0.0.1:20000".parse().expect("an address");
+    FlowKey { protocol: Protocol::Tcp, caller, service: FEEDS }
+}
+
+/// An instance that has slept asks where a feed goes, and a peer with a fault
+/// names a target of ingestion. Followed, a subscriber's acknowledgement would
+/// reach a host that takes it for a part of an upload.
+#[test]
+fn a_wrong_answer_leads_to_no_other_service() {
+    let mut fleet = Fleet::new(4, 2, &Site::new(4, 4).bundle(), Network::default());
+    let now = fleet.now;
+    let forwarder = &mut fleet.nodes[0].forwarder;
+    let registry = forwarder.view().expect("a view").registry.clone();
+    let ingest = registry.named(&ServiceName::new("ingest"), &TargetName::new("ingest-0"));
+    let wrong = registry.get(ingest.expect("a target")).key;
+    let mut sent = Sent::default();
+    forwarder.distrust(now);
+    forwarder.packet(now, &segment(&feed(), Part::Middle), &mut sent);
+
+    let question = sent.questions[0].clone();
+    let answer = Answer { flow: question.flow, nonce: question.nonce, word: Word::Known(wrong) };
+    forwarder.datagram(now, FEEDS, Datagram::Answer(answer), &mut sent);
+    forwarder.packet(now, &segment(&feed(), Part::Middle), &mut sent);
+
+    assert_eq!(sent.packets, []);
+    assert_eq!(forwarder.counters().crossed, 2);
+}
