held: take no answer that names a target of another service

Cause: a wrong answer was noted for the flow and all its packets were dropped at the check where packets leave until the flow was forgotten. Such an answer now counts as none, and the flow goes on to its own service. The test expects that besides that nothing reaches the other service; before, it expected both packets to be dropped.

--- a/lib/src/forwarder/held.rs
+++ b/lib/src/forwarder/held.rs
@@ -8,7 +8,7 @@
     packet::{Mark, Packet},
     question::{Answer, Datagram, Question, Word},
     time::Millis,
-    view::{TargetId, View},
+    view::{TargetId, TargetKey, View},
 };
 /// How long a packet is held at most while peers are asked. Twice the way
 /// between failure domains and back, with room for a busy peer; a caller's TCP
@@ -126,33 +126,40 @@
             return;
         }
         asking.open -= 1;
-        let mut clear = false;
+        let open = asking.open;
+        asking.certain |= matches!(answer.word, Word::NoException { .. });
+        let first = asking.packets[0].clone();
         match answer.word {
             Word::Known(key) => {
-                if let Some(target) = view.registry.find(key) {
+                if let Some(target) = self.believe(&view, &first, key) {
                     self.counters.found += 1;
                     self.found(now, answer.flow, target, &view, sink);
                     return;
                 }
             }
-            Word::NoException { empty } => {
-                asking.certain = true;
-                if empty {
-                    clear = true;
-                }
+            Word::NoException { empty: true } => {
+                with_site(&view, &first, |_, site| self.keeping.clear(site));
             }
-            Word::Unknown => {}
-        }
-        let open = asking.open;
-        if clear {
-            let bytes = asking.packets[0].clone();
-            with_site(&view, &bytes, |_, site| self.keeping.clear(site));
+            Word::NoException { empty: false } | Word::Unknown => {}
         }
         if open == 0 {
             self.conclude(&view, now, answer.flow, true, sink);
         }
     }
 
+    /// The target that a peer names for a flow. One of another service would be
+    /// noted for the flow, and all its packets would be dropped where they
+    /// leave until it is forgotten; so such an answer counts as none.
+    fn believe(&mut self, view: &View, packet: &[u8], key: TargetKey) -> Option<TargetId> {
+        let target = view.registry.find(key)?;
+        let mut serves = false;
+        with_site(view, packet, |_, site| {
+            serves = view.registry.get(target).service == site.service.spec.name;
+        });
+        self.counters.crossed += u64::from(!serves);
+        serves.then_some(target)
+    }
+
     fn found(
         &mut self,
         now: Millis,
