--- a/lib/src/forwarder/held.rs
+++ b/lib/src/forwarder/held.rs
@@ -269,7 +269,7 @@
             let Some(bytes) = self.held.waiting.remove(&id) else { continue };
             with_site(&view, &bytes, |packet, site| match (verdict, site.bucket().owner) {
                 (Verdict::Admit, Some(owner)) => self.admit(now, packet, owner, site, sink),
-                (Verdict::Refuse { after }, _) => self.refuse(now, packet, after, site, sink),
+                (Verdict::Refuse { .. }, _) => self.refuse(packet, site, sink),
                 _ => self.turn_away(packet, sink),
             });
         }
--- a/lib/src/forwarder/mod.rs
+++ b/lib/src/forwarder/mod.rs
@@ -18,6 +18,8 @@
 mod gate;
 mod held;
 mod keeping;
+mod opening;
+mod peers;
 mod refusal;
 
 pub use adverts::Paced;
@@ -26,12 +28,12 @@
 pub use held::ASK_TIME;
 
 use crate::{
-    bundle::{Class, Protocol},
-    flows::{Belief, Flow, Flows},
+    bundle::Class,
+    flows::{Flow, Flows},
     ids::{FlowId, InstanceName},
     message::Advert,
     packet::{Mark, Packet},
-    question::{Answer, Datagram, Question, QuestionError, Word},
+    question::Datagram,
     time::Millis,
     view::{BucketView, ServiceView, TargetId, View},
 };
@@ -206,7 +208,7 @@
         };
         let id = view.hasher.id(&key);
         let site = Site { view, service, class, id };
-        if self.known(now, packet, &site, sink) || self.is_refusal(now, packet, &site, sink) {
+        if self.known(now, packet, &site, sink) || self.is_refusal(packet, &site, sink) {
             return;
         }
         if packet.mark() == Mark::Open && packet.length() > SYN_ALONE {
@@ -280,84 +282,6 @@
         state.in_doubt() && !self.keeping.is_clear(site)
     }
 
-    /// Rule 2, and the end of rules 3 and 4: the flow goes to the owner.
-    fn settle(&mut self, now: Millis, packet: &Packet<'_>, site: &Site<'_>, sink: &mut impl Sink) {
-        self.counters.misses += 1;
-        let Some(owner) = site.bucket().owner else {
-            self.counters.ownerless += 1;
-            self.turn_away(packet, sink);
-            return;
-        };
-        match packet.mark() {
-            Mark::Open => self.open(now, packet, owner, site, sink),
-            Mark::Middle if packet.key().protocol == Protocol::Udp => {
-                self.open(now, packet, owner, site, sink);
-            }
-            Mark::Middle => self.adopt(now, packet, owner, Belief::Seen, site, sink),
-            Mark::Close | Mark::Abort => {
-                let flow = Flow::new(owner, Belief::Seen, site.class, now);
-                self.end(now, packet.mark(), site.id, &flow);
-                self.send(packet.bytes(), owner, site, sink);
-            }
-        }
-    }
-
-    fn open(
-        &mut self,
-        now: Millis,
-        packet: &Packet<'_>,
-        owner: TargetId,
-        site: &Site<'_>,
-        sink: &mut impl Sink,
-    ) {
-        let caller = *packet.key().caller.ip();
-        let opening = Opening { flow: site.id, caller, class: site.class, target: owner };
-        match self.gate.open(now, &opening) {
-            Verdict::Admit => self.admit(now, packet, owner, site, sink),
-            Verdict::Wait => {
-                if !self.held.wait(site.id, packet.bytes()) {
-                    self.refuse(now, packet, Millis::secs(1), site, sink);
-                }
-            }
-            Verdict::Refuse { after } => self.refuse(now, packet, after, site, sink),
-        }
-    }
-
-    fn admit(
-        &mut self,
-        now: Millis,
-        packet: &Packet<'_>,
-        owner: TargetId,
-        site: &Site<'_>,
-        sink: &mut impl Sink,
-    ) {
-        self.counters.opened += 1;
-        self.flows.note(site.id, Flow::admitted(owner, site.class, now));
-        if site.view.leaving {
-            self.adverts.exception(site.view, site.id, owner);
-        }
-        self.send(packet.bytes(), owner, site, sink);
-    }
-
-    /// Notes a flow that another instance opened and sends its packet on.
-    fn adopt(
-        &mut self,
-        now: Millis,
-        packet: &Packet<'_>,
-        target: TargetId,
-        belief: Belief,
-        site: &Site<'_>,
-        sink: &mut impl Sink,
-    ) {
-        let mut flow = Flow::new(target, belief, site.class, now);
-        flow.closing = matches!(packet.mark(), Mark::Close | Mark::Abort);
-        if site.bucket().owner != Some(target) {
-            self.keeping.note_exception(site);
-        }
-        self.flows.note(site.id, flow);
-        self.send(packet.bytes(), target, site, sink);
-    }
-
     /// The one way out. A packet for one service must never reach a target of
     /// another: whatever led to the target, a wrong table, a peer's answer or
     /// a clash of hashes, it is checked here once more and dropped.
@@ -371,50 +295,6 @@
         sink.forward(entry.address, bytes);
     }
 
-    /// Takes a datagram from a peer.
-    pub fn datagram(
-        &mut self,
-        now: Millis,
-        from: SocketAddrV4,
-        datagram: Datagram,
-        sink: &mut impl Sink,
-    ) {
-        match datagram {
-            Datagram::Question(question) => self.reply(now, from, question, sink),
-            Datagram::Answer(answer) => self.answered(now, answer, sink),
-        }
-    }
-
-    /// Counts a datagram that is none of a peer's.
-    pub fn refuse_datagram(&mut self, error: QuestionError) {
-        self.counters.foreign[error as usize] += 1;
-    }
-
-    fn reply(&mut self, now: Millis, from: SocketAddrV4, q: Question, sink: &mut impl Sink) {
-        self.counters.questions += 1;
-        // Silence would make the asker wait for its time limit.
-        let word = match &self.view {
-            Some(view) => self.keeping.word(view, &self.flows, &q, now),
-            None => Word::Unknown,
-        };
-        let answer = Answer { flow: q.flow, nonce: q.nonce, word };
-        sink.ask(from, Datagram::Answer(answer));
-    }
-
-    /// Takes a peer's advert: this instance keeps these flows.
-    pub fn advert(&mut self, now: Millis, advert: &Advert) {
-        let Some(view) = &self.view else { return };
-        self.counters.adverts += 1;
-        for (id, name) in &advert.flows {
-            if let Some(target) = view.registry.named(&advert.service, name) {
-                // The class matters only for flows that were admitted here.
-                self.flows.note(*id, Flow::new(target, Belief::Told, Class::Feed, now));
-            }
-        }
-        self.keeping.note(view, advert);
-        self.keeping.told(advert);
-    }
-
     /// Does what is due.
     pub fn tick(&mut self, now: Millis, sink: &mut impl Sink) {
         self.expire_held(now, sink);
--- /dev/null
+++ b/lib/src/forwarder/peers.rs
@@ -0,0 +1,57 @@
+//! What peers ask and tell.
+
+use super::{Forwarder, Gate, Sink};
+use crate::{
+    bundle::Class,
+    flows::{Belief, Flow},
+    message::Advert,
+    question::{Answer, Datagram, Question, QuestionError, Word},
+    time::Millis,
+};
+use std::net::SocketAddrV4;
+
+impl<G: Gate> Forwarder<G> {
+    /// Takes a datagram from a peer.
+    pub fn datagram(
+        &mut self,
+        now: Millis,
+        from: SocketAddrV4,
+        datagram: Datagram,
+        sink: &mut impl Sink,
+    ) {
+        match datagram {
+            Datagram::Question(question) => self.reply(now, from, question, sink),
+            Datagram::Answer(answer) => self.answered(now, answer, sink),
+        }
+    }
+
+    /// Counts a datagram that is none of a peer's.
+    pub fn refuse_datagram(&mut self, error: QuestionError) {
+        self.counters.foreign[error as usize] += 1;
+    }
+
+    fn reply(&mut self, now: Millis, from: SocketAddrV4, q: Question, sink: &mut impl Sink) {
+        self.counters.questions += 1;
+        // Silence would make the asker wait for its time limit.
+        let word = match &self.view {
+            Some(view) => self.keeping.word(view, &self.flows, &q, now),
+            None => Word::Unknown,
+        };
+        let answer = Answer { flow: q.flow, nonce: q.nonce, word };
+        sink.ask(from, Datagram::Answer(answer));
+    }
+
+    /// Takes a peer's advert: this instance keeps these flows.
+    pub fn advert(&mut self, now: Millis, advert: &Advert) {
+        let Some(view) = &self.view else { return };
+        self.counters.adverts += 1;
+        for (id, name) in &advert.flows {
+            if let Some(target) = view.registry.named(&advert.service, name) {
+                // The class matters only for flows that were admitted here.
+                self.flows.note(*id, Flow::new(target, Belief::Told, Class::Feed, now));
+            }
+        }
+        self.keeping.note(view, advert);
+        self.keeping.told(advert);
+    }
+}
--- a/lib/src/forwarder/refusal.rs
+++ b/lib/src/forwarder/refusal.rs
@@ -11,7 +11,6 @@
 use crate::{
     ids::FlowId,
     packet::{Mark, Packet, acknowledge, answer, reset, syn_ack},
-    time::Millis,
 };
 
 /// The place in the text for the seconds to wait.
@@ -22,15 +21,9 @@
 const LONGEST: u64 = 999;
 
 impl<G: Gate> Forwarder<G> {
-    /// Refuses an opening.
-    pub(super) fn refuse(
-        &mut self,
-        _: Millis,
-        packet: &Packet<'_>,
-        _: Millis,
-        site: &Site<'_>,
-        sink: &mut impl Sink,
-    ) {
+    /// Refuses an opening. When to come back is said in the words, which follow
+    /// on the caller's next packet.
+    pub(super) fn refuse(&mut self, packet: &Packet<'_>, site: &Site<'_>, sink: &mut impl Sink) {
         if site.service.spec.refusal.is_none() {
             self.turn_away(packet, sink);
             return;
@@ -52,7 +45,6 @@
     /// Goes on with a refusal in words, if the packet belongs to one.
     pub(super) fn is_refusal(
         &mut self,
-        _: Millis,
         packet: &Packet<'_>,
         site: &Site<'_>,
         sink: &mut impl Sink,
