--- a/lib/src/forwarder/keeping.rs
+++ b/lib/src/forwarder/keeping.rs
@@ -12,18 +12,12 @@
     flows::Flows,
     ids::{Bucket, Incarnation, InstanceName, ServiceName},
     keepers::Keepers,
-    members::MemberState,
     message::Advert,
     question::{Question, Word},
     time::Millis,
     view::{DETECTION, ServiceView, Stamp, View},
 };
 
-/// How long an instance that went without a word may only be cut off, and its
-/// flows go on where it is. A cut lasts minutes. In that time no keeper vouches
-/// for a bucket that moved after the instance was missed; it costs questions.
-const CUT_TIME: Millis = Millis::secs(600);
-
 /// Up to which stamp an instance has told all, and in which of its lives.
 #[derive(Debug, Clone, Copy)]
 struct Told {
@@ -34,8 +28,7 @@
 /// An instance that is gone, with what it told before.
 #[derive(Debug)]
 struct Gone {
-    /// Until when flows may exist that only it knew.
-    until: Millis,
+    at: Millis,
     told: Map<ServiceName, Stamp>,
 }
 
@@ -63,7 +56,6 @@
 pub(super) struct Keeping {
     told: Map<ServiceName, Map<InstanceName, Told>>,
     lives: Map<InstanceName, Incarnation>,
-    leaving: Set<InstanceName>,
     gone: Vec<Gone>,
     missed: Map<InstanceName, Incarnation>,
     keepers: Map<ServiceName, Keepers>,
@@ -83,18 +75,14 @@
         self.born.get_or_insert(now);
         let lives: Map<_, _> =
             view.others().map(|member| (member.name.clone(), member.incarnation)).collect();
-        let longest = view.bundle.services.iter().map(|s| s.keepalive).max().unwrap_or_default();
         for (name, life) in &self.lives {
             if lives.get(name) != Some(life) {
-                let cut = if self.leaving.contains(name) { Millis(0) } else { CUT_TIME };
-                let until = now + cut.max(longest + DETECTION);
-                self.gone.push(Gone { until, told: told_by(&self.told, name) });
+                self.gone.push(Gone { at: now, told: told_by(&self.told, name) });
                 self.missed.insert(name.clone(), *life);
             }
         }
-        self.gone.retain(|gone| now < gone.until);
-        let leaves = view.others().filter(|member| member.state == MemberState::Leaving);
-        self.leaving = leaves.map(|member| member.name.clone()).collect();
+        let longest = view.bundle.services.iter().map(|s| s.keepalive).max();
+        self.gone.retain(|gone| now.since(gone.at) < longest.unwrap_or_default() + DETECTION);
         self.forget_told(view);
         for told in self.told.values_mut() {
             told.retain(|name, told| lives.get(name) == Some(&told.life));
@@ -174,8 +162,10 @@
         let by_all = self.lives.keys().all(|name| {
             told.and_then(|told| told.get(name)).is_some_and(|told| told.stamp >= stamp)
         });
-        let orphan =
-            |gone: &Gone| now < gone.until && gone.told.get(name).is_none_or(|told| *told < stamp);
+        let orphan = |gone: &Gone| {
+            now.since(gone.at) < service.spec.keepalive + DETECTION
+                && gone.told.get(name).is_none_or(|told| *told < stamp)
+        };
         // One that went before this instance came could have told it nothing.
         let is_young =
             self.born.is_none_or(|born| now.since(born) < service.spec.keepalive + DETECTION);
