tests: turn callers away in words and by reset over a real TCP stack

The packets of one caller reach two instances in turn; neither has state of it. The caller reads the signed-off words with the seconds to wait and no target gets a packet.

--- a/tests/tests/runner.rs
+++ b/tests/tests/runner.rs
@@ -3,4 +3,5 @@
 mod test_changes;
 mod test_moves;
 mod test_processes;
+mod test_refusals;
 mod test_services;
--- /dev/null
+++ b/tests/tests/test_refusals.rs
@@ -0,0 +1,140 @@
+//! Callers that are turned away hear it at once, over a real TCP stack.
+
+use medlarspur_lib::{
+    bundle::Class,
+    flows::Flow,
+    forwarder::{Forwarder, Gate, Opening, Sink, Verdict},
+    ids::{FlowId, InstanceName},
+    message::Advert,
+    question::Datagram,
+    time::Millis,
+    view::{Draft, START_TIME, TargetId, View},
+};
+use medlarspur_testutils::{
+    bundles::{REQUESTS, Site},
+    host::{Conn, Host, Stage},
+};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+const WORDS: &str = "HTTP/1.1 503 Busy\r\nRetry-After: {seconds}\r\n\r\n";
+const TOLD: &str = "HTTP/1.1 503 Busy\r\nRetry-After: 007\r\n\r\n";
+
+/// Turns everybody away for seven seconds.
+struct Closed;
+
+impl Gate for Closed {
+    fn open(&mut self, _: Millis, _: &Opening) -> Verdict {
+        Verdict::Refuse { after: Millis::secs(7) }
+    }
+
+    fn due(&mut self, _: Millis, _: &mut Vec<(FlowId, Verdict)>) {}
+
+    fn after(&self, _: FlowId, _: Option<TargetId>) -> Millis {
+        Millis::secs(7)
+    }
+
+    fn followed(&mut self, _: Millis, _: TargetId, _: Class, _: Millis) {}
+
+    fn aborted(&mut self, _: Millis, _: TargetId) {}
+
+    fn closed(&mut self, _: Millis, _: FlowId, _: &Flow) {}
+
+    fn follow(&mut self, _: &View, _: Millis) {}
+}
+
+#[derive(Default)]
+struct Sent {
+    forwarded: usize,
+    answers: Vec<Vec<u8>>,
+}
+
+impl Sink for Sent {
+    fn forward(&mut self, _: SocketAddrV4, _: &[u8]) {
+        self.forwarded += 1;
+    }
+
+    fn answer(&mut self, packet: Vec<u8>) {
+        self.answers.push(packet);
+    }
+
+    fn ask(&mut self, _: SocketAddrV4, _: Datagram) {}
+
+    fn advert(&mut self, _: &InstanceName, _: Advert) {}
+}
+
+/// Two instances before a closed gate, and a caller whose packets reach them
+/// in turn.
+struct Scene {
+    instances: [Forwarder<Closed>; 2],
+    caller: Host,
+    sent: Sent,
+    turn: usize,
+}
+
+impl Scene {
+    fn new(site: &Site) -> Scene {
+        let instances = ["one", "two"].map(|name| instance(name, site));
+        let caller = Host::new(Ipv4Addr::new(10, 0, 0, 1));
+        Scene { instances, caller, sent: Sent::default(), turn: 0 }
+    }
+
+    /// Lets packets go to and fro for a second.
+    fn run(&mut self) {
+        for now in (0..1_000).step_by(5).map(Millis) {
+            for packet in self.caller.poll(now) {
+                self.turn += 1;
+                let instance = &mut self.instances[self.turn % 2];
+                instance.packet(START_TIME + now, &packet, &mut self.sent);
+            }
+            for packet in std::mem::take(&mut self.sent.answers) {
+                self.caller.receive(&packet);
+            }
+        }
+    }
+
+    fn call(&mut self) -> Conn {
+        let conn = self.caller.connect(40_000, REQUESTS);
+        self.run();
+        conn
+    }
+}
+
+fn instance(name: &str, site: &Site) -> Forwarder<Closed> {
+    let mut draft = Draft::first(InstanceName::new(name), &site.bundle(), Millis(0));
+    draft.advance(START_TIME);
+    let mut forwarder = Forwarder::new(Closed, 16);
+    forwarder.install(draft.commit().expect("a view"), START_TIME);
+    forwarder
+}
+
+/// The site is overloaded and the bundle signs off words for that. Each packet
+/// of the caller reaches another instance, none of which remembers it. Without
+/// a common cookie the second would take the caller's packet for a flow of a
+/// target, and the caller would get a reset in place of when to come back.
+#[test]
+fn a_caller_is_told_in_words_when_to_come_back() {
+    let mut scene = Scene::new(&Site::new(4, 2).refusal(WORDS));
+
+    let conn = scene.call();
+    scene.caller.send(conn, b"REQ 1\n");
+    scene.run();
+    let told = scene.caller.recv(conn);
+    scene.caller.close(conn);
+    scene.run();
+
+    assert_eq!(String::from_utf8_lossy(&told), TOLD);
+    assert_ne!(scene.caller.stage(conn), Stage::Broken);
+    assert_eq!(scene.sent.forwarded, 0);
+}
+
+/// Without words a reset says at once that nothing was run; a caller that only
+/// heard silence would wait for its own time limit.
+#[test]
+fn a_caller_without_words_gets_a_reset_at_once() {
+    let mut scene = Scene::new(&Site::new(4, 2));
+
+    let conn = scene.call();
+
+    assert_eq!(scene.caller.stage(conn), Stage::Refused);
+    assert_eq!(scene.sent.forwarded, 0);
+}
