--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -74,78 +74,105 @@
 /// Runs until told to stop.
 pub fn run(parts: Control) {
     let Control { settings, checker, peers, platform, probes, commands, .. } = parts;
-    let Control { mut adverts, leave, clock, shared, .. } = parts;
-    let settings_domain = settings.me.domain.clone();
+    let Control { adverts, leave, clock, shared, .. } = parts;
+    let (reader, readings) = platform;
+    let (prober, probed) = probes;
     let mut thread = Thread {
         me: settings.me.addresses.control,
         name: settings.me.name.clone(),
+        domain: settings.me.domain.clone(),
         controller: Controller::new(settings, &checker),
         checker: &checker,
         draft: None,
         members: Vec::new(),
         peers,
-        reader: platform.0,
+        reader,
+        prober,
+        probed,
+        adverts,
         commands,
+        leave,
+        left: false,
+        ticked: None,
         asked: None,
         verdicts: Map::default(),
         planned: Millis(0),
-        prober: probes.0,
-        domain: settings_domain,
         shared: &shared,
     };
-    let mut ticked = None;
-    let mut left = false;
     while !shared.stops() {
-        let news = platform.1.recv_timeout(WAIT);
-        let now = clock.now();
-        match news {
-            Ok(news) => thread.read(now, news),
-            Err(RecvTimeoutError::Timeout) => {}
-            // The reader's threads end only with the process.
-            Err(RecvTimeoutError::Disconnected) => std::thread::sleep(WAIT),
-        }
-        while let Some(message) = thread.peers.try_recv() {
-            thread.event(now, Event::Peer(message));
-        }
-        while let Ok(event) = probes.1.try_recv() {
-            thread.probed(event);
-        }
-        while let Ok(outgoing) = adverts.pop() {
-            thread.tell_keeper(outgoing);
-        }
-        if ticked.is_none_or(|at| now.since(at) >= TICK) {
-            ticked = Some(now);
-            thread.event(now, Event::Tick);
-        }
-        if leave.load(Relaxed) && !left {
-            left = true;
-            thread.event(now, Event::SetLeaving);
-        }
-        thread.plan(now);
-        thread.publish(now);
-        thread.show();
+        let reading = thread.await_reading(&readings);
+        thread.round(clock.now(), reading);
     }
 }
 
 struct Thread<'a> {
     me: SocketAddrV4,
     name: InstanceName,
+    domain: DomainName,
     controller: Controller<&'a Checker>,
     checker: &'a Checker,
     draft: Option<Draft>,
     members: Vec<Member>,
     peers: PeerHandle,
     reader: Reader,
+    prober: Prober,
+    probed: Receiver<Probed>,
+    adverts: Consumer<Outgoing>,
     commands: Producer<Command>,
+    leave: Arc<AtomicBool>,
+    left: bool,
+    ticked: Option<Millis>,
     asked: Option<Millis>,
     verdicts: Map<TargetName, Verdict>,
     planned: Millis,
-    prober: Prober,
-    domain: DomainName,
     shared: &'a Shared,
 }
 
 impl Thread<'_> {
+    /// Waits for the platform; the other inputs are looked at after the wait.
+    fn await_reading(&self, readings: &Receiver<Platform>) -> Option<Platform> {
+        match readings.recv_timeout(WAIT) {
+            Ok(reading) => Some(reading),
+            Err(RecvTimeoutError::Timeout) => None,
+            // The reader's threads end only with the process.
+            Err(RecvTimeoutError::Disconnected) => {
+                std::thread::sleep(WAIT);
+                None
+            }
+        }
+    }
+
+    /// Takes in all that has come and does what follows from it.
+    fn round(&mut self, now: Millis, reading: Option<Platform>) {
+        if let Some(reading) = reading {
+            self.read(now, reading);
+        }
+        while let Some(message) = self.peers.try_recv() {
+            self.event(now, Event::Peer(message));
+        }
+        while let Ok(event) = self.probed.try_recv() {
+            self.note_probe(event);
+        }
+        while let Ok(outgoing) = self.adverts.pop() {
+            self.tell_keeper(outgoing);
+        }
+        self.keep_time(now);
+        self.plan(now);
+        self.publish(now);
+        self.show();
+    }
+
+    fn keep_time(&mut self, now: Millis) {
+        if self.ticked.is_none_or(|at| now.since(at) >= TICK) {
+            self.ticked = Some(now);
+            self.event(now, Event::Tick);
+        }
+        if !self.left && self.leave.load(Relaxed) {
+            self.left = true;
+            self.event(now, Event::SetLeaving);
+        }
+    }
+
     fn read(&mut self, now: Millis, news: Platform) {
         match news {
             Platform::Bundle(text) => self.event(now, Event::PlatformBundle(text)),
@@ -261,7 +288,7 @@
         }
     }
 
-    fn probed(&mut self, event: Probed) {
+    fn note_probe(&mut self, event: Probed) {
         self.verdicts.insert(event.target.clone(), event.verdict);
         self.command(Command::Probed(event));
     }
