held: take a datagram that nobody knows for the first of its flow

Cause: UDP has no mark of a first packet, and an unknown datagram in a moved bucket went to the earlier owner where no keeper vouched, so for up to 42 s after an instance died a leaving target got new flows. Where all who could know have answered, it now goes to the present owner; in silence, still to the earlier one. The test of datagrams with a dead instance fails without (new flows at the leaving target) and passes with it. What it costs: a UDP flow that only the dead instance knew moves.

--- a/lib/src/forwarder/held.rs
+++ b/lib/src/forwarder/held.rs
@@ -2,6 +2,7 @@
 
 use super::{Forwarder, Gate, Sink, Site, Verdict};
 use crate::{
+    bundle::Protocol,
     flows::{Belief, FlowMap},
     ids::FlowId,
     members::Member,
@@ -208,7 +209,11 @@
         }
         for bytes in &asking.packets {
             with_site(view, bytes, |packet, site| {
-                if packet.mark() == Mark::Open || sure {
+                // A datagram that no live instance knows is far more often the
+                // first of its flow than the next one of an orphan, and a
+                // leaving target must get no new work.
+                let is_new = complete && packet.key().protocol == Protocol::Udp;
+                if packet.mark() == Mark::Open || sure || is_new {
                     self.unheld(now, packet, site, sink);
                 } else {
                     self.guess(now, packet, site, sink);
--- a/tests/tests/runner.rs
+++ b/tests/tests/runner.rs
@@ -5,3 +5,4 @@
 mod test_processes;
 mod test_refusals;
 mod test_services;
+mod test_udp;
