adverts: tell the exceptions again each keep-alive, as was meant

Cause, found on reading the change again: the refresh only marked what was told as stale and left the telling to the next view. In a quiet fleet no view comes, so keepers forgot the exceptions after four keep-alives and denied flows that only one instance knew. Ruled out by the test's order of events: the drain and the death themselves, whose tests passed, since little time lies between them. Test: a target leaves, three quiet minutes, an instance dies under a hashing fabric.

--- a/lib/src/forwarder/adverts.rs
+++ b/lib/src/forwarder/adverts.rs
@@ -218,12 +218,13 @@
 
     /// Tells the exceptions again, once each keep-alive, because a keeper that
     /// hears nothing of a flow any more forgets it as one that is over.
-    pub(super) fn refresh(&mut self, view: &View, _: &Flows, now: Millis) {
+    pub(super) fn refresh(&mut self, view: &View, flows: &Flows, now: Millis) {
         let period = view.bundle.services.iter().map(|s| s.keepalive).min();
         if period.is_some_and(|period| now.since(self.refreshed) >= period) {
             self.refreshed = now;
             // The keepers stay noted, so that a change of them is still seen.
             self.scanned.values_mut().for_each(|scanned| scanned.revision = STALE);
+            self.follow(view, flows);
         }
     }
 }
--- a/tests/tests/test_moves.rs
+++ b/tests/tests/test_moves.rs
@@ -291,3 +291,26 @@
     assert!(fleet.packets.is_empty());
     assert_eq!(fleet.nodes[0].forwarder.counters().loaded, 1);
 }
+
+/// A target left some minutes ago and nothing has changed since. The feeds that
+/// stay with it are each known to one instance and to their keepers. When that
+/// instance dies, a keeper that has forgotten them denies them, and they are
+/// sent to the present owner: long feeds break that everybody took for safe.
+#[test]
+fn keepers_remember_flows_through_a_quiet_time() {
+    let site = Site::new(14, 4);
+    let mut fleet = fleet(&site);
+    let mut traffic = Traffic::new(Spread::Flows, (0..8).collect());
+    open_flows(&mut fleet, &mut traffic, 2000);
+
+    fleet.publish(&site.leaving("alertdesk-3").bundle());
+    for _ in 0..6 {
+        keep_alive(&mut fleet, &mut traffic);
+    }
+    fleet.kill(6);
+    traffic.list(vec![0, 1, 2, 3, 4, 5, 7]);
+    keep_alive(&mut fleet, &mut traffic);
+    keep_alive(&mut fleet, &mut traffic);
+
+    assert_eq!(traffic.broken(), 0);
+}
