forwarder: look a known flow up once and copy a held packet only when needed

Each packet of a known flow was looked up twice, with a branch for a second miss that can't come; each answer of a peer copied a packet that most don't need. The tests of moves had the keep-alive loop twice.

--- a/lib/src/flows.rs
+++ b/lib/src/flows.rs
@@ -70,6 +70,11 @@
     pub fn idle(&self, now: Millis) -> Millis {
         Millis(u64::from(ticks(now).saturating_sub(self.seen)) * TICK)
     }
+
+    /// Notes that a packet of it passes now.
+    pub fn touch(&mut self, now: Millis) {
+        self.seen = ticks(now);
+    }
 }
 
 fn ticks(now: Millis) -> u32 {
@@ -128,12 +133,10 @@
         self.map.get(&id)
     }
 
-    /// What is known of a flow of which a packet passes now.
+    /// What is known of a flow, to be changed.
     #[inline]
-    pub fn touch(&mut self, id: FlowId, now: Millis) -> Option<&mut Flow> {
-        let flow = self.map.get_mut(&id)?;
-        flow.seen = ticks(now);
-        Some(flow)
+    pub fn get_mut(&mut self, id: FlowId) -> Option<&mut Flow> {
+        self.map.get_mut(&id)
     }
 
     /// Notes a flow. A surer belief is never replaced by a weaker one.
--- a/lib/src/forwarder/held.rs
+++ b/lib/src/forwarder/held.rs
@@ -129,9 +129,9 @@
         asking.open -= 1;
         let open = asking.open;
         asking.certain |= matches!(answer.word, Word::NoException { .. });
-        let first = asking.packets[0].clone();
         match answer.word {
             Word::Known(key) => {
+                let first = asking.packets[0].clone();
                 if let Some(target) = self.believe(&view, &first, key) {
                     self.counters.found += 1;
                     self.found(now, answer.flow, target, &view, sink);
@@ -139,7 +139,7 @@
                 }
             }
             Word::NoException { empty: true } => {
-                with_site(&view, &first, |_, site| self.keeping.clear(site));
+                with_site(&view, &asking.packets[0], |_, site| self.keeping.clear(site));
             }
             Word::NoException { empty: false } | Word::Unknown => {}
         }
--- a/lib/src/forwarder/mod.rs
+++ b/lib/src/forwarder/mod.rs
@@ -234,13 +234,13 @@
         site: &Site<'_>,
         sink: &mut impl Sink,
     ) -> bool {
-        let Some(flow) = self.flows.get(site.id) else { return false };
+        let Some(flow) = self.flows.get_mut(site.id) else { return false };
         if packet.mark() == Mark::Open && is_over(flow, site, now) {
             self.flows.remove(site.id);
             return false;
         }
         let idle = flow.idle(now);
-        let Some(flow) = self.flows.touch(site.id, now) else { return false };
+        flow.touch(now);
         let target = flow.target;
         match packet.mark() {
             Mark::Open => {}
--- a/tests/tests/test_moves.rs
+++ b/tests/tests/test_moves.rs
@@ -43,11 +43,7 @@
 
 /// Sends a packet of every flow, spread over a keep-alive's time.
 fn keep_alive(fleet: &mut Fleet, traffic: &mut Traffic) {
-    let pause = Millis(KEEPALIVE.0 / traffic.flows.len() as u64);
-    for flow in 0..traffic.flows.len() {
-        traffic.send(fleet, flow, Part::Middle);
-        fleet.advance(pause);
-    }
+    keep_all_alive(fleet, std::slice::from_mut(traffic));
     settle(fleet, traffic);
 }
 
