platform: serve the users' platform by marks, config and targets from its store

One daemon, a second way to agree on flows: `agreement: marks`. The mark in a packet names its target, so no keepers, plans, members or bundles are needed. The package `target` is now in `targets/`, because the platform takes what the build makes from `target/`.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gate;
 pub mod life;
 pub mod logs;
+pub mod marked;
 pub mod meters;
 pub mod outbox;
 pub mod packets;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,15 +1,30 @@
 //! The daemon: one instance of medlarspur.
 
 use log::LevelFilter;
-use medlarspur_daemon::{boot, logs};
-use medlarspur_lib::settings::Settings;
-use std::{fs, path::PathBuf, process::ExitCode};
+use medlarspur_daemon::{boot, logs, marked};
+use medlarspur_lib::{
+    document,
+    settings::{MarkedSettings, Settings},
+};
+use snafu::Report;
+use std::{
+    error::Error,
+    fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 /// The settings can't be read or don't hold.
 const EXIT_SETTINGS: u8 = 2;
 /// The instance can't run.
 const EXIT_RUN: u8 = 1;
 
+/// The command line.
+struct Flags {
+    settings: PathBuf,
+    check: bool,
+}
+
 fn main() -> ExitCode {
     let flags = xflags::parse_or_exit! {
         /// The settings of the instance, in YAML; see docs/settings.md.
@@ -17,33 +32,54 @@
         /// Only check the settings, and exit with 0 if they hold.
         optional --check
     };
-    let settings = match read(&flags.settings) {
-        Ok(settings) => settings,
+    let flags = Flags { settings: flags.settings, check: flags.check };
+    let text = match read(&flags.settings) {
+        Ok(text) => text,
         Err(exit) => return exit,
     };
+    if MarkedSettings::are_meant(&text) {
+        return start(&flags, MarkedSettings::parse(&text), |settings| {
+            logs::init(settings.log, LevelFilter::Info);
+            marked::run(settings).map_err(Report::from_error)
+        });
+    }
+    start(&flags, Settings::parse(&text), |settings| {
+        logs::init(settings.log, LevelFilter::Info);
+        boot::run(settings).map_err(Report::from_error)
+    })
+}
+
+/// Runs with settings that hold, or says what is wrong with them.
+fn start<S, E: Error>(
+    flags: &Flags,
+    settings: Result<S, document::Report>,
+    run: impl FnOnce(&S) -> Result<(), Report<E>>,
+) -> ExitCode {
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("error: {} does not hold", flags.settings.display());
+            eprintln!("{report}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
     if flags.check {
         println!("{}: the settings hold", flags.settings.display());
         return ExitCode::SUCCESS;
     }
-    logs::init(settings.log, LevelFilter::Info);
-    match boot::run(&settings) {
+    match run(&settings) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("{}", snafu::Report::from_error(error));
+        Err(report) => {
+            log::error!("{report}");
             ExitCode::from(EXIT_RUN)
         }
     }
 }
 
-fn read(path: &PathBuf) -> Result<Settings, ExitCode> {
-    let text = fs::read_to_string(path).map_err(|error| {
+fn read(path: &Path) -> Result<String, ExitCode> {
+    fs::read_to_string(path).map_err(|error| {
         eprintln!("error: cannot read {}: {error}", path.display());
         eprintln!("Hint: name a readable file by --settings.");
         ExitCode::from(EXIT_SETTINGS)
-    })?;
-    Settings::parse(&text).map_err(|report| {
-        eprintln!("error: {} does not hold", path.display());
-        eprintln!("{report}");
-        ExitCode::from(EXIT_SETTINGS)
     })
 }
--- /dev/null
+++ b/daemon/src/marked/inbox.rs
@@ -0,0 +1,90 @@
+//! What other threads hand to the main thread, with a way to wake it.
+
+use medlarspur_marked::{Finding, Incarnation, News};
+use nix::{
+    errno::Errno,
+    fcntl::OFlag,
+    unistd::{pipe2, read, write},
+};
+use signal_hook::{consts::SIGTERM, low_level::pipe};
+use std::{
+    io,
+    os::fd::{AsFd, BorrowedFd, OwnedFd},
+    sync::{
+        Arc,
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+    },
+};
+
+/// How many values may wait. The main thread empties the inbox in each round;
+/// if it does not come to that, the news is read again.
+const ROOM: usize = 256;
+
+/// A value for the main thread.
+#[derive(Debug)]
+pub enum Event {
+    /// News of targets and routes.
+    News(News),
+    /// What asking a target brought.
+    Found(Incarnation, Finding),
+}
+
+/// The main thread's end.
+#[derive(Debug)]
+pub struct Inbox {
+    events: Receiver<Event>,
+    wake: OwnedFd,
+}
+
+/// The other threads' end.
+#[derive(Debug, Clone)]
+pub struct Sender {
+    events: SyncSender<Event>,
+    wake: Arc<OwnedFd>,
+}
+
+/// Makes both ends.
+pub fn channel() -> io::Result<(Sender, Inbox)> {
+    let (events, inbox) = sync_channel(ROOM);
+    let (wake, waker) = pipe2(OFlag::O_NONBLOCK | OFlag::O_CLOEXEC)?;
+    let sender = Sender { events, wake: Arc::new(waker) };
+    Ok((sender, Inbox { events: inbox, wake }))
+}
+
+impl Inbox {
+    /// Becomes readable when something waits.
+    pub fn waker(&self) -> BorrowedFd<'_> {
+        self.wake.as_fd()
+    }
+
+    /// Takes what waits.
+    pub fn drain(&self) -> impl Iterator<Item = Event> {
+        let mut bytes = [0; 64];
+        while matches!(read(&self.wake, &mut bytes), Ok(count) if count == bytes.len()) {}
+        self.events.try_iter()
+    }
+}
+
+impl Sender {
+    /// Hands a value over without waiting; answers whether there was room.
+    pub fn send(&self, event: Event) -> bool {
+        let sent = match self.events.try_send(event) {
+            Ok(()) => true,
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
+        };
+        // A full pipe wakes the main thread as well as one more byte would.
+        if let Err(error) = write(&self.wake, &[0])
+            && error != Errno::EAGAIN
+        {
+            log::warn!("inbox: the main thread can't be woken: {error}");
+        }
+        sent
+    }
+
+    /// Wakes the main thread when the process is told to end, which would
+    /// otherwise be noticed with the next packet only.
+    pub fn wake_on_term(&self) -> io::Result<()> {
+        pipe::register(SIGTERM, self.wake.try_clone()?)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/daemon/src/marked/instance.rs
@@ -0,0 +1,209 @@
+//! The main thread of an instance: packets, news and what is due.
+
+use super::{
+    asker::Asker,
+    inbox::{self, Event, Inbox},
+    output::Datagrams,
+    store,
+};
+use crate::clock::Clock;
+use medlarspur_fabric::{Batch, Socket, SocketError, Wire, wait};
+use medlarspur_lib::{settings::MarkedSettings, time::Millis};
+use medlarspur_marked::{Forwarder, Tuning};
+use medlarspur_platform::site::{packet, ready};
+use signal_hook::consts::SIGTERM;
+use snafu::{ResultExt, Snafu};
+use std::{
+    io,
+    os::fd::AsFd,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
+    time::Duration,
+};
+
+/// How many batches one round takes before it sends and looks at the inbox.
+const ROUND: usize = 4;
+/// How often packets that came before anything is known are dropped. A caller
+/// gives an opening up after 1.4 s; older packets would open flows that nobody
+/// waits for.
+const STALE: Millis = Millis(700);
+/// How long a leaving instance goes on at least: routers ask twice a second and
+/// take it out after two refusals.
+const LEAST: Millis = Millis(1_300);
+/// How long no packet may have come before a leaving instance is done.
+const QUIET: Millis = Millis(500);
+/// How long before it would be killed a leaving instance ends by itself.
+const MARGIN: Millis = Millis::secs(1);
+
+/// Why an instance can't run.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// The socket for packets.
+    #[snafu(display("cannot take packets"))]
+    Packets {
+        /// Why.
+        source: SocketError,
+    },
+    /// A thread, a pipe, a listener or a signal handler.
+    #[snafu(display("cannot {what}"))]
+    System {
+        /// What was tried.
+        what: &'static str,
+        /// Why it failed.
+        source: io::Error,
+    },
+}
+
+/// Runs until the process is told to end.
+pub fn run(settings: &MarkedSettings) -> Result<(), RunError> {
+    let system = |what| SystemSnafu { what };
+    let (sender, inbox) = inbox::channel().context(system("make the inbox"))?;
+    let told = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGTERM, told.clone()).context(system("handle SIGTERM"))?;
+    sender.wake_on_term().context(system("handle SIGTERM"))?;
+    let socket = Socket::bind(settings.packets).context(PacketsSnafu)?;
+    let ready = Arc::new(AtomicBool::new(false));
+    ready::serve(settings.ready, ready.clone()).context(system("tell whether it is ready"))?;
+    store::start(settings.store, sender.clone()).context(system("follow the store"))?;
+    log::info!(
+        "start: {} in {} takes packets at {}",
+        settings.name,
+        settings.domain,
+        settings.packets
+    );
+    let tuning = Tuning { domain: settings.domain.clone(), seed: rand::random() };
+    let mut instance = Instance {
+        forwarder: Forwarder::new(tuning),
+        datagrams: Datagrams::new(Asker::new(sender), settings.callers),
+        batch: Batch::new(),
+        socket,
+        inbox,
+        clock: Clock::start(),
+        heard: Millis(0),
+        told,
+        ready,
+    };
+    instance.learn_first()?;
+    log::info!("ready: {:?} after {} ms", instance.forwarder.revision(), instance.clock.uptime());
+    instance.serve()?;
+    instance.leave(settings.grace - MARGIN)?;
+    log::info!("stop: after {} ms, {:?}", instance.clock.uptime(), instance.forwarder.counts());
+    Ok(())
+}
+
+struct Instance {
+    forwarder: Forwarder,
+    datagrams: Datagrams,
+    batch: Batch,
+    socket: Socket,
+    inbox: Inbox,
+    clock: Clock,
+    /// When the last packet came.
+    heard: Millis,
+    told: Arc<AtomicBool>,
+    ready: Arc<AtomicBool>,
+}
+
+impl Instance {
+    /// Waits until there are routes and targets. Packets wait in the socket
+    /// meanwhile: a caller whose packet is dropped repeats it only after 200 ms,
+    /// and the first answer of the store takes some ten.
+    fn learn_first(&mut self) -> Result<(), RunError> {
+        let mut dropped = self.clock.now();
+        while !self.forwarder.catalog().is_usable() && !self.is_told() {
+            wait([self.inbox.waker()], Some(Duration::from_millis(STALE.0)))
+                .context(PacketsSnafu)?;
+            self.take_events();
+            let now = self.clock.now();
+            if now.since(dropped) >= STALE && !self.forwarder.catalog().is_usable() {
+                dropped = now;
+                while self.receive()? > 0 {}
+            }
+        }
+        Ok(())
+    }
+
+    fn serve(&mut self) -> Result<(), RunError> {
+        self.ready.store(!self.is_told(), Relaxed);
+        while !self.is_told() {
+            self.round(None)?;
+        }
+        Ok(())
+    }
+
+    /// Says that it is not ready and serves what still comes.
+    fn leave(&mut self, limit: Millis) -> Result<(), RunError> {
+        self.ready.store(false, Relaxed);
+        log::info!("leave: {} flows have records", self.forwarder.len());
+        let began = self.clock.now();
+        loop {
+            let now = self.clock.now();
+            let (spent, silence) = (now.since(began), now.since(self.heard));
+            if spent >= limit || spent >= LEAST && silence >= QUIET {
+                return Ok(());
+            }
+            self.round(Some(QUIET))?;
+        }
+    }
+
+    fn is_told(&self) -> bool {
+        self.told.load(Relaxed)
+    }
+
+    /// Waits for something to do, `most` at most, and does it. Packets go
+    /// first: what is due may depend on an answer that waits in the socket.
+    fn round(&mut self, most: Option<Millis>) -> Result<(), RunError> {
+        let now = self.clock.now();
+        let due = self.forwarder.deadline().map(|due| due.since(now));
+        let limit = due.into_iter().chain(most).min();
+        let limit = limit.map(|span| Duration::from_millis(span.0));
+        wait([self.socket.as_fd(), self.inbox.waker()], limit).context(PacketsSnafu)?;
+        self.take_packets()?;
+        self.take_events();
+        self.forwarder.tick(self.clock.now(), &mut self.datagrams);
+        self.datagrams.outbox().flush(&mut self.socket);
+        Ok(())
+    }
+
+    fn take_packets(&mut self) -> Result<(), RunError> {
+        for _ in 0..ROUND {
+            let count = self.receive()?;
+            if count == 0 {
+                break;
+            }
+            let now = self.clock.now();
+            self.heard = now;
+            for received in self.batch.iter() {
+                match packet::parse(received.bytes) {
+                    Ok(segment) => {
+                        self.forwarder.packet(&segment, received.bytes, now, &mut self.datagrams);
+                    }
+                    Err(error) => log::debug!("packets: one is dropped: {error}"),
+                }
+            }
+            self.datagrams.outbox().flush(&mut self.socket);
+            if count < medlarspur_fabric::BATCH {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    fn receive(&mut self) -> Result<usize, RunError> {
+        self.socket.receive(&mut self.batch, Duration::ZERO).context(PacketsSnafu)
+    }
+
+    fn take_events(&mut self) {
+        let now = self.clock.now();
+        for event in self.inbox.drain() {
+            match event {
+                Event::News(news) => self.forwarder.learn(news, now, &mut self.datagrams),
+                Event::Found(target, finding) => {
+                    self.forwarder.answer(target, finding, now, &mut self.datagrams);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/marked/mod.rs
@@ -0,0 +1,20 @@
+//! An instance whose fabric returns marks, so that instances need no agreement
+//! on flows.
+//!
+//! | thread | duty | waits for |
+//! |---|---|---|
+//! | main | callers' packets and all decisions on them | packets, the inbox, the next thing due |
+//! | `store` | follows the store | the store |
+//! | `ready` | tells routers whether the instance is ready | a router |
+//! | `ask` | asks one target whether it answers, then ends | that target |
+//!
+//! The main thread alone has the flows. The others hand it values through the
+//! [`Inbox`](inbox::Inbox) and never wait for it.
+
+mod asker;
+mod inbox;
+mod instance;
+mod output;
+mod store;
+
+pub use instance::{RunError, run};
--- a/daemon/src/packets.rs
+++ b/daemon/src/packets.rs
@@ -15,6 +15,7 @@
 };
 use rtrb::{Consumer, Producer};
 use std::{
+    os::fd::AsFd,
     sync::{Arc, atomic::Ordering::Relaxed, mpsc::Receiver},
     time::Duration,
 };
@@ -91,7 +92,7 @@
     };
     let mut batch = Batch::new();
     while !shared.stops() {
-        wait([&thread.fabric, &thread.questions], WAIT)?;
+        wait([thread.fabric.as_fd(), thread.questions.as_fd()], Some(WAIT))?;
         let now = clock.now();
         thread.watch_clock(now);
         thread.follow(now);
--- a/fabric/src/ready.rs
+++ b/fabric/src/ready.rs
@@ -1,21 +1,24 @@
 //! Waiting for several sockets at once.
 
-use crate::{Socket, SocketError, socket::ReceiveSnafu};
+use crate::{SocketError, socket::ReceiveSnafu};
 use nix::{
     errno::Errno,
     poll::{PollFd, PollFlags, PollTimeout, poll},
 };
 use snafu::ResultExt;
-use std::{os::fd::AsFd, time::Duration};
+use std::{os::fd::BorrowedFd, time::Duration};
 
-/// Waits until a datagram can be received from one of the sockets, at most for
-/// `timeout` to the millisecond. The packet thread serves callers and peers'
-/// questions by itself, because both need the flow table; a wait for only one
-/// of them would delay the other.
-pub fn wait(sockets: [&Socket; 2], timeout: Duration) -> Result<(), SocketError> {
-    let mut fds = sockets.map(|socket| PollFd::new(socket.as_fd(), PollFlags::POLLIN));
-    let timeout = PollTimeout::try_from(timeout).unwrap_or(PollTimeout::MAX);
-    match poll(&mut fds, timeout) {
+/// Waits until one of the descriptors can be read, at most for `timeout` to the
+/// millisecond, or without a limit. The packet thread serves several sources by
+/// itself, because all need the flow table; a wait for only one of them would
+/// delay the others.
+pub fn wait<const N: usize>(
+    sources: [BorrowedFd<'_>; N],
+    timeout: Option<Duration>,
+) -> Result<(), SocketError> {
+    let mut fds = sources.map(|source| PollFd::new(source, PollFlags::POLLIN));
+    let limit = |timeout| PollTimeout::try_from(timeout).unwrap_or(PollTimeout::MAX);
+    match poll(&mut fds, timeout.map_or(PollTimeout::NONE, limit)) {
         Ok(_) | Err(Errno::EINTR) => Ok(()),
         Err(errno) => Err(errno).context(ReceiveSnafu),
     }
--- /dev/null
+++ b/lib/src/settings/marked.rs
@@ -0,0 +1,101 @@
+//! The settings of an instance whose fabric returns marks.
+
+use super::parse::{distinct, log_form, remote, socket};
+use crate::{
+    document::{self, Lines, Node, Report},
+    ids::{DomainName, InstanceName},
+    settings::LogForm,
+    time::Millis,
+};
+use std::net::SocketAddrV4;
+
+/// The greatest length of the settings in bytes; far above any real ones.
+const MAX_TEXT: usize = 1 << 16;
+const FIELDS: &[&str] = &[
+    "agreement",
+    "name",
+    "domain",
+    "packets",
+    "ready",
+    "metrics",
+    "callers",
+    "store",
+    "grace",
+    "log",
+];
+/// The value of `agreement` that these settings have.
+const MARKS: &str = "marks";
+/// How long an instance that was told to leave is let live if the settings
+/// don't say; that of the users' platform.
+const GRACE: Millis = Millis::secs(6);
+
+value! {
+    /// The checked settings of an instance whose fabric returns marks.
+    pub struct MarkedSettings {
+        /// Its name, unique at the site.
+        pub name: InstanceName,
+        /// Its failure domain.
+        pub domain: DomainName,
+        /// Where it takes callers' packets, by UDP.
+        pub packets: SocketAddrV4,
+        /// Where it says whether it is ready, by HTTP.
+        pub ready: SocketAddrV4,
+        /// Where it serves metrics, by HTTP; not at all without.
+        pub metrics: Option<SocketAddrV4>,
+        /// The port at which callers take packets; that of `packets` without.
+        pub callers: u16,
+        /// Where the store is that config and targets are read from, by HTTP.
+        pub store: SocketAddrV4,
+        /// How long after it was told to leave it is killed.
+        pub grace: Millis,
+        /// The form of log lines.
+        pub log: LogForm,
+    }
+}
+
+impl MarkedSettings {
+    /// Whether a text holds settings of this kind, and not those of an instance
+    /// whose fabric returns nothing.
+    pub fn are_meant(text: &str) -> bool {
+        let line = text.lines().find_map(|line| line.strip_prefix("agreement:"));
+        line.is_some_and(|value| value.trim().trim_matches(['"', '\'']) == MARKS)
+    }
+
+    /// Reads and checks the text of settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the text, each with its line and what to do.
+    pub fn parse(text: &str) -> Result<MarkedSettings, Report> {
+        document::read(text, MAX_TEXT, Lines::Find, settings)
+    }
+}
+
+fn settings(top: &Node<'_>) -> Option<MarkedSettings> {
+    let fields = top.fields(FIELDS)?;
+    let agreement = fields.required("agreement");
+    let agreement =
+        agreement.and_then(|node| node.checked("marks", |text| (text == MARKS).then_some(())));
+    let name = |field| fields.required(field).and_then(|node| node.name());
+    let (instance, domain) = (name("name"), name("domain"));
+    let listen = |field| fields.required(field).and_then(|node| socket(&node));
+    let (packets, ready) = (listen("packets"), listen("ready"));
+    let metrics = fields.maybe("metrics", socket);
+    distinct(&fields, "metrics", ready, metrics.flatten(), "ready");
+    let callers = fields.maybe("callers", |node| node.small(1..=65_535));
+    let store = fields.required("store").and_then(|node| remote(&node));
+    let grace = fields.or("grace", GRACE, |node| node.span(Millis(100)..=Millis::secs(600)));
+    let log = fields.or("log", LogForm::Text, |node| node.checked("text or json", log_form));
+    agreement?;
+    Some(MarkedSettings {
+        name: InstanceName::new(instance?),
+        domain: DomainName::new(domain?),
+        packets: packets?,
+        ready: ready?,
+        metrics: metrics?,
+        callers: callers?.unwrap_or(packets?.port()),
+        store: store?,
+        grace: grace?,
+        log: log?,
+    })
+}
--- a/lib/src/settings/mod.rs
+++ b/lib/src/settings/mod.rs
@@ -3,8 +3,11 @@
 //! Everything else comes from the bundle. The fields are described for
 //! operators in `docs/settings.md`.
 
+mod marked;
 mod parse;
 
+pub use marked::MarkedSettings;
+
 use crate::{
     bundle::Keys,
     ids::{DomainName, InstanceName, SiteName},
--- a/lib/src/settings/parse.rs
+++ b/lib/src/settings/parse.rs
@@ -76,7 +76,7 @@
 
 /// Two listeners of one protocol can't have one address; the daemon would
 /// start and fail only when it binds the second.
-fn distinct(
+pub(super) fn distinct(
     fields: &Fields<'_>,
     name: &str,
     first: Option<SocketAddrV4>,
@@ -94,11 +94,11 @@
     }
 }
 
-fn socket(node: &Node<'_>) -> Option<SocketAddrV4> {
+pub(super) fn socket(node: &Node<'_>) -> Option<SocketAddrV4> {
     node.parse("an IPv4 address and port, such as 10.0.0.1:6080")
 }
 
-fn remote(node: &Node<'_>) -> Option<SocketAddrV4> {
+pub(super) fn remote(node: &Node<'_>) -> Option<SocketAddrV4> {
     node.checked("an IPv4 address and a port other than 0, such as 10.0.0.1:6080", |text| {
         let address: SocketAddrV4 = text.parse().ok()?;
         (!address.ip().is_unspecified() && address.port() != 0).then_some(address)
@@ -136,7 +136,7 @@
     node.checked("the path of a file", |text| (!text.is_empty()).then(|| text.into()))
 }
 
-fn log_form(text: &str) -> Option<LogForm> {
+pub(super) fn log_form(text: &str) -> Option<LogForm> {
     match text {
         "text" => Some(LogForm::Text),
         "json" => Some(LogForm::Json),
--- /dev/null
+++ b/load/src/choice.rs
@@ -0,0 +1,86 @@
+//! Choosing the target of a new flow by the work that is known to wait there.
+//!
+//! Answers these patterns: many short requests beside feeds that stay for
+//! minutes; targets that have just started and are slow; a failure domain that
+//! loses some of its targets; uploads whose bytes are dear to carry from one
+//! failure domain to another.
+//!
+//! An instance sees the requests that pass through it, from the moment when
+//! they are sent until their first answer comes back, and nothing of the others'.
+//! With work of 30–70 ms, what others say of their load is old on arrival, so
+//! only what is seen here counts. Without it, new flows would pile up at a slow
+//! or cold target as readily as at an idle one, and callers there would wait
+//! for each other.
+
+use medlarspur_lib::bundle::Class;
+
+/// What an open feed without a request under way adds to a target's load, in
+/// requests. A feed asks about once a second for some 50 ms of work; twice that,
+/// because a feed stays where it is when others come.
+const IDLE_FEED: f32 = 0.1;
+/// How much slower a target is after its start; callers see 1.6 times.
+const COLD: f32 = 1.6;
+/// What going to another failure domain costs a feed or request, in requests a
+/// slot: a few milliseconds of some 50. It decides between equals only.
+const FAR: f32 = 0.02;
+/// What it costs an upload. Its bytes are what is dear, and its work is short:
+/// it leaves its failure domain only for a target that has two requests a slot less.
+const FAR_UPLOAD: f32 = 2.0;
+
+/// How willingly a target is taken; earlier ones go before later ones, whatever
+/// their load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Tier {
+    /// Nothing speaks against it.
+    Good,
+    /// It is not listed any more, but answered since: a lapsed entry.
+    Unlisted,
+    /// Something sent there got no answer lately.
+    Doubtful,
+}
+
+/// A target that could take a flow.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// How willingly it is taken.
+    pub tier: Tier,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Requests sent there whose answers have not begun.
+    pub working: u32,
+    /// Flows that are being opened there.
+    pub opening: u32,
+    /// Open feeds without a request under way.
+    pub feeds: u32,
+    /// Whether it is slow after its start.
+    pub cold: bool,
+    /// Whether it is in this instance's failure domain.
+    pub near: bool,
+}
+
+impl Candidate {
+    /// The load a slot if one more flow came, in requests.
+    fn cost(&self, class: Class) -> f32 {
+        let work = self.working as f32 + self.opening as f32 + self.feeds as f32 * IDLE_FEED;
+        let load = (work + 1.0) / self.slots.max(1) as f32;
+        let load = if self.cold { load * COLD } else { load };
+        let far = match class {
+            Class::Upload => FAR_UPLOAD,
+            Class::Feed | Class::Request => FAR,
+        };
+        if self.near { load } else { load + far }
+    }
+}
+
+/// The position of the candidate to take, if there is any. Among equals, `draw`
+/// decides: instances that decide alike would otherwise all take the same one.
+pub fn choose(candidates: &[Candidate], class: Class, draw: u64) -> Option<usize> {
+    let tier = candidates.iter().map(|it| it.tier).min()?;
+    let costs = candidates.iter().map(|it| (it.tier == tier).then(|| it.cost(class)));
+    let costs: Vec<Option<f32>> = costs.collect();
+    let least = costs.iter().flatten().copied().fold(f32::INFINITY, f32::min);
+    let equals = costs.iter().enumerate().filter(|(_, cost)| **cost == Some(least));
+    let count = equals.clone().count();
+    let (position, _) = equals.clone().nth((draw % count.max(1) as u64) as usize)?;
+    Some(position)
+}
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod admission;
 pub mod callers;
+pub mod choice;
 mod counts;
 mod gate;
 mod opening;
--- /dev/null
+++ b/marked/src/catalog.rs
@@ -0,0 +1,338 @@
+//! Which targets and routes there are, merged from news in any order.
+//!
+//! Each item carries the revision at which its source changed it last. The
+//! larger revision wins, and that something was removed has a revision too, so
+//! the same news may come late, twice, from several sources and out of order
+//! and every instance ends with the same picture. Nothing ever goes back.
+//!
+//! A target that is removed stays known for [`KEPT`], since flows to it go on.
+
+use crate::{FlowKey, Incarnation, Mark, mark::Index};
+use medlarspur_lib::{
+    bundle::Class,
+    collections::{Map, Set},
+    ids::{DomainName, ServiceName, Version},
+    time::Millis,
+};
+use std::{cmp::Ordering, net::SocketAddrV4};
+
+/// How long a removed target is remembered. Longer than the longest life of a
+/// flow on the platforms known (60 s) and than any delay of news.
+const KEPT: Millis = Millis::secs(90);
+
+/// The source's count of its changes.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Revision(pub u64);
+
+/// One target, as it describes itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// This start of it.
+    pub incarnation: Incarnation,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Where it takes packets (UDP) and questions about its health (TCP).
+    pub address: SocketAddrV4,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// How many requests it works on at once; at least 1.
+    pub slots: u32,
+    /// Whether it is about to go: its flows go on, new ones go elsewhere.
+    pub leaving: bool,
+    /// How much longer it is slow after its start, counted from the moment
+    /// when the entry was written.
+    pub cold: Millis,
+}
+
+/// Where new flows to an address and port go.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// The address and port that callers ask for.
+    pub address: SocketAddrV4,
+    /// The class of the requests inside.
+    pub class: Class,
+    /// The services that new flows are split over; never empty, and the sum
+    /// of the weights is positive.
+    pub shares: Vec<Share>,
+}
+
+/// A service's part of a route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceName,
+    /// Its weight among the shares of the route.
+    pub weight: u32,
+}
+
+/// What operators have published, as one value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Config {
+    /// Its version.
+    pub version: Version,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// The path of each service's health endpoint.
+    pub health: Vec<(ServiceName, Box<str>)>,
+    /// How long a flow may be silent before it may be forgotten.
+    pub idle: Millis,
+}
+
+/// What has changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Content {
+    /// The config.
+    Config(Config),
+    /// A target, present.
+    Target(Target),
+    /// A target was removed.
+    Removed(Incarnation),
+}
+
+/// One item at its revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// When the source changed it last.
+    pub revision: Revision,
+    /// What it is now.
+    pub content: Content,
+}
+
+/// How much of the source a piece of news covers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Some changes.
+    Changes,
+    /// All targets: one that is not there was removed.
+    All,
+}
+
+/// News from a source.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct News {
+    /// The source's count when it told this.
+    pub revision: Revision,
+    /// What it covers.
+    pub scope: Scope,
+    /// The items.
+    pub changes: Vec<Change>,
+}
+
+/// Whether the source lists a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// It does.
+    Listed,
+    /// It did until then, by this instance's clock.
+    Removed(Millis),
+}
+
+/// A target with what is known of its entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The target.
+    pub target: Target,
+    /// The revision of this picture.
+    pub revision: Revision,
+    /// Whether it is listed.
+    pub presence: Presence,
+    /// Until when it is slow after its start.
+    pub cold: Millis,
+}
+
+/// All that is known of targets and routes.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    revision: Revision,
+    config: Option<(Revision, Config)>,
+    routes: Map<SocketAddrV4, usize>,
+    targets: Map<Incarnation, Entry>,
+    services: Map<ServiceName, Vec<Incarnation>>,
+    indexes: Map<Index, Vec<Incarnation>>,
+    /// Targets that were removed before they were heard of.
+    tombs: Map<Incarnation, (Revision, Millis)>,
+}
+
+impl Catalog {
+    /// The newest revision that was heard of.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The config in force.
+    pub fn config(&self) -> Option<&Config> {
+        self.config.as_ref().map(|(_, config)| config)
+    }
+
+    /// Whether there is enough to serve: routes, and a target.
+    pub fn is_usable(&self) -> bool {
+        self.config.is_some() && !self.targets.is_empty()
+    }
+
+    /// The route at an address and port.
+    pub fn route(&self, address: SocketAddrV4) -> Option<&Route> {
+        let &position = self.routes.get(&address)?;
+        self.config()?.routes.get(position)
+    }
+
+    /// A target that is listed or was not long ago.
+    pub fn entry(&self, incarnation: Incarnation) -> Option<&Entry> {
+        self.targets.get(&incarnation)
+    }
+
+    /// All targets that are known.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.targets.values()
+    }
+
+    /// The targets of a service, removed ones included.
+    pub fn targets(&self, service: &ServiceName) -> impl Iterator<Item = &Entry> {
+        let found = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        found.iter().filter_map(|incarnation| self.targets.get(incarnation))
+    }
+
+    /// The path of a service's health endpoint.
+    pub fn health(&self, service: &ServiceName) -> Option<&str> {
+        let paths = &self.config()?.health;
+        paths.iter().find(|(name, _)| name == service).map(|(_, path)| path.as_ref())
+    }
+
+    /// The target that a mark of a flow means; none if the mark doesn't hold.
+    pub fn marked(&self, mark: Mark, flow: &FlowKey) -> Option<&Entry> {
+        let found = self.indexes.get(&mark.index())?;
+        let incarnation = found.iter().find(|&&it| mark.holds(it, flow))?;
+        self.targets.get(incarnation)
+    }
+
+    /// Takes in news; answers the targets whose entries changed.
+    pub fn merge(&mut self, news: News, now: Millis) -> Vec<Incarnation> {
+        let mut changed = Vec::new();
+        let mut listed = Set::default();
+        for change in news.changes {
+            match change.content {
+                Content::Config(config) => self.merge_config(change.revision, config),
+                Content::Target(target) => {
+                    listed.insert(target.incarnation);
+                    self.merge_target(change.revision, target, now, &mut changed);
+                }
+                Content::Removed(incarnation) => {
+                    self.remove(change.revision, incarnation, now, &mut changed);
+                }
+            }
+        }
+        if news.scope == Scope::All {
+            self.remove_others(news.revision, &listed, now, &mut changed);
+        }
+        self.revision = self.revision.max(news.revision);
+        self.forget(now);
+        changed
+    }
+
+    fn merge_config(&mut self, revision: Revision, config: Config) {
+        if self.config.as_ref().is_some_and(|(known, _)| *known >= revision) {
+            return;
+        }
+        let positions = config.routes.iter().enumerate();
+        self.routes = positions.map(|(position, route)| (route.address, position)).collect();
+        self.config = Some((revision, config));
+    }
+
+    fn merge_target(
+        &mut self,
+        revision: Revision,
+        target: Target,
+        now: Millis,
+        changed: &mut Vec<Incarnation>,
+    ) {
+        let incarnation = target.incarnation;
+        if self.tombs.get(&incarnation).is_some_and(|(removed, _)| *removed >= revision) {
+            return;
+        }
+        let cold = now + target.cold;
+        let fresh = Entry { target, revision, presence: Presence::Listed, cold };
+        match self.targets.get_mut(&incarnation) {
+            Some(known) if known.revision >= revision => return,
+            Some(known) => *known = fresh,
+            None => {
+                self.services.entry(fresh.target.service.clone()).or_default().push(incarnation);
+                self.indexes.entry(Index::of(incarnation)).or_default().push(incarnation);
+                self.targets.insert(incarnation, fresh);
+            }
+        }
+        changed.push(incarnation);
+    }
+
+    fn remove(
+        &mut self,
+        revision: Revision,
+        incarnation: Incarnation,
+        now: Millis,
+        changed: &mut Vec<Incarnation>,
+    ) {
+        let Some(known) = self.targets.get_mut(&incarnation) else {
+            self.tombs.insert(incarnation, (revision, now));
+            return;
+        };
+        if known.revision >= revision {
+            return;
+        }
+        known.revision = revision;
+        if known.presence == Presence::Listed {
+            known.presence = Presence::Removed(now);
+            changed.push(incarnation);
+        }
+    }
+
+    fn remove_others(
+        &mut self,
+        revision: Revision,
+        listed: &Set<Incarnation>,
+        now: Millis,
+        changed: &mut Vec<Incarnation>,
+    ) {
+        let known = self.targets.values();
+        let gone = known.filter(|entry| entry.presence == Presence::Listed);
+        let gone = gone.map(|entry| entry.target.incarnation).filter(|it| !listed.contains(it));
+        for incarnation in gone.collect::<Vec<_>>() {
+            self.remove(revision, incarnation, now, changed);
+        }
+    }
+
+    /// Drops what was removed more than [`KEPT`] ago.
+    fn forget(&mut self, now: Millis) {
+        let is_kept = |since: Millis| now.since(since) < KEPT;
+        self.tombs.retain(|_, (_, since)| is_kept(*since));
+        let old = self.targets.values().filter_map(|entry| match entry.presence {
+            Presence::Removed(since) if !is_kept(since) => Some(entry.target.incarnation),
+            _ => None,
+        });
+        for incarnation in old.collect::<Vec<_>>() {
+            self.drop_target(incarnation);
+        }
+    }
+
+    fn drop_target(&mut self, incarnation: Incarnation) {
+        let Some(entry) = self.targets.remove(&incarnation) else { return };
+        if let Some(list) = self.services.get_mut(&entry.target.service) {
+            list.retain(|it| *it != incarnation);
+        }
+        if let Some(list) = self.indexes.get_mut(&Index::of(incarnation)) {
+            list.retain(|it| *it != incarnation);
+        }
+    }
+}
+
+impl Route {
+    /// The shares in a fixed order, whose cumulative weights split new flows.
+    pub fn share(&self, draw: u64) -> &ServiceName {
+        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let mut rest = draw % total.max(1);
+        for share in &self.shares {
+            match rest.cmp(&u64::from(share.weight)) {
+                Ordering::Less => return &share.service,
+                _ => rest -= u64::from(share.weight),
+            }
+        }
+        &self.shares[0].service
+    }
+}
--- /dev/null
+++ b/marked/src/flow.rs
@@ -0,0 +1,144 @@
+//! One flow as an instance sees it: the caller's half only.
+//!
+//! Answers go from the target straight to the caller, so the target's part is
+//! worked out from what the caller acknowledges. The record is a help, not a
+//! need: without it a packet finds its target by its mark.
+
+use crate::{Incarnation, Segment, segment::is_after};
+use medlarspur_lib::{bundle::Class, time::Millis};
+
+/// How many bytes a caller may have sent that the target did not acknowledge:
+/// sixteen packets of 1,200 bytes. More new data shows that it did.
+const WINDOW: u32 = 16 * 1200;
+
+/// How far a flow has come.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Phase {
+    /// Its opening packet was sent on; nothing shows that the target took it.
+    Opening {
+        /// The packet, to be sent again or to another target.
+        packet: Box<[u8]>,
+    },
+    /// The caller has the target's answer to the opening packet.
+    Open,
+}
+
+/// What an instance remembers of a flow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Flow {
+    /// Where it goes.
+    pub target: Incarnation,
+    /// The class of the requests inside.
+    pub class: Class,
+    /// How far it has come.
+    pub phase: Phase,
+    /// When its opening packet came, or the first packet that was seen here.
+    pub since: Millis,
+    /// When its last packet came.
+    pub touched: Millis,
+    /// Since when a request waits for the first byte of its answer.
+    pub waiting: Option<Millis>,
+    /// What the caller acknowledged last.
+    pub acked: u32,
+    /// Behind the last byte that the caller sent.
+    sent: u32,
+    /// When that byte was seen first.
+    sent_at: Millis,
+    /// What `sent` was at the last sign of life of the target.
+    base: u32,
+}
+
+/// What a packet shows of its flow's target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seen {
+    /// The target has answered something.
+    pub life: bool,
+    /// The caller repeats data, first sent at this time, that nothing answers.
+    pub repeats: Option<Millis>,
+    /// The first answer to the request that has waited since then.
+    pub answered: Option<Millis>,
+}
+
+impl Flow {
+    /// A flow whose opening packet goes to `target`.
+    pub fn open(target: Incarnation, class: Class, packet: &[u8], seq: u32, now: Millis) -> Flow {
+        let phase = Phase::Opening { packet: packet.into() };
+        Flow { phase, ..Flow::new(target, class, 0, seq, now) }
+    }
+
+    /// A flow that another instance opened, from the first packet seen here.
+    pub fn resume(target: Incarnation, class: Class, segment: &Segment, now: Millis) -> Flow {
+        Flow::new(target, class, segment.ack, segment.seq, now)
+    }
+
+    fn new(target: Incarnation, class: Class, acked: u32, sent: u32, now: Millis) -> Flow {
+        Flow {
+            target,
+            class,
+            phase: Phase::Open,
+            since: now,
+            touched: now,
+            waiting: None,
+            acked,
+            sent,
+            sent_at: now,
+            base: sent,
+        }
+    }
+
+    /// Whether its opening packet is unanswered.
+    pub fn is_opening(&self) -> bool {
+        matches!(self.phase, Phase::Opening { .. })
+    }
+
+    /// Whether a request waits for its answer.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting.is_some()
+    }
+
+    /// Takes in a packet that is no opening one.
+    pub fn see(&mut self, segment: &Segment, now: Millis) -> Seen {
+        self.touched = now;
+        let shaken = self.see_handshake(segment, now);
+        let answered = self.see_ack(segment);
+        let (progress, repeats) = self.see_data(segment, now);
+        let life = shaken || answered.is_some() || progress;
+        if life {
+            self.base = self.sent;
+        }
+        Seen { life, repeats: repeats.filter(|_| !life), answered }
+    }
+
+    /// The caller can only go on once it has the target's answer.
+    fn see_handshake(&mut self, segment: &Segment, now: Millis) -> bool {
+        if !self.is_opening() {
+            return false;
+        }
+        self.phase = Phase::Open;
+        self.acked = segment.ack;
+        self.sent = segment.seq;
+        self.sent_at = now;
+        true
+    }
+
+    fn see_ack(&mut self, segment: &Segment) -> Option<Millis> {
+        if !is_after(segment.ack, self.acked) {
+            return None;
+        }
+        self.acked = segment.ack;
+        self.waiting.take()
+    }
+
+    fn see_data(&mut self, segment: &Segment, now: Millis) -> (bool, Option<Millis>) {
+        if segment.len == 0 {
+            return (false, None);
+        }
+        if !is_after(segment.end(), self.sent) {
+            return (false, Some(self.sent_at));
+        }
+        self.sent = segment.end();
+        self.sent_at = now;
+        self.waiting.get_or_insert(now);
+        (self.sent.wrapping_sub(self.base) > WINDOW, None)
+    }
+}
--- /dev/null
+++ b/marked/src/health.rs
@@ -0,0 +1,112 @@
+//! Whether a target answers, from what passes by and from asking it.
+//!
+//! A target that dies without a word stays listed for several of its
+//! heartbeats, and whoever opens a flow to it meanwhile waits in vain. What an
+//! instance sees gives it away sooner: an opening without the end of the
+//! handshake, or a request that the caller has to send again. Neither is proof,
+//! since packets get lost, so the target is then asked directly; only if it
+//! does not answer that either is it [lost](Health::is_lost).
+
+use medlarspur_lib::time::Millis;
+
+/// How long one doubt keeps further ones from asking again: longer than an
+/// answer takes to come or to stay out.
+const ASK_PAUSE: Millis = Millis(300);
+/// How long after a target was found lost it is asked again, at first. A cut
+/// lasts seconds, a restart brings a new incarnation.
+const FIRST_RETRY: Millis = Millis(500);
+/// The longest pause between two questions to a lost target.
+const LAST_RETRY: Millis = Millis(2_000);
+
+/// What asking a target brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// This incarnation answers; what it says of itself doesn't matter here.
+    Answers,
+    /// Its address refuses, or another incarnation answers there.
+    Gone,
+    /// Nothing answers.
+    Silent,
+}
+
+/// What is believed of one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Health {
+    life: Millis,
+    asked: Option<Millis>,
+    lost: Option<Lost>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Lost {
+    since: Millis,
+    retry: Millis,
+    pause: Millis,
+}
+
+impl Health {
+    /// Of a target that was just heard of.
+    pub fn new(now: Millis) -> Health {
+        Health { life: now, asked: None, lost: None }
+    }
+
+    /// Something was seen that only a living target can have caused. Answers
+    /// whether it had been lost.
+    pub fn see_life(&mut self, now: Millis) -> bool {
+        self.life = now;
+        self.lost.take().is_some()
+    }
+
+    /// A packet that was first sent at `sent` got no answer. Answers whether to
+    /// ask the target.
+    pub fn doubt(&mut self, sent: Millis, now: Millis) -> bool {
+        let answered_others = self.life > sent;
+        let asked_lately = self.asked.is_some_and(|at| now.since(at) < ASK_PAUSE);
+        if answered_others || asked_lately || self.lost.is_some() {
+            return false;
+        }
+        self.asked = Some(now);
+        true
+    }
+
+    /// Takes in what asking brought. Answers whether that changes the belief.
+    pub fn find(&mut self, finding: Finding, now: Millis) -> bool {
+        self.asked = Some(now);
+        if finding == Finding::Answers {
+            return self.see_life(now);
+        }
+        let pause = self.lost.map_or(FIRST_RETRY, |lost| LAST_RETRY.min(lost.pause + lost.pause));
+        let since = self.lost.map_or(now, |lost| lost.since);
+        let before = self.lost.replace(Lost { since, retry: now + pause, pause });
+        before.is_none()
+    }
+
+    /// Whether the target does not answer.
+    pub fn is_lost(&self) -> bool {
+        self.lost.is_some()
+    }
+
+    /// Since when the target does not answer.
+    pub fn lost_since(&self) -> Option<Millis> {
+        self.lost.map(|lost| lost.since)
+    }
+
+    /// When a lost target should be asked again. A cut may refuse connections
+    /// in the place of a target that lives, so one that seems gone is too.
+    pub fn retry(&self) -> Option<Millis> {
+        self.lost.map(|lost| lost.retry)
+    }
+
+    /// Notes that a lost target is asked again.
+    pub fn ask_again(&mut self, now: Millis) {
+        self.asked = Some(now);
+        if let Some(lost) = &mut self.lost {
+            lost.retry = now + LAST_RETRY;
+        }
+    }
+
+    /// When the last sign of life came.
+    pub fn life(&self) -> Millis {
+        self.life
+    }
+}
