marked: follow no record of an earlier flow, and keep the latest removal

Two faults found by the new property tests. Of two removals that came out of order before any entry, the earlier one was remembered, and an entry from between came back.

Tests: marks, catalog, health, flows, openings, packets in mid-flow, properties.

--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -270,7 +270,8 @@
         changed: &mut Vec<Incarnation>,
     ) {
         let Some(known) = self.targets.get_mut(&incarnation) else {
-            self.tombs.insert(incarnation, (revision, now));
+            let tomb = self.tombs.entry(incarnation).or_insert((revision, now));
+            tomb.0 = tomb.0.max(revision);
             return;
         };
         if known.revision >= revision {
--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -32,6 +32,8 @@
     pub class: Class,
     /// How far it has come.
     pub phase: Phase,
+    /// Whether its opening packet came here.
+    pub opened: bool,
     /// When its opening packet came, or the first packet that was seen here.
     pub since: Millis,
     /// When its last packet came.
@@ -63,7 +65,7 @@
     /// A flow whose opening packet goes to `target`.
     pub fn open(target: Incarnation, class: Class, packet: &[u8], seq: u32, now: Millis) -> Flow {
         let phase = Phase::Opening { packet: packet.into() };
-        Flow { phase, ..Flow::new(target, class, 0, seq, now) }
+        Flow { phase, opened: true, ..Flow::new(target, class, 0, seq, now) }
     }
 
     /// A flow that another instance opened, from the first packet seen here.
@@ -76,6 +78,7 @@
             target,
             class,
             phase: Phase::Open,
+            opened: false,
             since: now,
             touched: now,
             waiting: None,
--- a/marked/src/forwarder.rs
+++ b/marked/src/forwarder.rs
@@ -221,7 +221,7 @@
     }
 
     fn open(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
-        if let Some(target) = self.opened(&segment.key) {
+        if let Some(target) = self.opened(&segment.key, now) {
             self.counts.reopened += 1;
             self.send(target, &segment.key, bytes, out);
             return;
@@ -229,11 +229,14 @@
         self.place(segment.key, segment.seq, bytes, now, out);
     }
 
-    /// The target that a flow was opened to and that may still answer.
-    fn opened(&self, key: &FlowKey) -> Option<Incarnation> {
+    /// The target that a flow was opened to a moment ago and that may still
+    /// answer. Later, the same ports are a new flow.
+    fn opened(&self, key: &FlowKey, now: Millis) -> Option<Incarnation> {
         let flow = self.flows.get(key)?;
+        let is_copy = flow.opened && now.since(flow.since) <= OPENING_LIMIT;
         let is_lost = self.states.get(&flow.target).is_some_and(|it| it.health.is_lost());
-        (!is_lost && self.catalog.entry(flow.target).is_some()).then_some(flow.target)
+        let is_known = self.catalog.entry(flow.target).is_some();
+        (is_copy && !is_lost && is_known).then_some(flow.target)
     }
 
     /// Gives a new flow a target.
--- /dev/null
+++ b/marked/tests/fixtures.rs
@@ -0,0 +1,165 @@
+//! Targets, routes, packets and a place that keeps what was decided.
+
+use medlarspur_lib::{
+    bundle::Class,
+    ids::{DomainName, ServiceName, Version},
+    time::Millis,
+};
+use medlarspur_marked::{
+    Change, Config, Content, FlowKey, Forwarder, Incarnation, Kind, Mark, News, Output, Refusal,
+    Revision, Route, Scope, Segment, Share, Target, Tuning,
+};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// Where feeds of `desk` are asked for.
+pub const FEED: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8443);
+/// Where requests of `desk` are asked for.
+pub const REQUEST: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8080);
+/// Where uploads of `ingest` are asked for.
+pub const UPLOAD: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 8443);
+
+pub fn millis(millis: u64) -> Millis {
+    Millis(millis)
+}
+
+/// Target `number` of a service, at an address of its own.
+pub fn target(number: u64, service: &str) -> Target {
+    Target {
+        incarnation: Incarnation(0x7000_0000 + number),
+        service: ServiceName::new(service),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 64, number as u8), 8080),
+        domain: DomainName::new("north"),
+        slots: 2,
+        leaving: false,
+        cold: Millis(0),
+    }
+}
+
+pub fn route(address: SocketAddrV4, class: Class, service: &str) -> Route {
+    let share = Share { service: ServiceName::new(service), weight: 1 };
+    Route { address, class, shares: vec![share] }
+}
+
+pub fn config(version: u64) -> Config {
+    Config {
+        version: Version(version),
+        routes: vec![
+            route(FEED, Class::Feed, "desk"),
+            route(REQUEST, Class::Request, "desk"),
+            route(UPLOAD, Class::Upload, "ingest"),
+        ],
+        health: vec![
+            (ServiceName::new("desk"), "/health".into()),
+            (ServiceName::new("ingest"), "/health".into()),
+        ],
+        idle: Millis::secs(15),
+    }
+}
+
+pub fn change(revision: u64, content: Content) -> Change {
+    Change { revision: Revision(revision), content }
+}
+
+pub fn news(revision: u64, scope: Scope, changes: Vec<Change>) -> News {
+    News { revision: Revision(revision), scope, changes }
+}
+
+/// All there is: the config at revision 1, the targets from 2 on.
+pub fn all(targets: &[Target]) -> News {
+    let mut changes = vec![change(1, Content::Config(config(1)))];
+    let targets = targets.iter().cloned().zip(2..);
+    changes.extend(targets.map(|(target, revision)| change(revision, Content::Target(target))));
+    news(100, Scope::All, changes)
+}
+
+/// Change of one item.
+pub fn one(revision: u64, content: Content) -> News {
+    news(revision, Scope::Changes, vec![change(revision, content)])
+}
+
+/// The flow of caller `number` to a service's address.
+pub fn flow(number: u16, service: SocketAddrV4) -> FlowKey {
+    FlowKey { caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), number), service }
+}
+
+pub fn segment(key: FlowKey, kind: Kind) -> Segment {
+    Segment { key, kind, seq: 1000, ack: 0, len: 0, mark: None }
+}
+
+/// What was decided.
+#[derive(Debug, Default)]
+pub struct Decisions {
+    /// Packets that were sent on.
+    pub sent: Vec<(Incarnation, Mark, Vec<u8>)>,
+    /// Flows that were reset.
+    pub resets: Vec<(FlowKey, u32, Refusal)>,
+    /// Targets that were asked.
+    pub asked: Vec<Incarnation>,
+}
+
+impl Output for Decisions {
+    fn forward(&mut self, target: &Target, mark: Mark, packet: &[u8]) {
+        self.sent.push((target.incarnation, mark, packet.to_vec()));
+    }
+
+    fn reset(&mut self, flow: &FlowKey, seq: u32, refusal: Refusal) {
+        self.resets.push((*flow, seq, refusal));
+    }
+
+    fn ask(&mut self, target: &Target, _path: &str) {
+        self.asked.push(target.incarnation);
+    }
+}
+
+/// An instance with what it decided.
+pub struct Instance {
+    pub forwarder: Forwarder,
+    pub out: Decisions,
+}
+
+impl Instance {
+    pub fn new(targets: &[Target]) -> Instance {
+        let tuning = Tuning { domain: DomainName::new("north"), seed: 7 };
+        let mut instance =
+            Instance { forwarder: Forwarder::new(tuning), out: Decisions::default() };
+        instance.learn(all(targets), 0);
+        instance.out.asked.clear();
+        instance
+    }
+
+    pub fn learn(&mut self, news: News, now: u64) {
+        self.forwarder.learn(news, millis(now), &mut self.out);
+    }
+
+    pub fn packet(&mut self, segment: Segment, now: u64) {
+        self.forwarder.packet(&segment, b"packet", millis(now), &mut self.out);
+    }
+
+    /// Sends the opening packet of a flow; answers where it went.
+    pub fn open(&mut self, key: FlowKey, now: u64) -> Incarnation {
+        self.packet(segment(key, Kind::Open), now);
+        self.last()
+    }
+
+    /// Opens a flow and has the target answer; answers the target.
+    pub fn opened(&mut self, key: FlowKey, now: u64) -> Incarnation {
+        let target = self.open(key, now);
+        self.packet(middle(key, target, 1001, 500, 0), now + 5);
+        target
+    }
+
+    pub fn tick(&mut self, now: u64) {
+        self.forwarder.tick(millis(now), &mut self.out);
+    }
+
+    /// Where the last packet went.
+    pub fn last(&self) -> Incarnation {
+        self.out.sent.last().expect("a packet was sent on").0
+    }
+}
+
+/// A packet in mid-flow of a flow at `target`.
+pub fn middle(key: FlowKey, target: Incarnation, seq: u32, ack: u32, len: u16) -> Segment {
+    let mark = Some(Mark::new(target, &key));
+    Segment { key, kind: Kind::Middle, seq, ack, len, mark }
+}
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -1,1 +1,10 @@
+//! Runs the tests of the package in one binary.
 
+mod fixtures;
+mod test_catalog;
+mod test_flow;
+mod test_forwarder;
+mod test_health;
+mod test_mark;
+mod test_openings;
+mod test_properties;
--- /dev/null
+++ b/marked/tests/test_catalog.rs
@@ -0,0 +1,171 @@
+//! News in any order makes one picture.
+
+use super::fixtures::{FEED, change, config, millis, news, one, target};
+use medlarspur_lib::ids::ServiceName;
+use medlarspur_marked::{Catalog, Content, Incarnation, News, Presence, Revision, Scope};
+use proptest::prelude::*;
+
+fn listed(catalog: &Catalog) -> Vec<(Incarnation, Revision, bool)> {
+    let entries = catalog.entries().map(|entry| {
+        (entry.target.incarnation, entry.revision, entry.presence == Presence::Listed)
+    });
+    let mut entries: Vec<_> = entries.collect();
+    entries.sort();
+    entries
+}
+
+fn histories() -> impl Strategy<Value = Vec<News>> {
+    let content = (1..6u64, 0..3u8).prop_map(|(number, kind)| match kind {
+        0 => Content::Removed(target(number, "desk").incarnation),
+        1 => Content::Target(target(number, "desk")),
+        _ => Content::Config(config(number)),
+    });
+    proptest::collection::vec(content, 1..30).prop_map(|contents| {
+        contents.into_iter().zip(1..).map(|(content, revision)| one(revision, content)).collect()
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn order_and_repetition_of_news_do_not_matter(
+        history in histories(), order in any::<prop::sample::Index>(), seed in any::<u64>()
+    ) {
+        let mut straight = Catalog::default();
+        let mut shuffled = Catalog::default();
+        let mut mixed = history.clone();
+        let again = order.index(history.len());
+        mixed.push(history[again].clone());
+        let mut random = medlarspur_load::random::Random::new(seed);
+        for last in (1..mixed.len()).rev() {
+            mixed.swap(last, (random.draw() % (last as u64 + 1)) as usize);
+        }
+
+        for news in history {
+            straight.merge(news, millis(1));
+        }
+        for news in mixed {
+            shuffled.merge(news, millis(1));
+        }
+
+        let present = |catalog: &Catalog| {
+            let entries = listed(catalog).into_iter().filter(|(.., listed)| *listed);
+            entries.collect::<Vec<_>>()
+        };
+        prop_assert_eq!(present(&straight), present(&shuffled));
+        prop_assert_eq!(straight.config(), shuffled.config());
+        prop_assert_eq!(straight.revision(), shuffled.revision());
+    }
+}
+
+/// A slow source tells an older config after a newer one is in force. Taking
+/// it would bring back routes that operators have removed.
+#[test]
+fn an_older_config_never_comes_back() {
+    let mut catalog = Catalog::default();
+    catalog.merge(one(20, Content::Config(config(7))), millis(0));
+
+    catalog.merge(one(10, Content::Config(config(6))), millis(1));
+
+    assert_eq!(catalog.config().expect("a config").version.0, 7);
+}
+
+/// The news of a removal overtakes that of the entry. Without a memory of the
+/// removal, the late entry would bring a dead target into use.
+#[test]
+fn a_removal_that_came_first_keeps_the_entry_out() {
+    let mut catalog = Catalog::default();
+    let gone = target(1, "desk");
+    catalog.merge(one(9, Content::Removed(gone.incarnation)), millis(0));
+
+    catalog.merge(one(8, Content::Target(gone)), millis(1));
+
+    assert_eq!(catalog.entries().count(), 0);
+}
+
+/// The store forgets its history, and an instance reads all again. What it does
+/// not find any more was removed meanwhile.
+#[test]
+fn reading_all_removes_what_is_not_there() {
+    let mut catalog = Catalog::default();
+    catalog.merge(one(1, Content::Target(target(1, "desk"))), millis(0));
+    catalog.merge(one(2, Content::Target(target(2, "desk"))), millis(0));
+
+    let kept = change(2, Content::Target(target(2, "desk")));
+    catalog.merge(news(30, Scope::All, vec![kept]), millis(5));
+
+    let presence =
+        |number| catalog.entry(target(number, "desk").incarnation).expect("still known").presence;
+    assert_eq!(presence(1), Presence::Removed(millis(5)));
+    assert_eq!(presence(2), Presence::Listed);
+}
+
+/// Reading all takes several calls. A target that was listed by a newer change
+/// while it was under way must not be taken for removed.
+#[test]
+fn reading_all_does_not_remove_what_is_newer() {
+    let mut catalog = Catalog::default();
+    catalog.merge(one(40, Content::Target(target(1, "desk"))), millis(0));
+
+    catalog.merge(news(30, Scope::All, Vec::new()), millis(5));
+
+    let entry = catalog.entry(target(1, "desk").incarnation).expect("still known");
+    assert_eq!(entry.presence, Presence::Listed);
+}
+
+/// An entry lapses while the store is away and is back when it returns.
+#[test]
+fn an_entry_that_is_written_again_is_listed_again() {
+    let mut catalog = Catalog::default();
+    let it = target(1, "desk");
+    catalog.merge(one(1, Content::Target(it.clone())), millis(0));
+    catalog.merge(one(2, Content::Removed(it.incarnation)), millis(10));
+
+    catalog.merge(one(3, Content::Target(it.clone())), millis(20));
+
+    assert_eq!(catalog.entry(it.incarnation).expect("known").presence, Presence::Listed);
+    assert_eq!(catalog.targets(&ServiceName::new("desk")).count(), 1);
+}
+
+/// Flows to a removed target go on for a minute; its memory must not grow with
+/// every target that ever was.
+#[test]
+fn a_removed_target_is_forgotten_after_its_flows_have_ended() {
+    let mut catalog = Catalog::default();
+    let it = target(1, "desk");
+    catalog.merge(one(1, Content::Target(it.clone())), millis(0));
+    catalog.merge(one(2, Content::Removed(it.incarnation)), millis(0));
+
+    catalog.merge(one(3, Content::Config(config(1))), millis(60_000));
+    assert!(catalog.entry(it.incarnation).is_some());
+    catalog.merge(one(4, Content::Config(config(2))), millis(91_000));
+
+    assert!(catalog.entry(it.incarnation).is_none());
+    assert_eq!(catalog.targets(&ServiceName::new("desk")).count(), 0);
+}
+
+#[test]
+fn a_route_splits_new_flows_by_its_weights() {
+    let mut split = super::fixtures::route(FEED, medlarspur_lib::bundle::Class::Feed, "desk");
+    split.shares[0].weight = 90;
+    split.shares.push(medlarspur_marked::Share { service: ServiceName::new("new"), weight: 10 });
+
+    let desk = (0..100).filter(|draw| split.share(*draw).as_str() == "desk").count();
+
+    assert_eq!(desk, 90);
+}
+
+/// Two removals of one target that was never listed here come out of order. The
+/// later one must be remembered, or an entry from between brings it back.
+#[test]
+fn the_latest_of_two_removals_counts() {
+    let mut catalog = Catalog::default();
+    let gone = target(1, "desk");
+    catalog.merge(one(9, Content::Removed(gone.incarnation)), millis(0));
+    catalog.merge(one(4, Content::Removed(gone.incarnation)), millis(0));
+
+    catalog.merge(one(6, Content::Target(gone)), millis(1));
+
+    assert_eq!(catalog.entries().count(), 0);
+}
--- /dev/null
+++ b/marked/tests/test_forwarder.rs
@@ -0,0 +1,116 @@
+//! Packets in mid-flow.
+
+use super::fixtures::{FEED, Instance, REQUEST, flow, middle, one, segment, target};
+use medlarspur_marked::{Content, Finding, Kind, Mark, Segment};
+
+/// News of a target reaches one instance later than another. A packet of a flow
+/// there must not go to a wrong target, which would reset it, and the instance
+/// must not reset it either: the flow is well.
+#[test]
+fn a_packet_with_an_unknown_mark_goes_nowhere_and_is_not_reset() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let unknown = target(2, "desk").incarnation;
+
+    instance.packet(middle(flow(1, FEED), unknown, 1001, 500, 100), 0);
+
+    assert!(instance.out.sent.is_empty() && instance.out.resets.is_empty());
+    assert_eq!(instance.forwarder.counts().unknown, 1);
+}
+
+#[test]
+fn a_packet_in_mid_flow_without_a_mark_goes_nowhere() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+
+    instance.packet(segment(flow(1, FEED), Kind::Middle), 0);
+
+    assert!(instance.out.sent.is_empty() && instance.out.resets.is_empty());
+    assert_eq!(instance.forwarder.counts().unmarked, 1);
+}
+
+/// An entry vanishes while its target serves on: it lapsed, or the target takes
+/// long to go after it was removed. Its flows are well and must go on.
+#[test]
+fn flows_of_a_removed_target_go_on() {
+    let mut instance = Instance::new(&[target(1, "desk"), target(2, "desk")]);
+    let key = flow(1, FEED);
+    let at = instance.opened(key, 0);
+    instance.learn(one(200, Content::Removed(at)), 100);
+
+    instance.packet(middle(key, at, 1001, 500, 100), 30_000);
+
+    assert_eq!(instance.last(), at);
+    assert!(instance.out.resets.is_empty());
+}
+
+/// A new config drops a route or leads it to another service. Feeds that are
+/// open stay where they are.
+#[test]
+fn an_open_flow_stays_when_its_route_moves() {
+    let mut instance = Instance::new(&[target(1, "desk"), target(2, "ingest")]);
+    let key = flow(1, FEED);
+    let at = instance.opened(key, 0);
+    let mut config = super::fixtures::config(2);
+    config.routes[0].shares[0].service = medlarspur_lib::ids::ServiceName::new("ingest");
+    instance.learn(one(300, Content::Config(config)), 100);
+
+    instance.packet(middle(key, at, 1001, 500, 100), 200);
+    assert_eq!(instance.last(), at);
+
+    assert_eq!(instance.open(flow(2, FEED), 200), target(2, "ingest").incarnation);
+}
+
+/// A request to a dead target would wait until the caller's time is over. The
+/// caller's repetition gives the target away.
+#[test]
+fn a_repeated_request_has_its_target_asked() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let key = flow(1, REQUEST);
+    let at = instance.opened(key, 0);
+    instance.packet(middle(key, at, 1001, 500, 100), 10);
+
+    instance.packet(middle(key, at, 1001, 500, 100), 210);
+
+    assert_eq!(instance.out.asked, [at]);
+    let now = super::fixtures::millis(300);
+    instance.forwarder.answer(at, Finding::Silent, now, &mut instance.out);
+    assert_eq!(instance.out.resets.len(), 1);
+}
+
+/// A flow that another instance opened at a target that is lost here.
+#[test]
+fn a_packet_for_a_lost_target_is_answered_by_a_reset() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let at = target(1, "desk").incarnation;
+    instance.forwarder.answer(at, Finding::Gone, super::fixtures::millis(0), &mut instance.out);
+
+    instance.packet(middle(flow(1, FEED), at, 1001, 4242, 100), 10);
+
+    assert_eq!(instance.out.resets.len(), 1);
+    assert_eq!(instance.out.resets[0].1, 4242);
+}
+
+#[test]
+fn a_closed_flow_has_no_record_and_its_last_packets_still_pass() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let key = flow(1, REQUEST);
+    let at = instance.opened(key, 0);
+    let close = Segment { kind: Kind::Close, ..middle(key, at, 1101, 900, 0) };
+
+    instance.packet(close, 50);
+    assert!(instance.forwarder.is_empty());
+    instance.packet(close, 250);
+    instance.packet(middle(key, at, 1102, 901, 0), 260);
+
+    assert_eq!(instance.out.sent.len(), 5);
+    assert!(instance.forwarder.is_empty());
+}
+
+#[test]
+fn the_mark_is_written_into_every_packet_that_is_sent_on() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let key = flow(1, FEED);
+
+    let at = instance.opened(key, 0);
+
+    assert!(instance.out.sent.iter().all(|(_, mark, _)| *mark == Mark::new(at, &key)));
+}
--- /dev/null
+++ b/marked/tests/test_openings.rs
@@ -0,0 +1,216 @@
+//! Where opening packets go, and what happens when nothing answers them.
+
+use super::fixtures::{FEED, Instance, REQUEST, flow, middle, one, segment, target};
+use medlarspur_marked::{Content, Finding, Incarnation, Kind, Refusal};
+
+#[test]
+fn copies_of_an_opening_go_to_the_same_target() {
+    let targets: Vec<_> = (1..=14).map(|number| target(number, "desk")).collect();
+    let mut instance = Instance::new(&targets);
+    let key = flow(1, FEED);
+
+    let first = instance.open(key, 0);
+    let second = instance.open(key, 200);
+    let third = instance.open(key, 600);
+
+    assert_eq!((second, third), (first, first));
+    assert_eq!(instance.forwarder.counts().opened, 1);
+}
+
+#[test]
+fn an_opening_without_a_route_is_reset_at_once() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let nowhere = flow(1, "198.18.9.9:1".parse().expect("an address"));
+
+    instance.packet(segment(nowhere, Kind::Open), 0);
+
+    assert_eq!(instance.out.resets, [(nowhere, 0, Refusal::NoRoute)]);
+    assert!(instance.out.sent.is_empty());
+}
+
+/// All targets of a service leave. The caller hears so at once, and that is
+/// true: no packet of the flow went to any of them.
+#[test]
+fn an_opening_that_no_target_can_take_is_reset_at_once() {
+    let mut leaving = target(1, "desk");
+    leaving.leaving = true;
+    let mut instance = Instance::new(&[leaving, target(2, "ingest")]);
+
+    instance.packet(segment(flow(1, FEED), Kind::Open), 0);
+
+    assert_eq!(instance.out.resets.len(), 1);
+    assert_eq!(instance.out.resets[0].2, Refusal::NoTarget);
+    assert!(instance.out.sent.is_empty());
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_new_and_keeps_its_flows() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let old = flow(1, FEED);
+    let first = instance.opened(old, 0);
+    let mut leaving = target(1, "desk");
+    leaving.leaving = true;
+    instance.learn(one(200, Content::Target(leaving)), 100);
+    instance.learn(one(201, Content::Target(target(2, "desk"))), 100);
+
+    for number in 10..40 {
+        assert_ne!(instance.open(flow(number, FEED), 200), first);
+    }
+    instance.packet(middle(old, first, 1001, 500, 100), 300);
+
+    assert_eq!(instance.last(), first);
+}
+
+/// The packet or its answer is lost on the way. Callers repeat an opening only
+/// after 200 ms; a request that should be answered in 150 ms is late then.
+#[test]
+fn an_opening_without_answer_is_sent_again_soon() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    instance.open(flow(1, REQUEST), 0);
+
+    let due = instance.forwarder.deadline().expect("something is due");
+    assert!(due.0 <= 40);
+    instance.tick(due.0);
+
+    assert_eq!(instance.out.sent.len(), 2);
+    assert_eq!(instance.out.asked.len(), 1);
+}
+
+#[test]
+fn an_answered_opening_leaves_nothing_due() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+
+    instance.opened(flow(1, REQUEST), 0);
+
+    assert_eq!(instance.forwarder.deadline(), None);
+}
+
+/// A target crashes without a word and stays listed for seconds. Its callers
+/// would wait until their time is over; instead what was being opened there
+/// goes to another one, and open flows are reset so that callers open them
+/// anew.
+#[test]
+fn flows_leave_a_target_that_was_found_lost() {
+    let mut instance = Instance::new(&[target(1, "desk"), target(2, "desk")]);
+    let (mut open, mut opening) = (Vec::new(), Vec::new());
+    for number in 0..20 {
+        let key = flow(number, FEED);
+        open.push((key, instance.opened(key, 0)));
+    }
+    for number in 20..40 {
+        let key = flow(number, REQUEST);
+        opening.push((key, instance.open(key, 10)));
+    }
+    let dead = open[0].1;
+    instance.out.sent.clear();
+
+    instance.forwarder.answer(
+        dead,
+        Finding::Silent,
+        super::fixtures::millis(100),
+        &mut instance.out,
+    );
+
+    let expected = open.iter().filter(|(_, at)| *at == dead).count();
+    assert_eq!(instance.out.resets.len(), expected);
+    assert!(instance.out.resets.iter().all(|(.., why)| *why == Refusal::TargetLost));
+    let moved = opening.iter().filter(|(_, at)| *at == dead).count();
+    assert_eq!(instance.out.sent.len(), moved);
+    assert!(instance.out.sent.iter().all(|(to, ..)| *to != dead));
+}
+
+/// The reset must carry a number that the caller accepts: what it expects next.
+#[test]
+fn a_reset_carries_the_number_that_the_caller_expects() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let key = flow(1, FEED);
+    let at = instance.opened(key, 0);
+    instance.packet(middle(key, at, 1001, 7777, 100), 20);
+
+    instance.forwarder.answer(at, Finding::Gone, super::fixtures::millis(100), &mut instance.out);
+
+    assert_eq!(instance.out.resets, [(key, 7777, Refusal::TargetLost)]);
+}
+
+/// A cut heals. Without asking again the target would stay out of use until it
+/// restarts.
+#[test]
+fn a_lost_target_comes_back_when_it_answers() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let only = target(1, "desk").incarnation;
+    let answer = |instance: &mut Instance, finding, now| {
+        instance.forwarder.answer(only, finding, super::fixtures::millis(now), &mut instance.out);
+    };
+    answer(&mut instance, Finding::Silent, 100);
+    instance.packet(segment(flow(1, FEED), Kind::Open), 150);
+    assert_eq!(instance.out.resets.len(), 1);
+
+    let due = instance.forwarder.deadline().expect("asking again is due").0;
+    instance.tick(due);
+    assert_eq!(instance.out.asked, [only]);
+    answer(&mut instance, Finding::Answers, due + 3);
+
+    assert_eq!(instance.open(flow(2, FEED), due + 10), only);
+}
+
+/// Entries lapse without need while the store is away, and the targets live.
+/// If flows could not open there, a store outage would end the service.
+#[test]
+fn a_target_whose_entry_lapsed_is_used_while_it_answers() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let only = target(1, "desk").incarnation;
+    instance.learn(one(200, Content::Removed(only)), 1000);
+    assert_eq!(instance.out.asked, [only]);
+    instance.forwarder.answer(
+        only,
+        Finding::Answers,
+        super::fixtures::millis(1010),
+        &mut instance.out,
+    );
+
+    assert_eq!(instance.open(flow(1, FEED), 1020), only);
+    instance.packet(segment(flow(2, FEED), Kind::Open), 4100);
+
+    assert_eq!(instance.out.resets.len(), 1, "after three seconds it is taken as gone");
+}
+
+#[test]
+fn work_spreads_evenly_over_equal_targets() {
+    let targets: Vec<_> = (1..=14).map(|number| target(number, "desk")).collect();
+    let mut instance = Instance::new(&targets);
+    let mut counts = std::collections::BTreeMap::<Incarnation, u32>::new();
+
+    for number in 0..140 {
+        *counts.entry(instance.opened(flow(number, FEED), 0)).or_default() += 1;
+    }
+
+    assert!(counts.values().all(|count| *count == 10), "{counts:?}");
+}
+
+/// Records of flows that ended without a word must not count as work for ever:
+/// their target would get nothing more.
+#[test]
+fn flows_that_ended_without_a_word_are_forgotten() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let key = flow(1, REQUEST);
+    let at = instance.opened(key, 0);
+    instance.packet(middle(key, at, 1001, 500, 100), 10);
+    instance.open(flow(2, FEED), 20);
+
+    instance.opened(flow(3, FEED), 20_000);
+
+    assert_eq!(instance.forwarder.len(), 1);
+}
+
+/// A caller uses its port again for a new flow while the record of the earlier
+/// one, which another instance opened, is still here. The opening must go where
+/// the route leads now, which may be another service.
+#[test]
+fn an_opening_does_not_follow_the_record_of_an_earlier_flow() {
+    let mut instance = Instance::new(&[target(1, "desk"), target(5, "ingest")]);
+    let key = flow(1, super::fixtures::UPLOAD);
+    let earlier = target(1, "desk").incarnation;
+    instance.packet(middle(key, earlier, 1001, 500, 10), 0);
+
+    assert_eq!(instance.open(key, 0), target(5, "ingest").incarnation);
+}
--- /dev/null
+++ b/marked/tests/test_properties.rs
@@ -0,0 +1,106 @@
+//! What holds whatever comes.
+
+use super::fixtures::{FEED, Instance, REQUEST, UPLOAD, flow, one, target};
+use medlarspur_marked::{Content, Finding, Kind, Mark, Segment};
+use proptest::{collection::vec, prelude::*};
+
+/// One step of a day.
+#[derive(Debug, Clone)]
+enum Step {
+    Packet { caller: u16, port: u8, kind: u8, seq: u32, ack: u32, len: u16, echo: u32 },
+    Marked { caller: u16, port: u8, target: u64, seq: u32, len: u16 },
+    Listed { target: u64, leaving: bool },
+    Removed { target: u64 },
+    Found { target: u64, finding: u8 },
+    Wait { millis: u64 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let packet = (0..20u16, 0..3u8, 0..4u8, any::<u32>(), any::<u32>(), 0..1200u16, any::<u32>())
+        .prop_map(|(caller, port, kind, seq, ack, len, echo)| Step::Packet {
+            caller,
+            port,
+            kind,
+            seq,
+            ack,
+            len,
+            echo,
+        });
+    let marked = (0..20u16, 0..3u8, 1..9u64, any::<u32>(), 0..1200u16).prop_map(
+        |(caller, port, target, seq, len)| Step::Marked { caller, port, target, seq, len },
+    );
+    let listed =
+        (1..9u64, any::<bool>()).prop_map(|(target, leaving)| Step::Listed { target, leaving });
+    let step = prop_oneof![
+        4 => packet,
+        4 => marked,
+        1 => listed,
+        1 => (1..9u64).prop_map(|target| Step::Removed { target }),
+        1 => (1..9u64, 0..3u8).prop_map(|(target, finding)| Step::Found { target, finding }),
+        2 => (0..500u64).prop_map(|millis| Step::Wait { millis }),
+    ];
+    vec(step, 1..120)
+}
+
+fn service(port: u8) -> std::net::SocketAddrV4 {
+    [FEED, REQUEST, UPLOAD][usize::from(port)]
+}
+
+/// Targets up to 4 serve `desk`, the others `ingest`.
+fn of(number: u64) -> medlarspur_marked::Target {
+    target(number, if number <= 4 { "desk" } else { "ingest" })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_opening_reaches_another_service_and_no_step_panics(steps in steps()) {
+        let mut instance = Instance::new(&(1..9).map(of).collect::<Vec<_>>());
+        let mut now = 0;
+        let mut revision = 1000;
+        for step in steps {
+            revision += 1;
+            instance.out.sent.clear();
+            match step {
+                Step::Packet { caller, port, kind, seq, ack, len, echo } => {
+                    let kinds = [Kind::Open, Kind::Middle, Kind::Close, Kind::Abort];
+                    let (key, kind) = (flow(caller, service(port)), kinds[usize::from(kind)]);
+                    let mark = Mark::from_wire(echo);
+                    instance.packet(Segment { key, kind, seq, ack, len, mark }, now);
+                    if kind == Kind::Open {
+                        let wanted = if port == 2 { 5..9 } else { 1..5 };
+                        let mine: Vec<_> = wanted.map(|number| of(number).incarnation).collect();
+                        prop_assert!(instance.out.sent.iter().all(|(to, ..)| mine.contains(to)));
+                    }
+                }
+                Step::Marked { caller, port, target, seq, len } => {
+                    let key = flow(caller, service(port));
+                    let at = of(target).incarnation;
+                    let mark = Some(Mark::new(at, &key));
+                    let segment = Segment { key, kind: Kind::Middle, seq, ack: 1, len, mark };
+                    instance.packet(segment, now);
+                    prop_assert!(instance.out.sent.iter().all(|(to, ..)| *to == at));
+                }
+                Step::Listed { target, leaving } => {
+                    let mut entry = of(target);
+                    entry.leaving = leaving;
+                    instance.learn(one(revision, Content::Target(entry)), now);
+                }
+                Step::Removed { target } => {
+                    instance.learn(one(revision, Content::Removed(of(target).incarnation)), now);
+                }
+                Step::Found { target, finding } => {
+                    let findings = [Finding::Answers, Finding::Gone, Finding::Silent];
+                    let (at, finding) = (of(target).incarnation, findings[usize::from(finding)]);
+                    let time = super::fixtures::millis(now);
+                    instance.forwarder.answer(at, finding, time, &mut instance.out);
+                }
+                Step::Wait { millis } => {
+                    now += millis;
+                    instance.tick(now);
+                }
+            }
+        }
+    }
+}
