--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -40,7 +40,7 @@
     if MarkedSettings::are_meant(&text) {
         return start(&flags, MarkedSettings::parse(&text), |settings| {
             logs::init(settings.log, LevelFilter::Info);
-            marked::run(settings).map_err(Report::from_error)
+            marked::run(&flags.settings, settings).map_err(Report::from_error)
         });
     }
     start(&flags, Settings::parse(&text), |settings| {
--- a/daemon/src/marked/inbox.rs
+++ b/daemon/src/marked/inbox.rs
@@ -6,7 +6,7 @@
     fcntl::OFlag,
     unistd::{pipe2, read, write},
 };
-use signal_hook::{consts::SIGTERM, low_level::pipe};
+use signal_hook::low_level::pipe;
 use std::{
     io,
     os::fd::{AsFd, BorrowedFd, OwnedFd},
@@ -81,10 +81,12 @@
         sent
     }
 
-    /// Wakes the main thread when the process is told to end, which would
+    /// Wakes the main thread when one of these signals comes, which would
     /// otherwise be noticed with the next packet only.
-    pub fn wake_on_term(&self) -> io::Result<()> {
-        pipe::register(SIGTERM, self.wake.try_clone()?)?;
+    pub fn wake_on(&self, signals: &[i32]) -> io::Result<()> {
+        for signal in signals {
+            pipe::register(*signal, self.wake.try_clone()?)?;
+        }
         Ok(())
     }
 }
--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -2,6 +2,7 @@
 
 use super::{
     asker::Asker,
+    current::Current,
     inbox::{self, Event, Inbox},
     output::Datagrams,
     store,
@@ -11,11 +12,12 @@
 use medlarspur_lib::{settings::MarkedSettings, time::Millis};
 use medlarspur_marked::{Forwarder, Tuning};
 use medlarspur_platform::site::{packet, ready};
-use signal_hook::consts::SIGTERM;
+use signal_hook::consts::{SIGHUP, SIGTERM};
 use snafu::{ResultExt, Snafu};
 use std::{
     io,
     os::fd::AsFd,
+    path::Path,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering::Relaxed},
@@ -56,17 +58,21 @@
     },
 }
 
-/// Runs until the process is told to end.
-pub fn run(settings: &MarkedSettings) -> Result<(), RunError> {
+/// Runs with the settings that were read from `path` until the process is told
+/// to end.
+pub fn run(path: &Path, settings: &MarkedSettings) -> Result<(), RunError> {
     let system = |what| SystemSnafu { what };
     let (sender, inbox) = inbox::channel().context(system("make the inbox"))?;
     let told = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGTERM, told.clone()).context(system("handle SIGTERM"))?;
-    sender.wake_on_term().context(system("handle SIGTERM"))?;
+    let changed = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGHUP, changed.clone()).context(system("handle SIGHUP"))?;
+    sender.wake_on(&[SIGTERM, SIGHUP]).context(system("handle signals"))?;
+    let current = Arc::new(Current::new(path, settings));
     let socket = Socket::bind(settings.packets).context(PacketsSnafu)?;
     let ready = Arc::new(AtomicBool::new(false));
     ready::serve(settings.ready, ready.clone()).context(system("tell whether it is ready"))?;
-    store::start(settings.store, sender.clone()).context(system("follow the store"))?;
+    store::start(current.clone(), sender.clone()).context(system("follow the store"))?;
     log::info!(
         "start: {} in {} takes packets at {}",
         settings.name,
@@ -83,6 +89,8 @@
         clock: Clock::start(),
         heard: Millis(0),
         told,
+        changed,
+        current,
         ready,
     };
     instance.learn_first()?;
@@ -103,6 +111,9 @@
     /// When the last packet came.
     heard: Millis,
     told: Arc<AtomicBool>,
+    /// Whether a signal says that the settings have changed.
+    changed: Arc<AtomicBool>,
+    current: Arc<Current>,
     ready: Arc<AtomicBool>,
 }
 
@@ -160,6 +171,9 @@
         let limit = due.into_iter().chain(most).min();
         let limit = limit.map(|span| Duration::from_millis(span.0));
         wait([self.socket.as_fd(), self.inbox.waker()], limit).context(PacketsSnafu)?;
+        if self.changed.swap(false, Relaxed) {
+            self.current.reload();
+        }
         self.take_packets()?;
         self.take_events();
         self.forwarder.tick(self.clock.now(), &mut self.datagrams);
--- a/daemon/src/marked/mod.rs
+++ b/daemon/src/marked/mod.rs
@@ -12,6 +12,7 @@
 //! [`Inbox`](inbox::Inbox) and never wait for it.
 
 mod asker;
+mod current;
 mod inbox;
 mod instance;
 mod output;
--- a/lib/tests/product.rs
+++ b/lib/tests/product.rs
@@ -6,6 +6,7 @@
     mod test_bundle;
     mod test_diff;
     mod test_flows;
+    mod test_marked_settings;
     mod test_outdated;
     mod test_pages;
     mod test_random;
--- /dev/null
+++ b/lib/tests/product/test_marked_settings.rs
@@ -0,0 +1,47 @@
+//! Settings of an instance whose fabric returns marks.
+
+use expect_test::expect;
+use medlarspur_lib::settings::{LogForm, MarkedSettings};
+
+const SOUND: &str = "\
+agreement: marks
+name: edge-north-1
+domain: north
+packets: 10.1.0.10:8172
+ready: 10.1.0.10:8167
+store: 10.200.1.7:8169
+grace: 6s
+";
+
+#[test]
+fn sound_settings_keep_their_values() {
+    let settings = MarkedSettings::parse(SOUND).expect("sound");
+
+    assert_eq!((settings.name.as_str(), settings.domain.as_str()), ("edge-north-1", "north"));
+    assert_eq!(settings.callers, 8172, "callers take packets at the same port");
+    assert_eq!((settings.grace.0, settings.log, settings.metrics), (6_000, LogForm::Text, None));
+}
+
+#[test]
+fn all_faults_come_in_one_report() {
+    let text = SOUND.replace("grace: 6s", "grace: soon\nmetrics: 10.1.0.10:8167\ncolour: red");
+    let text =
+        text.replace("10.200.1.7:8169", "store.example:1").replace("name: edge", "nam: edge");
+
+    let report = MarkedSettings::parse(&text).expect_err("faults");
+
+    expect![[r#"
+        line 1: (top): the field `name` is missing; add `name:`
+        line 2: nam: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, grace, log
+        line 6: store: `store.example:1` does not fit; write an IPv4 address and a port other than 0, such as 10.0.0.1:6080
+        line 7: grace: `soon` does not fit; write a span of time with its unit, such as 500ms, 30s, 5m or 1h
+        line 8: metrics: the address `10.1.0.10:8167` stands at ready already; change or remove it here or at ready
+        line 9: colour: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, grace, log"#]].assert_eq(&report.to_string());
+}
+
+#[test]
+fn the_kind_of_settings_is_told_by_one_field() {
+    assert!(MarkedSettings::are_meant(SOUND));
+    assert!(MarkedSettings::are_meant("name: a\nagreement: \"marks\"\n"));
+    assert!(!MarkedSettings::are_meant("site: sofia\nname: entry-1\n"));
+}
--- a/load/tests/runner.rs
+++ b/load/tests/runner.rs
@@ -2,6 +2,7 @@
 
 #[allow(dead_code, reason = "the measure plays more of it")]
 mod model;
+mod test_choice;
 mod test_gate;
 mod test_patterns;
 mod test_placement;
--- /dev/null
+++ b/load/tests/test_choice.rs
@@ -0,0 +1,96 @@
+//! Where a new flow goes, by the work that is known.
+
+use medlarspur_lib::bundle::Class;
+use medlarspur_load::{
+    choice::{Candidate, Tier, choose},
+    random::Random,
+};
+
+fn idle() -> Candidate {
+    Candidate {
+        tier: Tier::Good,
+        slots: 2,
+        working: 0,
+        opening: 0,
+        feeds: 0,
+        cold: false,
+        near: true,
+    }
+}
+
+#[test]
+fn nothing_is_chosen_from_nothing() {
+    assert_eq!(choose(&[], Class::Feed, 1), None);
+}
+
+#[test]
+fn the_target_with_the_least_work_a_slot_is_taken() {
+    let busy = Candidate { working: 2, ..idle() };
+    let large = Candidate { working: 2, slots: 8, ..idle() };
+
+    assert_eq!(choose(&[busy, large, busy], Class::Request, 0), Some(1));
+}
+
+#[test]
+fn openings_count_as_work() {
+    let asked = Candidate { opening: 1, ..idle() };
+
+    assert_eq!(choose(&[asked, idle()], Class::Request, 0), Some(1));
+}
+
+/// A request that is not idempotent is answered where a slot is free now; feeds
+/// that are open but idle hardly matter to it, a request under way does.
+#[test]
+fn idle_feeds_count_less_than_work() {
+    let feeds = Candidate { feeds: 5, ..idle() };
+    let works = Candidate { working: 1, ..idle() };
+
+    assert_eq!(choose(&[works, feeds], Class::Request, 0), Some(1));
+}
+
+/// A target that has just started takes longer for everything.
+#[test]
+fn a_cold_target_is_taken_later_but_not_never() {
+    let cold = Candidate { cold: true, ..idle() };
+    let busy = Candidate { working: 4, ..idle() };
+
+    assert_eq!(choose(&[cold, idle()], Class::Feed, 0), Some(1));
+    assert_eq!(choose(&[cold, busy], Class::Feed, 0), Some(0));
+}
+
+/// A failure domain is cut off, and its targets answer nobody here. However
+/// idle they look, nothing new must go there while others can take it.
+#[test]
+fn a_doubtful_target_is_the_last_choice() {
+    let doubtful = Candidate { tier: Tier::Doubtful, ..idle() };
+    let unlisted = Candidate { tier: Tier::Unlisted, working: 9, ..idle() };
+    let busy = Candidate { working: 9, ..idle() };
+
+    assert_eq!(choose(&[doubtful, unlisted, busy], Class::Feed, 0), Some(2));
+    assert_eq!(choose(&[doubtful, unlisted], Class::Feed, 0), Some(1));
+    assert_eq!(choose(&[doubtful], Class::Feed, 0), Some(0));
+}
+
+/// An upload carries 80 kB to its target; a feed's request hardly anything.
+#[test]
+fn uploads_stay_near_unless_it_is_crowded_there() {
+    let far = Candidate { near: false, ..idle() };
+    let busy = Candidate { working: 2, ..idle() };
+    let crowded = Candidate { working: 6, ..idle() };
+
+    assert_eq!(choose(&[busy, far], Class::Upload, 0), Some(0));
+    assert_eq!(choose(&[busy, far], Class::Request, 0), Some(1));
+    assert_eq!(choose(&[crowded, far], Class::Upload, 0), Some(1));
+}
+
+#[test]
+fn equals_are_taken_evenly() {
+    let candidates = [idle(); 10];
+    let mut random = Random::new(5);
+    let mut counts = [0; 10];
+    for _ in 0..10_000 {
+        counts[choose(&candidates, Class::Feed, random.draw()).expect("one")] += 1;
+    }
+
+    assert!(counts.iter().all(|count| (900..1100).contains(count)), "{counts:?}");
+}
