--- a/daemon/src/marked/current.rs
+++ b/daemon/src/marked/current.rs
@@ -41,6 +41,11 @@
         self.settings.lock().unwrap_or_else(PoisonError::into_inner).store
     }
 
+    /// Where instances are that may know others.
+    pub fn seeds(&self) -> Vec<SocketAddrV4> {
+        self.settings.lock().unwrap_or_else(PoisonError::into_inner).peers.clone()
+    }
+
     /// Reads the settings again and takes over what may change. Those in force
     /// stay if the new ones don't hold.
     pub fn reload(&self) {
@@ -55,11 +60,12 @@
         if *settings == fresh {
             return;
         }
-        let taken = MarkedSettings { store: fresh.store, ..settings.clone() };
+        let peers = fresh.peers.clone();
+        let taken = MarkedSettings { store: fresh.store, peers, ..settings.clone() };
         if taken != fresh {
             log::warn!("reload: some settings have changed that need a restart");
         }
-        log::info!("reload: the store is at {}, it was at {}", fresh.store, settings.store);
+        log::info!("reload: the store is at {}, peers at {:?}", fresh.store, fresh.peers);
         *settings = taken;
     }
 
--- a/daemon/src/marked/inbox.rs
+++ b/daemon/src/marked/inbox.rs
@@ -1,6 +1,6 @@
 //! What other threads hand to the main thread, with a way to wake it.
 
-use medlarspur_marked::{Finding, Incarnation, News};
+use medlarspur_marked::{Finding, Incarnation, News, Revision};
 use nix::{
     errno::Errno,
     fcntl::OFlag,
@@ -9,6 +9,7 @@
 use signal_hook::low_level::pipe;
 use std::{
     io,
+    net::SocketAddrV4,
     os::fd::{AsFd, BorrowedFd, OwnedFd},
     sync::{
         Arc,
@@ -23,8 +24,24 @@
 /// A value for the main thread.
 #[derive(Debug)]
 pub enum Event {
-    /// News of targets and routes.
-    News(News),
+    /// News that was read from the store, maybe without any change.
+    Read(News),
+    /// The store could not be read.
+    Unread,
+    /// What another instance has told when it was asked.
+    Told {
+        /// Who told it.
+        from: SocketAddrV4,
+        /// What it told.
+        news: News,
+    },
+    /// Another instance asks for what has changed since a revision.
+    Asked {
+        /// What it knows.
+        known: Revision,
+        /// Where the answer goes; it has room for it.
+        reply: SyncSender<News>,
+    },
     /// What asking a target brought.
     Found(Incarnation, Finding),
 }
--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -3,19 +3,21 @@
 use super::{
     asker::Asker,
     current::Current,
-    inbox::{self, Event, Inbox},
+    inbox::{self, Event, Inbox, Sender},
     output::Datagrams,
-    store,
+    peers::{self, Post},
+    store::Reading,
 };
 use crate::clock::Clock;
 use medlarspur_fabric::{Batch, Socket, SocketError, Wire, wait};
 use medlarspur_lib::{settings::MarkedSettings, time::Millis};
-use medlarspur_marked::{Forwarder, Tuning};
+use medlarspur_marked::{Fleet, Forwarder, News, Tuning};
 use medlarspur_platform::site::{packet, ready};
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use snafu::{ResultExt, Snafu};
 use std::{
     io,
+    net::SocketAddrV4,
     os::fd::AsFd,
     path::Path,
     sync::{
@@ -72,21 +74,28 @@
     let socket = Socket::bind(settings.packets).context(PacketsSnafu)?;
     let ready = Arc::new(AtomicBool::new(false));
     ready::serve(settings.ready, ready.clone()).context(system("tell whether it is ready"))?;
-    store::start(current.clone(), sender.clone()).context(system("follow the store"))?;
+    let reading = Reading::start(current.clone(), sender.clone());
+    let reading = reading.context(system("follow the store"))?;
     log::info!(
         "start: {} in {} takes packets at {}",
         settings.name,
         settings.domain,
         settings.packets
     );
+    let clock = Clock::start();
+    let fleet = settings.control.map(|control| join(control, settings, &sender, clock.now()));
+    let fleet = fleet.transpose().context(system("talk to other instances"))?;
     let tuning = Tuning { domain: settings.domain.clone(), seed: rand::random() };
     let mut instance = Instance {
         forwarder: Forwarder::new(tuning),
-        datagrams: Datagrams::new(Asker::new(sender), settings.callers),
+        datagrams: Datagrams::new(Asker::new(sender.clone()), settings.callers),
+        fleet,
+        reading,
+        sender,
         batch: Batch::new(),
         socket,
         inbox,
-        clock: Clock::start(),
+        clock,
         heard: Millis(0),
         told,
         changed,
@@ -101,9 +110,25 @@
     Ok(())
 }
 
+fn join(
+    control: SocketAddrV4,
+    settings: &MarkedSettings,
+    sender: &Sender,
+    now: Millis,
+) -> io::Result<(Fleet, Post)> {
+    let post = Post::bind(control)?;
+    peers::serve(control, sender.clone())?;
+    let fleet = Fleet::new(control, &settings.domain, &settings.peers, rand::random(), now);
+    Ok((fleet, post))
+}
+
 struct Instance {
     forwarder: Forwarder,
     datagrams: Datagrams,
+    /// The other instances, if the settings say where to talk to them.
+    fleet: Option<(Fleet, Post)>,
+    reading: Reading,
+    sender: Sender,
     batch: Batch,
     socket: Socket,
     inbox: Inbox,
@@ -124,9 +149,14 @@
     fn learn_first(&mut self) -> Result<(), RunError> {
         let mut dropped = self.clock.now();
         while !self.forwarder.catalog().is_usable() && !self.is_told() {
-            wait([self.inbox.waker()], Some(Duration::from_millis(STALE.0)))
-                .context(PacketsSnafu)?;
+            let limit = Some(Duration::from_millis(STALE.0));
+            match &self.fleet {
+                Some((_, post)) => wait([self.inbox.waker(), post.as_fd()], limit),
+                None => wait([self.inbox.waker()], limit),
+            }
+            .context(PacketsSnafu)?;
             self.take_events();
+            self.take_messages();
             let now = self.clock.now();
             if now.since(dropped) >= STALE && !self.forwarder.catalog().is_usable() {
                 dropped = now;
@@ -167,15 +197,28 @@
     /// first: what is due may depend on an answer that waits in the socket.
     fn round(&mut self, most: Option<Millis>) -> Result<(), RunError> {
         let now = self.clock.now();
-        let due = self.forwarder.deadline().map(|due| due.since(now));
-        let limit = due.into_iter().chain(most).min();
-        let limit = limit.map(|span| Duration::from_millis(span.0));
-        wait([self.socket.as_fd(), self.inbox.waker()], limit).context(PacketsSnafu)?;
+        let peers = self.fleet.as_ref().map(|(fleet, _)| fleet.deadline(now));
+        let due = self.forwarder.deadline().into_iter().chain(peers).map(|due| due.since(now));
+        let limit = due.chain(most).min().map(|span| Duration::from_millis(span.0));
+        let (packets, inbox) = (self.socket.as_fd(), self.inbox.waker());
+        match &self.fleet {
+            Some((_, post)) => wait([packets, inbox, post.as_fd()], limit),
+            None => wait([packets, inbox], limit),
+        }
+        .context(PacketsSnafu)?;
         if self.changed.swap(false, Relaxed) {
             self.current.reload();
+            if let Some((fleet, _)) = &mut self.fleet {
+                fleet.set_seeds(&self.current.seeds());
+            }
         }
+        let unknown = self.forwarder.counts().unknown;
         self.take_packets()?;
+        if self.forwarder.counts().unknown > unknown {
+            self.catch_up();
+        }
         self.take_events();
+        self.take_messages();
         self.forwarder.tick(self.clock.now(), &mut self.datagrams);
         self.datagrams.outbox().flush(&mut self.socket);
         Ok(())
@@ -211,13 +254,74 @@
 
     fn take_events(&mut self) {
         let now = self.clock.now();
-        for event in self.inbox.drain() {
+        let events: Vec<Event> = self.inbox.drain().collect();
+        for event in events {
             match event {
-                Event::News(news) => self.forwarder.learn(news, now, &mut self.datagrams),
+                Event::Read(news) => {
+                    self.learn(news, now);
+                    self.with_fleet(|fleet, forwarder| {
+                        fleet.store_answered(forwarder.catalog(), now);
+                    });
+                }
+                Event::Unread => self.with_fleet(|fleet, forwarder| {
+                    fleet.store_failed(forwarder.catalog(), now);
+                }),
+                Event::Told { from, news } => {
+                    log::debug!("peers: {from} has told {:?}", news.revision);
+                    self.learn(news, now);
+                }
+                Event::Asked { known, reply } => {
+                    if reply.try_send(self.forwarder.catalog().since(known, now)).is_err() {
+                        log::debug!("peers: whoever asked has gone");
+                    }
+                }
                 Event::Found(target, finding) => {
                     self.forwarder.answer(target, finding, now, &mut self.datagrams);
                 }
             }
         }
     }
+
+    /// A packet carries a mark that means nothing here: there is a target that
+    /// others know already. The caller sends the packet again after 200 ms, and
+    /// by then the target should be known.
+    fn catch_up(&mut self) {
+        match &mut self.fleet {
+            Some((fleet, _)) if !fleet.is_reading() => fleet.suspect_lack(),
+            _ => self.reading.hurry(),
+        }
+    }
+
+    fn learn(&mut self, news: News, now: Millis) {
+        self.forwarder.learn(news, now, &mut self.datagrams);
+    }
+
+    fn with_fleet(&mut self, act: impl FnOnce(&mut Fleet, &Forwarder)) {
+        if let Some((fleet, post)) = &mut self.fleet {
+            act(fleet, &self.forwarder);
+            post.send(fleet);
+        }
+    }
+
+    /// Takes other instances' messages, and does what is due among them.
+    fn take_messages(&mut self) {
+        let now = self.clock.now();
+        let Some((fleet, post)) = &mut self.fleet else { return };
+        while let Some((from, message)) = post.receive() {
+            // Merged one by one: each may go on from the one before.
+            if let Some(news) = fleet.receive(from, message, self.forwarder.catalog(), now) {
+                self.forwarder.learn(news, now, &mut self.datagrams);
+            }
+        }
+        let known = self.forwarder.revision();
+        fleet.tick(self.forwarder.catalog(), now);
+        if let Some(from) = fleet.pull(known, now) {
+            peers::pull(from, known, &self.sender);
+        }
+        match fleet.is_reading() {
+            true => self.reading.go_on(known),
+            false => self.reading.pause(),
+        }
+        post.send(fleet);
+    }
 }
--- a/daemon/src/marked/mod.rs
+++ b/daemon/src/marked/mod.rs
@@ -4,7 +4,9 @@
 //! | thread | duty | waits for |
 //! |---|---|---|
 //! | main | callers' packets and all decisions on them | packets, the inbox, the next thing due |
-//! | `store` | follows the store | the store |
+//! | `store` | follows the store, while this instance is a reader | the store |
+//! | `pictures` | tells other instances all that is known here | another instance |
+//! | `pull` | asks another instance for what is lacking, then ends | that instance |
 //! | `ready` | tells routers whether the instance is ready | a router |
 //! | `ask` | asks one target whether it answers, then ends | that target |
 //!
@@ -16,6 +18,7 @@
 mod inbox;
 mod instance;
 mod output;
+mod peers;
 mod store;
 
 pub use instance::{RunError, run};
--- a/daemon/src/marked/store.rs
+++ b/daemon/src/marked/store.rs
@@ -1,44 +1,108 @@
-//! The thread that follows the store.
+//! The thread that follows the store, as long as this instance is a reader.
 
 use super::{
     current::Current,
     inbox::{Event, Sender},
 };
+use medlarspur_marked::Revision;
 use medlarspur_platform::site::{
     follower::{Follower, Step},
     store::{Http, StoreError},
 };
 use snafu::Report;
-use std::{io, sync::Arc, thread};
-
-/// Starts to follow the store that the settings name.
-pub fn start(current: Arc<Current>, sender: Sender) -> io::Result<()> {
-    let run = move || {
-        let mut address = current.store();
-        let mut follower = Follower::new(Http::new(address));
-        let mut reachable = None;
-        loop {
-            let step = follower.step(rand::random());
-            let is_lost = note(&step, &mut reachable);
-            let news = step.news.filter(|news| !news.changes.is_empty());
-            if let Some(news) = news
-                && !sender.send(Event::News(news))
-            {
-                log::warn!("store: news is read again, the inbox is full");
-                follower.start_over();
-            }
-            thread::sleep(step.pause);
-            if is_lost {
-                current.reload();
+use std::{
+    io,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread::{self, Thread},
+};
+
+/// Tells the thread whether to read.
+#[derive(Debug)]
+pub struct Reading {
+    shared: Arc<Mutex<Order>>,
+    thread: Thread,
+}
+
+/// What the thread is to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Order {
+    Read,
+    /// Read on from there, or from what was read before if that is later.
+    ReadFrom(Revision),
+    Pause,
+}
+
+impl Reading {
+    /// Starts to read the store that the settings name.
+    pub fn start(current: Arc<Current>, sender: Sender) -> io::Result<Reading> {
+        let shared = Arc::new(Mutex::new(Order::Read));
+        let orders = shared.clone();
+        let run = move || run(&current, &sender, &orders);
+        let thread = thread::Builder::new().name("store".to_owned()).spawn(run)?;
+        Ok(Reading { shared, thread: thread.thread().clone() })
+    }
+
+    /// Goes on reading, from `known` on. Nothing happens if it does already.
+    pub fn go_on(&self, known: Revision) {
+        let mut order = lock(&self.shared);
+        if *order == Order::Pause {
+            *order = Order::ReadFrom(known);
+            self.thread.unpark();
+        }
+    }
+
+    /// Stops reading after the call under way.
+    pub fn pause(&self) {
+        *lock(&self.shared) = Order::Pause;
+    }
+
+    /// Cuts a pause between calls short.
+    pub fn hurry(&self) {
+        self.thread.unpark();
+    }
+}
+
+fn lock(shared: &Mutex<Order>) -> MutexGuard<'_, Order> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn run(current: &Current, sender: &Sender, orders: &Mutex<Order>) {
+    let mut address = current.store();
+    let mut follower = Follower::new(Http::new(address));
+    let mut reachable = None;
+    loop {
+        let order = *lock(orders);
+        match order {
+            Order::Read => {}
+            Order::ReadFrom(known) => {
+                follower.resume(known);
+                *lock(orders) = Order::Read;
             }
-            if current.store() != address {
-                address = current.store();
-                follower = Follower::new(Http::new(address));
+            Order::Pause => {
+                thread::park();
+                continue;
             }
         }
-    };
-    thread::Builder::new().name("store".to_owned()).spawn(run)?;
-    Ok(())
+        if current.store() != address {
+            address = current.store();
+            follower = Follower::new(Http::new(address));
+        }
+        let step = follower.step(rand::random());
+        if note(&step, &mut reachable) {
+            current.reload();
+        }
+        let event = match step.news {
+            Some(news) => Event::Read(news),
+            None => Event::Unread,
+        };
+        if !sender.send(event) {
+            log::warn!("store: news is read again, the inbox is full");
+            follower.start_over();
+        }
+        if !step.pause.is_zero() {
+            thread::park_timeout(step.pause);
+        }
+    }
 }
 
 /// Logs what was not taken, and when the store is lost or regained; answers
--- a/lib/src/settings/marked.rs
+++ b/lib/src/settings/marked.rs
@@ -1,6 +1,6 @@
 //! The settings of an instance whose fabric returns marks.
 
-use super::parse::{distinct, log_form, remote, socket};
+use super::parse::{distinct, log_form, peers, remote, socket};
 use crate::{
     document::{self, Lines, Node, Report},
     ids::{DomainName, InstanceName},
@@ -20,6 +20,8 @@
     "metrics",
     "callers",
     "store",
+    "control",
+    "peers",
     "grace",
     "log",
 ];
@@ -46,6 +48,11 @@
         pub callers: u16,
         /// Where the store is that config and targets are read from, by HTTP.
         pub store: SocketAddrV4,
+        /// Where it talks to other instances, by UDP and TCP; it reads all by
+        /// itself without.
+        pub control: Option<SocketAddrV4>,
+        /// Control addresses of some instances, by which to find the others.
+        pub peers: Vec<SocketAddrV4>,
         /// How long after it was told to leave it is killed.
         pub grace: Millis,
         /// The form of log lines.
@@ -84,6 +91,8 @@
     distinct(&fields, "metrics", ready, metrics.flatten(), "ready");
     let callers = fields.maybe("callers", |node| node.small(1..=65_535));
     let store = fields.required("store").and_then(|node| remote(&node));
+    let control = fields.maybe("control", socket);
+    let peers = fields.or("peers", Vec::new(), peers);
     let grace = fields.or("grace", GRACE, |node| node.span(Millis(100)..=Millis::secs(600)));
     let log = fields.or("log", LogForm::Text, |node| node.checked("text or json", log_form));
     agreement?;
@@ -95,6 +104,8 @@
         metrics: metrics?,
         callers: callers?.unwrap_or(packets?.port()),
         store: store?,
+        control: control?,
+        peers: peers?,
         grace: grace?,
         log: log?,
     })
--- a/lib/src/settings/parse.rs
+++ b/lib/src/settings/parse.rs
@@ -113,7 +113,7 @@
     keys.into_iter().collect::<Option<_>>().map(Keys::new)
 }
 
-fn peers(node: &Node<'_>) -> Option<Vec<SocketAddrV4>> {
+pub(super) fn peers(node: &Node<'_>) -> Option<Vec<SocketAddrV4>> {
     let peers: Vec<Option<SocketAddrV4>> = node.items()?.iter().map(remote).collect();
     peers.into_iter().collect()
 }
--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -14,6 +14,7 @@
     ids::{DomainName, ServiceName, Version},
     time::Millis,
 };
+use serde::{Deserialize, Serialize};
 use std::{cmp::Ordering, net::SocketAddrV4};
 
 /// How long a removed target is remembered. Longer than the longest life of a
@@ -21,11 +22,13 @@
 const KEPT: Millis = Millis::secs(90);
 
 /// The source's count of its changes.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Revision(pub u64);
 
 /// One target, as it describes itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// This start of it.
     pub incarnation: Incarnation,
@@ -45,7 +48,7 @@
 }
 
 /// Where new flows to an address and port go.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// The address and port that callers ask for.
     pub address: SocketAddrV4,
@@ -57,7 +60,7 @@
 }
 
 /// A service's part of a route.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
     /// The service.
     pub service: ServiceName,
@@ -66,7 +69,7 @@
 }
 
 /// What operators have published, as one value.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Config {
     /// Its version.
     pub version: Version,
@@ -79,7 +82,7 @@
 }
 
 /// What has changed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Content {
     /// The config.
     Config(Config),
@@ -90,7 +93,7 @@
 }
 
 /// One item at its revision.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// When the source changed it last.
     pub revision: Revision,
@@ -99,16 +102,16 @@
 }
 
 /// How much of the source a piece of news covers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Scope {
-    /// Some changes.
-    Changes,
+    /// All changes since a revision.
+    Since(Revision),
     /// All targets: one that is not there was removed.
     All,
 }
 
 /// News from a source.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
     /// The source's count when it told this.
     pub revision: Revision,
@@ -140,6 +143,19 @@
     pub cold: Millis,
 }
 
+impl Entry {
+    /// The entry as news.
+    fn change(&self, now: Millis) -> Change {
+        let content = match self.presence {
+            Presence::Listed => {
+                Content::Target(Target { cold: self.cold.since(now), ..self.target.clone() })
+            }
+            Presence::Removed(_) => Content::Removed(self.target.incarnation),
+        };
+        Change { revision: self.revision, content }
+    }
+}
+
 /// All that is known of targets and routes.
 #[derive(Debug, Default)]
 pub struct Catalog {
@@ -149,12 +165,14 @@
     targets: Map<Incarnation, Entry>,
     services: Map<ServiceName, Vec<Incarnation>>,
     indexes: Map<Index, Vec<Incarnation>>,
+    /// The latest removal that is no longer remembered.
+    forgotten: Revision,
     /// Targets that were removed before they were heard of.
     tombs: Map<Incarnation, (Revision, Millis)>,
 }
 
 impl Catalog {
-    /// The newest revision that was heard of.
+    /// Up to which revision all changes are known.
     pub fn revision(&self) -> Revision {
         self.revision
     }
@@ -220,14 +238,48 @@
                 }
             }
         }
-        if news.scope == Scope::All {
-            self.remove_others(news.revision, &listed, now, &mut changed);
+        let is_whole = match news.scope {
+            Scope::All => {
+                self.remove_others(news.revision, &listed, now, &mut changed);
+                true
+            }
+            Scope::Since(known) => known <= self.revision,
+        };
+        if is_whole {
+            self.revision = self.revision.max(news.revision);
         }
-        self.revision = self.revision.max(news.revision);
         self.forget(now);
         changed
     }
 
+    /// Whether there are changes before that news which are not known here.
+    pub fn lacks(&self, news: &News) -> bool {
+        matches!(news.scope, Scope::Since(known) if known > self.revision)
+    }
+
+    /// What has changed since a revision, to be told to another instance. One
+    /// that knows nothing, or was away for longer than removed targets are
+    /// remembered, is told all.
+    pub fn since(&self, known: Revision, now: Millis) -> News {
+        let is_old = known == Revision::default() || known < self.forgotten;
+        let is_told = |revision: Revision| is_old || revision > known;
+        let config = self.config.iter().filter(|(revision, _)| is_told(*revision));
+        let config = config.map(|(revision, config)| Change {
+            revision: *revision,
+            content: Content::Config(config.clone()),
+        });
+        let targets = self.targets.values().filter(|entry| is_told(entry.revision));
+        let targets = targets.map(|entry| entry.change(now));
+        let tombs = self.tombs.iter().filter(|(_, (revision, _))| is_told(*revision));
+        let tombs = tombs.map(|(incarnation, (revision, _))| Change {
+            revision: *revision,
+            content: Content::Removed(*incarnation),
+        });
+        let changes = config.chain(targets).chain(tombs).collect();
+        let scope = if is_old { Scope::All } else { Scope::Since(known) };
+        News { revision: self.revision, scope, changes }
+    }
+
     fn merge_config(&mut self, revision: Revision, config: Config) {
         if self.config.as_ref().is_some_and(|(known, _)| *known >= revision) {
             return;
@@ -302,6 +354,9 @@
     /// Drops what was removed more than [`KEPT`] ago.
     fn forget(&mut self, now: Millis) {
         let is_kept = |since: Millis| now.since(since) < KEPT;
+        let tombs = self.tombs.values().filter(|(_, since)| !is_kept(*since));
+        let forgotten = tombs.map(|(revision, _)| *revision).max();
+        self.forgotten = self.forgotten.max(forgotten.unwrap_or_default());
         self.tombs.retain(|_, (_, since)| is_kept(*since));
         let old = self.targets.values().filter_map(|entry| match entry.presence {
             Presence::Removed(since) if !is_kept(since) => Some(entry.target.incarnation),
@@ -314,6 +369,7 @@
 
     fn drop_target(&mut self, incarnation: Incarnation) {
         let Some(entry) = self.targets.remove(&incarnation) else { return };
+        self.forgotten = self.forgotten.max(entry.revision);
         if let Some(list) = self.services.get_mut(&entry.target.service) {
             list.retain(|it| *it != incarnation);
         }
--- /dev/null
+++ b/marked/src/fleet.rs
@@ -0,0 +1,481 @@
+//! Who reads the store, and how news reaches the others.
+//!
+//! Each call to the store is priced and its rate is limited, so two instances in
+//! each failure domain read it and pass on what they read. Nobody appoints them:
+//!
+//! - A reader tells its domain after each answer of the store, so silence says
+//!   that the reader or its way to the store is gone.
+//! - Who hears of fewer than two such readers becomes one itself, at once if
+//!   there is none, after a random pause if there is one. Too many readers cost
+//!   calls; too few would cost callers.
+//! - A reader that hears of two others with smaller addresses stops.
+//!
+//! News goes through a domain as a tree: the reader sends it to a few, each of
+//! which passes it on to a part of the others, so no instance sends more than
+//! [`FANOUT`] copies. It says up to which revision the receiver must know all;
+//! who lacks something asks for it.
+//!
+//! All beliefs are local. Two parts of a domain that are cut off from each other
+//! each have their own readers, and what they know merges by revision.
+
+use crate::{
+    Catalog, News, Revision, Scope,
+    message::{Beat, Contact, DomainId, Message, Role, encode},
+};
+use medlarspur_lib::{collections::Map, ids::DomainName, time::Millis};
+use medlarspur_load::random::Random;
+use std::{hash::Hasher, net::SocketAddrV4};
+
+/// How many instances of a failure domain read the store: one may fail, be cut
+/// off or be turned away, and the other still does.
+const READERS: usize = 2;
+/// To how many others an instance passes news on. Four levels reach a hundred
+/// instances of a domain twice over.
+const FANOUT: usize = 5;
+/// How old a reader's last answer from the store may be. A watch ends after
+/// 1.5 s; a slow store and a busy reader take some hundred milliseconds.
+const FRESH: Millis = Millis(2_400);
+/// How long an instance waits at most before it becomes the second reader.
+const SECOND_PAUSE: Millis = Millis(1_500);
+/// How long it waits at most before it becomes the only one: enough that of a
+/// hundred instances that lose their readers at once a few go first.
+const FIRST_PAUSE: Millis = Millis(150);
+/// How long a reader reads at least. Roles that change with each lost datagram
+/// would cost more calls than they save.
+const LEAST_READING: Millis = Millis::secs(3);
+/// How often an instance that does not read tells its readers that it is there.
+const BEAT_PAUSE: Millis = Millis::secs(4);
+/// How long after its last message an instance is taken for gone: two beats of
+/// one that does not read, with room.
+const GONE: Millis = Millis::secs(10);
+/// How many others a beat tells of.
+const TOLD: usize = 6;
+/// How long an instance without readers waits between two questions to seeds.
+const SEEK_PAUSE: Millis = Millis(1_000);
+/// How long after one question for lacking news the next is asked.
+const PULL_PAUSE: Millis = Millis(400);
+
+/// How many others are remembered at most; ten times a large domain.
+const MOST: usize = 1_000;
+
+/// What is believed of another instance.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    domain: DomainId,
+    role: Role,
+    /// When the store answered it last, by this instance's clock.
+    fresh: Option<Millis>,
+    revision: Revision,
+    heard: Millis,
+}
+
+/// A datagram to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Letter {
+    /// Who gets it.
+    pub to: SocketAddrV4,
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// The other instances as one of them sees them.
+#[derive(Debug)]
+pub struct Fleet {
+    me: SocketAddrV4,
+    domain: DomainId,
+    seeds: Vec<SocketAddrV4>,
+    peers: Map<SocketAddrV4, Peer>,
+    /// Since when this instance reads the store.
+    reading: Option<Millis>,
+    /// When it becomes a reader, and how many others there were when that was
+    /// drawn.
+    due: Option<(usize, Millis)>,
+    /// When the store answered this instance last.
+    fresh: Option<Millis>,
+    /// Up to which revision it has passed news on.
+    told: Revision,
+    beaten: Option<Millis>,
+    sought: Option<Millis>,
+    pulled: Option<Millis>,
+    lacking: Option<SocketAddrV4>,
+    random: Random,
+    letters: Vec<Letter>,
+}
+
+impl Fleet {
+    /// One that knows the seeds only, and reads the store at first.
+    pub fn new(
+        me: SocketAddrV4,
+        domain: &DomainName,
+        seeds: &[SocketAddrV4],
+        seed: u64,
+        now: Millis,
+    ) -> Fleet {
+        Fleet {
+            me,
+            domain: domain_id(domain),
+            seeds: seeds.iter().copied().filter(|it| *it != me).collect(),
+            peers: Map::default(),
+            // The first picture is read at once, but not for longer than needed.
+            reading: Some(now - LEAST_READING),
+            due: None,
+            fresh: None,
+            told: Revision::default(),
+            beaten: None,
+            sought: None,
+            pulled: None,
+            lacking: None,
+            random: Random::new(seed),
+            letters: Vec::new(),
+        }
+    }
+
+    /// Whether this instance reads the store.
+    pub fn is_reading(&self) -> bool {
+        self.reading.is_some()
+    }
+
+    /// How many others are known.
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether no other is known.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.seeds = seeds.iter().copied().filter(|it| *it != self.me).collect();
+    }
+
+    /// What to send.
+    pub fn take_letters(&mut self) -> Vec<Letter> {
+        std::mem::take(&mut self.letters)
+    }
+
+    /// The store has answered; `catalog` has what it said.
+    pub fn store_answered(&mut self, catalog: &Catalog, now: Millis) {
+        self.fresh = Some(now);
+        self.pass_on(catalog, now);
+        self.beat_domain(catalog.revision(), now);
+    }
+
+    /// The store can't be reached: the others must not rely on this instance.
+    pub fn store_failed(&mut self, catalog: &Catalog, now: Millis) {
+        if self.fresh.take().is_some() {
+            self.beat_domain(catalog.revision(), now);
+        }
+    }
+
+    /// Tells the domain what is new since the last time.
+    fn pass_on(&mut self, catalog: &Catalog, now: Millis) {
+        let revision = catalog.revision();
+        if revision <= self.told {
+            return;
+        }
+        let news = catalog.since(self.told, now);
+        let is_first = self.told == Revision::default();
+        self.told = revision;
+        // The first picture is whole; the others read it or ask for it.
+        if !is_first {
+            self.spread(&news, (SocketAddrV4::new(0.into(), 0), LAST));
+        }
+    }
+
+    /// Sends news to a few instances, each with a part of the range to pass it
+    /// on to.
+    fn spread(&mut self, news: &News, range: (SocketAddrV4, SocketAddrV4)) {
+        let mut others = self.domain_members();
+        others.retain(|it| range.0 <= *it && *it <= range.1);
+        others.sort_unstable();
+        let part = others.len().div_ceil(FANOUT).max(1);
+        let pieces = pieces(news);
+        for part in others.chunks(part) {
+            let range = (part[0], part[part.len() - 1]);
+            for news in &pieces {
+                self.send_news(part[0], news, range);
+            }
+        }
+    }
+
+    fn send_news(&mut self, to: SocketAddrV4, news: &News, range: (SocketAddrV4, SocketAddrV4)) {
+        match encode(&Message::News { news: news.clone(), range }) {
+            Ok(bytes) => self.letters.push(Letter { to, bytes }),
+            // One item may be too large for a datagram. The beat that follows
+            // tells the revision, and whoever lacks it asks for it.
+            Err(error) => log::debug!("peers: news is not passed on: {error}"),
+        }
+    }
+
+    fn domain_members(&self) -> Vec<SocketAddrV4> {
+        let peers = self.peers.iter().filter(|(_, peer)| peer.domain == self.domain);
+        peers.map(|(address, _)| *address).collect()
+    }
+
+    /// Takes in a message; answers the news in it, to be merged.
+    pub fn receive(
+        &mut self,
+        from: SocketAddrV4,
+        message: Message,
+        catalog: &Catalog,
+        now: Millis,
+    ) -> Option<News> {
+        match message {
+            Message::Beat(beat) => {
+                self.receive_beat(from, &beat, catalog.revision(), now);
+                None
+            }
+            Message::News { news, range } => self.receive_news(from, news, range, catalog),
+        }
+    }
+
+    fn receive_beat(&mut self, from: SocketAddrV4, beat: &Beat, known: Revision, now: Millis) {
+        let fresh = beat.fresh.map(|age| now.since(Millis(age.into())));
+        if self.peers.len() >= MOST && !self.peers.contains_key(&from) {
+            log::debug!("peers: {from} is one too many");
+            return;
+        }
+        let peer = Peer {
+            domain: beat.domain,
+            role: beat.role,
+            fresh,
+            revision: beat.revision,
+            heard: now,
+        };
+        let is_new = self.peers.insert(from, peer).is_none();
+        for contact in &beat.contacts {
+            self.hear_of(contact, now);
+        }
+        if beat.asks || is_new && beat.domain == self.domain {
+            self.beat(from, false, known, now);
+        }
+        // Within a domain all that readers know is passed on. An instance that
+        // can't reach the store takes it from anywhere.
+        let is_cut = self.is_reading() && self.fresh.is_none();
+        if beat.revision > known && (beat.domain == self.domain || is_cut) {
+            self.lacking = Some(from);
+        }
+    }
+
+    fn hear_of(&mut self, contact: &Contact, now: Millis) {
+        let is_known = self.peers.contains_key(&contact.address);
+        let is_mine = contact.address != self.me && contact.domain == self.domain;
+        if is_known || !is_mine || self.peers.len() >= MOST {
+            return;
+        }
+        let unknown = Peer {
+            domain: contact.domain,
+            role: Role::Listener,
+            fresh: None,
+            revision: Revision::default(),
+            heard: now,
+        };
+        self.peers.insert(contact.address, unknown);
+    }
+
+    fn receive_news(
+        &mut self,
+        from: SocketAddrV4,
+        news: News,
+        range: (SocketAddrV4, SocketAddrV4),
+        catalog: &Catalog,
+    ) -> Option<News> {
+        if news.revision <= catalog.revision() {
+            return None;
+        }
+        if catalog.lacks(&news) {
+            self.lacking = Some(from);
+        }
+        self.spread(&news, range);
+        // What came from another reader need not be told again by this one.
+        if matches!(news.scope, Scope::Since(known) if known <= self.told) {
+            self.told = self.told.max(news.revision);
+        }
+        Some(news)
+    }
+
+    /// Whom to ask for news that this instance lacks, if anybody.
+    pub fn pull(&mut self, known: Revision, now: Millis) -> Option<SocketAddrV4> {
+        let is_early = self.pulled.is_some_and(|at| now.since(at) < PULL_PAUSE);
+        if is_early {
+            return None;
+        }
+        let from = self.lacking.take()?;
+        let has_more = self.peers.get(&from).is_some_and(|peer| peer.revision > known);
+        if !has_more {
+            return None;
+        }
+        self.pulled = Some(now);
+        Some(from)
+    }
+
+    /// Something shows that this instance lacks news; asks whoever knows most.
+    pub fn suspect_lack(&mut self) {
+        let best = self.peers.iter().max_by_key(|(_, peer)| (peer.fresh, peer.revision));
+        self.lacking = best.map(|(address, _)| *address);
+    }
+
+    /// Does what is due by now.
+    pub fn tick(&mut self, catalog: &Catalog, now: Millis) {
+        self.peers.retain(|_, peer| now.since(peer.heard) < GONE);
+        self.decide(catalog, now);
+        let is_due = |at: Option<Millis>, pause| at.is_none_or(|at| now.since(at) >= pause);
+        let revision = catalog.revision();
+        if self.readers(now).next().is_none() && is_due(self.sought, SEEK_PAUSE) {
+            self.sought = Some(now);
+            self.seek(revision, now);
+        }
+        if !self.is_reading() && is_due(self.beaten, BEAT_PAUSE) {
+            self.beaten = Some(now);
+            let readers: Vec<_> = self.readers(now).collect();
+            for reader in readers {
+                self.beat(reader, false, revision, now);
+            }
+        }
+    }
+
+    /// Asks the seeds and one other who is there.
+    fn seek(&mut self, revision: Revision, now: Millis) {
+        let mut asked = self.seeds.clone();
+        let others = self.domain_members();
+        if !others.is_empty() {
+            asked.push(others[(self.random.draw() % others.len() as u64) as usize]);
+        }
+        for seed in asked {
+            self.beat(seed, true, revision, now);
+        }
+    }
+
+    /// The other readers of the domain that have heard from the store lately.
+    fn readers(&self, now: Millis) -> impl Iterator<Item = SocketAddrV4> {
+        let is_reader = move |peer: &Peer| {
+            peer.role == Role::Reader && peer.fresh.is_some_and(|at| now.since(at) <= FRESH)
+        };
+        let peers = self.peers.iter().filter(move |(_, peer)| peer.domain == self.domain);
+        peers.filter(move |(_, peer)| is_reader(peer)).map(|(address, _)| *address)
+    }
+
+    /// Decides whether to read.
+    fn decide(&mut self, catalog: &Catalog, now: Millis) {
+        if let Some(since) = self.reading {
+            let is_long = now.since(since) >= LEAST_READING;
+            if is_long && self.is_spare(now) {
+                log::info!("readers: this instance stops reading, others do");
+                self.reading = None;
+                self.fresh = None;
+            }
+            return;
+        }
+        let count = self.readers(now).count();
+        if count >= READERS {
+            self.due = None;
+            return;
+        }
+        let due = match self.due {
+            Some((drawn_for, due)) if drawn_for <= count => due,
+            _ => now + self.pause(count),
+        };
+        self.due = Some((count, due));
+        if due <= now {
+            log::info!("readers: this instance reads the store, {count} others do");
+            self.due = None;
+            self.reading = Some(now);
+            self.told = catalog.revision();
+        }
+    }
+
+    /// Whether enough others read whose addresses are smaller.
+    fn is_spare(&self, now: Millis) -> bool {
+        self.readers(now).filter(|it| *it < self.me).count() >= READERS
+    }
+
+    /// A random pause before this instance reads beside `count` others.
+    fn pause(&mut self, count: usize) -> Millis {
+        let most = if count == 0 { FIRST_PAUSE } else { SECOND_PAUSE };
+        Millis(self.random.draw() % (most.0 + 1))
+    }
+
+    /// When [`tick`](Self::tick) has something to do next.
+    pub fn deadline(&self, now: Millis) -> Millis {
+        if let Some((_, due)) = self.due {
+            return due;
+        }
+        if self.is_reading() {
+            return now + SEEK_PAUSE;
+        }
+        // The moment from which the first of its readers is too old.
+        let fresh = self.readers(now).filter_map(|it| self.peers[&it].fresh).min();
+        fresh.map_or(now, |at| at + FRESH + Millis(1))
+    }
+
+    /// Tells the whole domain, unless enough others do: when all start at once,
+    /// all read, and beats between all pairs would grow with their square.
+    fn beat_domain(&mut self, revision: Revision, now: Millis) {
+        if self.is_spare(now) {
+            return;
+        }
+        for to in self.domain_members() {
+            self.beat(to, false, revision, now);
+        }
+    }
+
+    fn beat(&mut self, to: SocketAddrV4, asks: bool, revision: Revision, now: Millis) {
+        let fresh = self.fresh.map(|at| now.since(at).0).and_then(|age| u16::try_from(age).ok());
+        let role = if self.is_reading() { Role::Reader } else { Role::Listener };
+        let contacts = self.contacts(to);
+        let beat = Beat { domain: self.domain, role, fresh, revision, asks, contacts };
+        match encode(&Message::Beat(beat)) {
+            Ok(bytes) => self.letters.push(Letter { to, bytes }),
+            Err(error) => log::error!("peers: a beat can't be encoded: {error}"),
+        }
+    }
+
+    /// Some instances of the receiver's domain, drawn anew each time.
+    fn contacts(&mut self, to: SocketAddrV4) -> Vec<Contact> {
+        let domain = self.peers.get(&to).map_or(self.domain, |peer| peer.domain);
+        let others = self.peers.iter().filter(|(it, peer)| **it != to && peer.domain == domain);
+        let mut others: Vec<Contact> =
+            others.map(|(address, _)| Contact { address: *address, domain }).collect();
+        if others.len() > TOLD {
+            let start = (self.random.draw() % others.len() as u64) as usize;
+            others.rotate_left(start);
+            others.truncate(TOLD);
+        }
+        others
+    }
+}
+
+/// How many changes go into one datagram. An entry of a target takes some 60
+/// bytes, and [`MAX_DATAGRAM`](crate::message::MAX_DATAGRAM) is 1,200.
+const PIECE: usize = 12;
+
+/// Cuts news into parts that fit into datagrams. In the order of revisions each
+/// part is complete from one revision to another, so a lost one is noticed like
+/// any lost news.
+fn pieces(news: &News) -> Vec<News> {
+    let Scope::Since(mut known) = news.scope else { return vec![news.clone()] };
+    let mut changes = news.changes.clone();
+    changes.sort_by_key(|change| change.revision);
+    let mut pieces: Vec<News> = Vec::new();
+    for changes in changes.chunks(PIECE) {
+        let revision = changes[changes.len() - 1].revision;
+        pieces.push(News { revision, scope: Scope::Since(known), changes: changes.to_vec() });
+        known = revision;
+    }
+    match pieces.last_mut() {
+        Some(last) => last.revision = news.revision,
+        None => pieces.push(news.clone()),
+    }
+    pieces
+}
+
+/// The largest address there is.
+const LAST: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::BROADCAST, u16::MAX);
+
+fn domain_id(name: &DomainName) -> DomainId {
+    let mut hasher = siphasher::sip::SipHasher13::new();
+    hasher.write(name.as_str().as_bytes());
+    DomainId(hasher.finish() as u32)
+}
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -3,22 +3,26 @@
 //! Both ends of a flow send back the last mark that they received, so a packet
 //! in mid-flow says by itself where it goes. Instances then need no agreement
 //! on flows at all: no keepers, no questions, no plans. What remains is to
-//! know the targets and the routes ([`Catalog`]), to choose the target of a new
-//! flow, and to notice targets that no longer answer ([`Forwarder`]).
+//! know the targets and the routes ([`Catalog`]), to pass on news of them
+//! ([`Fleet`]), to choose the target of a new flow, and to notice targets that
+//! no longer answer ([`Forwarder`]).
 //!
 //! Nothing here does I/O or reads a clock. The reasons are in
 //! `docs/design/programs.md` and `docs/design/marks.md`.
 
 mod catalog;
+mod fleet;
 mod flow;
 mod forwarder;
 mod health;
 mod mark;
+pub mod message;
 mod segment;
 
 pub use catalog::{
     Catalog, Change, Config, Content, Entry, News, Presence, Revision, Route, Scope, Share, Target,
 };
+pub use fleet::{Fleet, Letter};
 pub use flow::{Flow, Phase};
 pub use forwarder::{Counts, Forwarder, Output, Refusal, Tuning, Unroutable};
 pub use health::{Finding, Health};
--- a/marked/src/mark.rs
+++ b/marked/src/mark.rs
@@ -12,6 +12,7 @@
 //! (2^22) times the number of targets that share its index.
 
 use crate::FlowKey;
+use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use std::{
     fmt,
@@ -30,7 +31,7 @@
 
 /// One start of a target. A target that restarts, and another one that takes
 /// over its address, is a different incarnation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
 impl fmt::Display for Incarnation {
--- /dev/null
+++ b/marked/src/message.rs
@@ -0,0 +1,139 @@
+//! What instances tell each other, as datagrams and as whole pictures.
+
+use crate::{News, Revision};
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu, ensure};
+use std::net::SocketAddrV4;
+
+/// The version of these messages; instances of different versions ignore each
+/// other and read the store themselves.
+const VERSION: u8 = 1;
+/// The most bytes of a datagram between instances, below an ordinary network's
+/// 1,500 with all headers.
+pub const MAX_DATAGRAM: usize = 1_200;
+
+/// One of the two domain-wide roles of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// It reads the store and passes on what it reads.
+    Reader,
+    /// It hears from readers.
+    Listener,
+}
+
+/// The name of a failure domain as messages carry it: a hash of 32 bits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct DomainId(pub u32);
+
+/// An instance as others tell of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Where it takes messages.
+    pub address: SocketAddrV4,
+    /// Its failure domain.
+    pub domain: DomainId,
+}
+
+/// Says that an instance is there and what it knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Whether it reads the store.
+    pub role: Role,
+    /// How long ago the store answered it last, in milliseconds; none if that
+    /// was too long ago to matter.
+    pub fresh: Option<u16>,
+    /// Up to which revision it knows all changes.
+    pub revision: Revision,
+    /// Whether an answer is wanted, to learn who else is there.
+    pub asks: bool,
+    /// Some others.
+    pub contacts: Vec<Contact>,
+}
+
+/// A datagram between instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// A sign of life.
+    Beat(Beat),
+    /// News that the receiver passes on to all it knows in a range of
+    /// addresses, both ends included.
+    News {
+        /// The news.
+        news: News,
+        /// The first and the last address of the range.
+        range: (SocketAddrV4, SocketAddrV4),
+    },
+}
+
+/// Why a message is not taken.
+#[derive(Debug, Snafu)]
+pub enum MessageError {
+    /// It is empty or of another version.
+    #[snafu(display("the message is of another version"))]
+    Version,
+    /// It can't be decoded.
+    #[snafu(display("the message can't be decoded"))]
+    Decode {
+        /// What is wrong.
+        source: postcard::Error,
+    },
+    /// It can't be encoded.
+    #[snafu(display("the message can't be encoded"))]
+    Encode {
+        /// What is wrong.
+        source: postcard::Error,
+    },
+    /// It does not fit into a datagram.
+    #[snafu(display("the message has {size} bytes, {MAX_DATAGRAM} fit"))]
+    Oversize {
+        /// Its size.
+        size: usize,
+    },
+}
+
+/// Encodes a datagram.
+///
+/// # Errors
+///
+/// Fails if it is too large for one.
+pub fn encode(message: &Message) -> Result<Vec<u8>, MessageError> {
+    let bytes = postcard::to_extend(message, vec![VERSION]).context(EncodeSnafu)?;
+    ensure!(bytes.len() <= MAX_DATAGRAM, OversizeSnafu { size: bytes.len() });
+    Ok(bytes)
+}
+
+/// Decodes a datagram.
+///
+/// # Errors
+///
+/// Fails on anything that [`encode`] doesn't make.
+pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
+    postcard::from_bytes(body(bytes)?).context(DecodeSnafu)
+}
+
+/// Encodes a picture for a stream, of any size.
+///
+/// # Errors
+///
+/// Fails only if the encoder does.
+pub fn encode_news(news: &News) -> Result<Vec<u8>, MessageError> {
+    postcard::to_extend(news, vec![VERSION]).context(EncodeSnafu)
+}
+
+/// Decodes a picture from a stream.
+///
+/// # Errors
+///
+/// Fails on anything that [`encode_news`] doesn't make.
+pub fn decode_news(bytes: &[u8]) -> Result<News, MessageError> {
+    postcard::from_bytes(body(bytes)?).context(DecodeSnafu)
+}
+
+fn body(bytes: &[u8]) -> Result<&[u8], MessageError> {
+    match bytes {
+        [VERSION, body @ ..] => Ok(body),
+        _ => VersionSnafu.fail(),
+    }
+}
--- /dev/null
+++ b/marked/tests/net.rs
@@ -0,0 +1,224 @@
+//! A fleet in virtual time: instances with their catalogs, datagrams that take
+//! a millisecond or get lost, and a store that some instances may not reach.
+
+use super::fixtures::{all, change, millis, news, target};
+use medlarspur_lib::{ids::DomainName, time::Millis};
+use medlarspur_load::random::Random;
+use medlarspur_marked::{
+    Catalog, Change, Content, Fleet, Revision, Scope, Target,
+    message::{Message, decode},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddrV4},
+};
+
+/// How long a watch of the store waits.
+const WATCH: u64 = 1_500;
+/// How long a reader waits after news.
+const GATHER: u64 = 600;
+/// How long a step of virtual time is.
+const STEP: u64 = 10;
+
+pub struct Instance {
+    pub fleet: Fleet,
+    pub catalog: Catalog,
+    pub up: bool,
+    /// Whether it reaches the store.
+    pub served: bool,
+    /// When its next call to the store is answered or made.
+    call: u64,
+    watching: Option<Revision>,
+}
+
+/// All instances, by their addresses.
+pub struct Net {
+    pub now: u64,
+    pub instances: BTreeMap<SocketAddrV4, Instance>,
+    pub history: Vec<Change>,
+    pub calls: u64,
+    pub datagrams: u64,
+    pub bytes: u64,
+    /// Of a thousand datagrams, how many get lost.
+    pub loss: u64,
+    /// Domains that are cut off from the others.
+    pub cut: BTreeSet<u8>,
+    flying: Vec<(u64, SocketAddrV4, SocketAddrV4, Vec<u8>)>,
+    pulls: Vec<(u64, SocketAddrV4, SocketAddrV4, Revision)>,
+    random: Random,
+}
+
+/// The address of instance `number` of a domain.
+pub fn address(domain: u8, number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, domain, 0, number), 8166)
+}
+
+fn domain_of(address: SocketAddrV4) -> u8 {
+    address.ip().octets()[1]
+}
+
+impl Net {
+    /// `count` instances in each of `domains` domains, which all start now.
+    pub fn new(domains: u8, count: u8) -> Net {
+        let mut net = Net {
+            now: 0,
+            instances: BTreeMap::new(),
+            history: all(&[target(1, "desk"), target(2, "ingest")]).changes,
+            calls: 0,
+            datagrams: 0,
+            bytes: 0,
+            loss: 0,
+            cut: BTreeSet::new(),
+            flying: Vec::new(),
+            pulls: Vec::new(),
+            random: Random::new(11),
+        };
+        for domain in 1..=domains {
+            for number in 1..=count {
+                net.start(address(domain, number));
+            }
+        }
+        net
+    }
+
+    pub fn start(&mut self, at: SocketAddrV4) {
+        let seeds = [address(1, 1), address(2, 2), address(1, 3)];
+        let domain = DomainName::new(&format!("domain-{}", domain_of(at)));
+        let fleet = Fleet::new(at, &domain, &seeds, self.random.draw(), self.time());
+        let call = self.now + self.random.draw() % 40;
+        let catalog = Catalog::default();
+        let instance = Instance { fleet, catalog, up: true, served: true, call, watching: None };
+        self.instances.insert(at, instance);
+    }
+
+    fn time(&self) -> Millis {
+        // The daemon's clock does not start at zero either.
+        millis(1_000_000 + self.now)
+    }
+
+    fn revision(&self) -> u64 {
+        self.history.last().expect("a change").revision.0
+    }
+
+    /// Changes something in the store.
+    pub fn publish(&mut self, content: Content) {
+        self.history.push(change(self.revision() + 1, content));
+    }
+
+    pub fn list(&mut self, number: u64) -> Target {
+        let it = target(number, "desk");
+        self.publish(Content::Target(it.clone()));
+        it
+    }
+
+    pub fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            self.answer_pulls();
+            let addresses: Vec<_> = self.instances.keys().copied().collect();
+            for at in addresses {
+                self.act(at);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.flying.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, from, to, bytes) in due {
+            let time = self.time();
+            let Some(it) = self.instances.get_mut(&to).filter(|it| it.up) else { continue };
+            let message: Message = decode(&bytes).expect("sound messages");
+            if let Some(news) = it.fleet.receive(from, message, &it.catalog, time) {
+                it.catalog.merge(news, time);
+            }
+            self.post(to);
+        }
+    }
+
+    fn answer_pulls(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.pulls.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, asker, asked, known) in due {
+            if !self.reaches(asker, asked) {
+                continue;
+            }
+            let time = self.time();
+            let Some(told) = self.instances.get(&asked).filter(|it| it.up) else { continue };
+            let news = told.catalog.since(known, time);
+            let asker = self.instances.get_mut(&asker).expect("it is there");
+            asker.catalog.merge(news, time);
+        }
+    }
+
+    fn act(&mut self, at: SocketAddrV4) {
+        let (now, time, revision) = (self.now, self.time(), self.revision());
+        let Some(it) = self.instances.get_mut(&at).filter(|it| it.up) else { return };
+        if !it.fleet.is_reading() {
+            it.watching = None;
+            it.call = now;
+        } else if it.call <= now {
+            let known = it.watching.unwrap_or(it.catalog.revision());
+            let has_news = revision > known.0;
+            self.calls += 1;
+            if it.served {
+                let changes = self.history.iter().filter(|change| change.revision > known);
+                let scope = match known {
+                    Revision(0) => Scope::All,
+                    known => Scope::Since(known),
+                };
+                it.catalog.merge(news(revision, scope, changes.cloned().collect()), time);
+                it.fleet.store_answered(&it.catalog, time);
+                it.watching = Some(Revision(revision));
+                it.call = now + if has_news { GATHER } else { WATCH };
+            } else {
+                it.fleet.store_failed(&it.catalog, time);
+                it.call = now + 700;
+            }
+        } else if it.watching.is_some_and(|known| revision > known.0) && it.served {
+            // A watch ends with the first news, but not before the gathering.
+            it.call = it.call.min(now.next_multiple_of(GATHER));
+        }
+        it.fleet.tick(&it.catalog, time);
+        let known = it.catalog.revision();
+        if let Some(from) = it.fleet.pull(known, time) {
+            self.pulls.push((now + 5, at, from, known));
+        }
+        self.post(at);
+    }
+
+    fn post(&mut self, from: SocketAddrV4) {
+        let it = self.instances.get_mut(&from).expect("it is there");
+        for letter in it.fleet.take_letters() {
+            self.datagrams += 1;
+            self.bytes += letter.bytes.len() as u64;
+            let is_lost = self.random.draw() % 1000 < self.loss;
+            if !is_lost && self.reaches(from, letter.to) {
+                self.flying.push((self.now + 1, from, letter.to, letter.bytes));
+            }
+        }
+    }
+
+    fn reaches(&self, from: SocketAddrV4, to: SocketAddrV4) -> bool {
+        let (from, to) = (domain_of(from), domain_of(to));
+        from == to || !self.cut.contains(&from) && !self.cut.contains(&to)
+    }
+
+    /// The live readers of a domain.
+    pub fn readers(&self, domain: u8) -> Vec<SocketAddrV4> {
+        let instances = self.instances.iter();
+        let readers = instances
+            .filter(|(at, it)| domain_of(**at) == domain && it.up && it.fleet.is_reading());
+        readers.map(|(at, _)| *at).collect()
+    }
+
+    /// The live instances that don't know all changes.
+    pub fn behind(&self) -> Vec<SocketAddrV4> {
+        let revision = Revision(self.revision());
+        let instances = self.instances.iter();
+        let behind = instances.filter(|(_, it)| it.up && it.catalog.revision() < revision);
+        behind.map(|(at, _)| *at).collect()
+    }
+}
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -1,7 +1,9 @@
 //! Runs the tests of the package in one binary.
 
 mod fixtures;
+mod net;
 mod test_catalog;
+mod test_fleet;
 mod test_flow;
 mod test_forwarder;
 mod test_health;
--- a/marked/tests/test_catalog.rs
+++ b/marked/tests/test_catalog.rs
@@ -55,6 +55,11 @@
         };
         prop_assert_eq!(present(&straight), present(&shuffled));
         prop_assert_eq!(straight.config(), shuffled.config());
+        // With news missing in between it doesn't claim to know all; asking for
+        // what it lacks closes the gap.
+        prop_assert!(shuffled.revision() <= straight.revision());
+        shuffled.merge(straight.since(shuffled.revision(), millis(2)), millis(2));
+        prop_assert_eq!(present(&straight), present(&shuffled));
         prop_assert_eq!(straight.revision(), shuffled.revision());
     }
 }
@@ -169,3 +174,39 @@
 
     assert_eq!(catalog.entries().count(), 0);
 }
+
+/// An instance was away for minutes. Removals from that time are no longer
+/// remembered by the one that it asks, so it must be told all, or it would
+/// send flows to targets that are gone.
+#[test]
+fn who_was_away_for_long_is_told_all() {
+    let (kept, gone) = (target(1, "desk"), target(2, "desk"));
+    let mut asked = Catalog::default();
+    asked.merge(one(1, Content::Target(kept.clone())), millis(0));
+    asked.merge(one(2, Content::Target(gone.clone())), millis(0));
+    let mut away = Catalog::default();
+    away.merge(asked.since(Revision(0), millis(0)), millis(0));
+    asked.merge(one(3, Content::Removed(gone.incarnation)), millis(10));
+    asked.merge(one(4, Content::Config(config(1))), millis(100_000));
+
+    let told = asked.since(away.revision(), millis(100_000));
+    away.merge(told, millis(100_000));
+
+    let entry = away.entry(gone.incarnation).expect("known for a while");
+    assert_eq!(entry.presence, Presence::Removed(millis(100_000)));
+    assert_eq!(away.revision(), asked.revision());
+}
+
+/// News between two that came was lost on the way. The instance must know that
+/// it lacks something, or a removal in between would never be noticed.
+#[test]
+fn lost_news_is_noticed() {
+    let mut catalog = Catalog::default();
+    catalog.merge(news(10, Scope::All, vec![]), millis(0));
+    let later = news(14, Scope::Since(Revision(12)), vec![]);
+
+    assert!(catalog.lacks(&later));
+    catalog.merge(later, millis(1));
+
+    assert_eq!(catalog.revision(), Revision(10));
+}
--- /dev/null
+++ b/marked/tests/test_fleet.rs
@@ -0,0 +1,202 @@
+//! Who reads the store, and who hears of its news how soon.
+
+use super::net::{Net, address};
+use medlarspur_marked::message::{MessageError, decode, encode};
+use proptest::{collection::vec, prelude::*};
+
+/// How long news may take to be in force, from the users' bound of 3 s with
+/// half a second for what the model leaves out.
+const BOUND: u64 = 2_500;
+
+fn settled(domains: u8, count: u8) -> Net {
+    let mut net = Net::new(domains, count);
+    net.run(8_000);
+    net
+}
+
+#[test]
+fn all_know_all_soon_after_they_start() {
+    let mut net = Net::new(4, 17);
+
+    net.run(300);
+
+    assert_eq!(net.behind(), []);
+}
+
+#[test]
+fn two_of_each_domain_read_the_store() {
+    let net = settled(4, 17);
+
+    for domain in 1..=4 {
+        assert_eq!(net.readers(domain), [address(domain, 1), address(domain, 2)]);
+    }
+}
+
+#[test]
+fn news_reaches_all_within_the_bound() {
+    let mut net = settled(4, 17);
+
+    for number in 10..30 {
+        net.list(number);
+        net.run(130);
+    }
+    net.run(BOUND);
+
+    assert_eq!(net.behind(), []);
+}
+
+/// Two datagrams of a hundred get lost between instances. News must not be
+/// lost with them.
+#[test]
+fn lost_datagrams_delay_news_but_do_not_lose_it() {
+    let mut net = settled(4, 17);
+    net.loss = 20;
+
+    for number in 10..40 {
+        net.list(number);
+        net.run(200);
+    }
+    net.run(BOUND);
+
+    assert_eq!(net.behind(), []);
+}
+
+/// Both readers of a domain are killed. The others hear nothing any more and
+/// must not go on with an old picture.
+#[test]
+fn others_read_when_the_readers_are_gone() {
+    let mut net = settled(3, 8);
+    for reader in net.readers(1) {
+        net.instances.get_mut(&reader).expect("it is there").up = false;
+    }
+
+    net.list(10);
+    net.run(BOUND + 500);
+
+    assert_eq!(net.behind(), []);
+    net.run(8_000);
+    assert_eq!(net.readers(1).len(), 2);
+}
+
+/// The store turns some instances away and serves the others, among the former
+/// both readers of a domain. They say so, and others take over.
+#[test]
+fn others_read_when_the_store_turns_the_readers_away() {
+    let mut net = settled(3, 8);
+    for reader in net.readers(2) {
+        net.instances.get_mut(&reader).expect("it is there").served = false;
+    }
+    net.run(1_600);
+
+    net.list(10);
+    net.run(BOUND);
+
+    assert_eq!(net.behind(), []);
+}
+
+/// A whole domain is turned away by the store. It hears of news from other
+/// domains, through the seeds.
+#[test]
+fn a_domain_without_the_store_hears_from_others() {
+    let mut net = settled(3, 4);
+    for number in 1..=4 {
+        net.instances.get_mut(&address(3, number)).expect("it is there").served = false;
+    }
+    net.run(3_000);
+
+    net.list(10);
+    net.run(3_500);
+
+    assert_eq!(net.behind(), []);
+}
+
+/// A domain is cut off from the others and from the store. When the cut heals,
+/// it must catch up without a restart.
+#[test]
+fn a_domain_that_was_cut_off_catches_up() {
+    let mut net = settled(3, 4);
+    net.cut.insert(3);
+    for number in 1..=4 {
+        net.instances.get_mut(&address(3, number)).expect("it is there").served = false;
+    }
+    net.run(2_000);
+    net.list(10);
+    net.run(4_000);
+    assert_eq!(net.behind().len(), 4);
+
+    net.cut.clear();
+    for number in 1..=4 {
+        net.instances.get_mut(&address(3, number)).expect("it is there").served = true;
+    }
+    net.run(BOUND);
+
+    assert_eq!(net.behind(), []);
+}
+
+/// An instance starts while the store is away for all. It needs the picture
+/// that the others still have.
+#[test]
+fn an_instance_that_starts_without_the_store_learns_from_others() {
+    let mut net = settled(3, 4);
+    for instance in net.instances.values_mut() {
+        instance.served = false;
+    }
+    net.run(3_000);
+
+    net.start(address(3, 9));
+    net.instances.get_mut(&address(3, 9)).expect("it is there").served = false;
+    net.run(1_500);
+
+    assert_eq!(net.behind(), []);
+}
+
+/// Messages between all pairs would grow with the square of the fleet. At the
+/// size aimed for, an instance would do little else.
+#[test]
+fn messages_of_an_instance_do_not_grow_with_the_fleet() {
+    let per_instance = |count: u8| {
+        let mut net = settled(3, count);
+        net.datagrams = 0;
+        for number in 10..20 {
+            net.list(number);
+            net.run(1_000);
+        }
+        net.datagrams as f64 / f64::from(count) / 3.0
+    };
+
+    let (small, large) = (per_instance(10), per_instance(100));
+
+    assert!(large < small * 1.5, "{small} datagrams, then {large}");
+}
+
+/// Each call is priced. With a watch on every instance, calls would grow with
+/// the fleet.
+#[test]
+fn calls_do_not_grow_with_the_fleet() {
+    let calls = |count: u8| {
+        let mut net = settled(3, count);
+        net.calls = 0;
+        net.run(30_000);
+        net.calls
+    };
+
+    assert_eq!(calls(60), calls(6));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Anybody may send anything to the address for messages.
+    #[test]
+    fn any_bytes_are_a_message_or_a_typed_error(bytes in vec(any::<u8>(), 0..300)) {
+        if let Ok(message) = decode(&bytes) {
+            prop_assert!(encode(&message).is_ok());
+        }
+    }
+}
+
+#[test]
+fn a_message_of_another_version_is_not_taken() {
+    assert!(matches!(decode(&[99, 0, 0]), Err(MessageError::Version)));
+    assert!(matches!(decode(&[]), Err(MessageError::Version)));
+}
