marked: take packets that overtake each other for no repetition

A packet of a burst that came after a later one counted as sent again, its target was asked (a slot and a price) and passed over for 300 ms. Callers repeat after 200 ms, so older data now counts as repeated from 150 ms after the newest on.

--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -11,6 +11,11 @@
 /// sixteen packets of 1,200 bytes. More new data shows that it did.
 const WINDOW: u32 = 16 * 1200;
 
+/// How long after new data a packet with older data counts as repeated. Callers
+/// repeat after 200 ms at the earliest; packets of one burst may overtake each
+/// other by a few milliseconds.
+const REPEAT: Millis = Millis(150);
+
 /// How far a flow has come.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Phase {
@@ -137,7 +142,8 @@
             return (false, None);
         }
         if !is_after(segment.end(), self.sent) {
-            return (false, Some(self.sent_at));
+            let is_repeated = now.since(self.sent_at) >= REPEAT;
+            return (false, is_repeated.then_some(self.sent_at));
         }
         self.sent = segment.end();
         self.sent_at = now;
--- a/marked/tests/test_flow.rs
+++ b/marked/tests/test_flow.rs
@@ -76,3 +76,15 @@
 
     assert!(seen.life && !it.is_waiting());
 }
+
+/// Packets of one burst overtake each other on the way. Taken for repetitions,
+/// they would have a healthy target asked and passed over for a while.
+#[test]
+fn packets_that_overtake_each_other_are_no_repetition() {
+    let (mut it, packet) = opened(Class::Upload);
+    it.see(&packet(2201, 500, 1200), millis(10));
+
+    let seen = it.see(&packet(1001, 500, 1200), millis(11));
+
+    assert_eq!(seen.repeats, None);
+}
