daemon: write a line for each decision on a flow or a target

To standard output, behind a ring that never makes the packet thread wait; each kind of line has a budget of its own, and what is left out is counted. Fields: flow, target, what decided, and the revision and age of the picture.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod packets;
 pub mod sample;
 pub mod shared;
+pub mod sink;
 pub mod status;
--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -1,12 +1,18 @@
-//! Log lines for changes of state, as text or as JSON.
+//! Log lines as text or as JSON, with their fields.
 
-use env_logger::{Builder, fmt::Formatter};
-use log::{LevelFilter, Record};
+use crate::sink::Sink;
+use env_logger::{Builder, Target, fmt::Formatter};
+use log::{
+    LevelFilter, Record,
+    kv::{Error, Key, Value, VisitSource},
+};
 use medlarspur_lib::settings::LogForm;
 use medlarspur_operator::QUIET_TARGETS;
 use serde::Serialize;
 use std::{
-    io::{self, Write},
+    collections::BTreeMap,
+    fmt::Write as _,
+    io::{self, Write, stdout},
     time::{SystemTime, UNIX_EPOCH},
 };
 
@@ -18,10 +24,26 @@
     level: &'a str,
     part: &'a str,
     text: String,
+    /// What decided it, by name.
+    #[serde(flatten)]
+    fields: BTreeMap<String, String>,
 }
 
-/// Sets the logger up; `RUST_LOG` may raise or lower the level.
+/// Sets the logger up on standard error; `RUST_LOG` may raise or lower the
+/// level.
 pub fn init(form: LogForm, level: LevelFilter) {
+    builder(form, level).init();
+}
+
+/// Sets the logger up on standard output, behind a [`Sink`] that never makes a
+/// thread wait.
+pub fn init_sink(form: LogForm, level: LevelFilter) -> io::Result<Sink> {
+    let sink = Sink::start(stdout())?;
+    builder(form, level).target(Target::Pipe(Box::new(sink.clone()))).init();
+    Ok(sink)
+}
+
+fn builder(form: LogForm, level: LevelFilter) -> Builder {
     let mut builder = Builder::new();
     builder.filter_level(level).parse_default_env();
     for target in QUIET_TARGETS {
@@ -31,16 +53,19 @@
         LogForm::Json => builder.format(json),
         LogForm::Text => builder.format(text),
     };
-    builder.init();
+    builder
 }
 
 fn json(out: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut fields = Collect(BTreeMap::new());
+    record.key_values().visit(&mut fields).map_err(io::Error::other)?;
     let line = Line {
         time: wall.as_millis(),
         level: record.level().as_str(),
         part: record.target(),
         text: one_line(&record.args().to_string()),
+        fields: fields.0,
     };
     let text = serde_json::to_string(&line)?;
     writeln!(out, "{text}")
@@ -48,7 +73,28 @@
 
 fn text(out: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
     let (time, level, part) = (out.timestamp_millis(), record.level(), record.target());
-    writeln!(out, "{time} {level:5} {part} {}", one_line(&record.args().to_string()))
+    let mut line = one_line(&record.args().to_string());
+    record.key_values().visit(&mut Append(&mut line)).map_err(io::Error::other)?;
+    writeln!(out, "{time} {level:5} {part} {line}")
+}
+
+/// Gathers the fields of a line.
+struct Collect(BTreeMap<String, String>);
+
+impl<'kvs> VisitSource<'kvs> for Collect {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.0.insert(key.to_string(), value.to_string());
+        Ok(())
+    }
+}
+
+/// Appends the fields of a line as ` name=value`.
+struct Append<'a>(&'a mut String);
+
+impl<'kvs> VisitSource<'kvs> for Append<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        write!(self.0, " {key}={value}").map_err(Error::from)
+    }
 }
 
 /// Joins the lines of a text. An error is told with its causes, one a line;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,7 +1,7 @@
 //! The daemon: one instance of medlarspur.
 
 use log::LevelFilter;
-use medlarspur_daemon::{boot, logs, marked};
+use medlarspur_daemon::{boot, logs, marked, sink::Sink};
 use medlarspur_lib::{
     document,
     settings::{MarkedSettings, Settings},
@@ -39,13 +39,21 @@
     };
     if MarkedSettings::are_meant(&text) {
         return start(&flags, MarkedSettings::parse(&text), |settings| {
-            logs::init(settings.log, LevelFilter::Info);
-            marked::run(&flags.settings, settings).map_err(Report::from_error)
+            let sink = logs::init_sink(settings.log, LevelFilter::Info);
+            let result = marked::run(&flags.settings, settings).map_err(Report::from_error);
+            if let Err(report) = &result {
+                log::error!("{report}");
+            }
+            // Without a thread for it there is nothing to wait for.
+            sink.iter().for_each(Sink::flush);
+            result
         });
     }
     start(&flags, Settings::parse(&text), |settings| {
         logs::init(settings.log, LevelFilter::Info);
-        boot::run(settings).map_err(Report::from_error)
+        boot::run(settings)
+            .map_err(Report::from_error)
+            .inspect_err(|report| log::error!("{report}"))
     })
 }
 
@@ -69,10 +77,7 @@
     }
     match run(&settings) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            log::error!("{report}");
-            ExitCode::from(EXIT_RUN)
-        }
+        Err(_) => ExitCode::from(EXIT_RUN),
     }
 }
 
--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -4,6 +4,7 @@
     asker::Asker,
     current::Current,
     inbox::{self, Event, Inbox, Sender},
+    lines::Picture,
     output::Datagrams,
     peers::{self, Post},
     store::Reading,
@@ -88,7 +89,7 @@
     let tuning = Tuning { domain: settings.domain.clone(), seed: rand::random() };
     let mut instance = Instance {
         forwarder: Forwarder::new(tuning),
-        datagrams: Datagrams::new(Asker::new(sender.clone()), settings.callers),
+        datagrams: Datagrams::new(Asker::new(sender.clone()), settings.callers, clock.now()),
         fleet,
         reading,
         sender,
@@ -97,6 +98,7 @@
         inbox,
         clock,
         heard: Millis(0),
+        read: None,
         told,
         changed,
         current,
@@ -135,6 +137,8 @@
     clock: Clock,
     /// When the last packet came.
     heard: Millis,
+    /// When the store answered last.
+    read: Option<Millis>,
     told: Arc<AtomicBool>,
     /// Whether a signal says that the settings have changed.
     changed: Arc<AtomicBool>,
@@ -212,6 +216,7 @@
                 fleet.set_seeds(&self.current.seeds());
             }
         }
+        self.begin();
         let unknown = self.forwarder.counts().unknown;
         self.take_packets()?;
         if self.forwarder.counts().unknown > unknown {
@@ -224,6 +229,15 @@
         Ok(())
     }
 
+    /// Notes by what picture the decisions of this round are made.
+    fn begin(&mut self) {
+        let now = self.clock.now();
+        let fleet = self.fleet.as_ref().and_then(|(fleet, _)| fleet.confirmed());
+        let confirmed = self.read.max(fleet);
+        let age = confirmed.map(|at| now.since(at));
+        self.datagrams.begin(Picture { revision: self.forwarder.revision(), age }, now);
+    }
+
     fn take_packets(&mut self) -> Result<(), RunError> {
         for _ in 0..ROUND {
             let count = self.receive()?;
@@ -258,6 +272,7 @@
         for event in events {
             match event {
                 Event::Read(news) => {
+                    self.read = Some(now);
                     self.learn(news, now);
                     self.with_fleet(|fleet, forwarder| {
                         fleet.store_answered(forwarder.catalog(), now);
--- a/daemon/src/marked/mod.rs
+++ b/daemon/src/marked/mod.rs
@@ -10,13 +10,15 @@
 //! | `ready` | tells routers whether the instance is ready | a router |
 //! | `ask` | asks one target whether it answers, then ends | that target |
 //!
-//! The main thread alone has the flows. The others hand it values through the
+//! A thread `log` writes log lines, which go to it through a bounded ring
+//! ([`sink`](crate::sink)). The main thread alone has the flows. The others hand it values through the
 //! [`Inbox`](inbox::Inbox) and never wait for it.
 
 mod asker;
 mod current;
 mod inbox;
 mod instance;
+mod lines;
 mod output;
 mod peers;
 mod store;
--- a/daemon/src/marked/output.rs
+++ b/daemon/src/marked/output.rs
@@ -1,8 +1,12 @@
 //! Turns decisions into datagrams.
 
-use super::asker::Asker;
+use super::{
+    asker::Asker,
+    lines::{Lines, Picture},
+};
 use medlarspur_fabric::Outbox;
-use medlarspur_marked::{FlowKey, Mark, Output, Refusal, Target};
+use medlarspur_lib::time::Millis;
+use medlarspur_marked::{FlowKey, Mark, Note, Output, Revision, Target};
 use medlarspur_platform::site::packet;
 use std::net::SocketAddrV4;
 
@@ -13,12 +17,29 @@
     scratch: Vec<u8>,
     asker: Asker,
     callers: u16,
+    lines: Lines,
+    picture: Picture,
+    now: Millis,
 }
 
 impl Datagrams {
     /// Callers take packets at the port `callers`.
-    pub fn new(asker: Asker, callers: u16) -> Datagrams {
-        Datagrams { outbox: Outbox::new(), scratch: Vec::new(), asker, callers }
+    pub fn new(asker: Asker, callers: u16, now: Millis) -> Datagrams {
+        Datagrams {
+            outbox: Outbox::new(),
+            scratch: Vec::new(),
+            asker,
+            callers,
+            lines: Lines::new(now),
+            picture: Picture { revision: Revision::default(), age: None },
+            now,
+        }
+    }
+
+    /// Begins a round, in which decisions are made by this picture.
+    pub fn begin(&mut self, picture: Picture, now: Millis) {
+        self.picture = picture;
+        self.now = now;
     }
 
     /// What was gathered.
@@ -34,8 +55,7 @@
         self.outbox.push(target.address, &self.scratch);
     }
 
-    fn reset(&mut self, flow: &FlowKey, seq: u32, refusal: Refusal) {
-        log::debug!("reset {} to {}: {refusal:?}", flow.caller, flow.service);
+    fn reset(&mut self, flow: &FlowKey, seq: u32) {
         let to = SocketAddrV4::new(*flow.caller.ip(), self.callers);
         self.outbox.push(to, &packet::reset(flow, seq));
     }
@@ -43,4 +63,8 @@
     fn ask(&mut self, target: &Target, path: &str) {
         self.asker.ask(target, path);
     }
+
+    fn note(&mut self, note: Note) {
+        self.lines.write(&note, self.picture, self.now);
+    }
 }
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod choice;
 mod counts;
 mod gate;
+pub mod lines;
 mod opening;
 pub mod placement;
 pub mod queue;
--- a/load/tests/runner.rs
+++ b/load/tests/runner.rs
@@ -4,6 +4,7 @@
 mod model;
 mod test_choice;
 mod test_gate;
+mod test_lines;
 mod test_patterns;
 mod test_placement;
 mod test_properties;
--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -182,6 +182,11 @@
         self.config.as_ref().map(|(_, config)| config)
     }
 
+    /// The config in force and its revision.
+    pub fn config_at(&self) -> Option<(Revision, &Config)> {
+        self.config.as_ref().map(|(revision, config)| (*revision, config))
+    }
+
     /// Whether there is enough to serve: routes, and a target.
     pub fn is_usable(&self) -> bool {
         self.config.is_some() && !self.targets.is_empty()
--- a/marked/src/fleet.rs
+++ b/marked/src/fleet.rs
@@ -150,6 +150,12 @@
         self.seeds = seeds.iter().copied().filter(|it| *it != self.me).collect();
     }
 
+    /// When the store last answered this instance or a reader of its domain.
+    pub fn confirmed(&self) -> Option<Millis> {
+        let peers = self.peers.values().filter(|peer| peer.domain == self.domain);
+        peers.map(|peer| peer.fresh).chain([self.fresh]).max().flatten()
+    }
+
     /// What to send.
     pub fn take_letters(&mut self) -> Vec<Letter> {
         std::mem::take(&mut self.letters)
--- a/marked/src/forwarder.rs
+++ b/marked/src/forwarder.rs
@@ -13,8 +13,8 @@
 //!   was being opened there goes to another one.
 
 use crate::{
-    Catalog, Config, Entry, Finding, Flow, FlowKey, Health, Incarnation, Kind, Mark, News, Phase,
-    Presence, Revision, Segment, Target,
+    Catalog, Config, Entry, EntryState, Finding, Flow, FlowKey, Health, Incarnation, Kind, Mark,
+    News, Note, Phase, Presence, Revision, Segment, Target,
 };
 use medlarspur_lib::{
     bundle::Class,
@@ -52,9 +52,11 @@
     fn forward(&mut self, target: &Target, mark: Mark, packet: &[u8]);
     /// Resets a flow towards its caller; `seq` is the number that the caller
     /// expects next.
-    fn reset(&mut self, flow: &FlowKey, seq: u32, refusal: Refusal);
+    fn reset(&mut self, flow: &FlowKey, seq: u32);
     /// Asks a target whether it answers.
     fn ask(&mut self, target: &Target, path: &str);
+    /// Writes down what was decided or is believed anew.
+    fn note(&mut self, note: Note);
 }
 
 /// Why a flow is reset.
@@ -123,6 +125,12 @@
     counts: Counts,
 }
 
+/// Resets a flow that went to no target.
+fn refuse(flow: &FlowKey, refusal: Refusal, out: &mut impl Output) {
+    out.reset(flow, 0);
+    out.note(Note::Reset { flow: *flow, refusal, target: None, lost: None });
+}
+
 /// What is known of a target besides its entry.
 #[derive(Debug, Clone, Copy)]
 struct State {
@@ -196,18 +204,35 @@
 
     /// Takes in news of targets and routes.
     pub fn learn(&mut self, news: News, now: Millis, out: &mut impl Output) {
+        let version = self.catalog.config().map(|config| config.version);
         for incarnation in self.catalog.merge(news, now) {
             self.states.entry(incarnation).or_insert_with(|| State::new(now));
-            let entry = self.catalog.entry(incarnation);
-            if entry.is_some_and(|it| it.presence != Presence::Listed && !it.target.leaving) {
-                // It died, or its entry lapsed: asking tells which.
-                self.ask(incarnation, now, out);
-            }
+            self.learn_entry(incarnation, now, out);
+        }
+        if let Some((revision, config)) = self.catalog.config_at()
+            && Some(config.version) != version
+        {
+            let routes = config.routes.len();
+            out.note(Note::Config { version: config.version, revision, routes });
         }
         let catalog = &self.catalog;
         self.states.retain(|incarnation, _| catalog.entry(*incarnation).is_some());
     }
 
+    fn learn_entry(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
+        let Some(entry) = self.catalog.entry(target) else { return };
+        let state = match entry.presence {
+            Presence::Removed(_) => EntryState::Removed,
+            Presence::Listed if entry.target.leaving => EntryState::Leaving,
+            Presence::Listed => EntryState::Listed,
+        };
+        out.note(Note::Entry { target, state, revision: entry.revision });
+        if state == EntryState::Removed && !entry.target.leaving {
+            // It died, or its entry lapsed: asking tells which.
+            self.ask(target, now, out);
+        }
+    }
+
     /// Decides on one packet.
     pub fn packet(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
         if now.since(self.swept) >= SWEEP_PAUSE {
@@ -244,14 +269,15 @@
         self.drop_flow(&key);
         let Some(route) = self.catalog.route(key.service) else {
             self.counts.no_route += 1;
-            return out.reset(&key, 0, Refusal::NoRoute);
+            return refuse(&key, Refusal::NoRoute, out);
         };
         let (class, service) = (route.class, route.share(self.random.draw()).clone());
-        let Some(target) = self.choose(&service, class, &key, now) else {
+        let Some((target, note)) = self.choose(&service, class, &key, now) else {
             self.counts.no_target += 1;
-            return out.reset(&key, 0, Refusal::NoTarget);
+            return refuse(&key, Refusal::NoTarget, out);
         };
         self.counts.opened += 1;
+        out.note(note);
         self.keep(key, Flow::open(target, class, packet, seq, now));
         self.openings.push_back((now + OPENING_PATIENCE, key));
         self.send(target, &key, packet, out);
@@ -263,20 +289,29 @@
         class: Class,
         key: &FlowKey,
         now: Millis,
-    ) -> Option<Incarnation> {
+    ) -> Option<(Incarnation, Note)> {
         let entries = self.catalog.targets(service);
         let (mut names, mut candidates): (Vec<_>, Vec<_>) = entries
             .filter_map(|entry| Some((entry.target.incarnation, self.candidate(entry, now)?)))
             .unzip();
         loop {
             let position = choice::choose(&candidates, class, self.random.draw())?;
-            candidates.swap_remove(position);
+            let count = candidates.len();
+            let chosen = candidates.swap_remove(position);
             let target = names.swap_remove(position);
             // Another target may have the same mark for this flow, and packets
             // in mid-flow would go there.
             let meant = self.catalog.marked(Mark::new(target, key), key);
             if meant.is_some_and(|entry| entry.target.incarnation == target) {
-                return Some(target);
+                let note = Note::Opened {
+                    flow: *key,
+                    target,
+                    class,
+                    tier: chosen.tier,
+                    work: chosen.working + chosen.opening,
+                    candidates: count,
+                };
+                return Some((target, note));
             }
         }
     }
@@ -310,10 +345,10 @@
     }
 
     fn middle(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
-        let Some(target) = self.target(segment) else { return };
+        let Some(target) = self.target(segment, out) else { return };
         let is_lost = self.states.get(&target).is_some_and(|state| state.health.is_lost());
         if is_lost {
-            self.reset(&segment.key, segment.ack, out);
+            self.reset(&segment.key, segment.ack, target, now, out);
             return;
         }
         self.follow(target, segment, now, out);
@@ -323,15 +358,20 @@
 
     /// Where a packet in mid-flow goes: where its mark says. A caller that has
     /// received no mark, or none that holds, may still be known here.
-    fn target(&mut self, segment: &Segment) -> Option<Incarnation> {
+    fn target(&mut self, segment: &Segment, out: &mut impl Output) -> Option<Incarnation> {
         let marked = segment.mark.and_then(|mark| self.catalog.marked(mark, &segment.key));
         if let Some(entry) = marked {
             return Some(entry.target.incarnation);
         }
-        match segment.mark {
-            Some(_) => self.counts.unknown += 1,
-            None => self.counts.unmarked += 1,
+        let reason = match segment.mark {
+            Some(_) => Unroutable::UnknownMark,
+            None => Unroutable::Unmarked,
+        };
+        match reason {
+            Unroutable::UnknownMark => self.counts.unknown += 1,
+            Unroutable::Unmarked => self.counts.unmarked += 1,
         }
+        out.note(Note::Dropped { flow: segment.key, reason, mark: segment.mark });
         None
     }
 
@@ -357,15 +397,15 @@
         self.account(&flow, 1);
         self.flows.insert(segment.key, flow);
         if seen.life {
-            self.see_life(target, now);
+            self.see_life(target, now, out);
         }
         if let Some(sent) = seen.repeats {
-            self.doubt(target, sent, now, out);
+            self.doubt(target, segment.key, sent, now, out);
         }
     }
 
     fn close(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
-        let Some(target) = self.target(segment) else { return };
+        let Some(target) = self.target(segment, out) else { return };
         if segment.kind == Kind::Close {
             self.follow(target, segment, now, out);
         }
@@ -380,25 +420,48 @@
         }
     }
 
-    fn reset(&mut self, key: &FlowKey, seq: u32, out: &mut impl Output) {
+    fn reset(
+        &mut self,
+        key: &FlowKey,
+        seq: u32,
+        target: Incarnation,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
         self.counts.lost += 1;
         self.drop_flow(key);
-        out.reset(key, seq, Refusal::TargetLost);
+        out.reset(key, seq);
+        let lost = self.states.get(&target).and_then(|state| state.health.lost_since());
+        out.note(Note::Reset {
+            flow: *key,
+            refusal: Refusal::TargetLost,
+            target: Some(target),
+            lost: lost.map(|since| now.since(since)),
+        });
     }
 
-    fn see_life(&mut self, target: Incarnation, now: Millis) {
+    fn see_life(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
         let Some(state) = self.states.get_mut(&target) else { return };
         state.doubted = None;
         if state.health.see_life(now) {
             self.lost.retain(|it| *it != target);
+            out.note(Note::Regained { target });
         }
     }
 
-    /// A packet that was first sent at `sent` got no answer from the target.
-    fn doubt(&mut self, target: Incarnation, sent: Millis, now: Millis, out: &mut impl Output) {
+    /// A packet of `flow` that was first sent at `sent` got no answer.
+    fn doubt(
+        &mut self,
+        target: Incarnation,
+        flow: FlowKey,
+        sent: Millis,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
         let Some(state) = self.states.get_mut(&target) else { return };
         if state.health.doubt(sent, now) {
             state.doubted = Some(now);
+            out.note(Note::Doubted { target, flow: Some(flow), silent: now.since(sent) });
             self.ask(target, now, out);
         }
     }
@@ -423,9 +486,12 @@
     ) {
         let Some(state) = self.states.get_mut(&target) else { return };
         if finding == Finding::Answers {
-            return self.see_life(target, now);
+            return self.see_life(target, now, out);
         }
+        let silent = now.since(state.health.life());
         if state.health.find(finding, now) {
+            let flows = self.flows.values().filter(|flow| flow.target == target).count();
+            out.note(Note::Lost { target, finding, silent, flows });
             self.lost.push(target);
             self.leave(target, now, out);
         }
@@ -438,10 +504,13 @@
         for key in keys {
             let Some(flow) = self.flows.get(&key) else { continue };
             match flow.phase.clone() {
-                Phase::Opening { packet } => self.place(key, 0, &packet, now, out),
+                Phase::Opening { packet } => {
+                    out.note(Note::Moved { flow: key, from: target });
+                    self.place(key, 0, &packet, now, out);
+                }
                 Phase::Open => {
                     let seq = flow.acked;
-                    self.reset(&key, seq, out);
+                    self.reset(&key, seq, target, now, out);
                 }
             }
         }
@@ -465,7 +534,7 @@
         let Phase::Opening { packet } = &flow.phase else { return };
         let (target, since, packet) = (flow.target, flow.since, packet.clone());
         self.send(target, &key, &packet, out);
-        self.doubt(target, since, now, out);
+        self.doubt(target, key, since, now, out);
     }
 
     fn ask_lost(&mut self, now: Millis, out: &mut impl Output) {
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -17,6 +17,7 @@
 mod health;
 mod mark;
 pub mod message;
+mod note;
 mod segment;
 
 pub use catalog::{
@@ -27,4 +28,5 @@
 pub use forwarder::{Counts, Forwarder, Output, Refusal, Tuning, Unroutable};
 pub use health::{Finding, Health};
 pub use mark::{Incarnation, Mark};
+pub use note::{EntryState, Fields, Note, NoteKind};
 pub use segment::{FlowKey, Kind, Segment};
--- /dev/null
+++ b/marked/src/note.rs
@@ -0,0 +1,249 @@
+//! What was decided or is believed anew, for whoever explains it afterwards.
+
+use crate::{Finding, FlowKey, Incarnation, Mark, Refusal, Revision, Unroutable};
+use medlarspur_lib::{bundle::Class, ids::Version, time::Millis};
+use medlarspur_load::choice::Tier;
+use std::fmt;
+
+/// One decision or change of belief with what decided it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Note {
+    /// A new flow was given a target.
+    Opened {
+        /// The flow.
+        flow: FlowKey,
+        /// Its target.
+        target: Incarnation,
+        /// The class of the requests inside.
+        class: Class,
+        /// How good the target was among those that could take the flow.
+        tier: Tier,
+        /// Requests and openings under way there, as seen from here.
+        work: u32,
+        /// How many targets could take the flow.
+        candidates: usize,
+    },
+    /// A flow that was being opened goes to another target.
+    Moved {
+        /// The flow.
+        flow: FlowKey,
+        /// The target that does not answer.
+        from: Incarnation,
+    },
+    /// A flow was reset.
+    Reset {
+        /// The flow.
+        flow: FlowKey,
+        /// Why.
+        refusal: Refusal,
+        /// Its target, if it had one.
+        target: Option<Incarnation>,
+        /// Since when that target does not answer.
+        lost: Option<Millis>,
+    },
+    /// A packet in mid-flow went nowhere.
+    Dropped {
+        /// Its flow.
+        flow: FlowKey,
+        /// Why.
+        reason: Unroutable,
+        /// Its mark, if it has one.
+        mark: Option<Mark>,
+    },
+    /// A target is asked whether it answers.
+    Doubted {
+        /// The target.
+        target: Incarnation,
+        /// The flow whose packet got no answer, if it was one.
+        flow: Option<FlowKey>,
+        /// How long that packet has waited.
+        silent: Millis,
+    },
+    /// A target does not answer any more.
+    Lost {
+        /// The target.
+        target: Incarnation,
+        /// What asking it brought.
+        finding: Finding,
+        /// How long ago it last showed life.
+        silent: Millis,
+        /// How many flows it had here.
+        flows: usize,
+    },
+    /// A lost target answers again.
+    Regained {
+        /// The target.
+        target: Incarnation,
+    },
+    /// A target is listed, is about to leave, or was removed.
+    Entry {
+        /// The target.
+        target: Incarnation,
+        /// What became of it.
+        state: EntryState,
+        /// The revision that says so.
+        revision: Revision,
+    },
+    /// A config is in force.
+    Config {
+        /// Its version.
+        version: Version,
+        /// Its revision.
+        revision: Revision,
+        /// How many routes it has.
+        routes: usize,
+    },
+}
+
+/// What became of a target's entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryState {
+    /// It takes new flows.
+    Listed,
+    /// It keeps its flows and takes no new ones.
+    Leaving,
+    /// It is not listed any more.
+    Removed,
+}
+
+/// The kinds of notes. Their number is bounded apart from each other, so that
+/// many of one kind can't push out those of another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum NoteKind {
+    /// [`Note::Opened`].
+    Opened,
+    /// [`Note::Moved`].
+    Moved,
+    /// [`Note::Reset`].
+    Reset,
+    /// [`Note::Dropped`].
+    Dropped,
+    /// [`Note::Doubted`].
+    Doubted,
+    /// [`Note::Lost`] and [`Note::Regained`].
+    Reach,
+    /// [`Note::Entry`] and [`Note::Config`].
+    News,
+}
+
+impl NoteKind {
+    /// All kinds, in the order of their values.
+    pub const ALL: [NoteKind; 7] = [
+        NoteKind::Opened,
+        NoteKind::Moved,
+        NoteKind::Reset,
+        NoteKind::Dropped,
+        NoteKind::Doubted,
+        NoteKind::Reach,
+        NoteKind::News,
+    ];
+
+    /// The name under which lines that were left out are counted.
+    pub fn name(self) -> &'static str {
+        match self {
+            NoteKind::Opened => "opened",
+            NoteKind::Moved => "moved",
+            NoteKind::Reset => "reset",
+            NoteKind::Dropped => "dropped",
+            NoteKind::Doubted => "doubted",
+            NoteKind::Reach => "reach",
+            NoteKind::News => "news",
+        }
+    }
+}
+
+/// The fields of a line, by the names that `docs/OPERATIONS.md` lists.
+pub type Fields = Vec<(&'static str, String)>;
+
+impl Note {
+    /// Its kind.
+    pub fn kind(&self) -> NoteKind {
+        match self {
+            Note::Opened { .. } => NoteKind::Opened,
+            Note::Moved { .. } => NoteKind::Moved,
+            Note::Reset { .. } => NoteKind::Reset,
+            Note::Dropped { .. } => NoteKind::Dropped,
+            Note::Doubted { .. } => NoteKind::Doubted,
+            Note::Lost { .. } | Note::Regained { .. } => NoteKind::Reach,
+            Note::Entry { .. } | Note::Config { .. } => NoteKind::News,
+        }
+    }
+
+    /// What happened, in the words that lines begin with.
+    pub fn event(&self) -> &'static str {
+        match self {
+            Note::Opened { .. } => "flow opened",
+            Note::Moved { .. } => "flow moved",
+            Note::Reset { .. } => "flow reset",
+            Note::Dropped { .. } => "packet dropped",
+            Note::Doubted { .. } => "target doubted",
+            Note::Lost { .. } => "target lost",
+            Note::Regained { .. } => "target regained",
+            Note::Entry { .. } => "target entry",
+            Note::Config { .. } => "config in force",
+        }
+    }
+
+    /// Its fields.
+    pub fn fields(&self) -> Fields {
+        match self {
+            Note::Opened { flow, target, class, tier, work, candidates } => vec![
+                ("flow", flow.to_string()),
+                ("target", target.to_string()),
+                ("class", lower(class)),
+                ("tier", lower(tier)),
+                ("work", work.to_string()),
+                ("candidates", candidates.to_string()),
+            ],
+            Note::Moved { flow, from } => {
+                vec![("flow", flow.to_string()), ("from", from.to_string())]
+            }
+            Note::Reset { flow, refusal, target, lost } => {
+                let mut fields = vec![("flow", flow.to_string()), ("reason", lower(refusal))];
+                fields.extend(target.map(|it| ("target", it.to_string())));
+                fields.extend(lost.map(|it| ("lost_ms", it.to_string())));
+                fields
+            }
+            Note::Dropped { flow, reason, mark } => {
+                let mut fields = vec![("flow", flow.to_string()), ("reason", lower(reason))];
+                fields.extend(mark.map(|it| ("mark", format!("{:08x}", it.to_wire()))));
+                fields
+            }
+            Note::Doubted { target, flow, silent } => {
+                let mut fields =
+                    vec![("target", target.to_string()), ("silent_ms", silent.to_string())];
+                fields.extend(flow.map(|it| ("flow", it.to_string())));
+                fields
+            }
+            Note::Lost { target, finding, silent, flows } => vec![
+                ("target", target.to_string()),
+                ("finding", lower(finding)),
+                ("silent_ms", silent.to_string()),
+                ("flows", flows.to_string()),
+            ],
+            Note::Regained { target } => vec![("target", target.to_string())],
+            Note::Entry { target, state, revision } => vec![
+                ("target", target.to_string()),
+                ("state", lower(state)),
+                ("revision", revision.0.to_string()),
+            ],
+            Note::Config { version, revision, routes } => vec![
+                ("version", version.to_string()),
+                ("revision", revision.0.to_string()),
+                ("routes", routes.to_string()),
+            ],
+        }
+    }
+}
+
+/// The name of a value in lines: `NoRoute` is `no-route`.
+fn lower(value: &impl fmt::Debug) -> String {
+    let mut name = String::new();
+    for c in format!("{value:?}").chars() {
+        if c.is_uppercase() && !name.is_empty() {
+            name.push('-');
+        }
+        name.extend(c.to_lowercase());
+    }
+    name
+}
--- a/marked/src/segment.rs
+++ b/marked/src/segment.rs
@@ -1,7 +1,7 @@
 //! What forwarding needs to know of a caller's packet.
 
 use crate::Mark;
-use std::net::SocketAddrV4;
+use std::{fmt, net::SocketAddrV4};
 
 /// The addresses and ports of a flow: all that tells it from other flows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -12,6 +12,12 @@
     pub service: SocketAddrV4,
 }
 
+impl fmt::Display for FlowKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}>{}", self.caller, self.service)
+    }
+}
+
 /// What a packet means for its flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -6,8 +6,8 @@
     time::Millis,
 };
 use medlarspur_marked::{
-    Change, Config, Content, FlowKey, Forwarder, Incarnation, Kind, Mark, News, Output, Refusal,
-    Revision, Route, Scope, Segment, Share, Target, Tuning,
+    Change, Config, Content, FlowKey, Forwarder, Incarnation, Kind, Mark, News, Note, Output,
+    Refusal, Revision, Route, Scope, Segment, Share, Target, Tuning,
 };
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -95,6 +95,9 @@
     pub resets: Vec<(FlowKey, u32, Refusal)>,
     /// Targets that were asked.
     pub asked: Vec<Incarnation>,
+    /// What was written down.
+    pub notes: Vec<Note>,
+    reset: Option<(FlowKey, u32)>,
 }
 
 impl Output for Decisions {
@@ -102,8 +105,18 @@
         self.sent.push((target.incarnation, mark, packet.to_vec()));
     }
 
-    fn reset(&mut self, flow: &FlowKey, seq: u32, refusal: Refusal) {
-        self.resets.push((*flow, seq, refusal));
+    fn reset(&mut self, flow: &FlowKey, seq: u32) {
+        self.reset = Some((*flow, seq));
+    }
+
+    fn note(&mut self, note: Note) {
+        // The reason of a reset is in the note that follows it.
+        if let Note::Reset { flow, refusal, .. } = &note {
+            let (reset, seq) = self.reset.take().expect("the reset comes first");
+            assert_eq!(reset, *flow);
+            self.resets.push((reset, seq, *refusal));
+        }
+        self.notes.push(note);
     }
 
     fn ask(&mut self, target: &Target, _path: &str) {
