daemon: serve counters and histograms where marks are used

Handshake and first answer by service and class, openings, moves and resets by reason, questions to targets, calls to the store, age and revision of the picture. Rocket and the exporter start 3 s after the instance, because setting them up would take the processor from packets that wait at the start.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -40,7 +40,12 @@
     if MarkedSettings::are_meant(&text) {
         return start(&flags, MarkedSettings::parse(&text), |settings| {
             let sink = logs::init_sink(settings.log, LevelFilter::Info);
-            let result = marked::run(&flags.settings, settings).map_err(Report::from_error);
+            if let Err(error) = &sink {
+                eprintln!("warning: nothing is logged: {error}");
+            }
+            let sink = sink.ok();
+            let result = marked::run(&flags.settings, settings, sink.clone());
+            let result = result.map_err(Report::from_error);
             if let Err(report) = &result {
                 log::error!("{report}");
             }
--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -5,17 +5,19 @@
     current::Current,
     inbox::{self, Event, Inbox, Sender},
     lines::Picture,
+    meters::{self, Numbers, Published, Times},
     output::Datagrams,
     peers::{self, Post},
     store::Reading,
 };
-use crate::clock::Clock;
+use crate::{clock::Clock, sink::Sink};
 use medlarspur_fabric::{Batch, Socket, SocketError, Wire, wait};
 use medlarspur_lib::{settings::MarkedSettings, time::Millis};
 use medlarspur_marked::{Fleet, Forwarder, News, Tuning};
+use medlarspur_operator::{Meters, MetersError, Operator};
 use medlarspur_platform::site::{packet, ready};
 use signal_hook::consts::{SIGHUP, SIGTERM};
-use snafu::{ResultExt, Snafu};
+use snafu::{Report, ResultExt, Snafu};
 use std::{
     io,
     net::SocketAddrV4,
@@ -42,6 +44,11 @@
 /// How long before it would be killed a leaving instance ends by itself.
 const MARGIN: Millis = Millis::secs(1);
 
+/// How long after the start metrics begin to be served. Setting the server up
+/// takes more processor time than all else at the start, which a machine with
+/// a twentieth of a core needs for the packets that wait for it.
+const METRICS_DELAY: Millis = Millis::secs(3);
+
 /// Why an instance can't run.
 #[derive(Debug, Snafu)]
 pub enum RunError {
@@ -51,6 +58,12 @@
         /// Why.
         source: SocketError,
     },
+    /// The metrics.
+    #[snafu(display("cannot set up the metrics"))]
+    Metrics {
+        /// Why.
+        source: MetersError,
+    },
     /// A thread, a pipe, a listener or a signal handler.
     #[snafu(display("cannot {what}"))]
     System {
@@ -63,7 +76,7 @@
 
 /// Runs with the settings that were read from `path` until the process is told
 /// to end.
-pub fn run(path: &Path, settings: &MarkedSettings) -> Result<(), RunError> {
+pub fn run(path: &Path, settings: &MarkedSettings, sink: Option<Sink>) -> Result<(), RunError> {
     let system = |what| SystemSnafu { what };
     let (sender, inbox) = inbox::channel().context(system("make the inbox"))?;
     let told = Arc::new(AtomicBool::new(false));
@@ -99,11 +112,17 @@
         clock,
         heard: Millis(0),
         read: None,
+        numbers: Numbers::default(),
+        published: Published::default(),
+        metrics: None,
         told,
         changed,
         current,
         ready,
     };
+    if let Some(address) = settings.metrics {
+        instance.show(address, sink)?;
+    }
     instance.learn_first()?;
     log::info!("ready: {:?} after {} ms", instance.forwarder.revision(), instance.clock.uptime());
     instance.serve()?;
@@ -139,6 +158,9 @@
     heard: Millis,
     /// When the store answered last.
     read: Option<Millis>,
+    numbers: Numbers,
+    published: Published,
+    metrics: Option<Metrics>,
     told: Arc<AtomicBool>,
     /// Whether a signal says that the settings have changed.
     changed: Arc<AtomicBool>,
@@ -146,7 +168,53 @@
     ready: Arc<AtomicBool>,
 }
 
+/// Metrics that are not served yet, or are.
+struct Metrics {
+    address: SocketAddrV4,
+    meters: Meters,
+    due: Millis,
+    server: Option<Operator>,
+}
+
 impl Instance {
+    /// Sets metrics up. They are served only [`METRICS_DELAY`] later.
+    fn show(&mut self, address: SocketAddrV4, sink: Option<Sink>) -> Result<(), RunError> {
+        let meters = Meters::new().context(MetricsSnafu)?;
+        meters::register(&meters, &self.published, &self.reading.calls(), sink, self.clock);
+        self.datagrams.measure_into(Times::new(meters.clone()));
+        let due = self.clock.now() + METRICS_DELAY;
+        self.metrics = Some(Metrics { address, meters, due, server: None });
+        Ok(())
+    }
+
+    /// Publishes what was counted, and begins to serve metrics when that is due.
+    fn publish(&mut self) {
+        let Some(metrics) = &mut self.metrics else { return };
+        let now = self.clock.now();
+        let fleet = self.fleet.as_ref().map(|(fleet, _)| fleet);
+        let config = self.forwarder.catalog().config();
+        self.published.set(Numbers {
+            counts: self.forwarder.counts(),
+            wire: self.socket.counts(),
+            flows: self.forwarder.len() as u64,
+            members: fleet.map_or(0, |fleet| fleet.len() as u64),
+            ready: self.ready.load(Relaxed),
+            reading: fleet.is_none_or(Fleet::is_reading),
+            confirmed: self.read.max(fleet.and_then(Fleet::confirmed)),
+            revision: self.forwarder.revision(),
+            version: config.map_or(0, |config| config.version.0),
+            reach: self.forwarder.reach(),
+            ..self.numbers
+        });
+        if metrics.server.is_none() && metrics.due <= now {
+            metrics.due = now + METRICS_DELAY;
+            match Operator::start_metrics(metrics.address, metrics.meters.clone()) {
+                Ok(server) => metrics.server = Some(server),
+                Err(error) => log::warn!("metrics: not served: {}", Report::from_error(error)),
+            }
+        }
+    }
+
     /// Waits until there are routes and targets. Packets wait in the socket
     /// meanwhile: a caller whose packet is dropped repeats it only after 200 ms,
     /// and the first answer of the store takes some ten.
@@ -226,6 +294,7 @@
         self.take_messages();
         self.forwarder.tick(self.clock.now(), &mut self.datagrams);
         self.datagrams.outbox().flush(&mut self.socket);
+        self.publish();
         Ok(())
     }
 
@@ -246,12 +315,16 @@
             }
             let now = self.clock.now();
             self.heard = now;
+            self.numbers.received += count as u64;
             for received in self.batch.iter() {
                 match packet::parse(received.bytes) {
                     Ok(segment) => {
                         self.forwarder.packet(&segment, received.bytes, now, &mut self.datagrams);
                     }
-                    Err(error) => log::debug!("packets: one is dropped: {error}"),
+                    Err(error) => {
+                        self.numbers.malformed[error as usize] += 1;
+                        log::debug!("packets: one is dropped: {error}");
+                    }
                 }
             }
             self.datagrams.outbox().flush(&mut self.socket);
--- a/daemon/src/marked/mod.rs
+++ b/daemon/src/marked/mod.rs
@@ -19,6 +19,7 @@
 mod inbox;
 mod instance;
 mod lines;
+mod meters;
 mod output;
 mod peers;
 mod store;
--- a/daemon/src/marked/output.rs
+++ b/daemon/src/marked/output.rs
@@ -3,15 +3,15 @@
 use super::{
     asker::Asker,
     lines::{Lines, Picture},
+    meters::Times,
 };
 use medlarspur_fabric::Outbox;
-use medlarspur_lib::time::Millis;
-use medlarspur_marked::{FlowKey, Mark, Note, Output, Revision, Target};
+use medlarspur_lib::{bundle::Class, ids::ServiceName, time::Millis};
+use medlarspur_marked::{FlowKey, Mark, Note, Output, Revision, Span, Target};
 use medlarspur_platform::site::packet;
 use std::net::SocketAddrV4;
 
 /// Gathers the datagrams of a round.
-#[derive(Debug)]
 pub struct Datagrams {
     outbox: Outbox,
     scratch: Vec<u8>,
@@ -20,6 +20,7 @@
     lines: Lines,
     picture: Picture,
     now: Millis,
+    times: Option<Times>,
 }
 
 impl Datagrams {
@@ -33,9 +34,15 @@
             lines: Lines::new(now),
             picture: Picture { revision: Revision::default(), age: None },
             now,
+            times: None,
         }
     }
 
+    /// Records measured times from now on.
+    pub fn measure_into(&mut self, times: Times) {
+        self.times = Some(times);
+    }
+
     /// Begins a round, in which decisions are made by this picture.
     pub fn begin(&mut self, picture: Picture, now: Millis) {
         self.picture = picture;
@@ -64,6 +71,12 @@
         self.asker.ask(target, path);
     }
 
+    fn measure(&mut self, service: &ServiceName, class: Class, span: Span) {
+        if let Some(times) = &mut self.times {
+            times.record(service, class, span);
+        }
+    }
+
     fn note(&mut self, note: Note) {
         self.lines.write(&note, self.picture, self.now);
     }
--- a/daemon/src/marked/store.rs
+++ b/daemon/src/marked/store.rs
@@ -12,13 +12,26 @@
 use snafu::Report;
 use std::{
     io,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
     thread::{self, Thread},
 };
 
+/// How calls to the store ended.
+#[derive(Debug, Default)]
+pub struct Calls {
+    /// With an answer.
+    pub answered: AtomicU64,
+    /// Without one that could be used.
+    pub failed: AtomicU64,
+}
+
 /// Tells the thread whether to read.
 #[derive(Debug)]
 pub struct Reading {
+    calls: Arc<Calls>,
     shared: Arc<Mutex<Order>>,
     thread: Thread,
 }
@@ -37,9 +50,16 @@
     pub fn start(current: Arc<Current>, sender: Sender) -> io::Result<Reading> {
         let shared = Arc::new(Mutex::new(Order::Read));
         let orders = shared.clone();
-        let run = move || run(&current, &sender, &orders);
+        let calls = Arc::<Calls>::default();
+        let count = calls.clone();
+        let run = move || run(&current, &sender, &orders, &count);
         let thread = thread::Builder::new().name("store".to_owned()).spawn(run)?;
-        Ok(Reading { shared, thread: thread.thread().clone() })
+        Ok(Reading { calls, shared, thread: thread.thread().clone() })
+    }
+
+    /// How its calls ended.
+    pub fn calls(&self) -> Arc<Calls> {
+        self.calls.clone()
     }
 
     /// Goes on reading, from `known` on. Nothing happens if it does already.
@@ -66,7 +86,7 @@
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn run(current: &Current, sender: &Sender, orders: &Mutex<Order>) {
+fn run(current: &Current, sender: &Sender, orders: &Mutex<Order>, calls: &Calls) {
     let mut address = current.store();
     let mut follower = Follower::new(Http::new(address));
     let mut reachable = None;
@@ -88,6 +108,8 @@
             follower = Follower::new(Http::new(address));
         }
         let step = follower.step(rand::random());
+        let counter = if step.error.is_none() { &calls.answered } else { &calls.failed };
+        counter.fetch_add(1, Relaxed);
         if note(&step, &mut reachable) {
             current.reload();
         }
--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -58,6 +58,8 @@
 /// What a packet shows of its flow's target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Seen {
+    /// It ends the handshake.
+    pub opened: bool,
     /// The target has answered something.
     pub life: bool,
     /// The caller repeats data, first sent at this time, that nothing answers.
@@ -114,7 +116,7 @@
         if life {
             self.base = self.sent;
         }
-        Seen { life, repeats: repeats.filter(|_| !life), answered }
+        Seen { opened: shaken, life, repeats: repeats.filter(|_| !life), answered }
     }
 
     /// The caller can only go on once it has the target's answer.
--- a/marked/src/forwarder.rs
+++ b/marked/src/forwarder.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     Catalog, Config, Entry, EntryState, Finding, Flow, FlowKey, Health, Incarnation, Kind, Mark,
-    News, Note, Phase, Presence, Revision, Segment, Target,
+    News, Note, Phase, Presence, Revision, Segment, Target, flow::Seen,
 };
 use medlarspur_lib::{
     bundle::Class,
@@ -57,6 +57,19 @@
     fn ask(&mut self, target: &Target, path: &str);
     /// Writes down what was decided or is believed anew.
     fn note(&mut self, note: Note);
+    /// Records a measured time of a class of a service.
+    fn measure(&mut self, service: &ServiceName, class: Class, span: Span);
+}
+
+/// A measured time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Span {
+    /// From an opening packet to the end of the handshake.
+    Handshake(Millis),
+    /// From a request to the acknowledgement of its first answer.
+    Answer(Millis),
+    /// From the opening of a flow to its end, if both were seen here.
+    Length(Millis),
 }
 
 /// Why a flow is reset.
@@ -101,6 +114,8 @@
     pub unmarked: u64,
     /// Packets that went nowhere because their mark is unknown.
     pub unknown: u64,
+    /// Flows that were moved while they were being opened.
+    pub moved: u64,
     /// Flows reset because they have no route.
     pub no_route: u64,
     /// Flows reset because no target can take them.
@@ -109,6 +124,8 @@
     pub lost: u64,
     /// Targets that were asked whether they answer.
     pub asked: u64,
+    /// Targets that did, or did not.
+    pub found: [u64; Finding::ALL.len()],
 }
 
 /// The flows through one instance.
@@ -187,6 +204,12 @@
         self.counts
     }
 
+    /// How many listed targets answer, and how many don't.
+    pub fn reach(&self) -> (usize, usize) {
+        let listed = self.catalog.entries().filter(|it| it.presence == Presence::Listed).count();
+        (listed.saturating_sub(self.lost.len()), self.lost.len())
+    }
+
     /// How many flows have a record.
     pub fn len(&self) -> usize {
         self.flows.len()
@@ -395,6 +418,7 @@
         };
         let seen = flow.see(segment, now);
         self.account(&flow, 1);
+        self.measure(&flow, seen, now, out);
         self.flows.insert(segment.key, flow);
         if seen.life {
             self.see_life(target, now, out);
@@ -404,11 +428,25 @@
         }
     }
 
+    fn measure(&self, flow: &Flow, seen: Seen, now: Millis, out: &mut impl Output) {
+        let Some(entry) = self.catalog.entry(flow.target) else { return };
+        let handshake = seen.opened.then(|| Span::Handshake(now.since(flow.since)));
+        let answer = seen.answered.map(|since| Span::Answer(now.since(since)));
+        for span in handshake.into_iter().chain(answer) {
+            out.measure(&entry.target.service, flow.class, span);
+        }
+    }
+
     fn close(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
         let Some(target) = self.target(segment, out) else { return };
         if segment.kind == Kind::Close {
             self.follow(target, segment, now, out);
         }
+        let flow = self.flows.get(&segment.key).filter(|flow| flow.opened);
+        if let (Some(flow), Some(entry)) = (flow, self.catalog.entry(target)) {
+            let length = Span::Length(now.since(flow.since));
+            out.measure(&entry.target.service, flow.class, length);
+        }
         self.drop_flow(&segment.key);
         self.counts.passed += 1;
         self.send(target, &segment.key, bytes, out);
@@ -484,6 +522,7 @@
         now: Millis,
         out: &mut impl Output,
     ) {
+        self.counts.found[finding as usize] += 1;
         let Some(state) = self.states.get_mut(&target) else { return };
         if finding == Finding::Answers {
             return self.see_life(target, now, out);
@@ -505,6 +544,7 @@
             let Some(flow) = self.flows.get(&key) else { continue };
             match flow.phase.clone() {
                 Phase::Opening { packet } => {
+                    self.counts.moved += 1;
                     out.note(Note::Moved { flow: key, from: target });
                     self.place(key, 0, &packet, now, out);
                 }
--- a/marked/src/health.rs
+++ b/marked/src/health.rs
@@ -29,6 +29,11 @@
     Silent,
 }
 
+impl Finding {
+    /// All of them, in the order of their values.
+    pub const ALL: [Finding; 3] = [Finding::Answers, Finding::Gone, Finding::Silent];
+}
+
 /// What is believed of one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Health {
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -24,8 +24,8 @@
     Catalog, Change, Config, Content, Entry, News, Presence, Revision, Route, Scope, Share, Target,
 };
 pub use fleet::{Fleet, Letter};
-pub use flow::{Flow, Phase};
-pub use forwarder::{Counts, Forwarder, Output, Refusal, Tuning, Unroutable};
+pub use flow::{Flow, Phase, Seen};
+pub use forwarder::{Counts, Forwarder, Output, Refusal, Span, Tuning, Unroutable};
 pub use health::{Finding, Health};
 pub use mark::{Incarnation, Mark};
 pub use note::{EntryState, Fields, Note, NoteKind};
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -7,7 +7,7 @@
 };
 use medlarspur_marked::{
     Change, Config, Content, FlowKey, Forwarder, Incarnation, Kind, Mark, News, Note, Output,
-    Refusal, Revision, Route, Scope, Segment, Share, Target, Tuning,
+    Refusal, Revision, Route, Scope, Segment, Share, Span, Target, Tuning,
 };
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -97,6 +97,8 @@
     pub asked: Vec<Incarnation>,
     /// What was written down.
     pub notes: Vec<Note>,
+    /// What was measured.
+    pub spans: Vec<(ServiceName, Class, Span)>,
     reset: Option<(FlowKey, u32)>,
 }
 
@@ -109,6 +111,10 @@
         self.reset = Some((*flow, seq));
     }
 
+    fn measure(&mut self, service: &ServiceName, class: Class, span: Span) {
+        self.spans.push((service.clone(), class, span));
+    }
+
     fn note(&mut self, note: Note) {
         // The reason of a reset is in the note that follows it.
         if let Note::Reset { flow, refusal, .. } = &note {
--- a/marked/tests/test_forwarder.rs
+++ b/marked/tests/test_forwarder.rs
@@ -114,3 +114,22 @@
 
     assert!(instance.out.sent.iter().all(|(_, mark, _)| *mark == Mark::new(at, &key)));
 }
+
+#[test]
+fn times_are_measured_for_service_and_class() {
+    use super::fixtures::millis;
+    use medlarspur_lib::bundle::Class;
+    use medlarspur_marked::Span;
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let key = flow(1, REQUEST);
+    let at = instance.opened(key, 0);
+    instance.packet(middle(key, at, 1001, 500, 100), 10);
+    instance.packet(middle(key, at, 1101, 900, 0), 52);
+    instance.packet(Segment { kind: Kind::Close, ..middle(key, at, 1101, 900, 0) }, 60);
+
+    let spans: Vec<Span> = instance.out.spans.iter().map(|(.., span)| *span).collect();
+    let expected = [Span::Handshake(millis(5)), Span::Answer(millis(42)), Span::Length(millis(60))];
+    assert_eq!(spans, expected);
+    let mut of = instance.out.spans.iter();
+    assert!(of.all(|(service, class, _)| service.as_str() == "desk" && *class == Class::Request));
+}
--- a/operator/src/meters/class.rs
+++ b/operator/src/meters/class.rs
@@ -13,6 +13,8 @@
 const WAIT: [f64; 10] = [1e-4, 1e-3, 5e-3, 1e-2, 2.5e-2, 5e-2, 0.1, 0.25, 0.5, 1.0];
 /// From the round trip within a failure domain to a few lost packets.
 const HANDSHAKE: [f64; 10] = [1e-3, 2e-3, 5e-3, 1e-2, 2.5e-2, 5e-2, 0.1, 0.5, 1.0, 3.0];
+/// From the fastest request to the longest time that callers wait.
+const ANSWER: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 8.0];
 /// From a short request to a feed of a day.
 const LENGTH: [f64; 10] = [0.1, 1.0, 5.0, 30.0, 120.0, 600.0, 3600.0, 14400.0, 43200.0, 86400.0];
 
@@ -21,6 +23,7 @@
     forward: Histogram<f64>,
     wait: Histogram<f64>,
     handshake: Histogram<f64>,
+    answer: Histogram<f64>,
     length: Histogram<f64>,
 }
 
@@ -49,6 +52,11 @@
                 "Time from an opening to the next packet of its flow here.",
                 &HANDSHAKE,
             ),
+            answer: histogram(
+                "medlarspur_answer_seconds",
+                "Time from a request to the acknowledgement of its first answer.",
+                &ANSWER,
+            ),
             length: histogram(
                 "medlarspur_flow_seconds",
                 "Time from the opening to the end of a flow that was opened here.",
@@ -66,6 +74,7 @@
             forward: self.forward.bind(&labels),
             wait: self.wait.bind(&labels),
             handshake: self.handshake.bind(&labels),
+            answer: self.answer.bind(&labels),
             length: self.length.bind(&labels),
         }
     }
@@ -85,6 +94,7 @@
     forward: BoundHistogram<f64>,
     wait: BoundHistogram<f64>,
     handshake: BoundHistogram<f64>,
+    answer: BoundHistogram<f64>,
     length: BoundHistogram<f64>,
 }
 
@@ -106,6 +116,12 @@
         self.handshake.record(time.as_secs_f64());
     }
 
+    /// This long after a request, its caller acknowledged a first part of the
+    /// answer.
+    pub fn answer(&self, time: Duration) {
+        self.answer.record(time.as_secs_f64());
+    }
+
     /// A flow ended this long after its opening.
     pub fn length(&self, time: Duration) {
         self.length.record(time.as_secs_f64());
--- a/operator/src/meters/family.rs
+++ b/operator/src/meters/family.rs
@@ -112,11 +112,21 @@
     BucketsMoving,
     /// 1 while the last call to the platform was answered, else 0.
     PlatformReachable,
+    /// 1 while the instance reads the platform for others, else 0.
+    Reading,
+    /// Milliseconds since the picture of targets and routes was confirmed.
+    PictureAge,
+    /// The revision up to which all changes of targets and routes are known.
+    PictureRevision,
+    /// Targets that are known and answer.
+    TargetsLive,
+    /// Targets that are listed and don't answer.
+    TargetsLost,
 }
 
 impl Gauge {
     /// Every gauge.
-    pub const ALL: [Gauge; 7] = [
+    pub const ALL: [Gauge; 12] = [
         Gauge::Ready,
         Gauge::FlowsHeld,
         Gauge::MembersLive,
@@ -124,6 +134,11 @@
         Gauge::BundleConflict,
         Gauge::BucketsMoving,
         Gauge::PlatformReachable,
+        Gauge::Reading,
+        Gauge::PictureAge,
+        Gauge::PictureRevision,
+        Gauge::TargetsLive,
+        Gauge::TargetsLost,
     ];
 
     /// Its name in the metrics.
@@ -136,6 +151,11 @@
             Gauge::BundleConflict => "medlarspur_bundle_conflict",
             Gauge::BucketsMoving => "medlarspur_buckets_moving",
             Gauge::PlatformReachable => "medlarspur_platform_reachable",
+            Gauge::Reading => "medlarspur_reading",
+            Gauge::PictureAge => "medlarspur_picture_age_milliseconds",
+            Gauge::PictureRevision => "medlarspur_picture_revision",
+            Gauge::TargetsLive => "medlarspur_targets_live",
+            Gauge::TargetsLost => "medlarspur_targets_lost",
         }
     }
 
@@ -148,6 +168,11 @@
             Gauge::BundleConflict => "1 while this version is known with two contents.",
             Gauge::BucketsMoving => "Buckets with earlier owners that may hold flows.",
             Gauge::PlatformReachable => "1 while the last call to the platform was answered.",
+            Gauge::Reading => "1 while the instance reads the platform for others.",
+            Gauge::PictureAge => "Time since the targets and routes were confirmed.",
+            Gauge::PictureRevision => "Revision up to which all changes are known.",
+            Gauge::TargetsLive => "Targets that are known and answer.",
+            Gauge::TargetsLost => "Targets that are listed and don't answer.",
         }
     }
 }
--- a/operator/src/routes.rs
+++ b/operator/src/routes.rs
@@ -37,6 +37,10 @@
     routes![healthz, readyz, status, explain, flows, metrics]
 }
 
+pub(crate) fn metrics_only() -> Vec<Route> {
+    routes![healthz, metrics]
+}
+
 pub(crate) fn catchers() -> Vec<Catcher> {
     catchers![not_found, other]
 }
--- a/operator/src/server.rs
+++ b/operator/src/server.rs
@@ -77,11 +77,31 @@
         address: SocketAddrV4,
         source: Arc<dyn Source>,
         meters: Meters,
+    ) -> Result<Operator, OperatorError> {
+        Operator::launch(address, move |rocket| {
+            rocket.manage(source).manage(meters).mount("/", routes::all())
+        })
+    }
+
+    /// Serves metrics only, as [`start`](Self::start) does.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound or the system gives no thread.
+    pub fn start_metrics(address: SocketAddrV4, meters: Meters) -> Result<Operator, OperatorError> {
+        Operator::launch(address, move |rocket| {
+            rocket.manage(meters).mount("/", routes::metrics_only())
+        })
+    }
+
+    fn launch(
+        address: SocketAddrV4,
+        mount: impl FnOnce(Rocket<Build>) -> Rocket<Build> + Send + 'static,
     ) -> Result<Operator, OperatorError> {
         let (say, hear) = mpsc::channel();
         let thread = thread::Builder::new()
             .name("operator".to_owned())
-            .spawn(move || serve(address, source, meters, &say))
+            .spawn(move || serve(address, mount, &say))
             .context(ThreadSnafu)?;
         let start = hear.recv_timeout(START_LIMIT).context(LateSnafu { address })?;
         let (address, shutdown) = start?;
@@ -116,12 +136,16 @@
     }
 }
 
-fn serve(address: SocketAddrV4, source: Arc<dyn Source>, meters: Meters, say: &Sender<Start>) {
+fn serve(
+    address: SocketAddrV4,
+    mount: impl FnOnce(Rocket<Build>) -> Rocket<Build>,
+    say: &Sender<Start>,
+) {
     let runtime = match Builder::new_current_thread().enable_all().build().context(ThreadSnafu) {
         Ok(runtime) => runtime,
         Err(error) => return tell(say, Err(error)),
     };
-    let rocket = build(address, source, meters, say.clone());
+    let rocket = build(address, mount, say.clone());
     if let Err(error) = runtime.block_on(rocket.launch()) {
         // Reading the kind also keeps rocket's error from panicking on drop.
         let detail = error.kind().to_string();
@@ -131,8 +155,7 @@
 
 fn build(
     address: SocketAddrV4,
-    source: Arc<dyn Source>,
-    meters: Meters,
+    mount: impl FnOnce(Rocket<Build>) -> Rocket<Build>,
     say: Sender<Start>,
 ) -> Rocket<Build> {
     let started = AdHoc::on_liftoff("started", move |rocket| {
@@ -142,12 +165,7 @@
             tell(&say, Ok((address, rocket.shutdown())));
         })
     });
-    rocket::custom(config(address))
-        .manage(source)
-        .manage(meters)
-        .mount("/", routes::all())
-        .register("/", routes::catchers())
-        .attach(started)
+    mount(rocket::custom(config(address))).register("/", routes::catchers()).attach(started)
 }
 
 /// Signals are the daemon's: if rocket took SIGTERM, the instance would stop
