--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -87,18 +87,21 @@
     let current = Arc::new(Current::new(path, settings));
     let socket = Socket::bind(settings.packets).context(PacketsSnafu)?;
     let ready = Arc::new(AtomicBool::new(false));
-    ready::serve(settings.ready, ready.clone()).context(system("tell whether it is ready"))?;
+    let asked = ready::serve(settings.ready, ready.clone());
+    let asked = asked.context(system("tell whether it is ready"))?;
     let reading = Reading::start(current.clone(), sender.clone());
     let reading = reading.context(system("follow the store"))?;
-    log::info!(
-        "start: {} in {} takes packets at {}",
-        settings.name,
-        settings.domain,
-        settings.packets
-    );
     let clock = Clock::start();
     let fleet = settings.control.map(|control| join(control, settings, &sender, clock.now()));
     let fleet = fleet.transpose().context(system("talk to other instances"))?;
+    let control = fleet.as_ref().map(|(_, post)| post.local()).transpose();
+    let control = control.context(system("talk to other instances"))?;
+    log::info!(
+        name = settings.name.as_str(), domain = settings.domain.as_str(),
+        packets:% = socket.local(), ready:% = asked, store:% = settings.store,
+        control = control.map(|it| it.to_string());
+        "start"
+    );
     let tuning = Tuning { domain: settings.domain.clone(), seed: rand::random() };
     let mut instance = Instance {
         forwarder: Forwarder::new(tuning),
@@ -124,23 +127,44 @@
         instance.show(address, sink)?;
     }
     instance.learn_first()?;
-    log::info!("ready: {:?} after {} ms", instance.forwarder.revision(), instance.clock.uptime());
+    log::info!(
+        revision = instance.forwarder.revision().0, after_ms = instance.clock.uptime().0;
+        "ready"
+    );
     instance.serve()?;
     instance.leave(settings.grace - MARGIN)?;
-    log::info!("stop: after {} ms, {:?}", instance.clock.uptime(), instance.forwarder.counts());
+    log::info!(
+        after_ms = instance.clock.uptime().0, counts:? = instance.forwarder.counts();
+        "stop"
+    );
     Ok(())
 }
 
+/// How often a port is sought that is free for both UDP and TCP, where the
+/// settings leave the port to the system.
+const PORT_TRIES: usize = 20;
+
+/// Binds the control address for datagrams and for pictures.
 fn join(
     control: SocketAddrV4,
     settings: &MarkedSettings,
     sender: &Sender,
     now: Millis,
 ) -> io::Result<(Fleet, Post)> {
-    let post = Post::bind(control)?;
-    peers::serve(control, sender.clone())?;
-    let fleet = Fleet::new(control, &settings.domain, &settings.peers, rand::random(), now);
-    Ok((fleet, post))
+    let mut tries = 0;
+    loop {
+        let post = Post::bind(control)?;
+        let local = post.local()?;
+        match peers::serve(local, sender.clone()) {
+            Ok(()) => {
+                let seed = rand::random();
+                let fleet = Fleet::new(local, &settings.domain, &settings.peers, seed, now);
+                return Ok((fleet, post));
+            }
+            Err(error) if control.port() != 0 || tries == PORT_TRIES => return Err(error),
+            Err(_) => tries += 1,
+        }
+    }
 }
 
 struct Instance {
@@ -249,7 +273,7 @@
     /// Says that it is not ready and serves what still comes.
     fn leave(&mut self, limit: Millis) -> Result<(), RunError> {
         self.ready.store(false, Relaxed);
-        log::info!("leave: {} flows have records", self.forwarder.len());
+        log::info!(flows = self.forwarder.len(), limit_ms = limit.0; "leave");
         let began = self.clock.now();
         loop {
             let now = self.clock.now();
--- a/daemon/src/marked/peers.rs
+++ b/daemon/src/marked/peers.rs
@@ -50,6 +50,14 @@
         Ok(Post { socket })
     }
 
+    /// The bound address.
+    pub fn local(&self) -> io::Result<SocketAddrV4> {
+        match self.socket.local_addr()? {
+            SocketAddr::V4(local) => Ok(local),
+            SocketAddr::V6(_) => Err(ErrorKind::Unsupported.into()),
+        }
+    }
+
     /// Becomes readable when a message waits.
     pub fn as_fd(&self) -> BorrowedFd<'_> {
         self.socket.as_fd()
--- a/lib/tests/product/test_marked_settings.rs
+++ b/lib/tests/product/test_marked_settings.rs
@@ -32,11 +32,11 @@
 
     expect![[r#"
         line 1: (top): the field `name` is missing; add `name:`
-        line 2: nam: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, grace, log
+        line 2: nam: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, control, peers, grace, log
         line 6: store: `store.example:1` does not fit; write an IPv4 address and a port other than 0, such as 10.0.0.1:6080
         line 7: grace: `soon` does not fit; write a span of time with its unit, such as 500ms, 30s, 5m or 1h
         line 8: metrics: the address `10.1.0.10:8167` stands at ready already; change or remove it here or at ready
-        line 9: colour: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, grace, log"#]].assert_eq(&report.to_string());
+        line 9: colour: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, control, peers, grace, log"#]].assert_eq(&report.to_string());
 }
 
 #[test]
