--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -1,8 +1,13 @@
 //! Tests of the daemon as a process, beside stand-ins for its peers.
 
+mod marked;
 mod test_check;
 mod test_checker;
 mod test_gate;
 mod test_limits;
 mod test_logs;
+mod test_marked_explained;
+mod test_marked_instances;
+mod test_marked_store;
+mod test_marked_targets;
 mod test_operators;
--- /dev/null
+++ b/daemon/tests/test_marked_explained.rs
@@ -0,0 +1,78 @@
+//! Three failures, each explained from what the instances wrote and nothing
+//! else, as `docs/OPERATIONS.md` tells.
+
+use crate::marked::{lines_with, site, wait_for_answers, wait_until};
+use medlarspur_lib::bundle::Class;
+use medlarspur_standin::caller::Outcome;
+
+/// The value of a field of a line.
+fn field<'a>(line: &'a str, name: &str) -> &'a str {
+    let at = line.find(&format!(" {name}=")).unwrap_or_else(|| panic!("{name} in {line}"));
+    line[at + name.len() + 2..].split(' ').next().expect("a value")
+}
+
+/// A caller says that nobody took its request. Its address and port lead to the
+/// reset, whose reason is that no target can take flows; the entries say why:
+/// all of them leave.
+#[test]
+fn a_refused_flow_is_explained_by_targets_that_leave() {
+    let mut site = site(4, 1);
+    for berth in 0..3 {
+        site.drain(berth);
+    }
+    wait_until("it is known", || lines_with(&site, &["state=leaving"]).len() == 3);
+    site.add_callers(Class::Request, 1);
+    wait_until("it is refused", || site.tally().count(Class::Request, Outcome::Refused) > 0);
+    let refused = site.tally().finished.into_iter().find(|it| it.outcome == Outcome::Refused);
+    let flow = format!("flow={}>", refused.expect("one").flow);
+
+    wait_until("it is written", || !lines_with(&site, &[&flow]).is_empty());
+    let lines = lines_with(&site, &[&flow]);
+    assert_eq!(field(&lines[0], "reason"), "no-target");
+    let known: u64 = field(&lines[0], "known").parse().expect("a revision");
+    let leaving = lines_with(&site, &["target entry", "state=leaving"]);
+    assert!(leaving.iter().all(|line| field(line, "revision").parse::<u64>().unwrap() <= known));
+}
+
+/// A feed goes silent in mid-flow. Its address and port lead to the target, to
+/// the reset, and by the target to what was found when it was asked.
+#[test]
+fn a_silent_feed_is_explained_by_a_target_that_was_lost() {
+    let mut site = site(4, 1);
+    site.add_callers(Class::Feed, 6);
+    wait_for_answers(&site, 20);
+    let dead = site.target(0).expect("a target").incarnation;
+    let dead = format!("target={dead:08x}");
+
+    site.end_target(0, false);
+    let reset = ["flow reset", "reason=target-lost", &dead];
+    wait_until("its flows are reset", || !lines_with(&site, &reset).is_empty());
+
+    let line = lines_with(&site, &reset).remove(0);
+    let opened = lines_with(&site, &["flow opened", &format!("flow={} ", field(&line, "flow"))]);
+    assert_eq!(format!("target={}", field(&opened[0], "target")), dead);
+    let lost = lines_with(&site, &["target lost", &dead]).remove(0);
+    assert_eq!(field(&lost, "finding"), "gone");
+    assert!(!lines_with(&site, &["target doubted", &dead]).is_empty());
+}
+
+/// A caller asks for an address that no route has. The reset says so, and which
+/// config was in force then.
+#[test]
+fn a_flow_that_never_opened_is_explained_by_the_config() {
+    let mut site = site(4, 1);
+    site.store.put_config(1_000, &[]);
+    wait_until("it is in force", || {
+        !lines_with(&site, &["config in force", "version=1000"]).is_empty()
+    });
+    site.add_callers(Class::Upload, 1);
+    wait_until("it is refused", || site.tally().count(Class::Upload, Outcome::Refused) > 0);
+    let flow = format!("flow={}>", site.tally().finished[0].flow);
+
+    wait_until("it is written", || !lines_with(&site, &[&flow]).is_empty());
+    let line = lines_with(&site, &[&flow]).remove(0);
+    assert_eq!(field(&line, "reason"), "no-route");
+    let config = lines_with(&site, &["config in force", "version=1000"]).remove(0);
+    let (known, revision) = (field(&line, "known"), field(&config, "revision"));
+    assert_eq!(known.parse::<u64>().unwrap(), revision.parse::<u64>().unwrap());
+}
--- /dev/null
+++ b/daemon/tests/test_marked_store.rs
@@ -0,0 +1,102 @@
+//! A store that is away, turns instances away, forgets, and moves.
+
+use crate::marked::{
+    PATIENCE, come, end, lines_with, site, unanswered, wait_for_answers, wait_until,
+};
+use medlarspur_standin::store::{Fault, Store};
+use nix::sys::signal::Signal;
+
+/// The store is away for a while. What was known goes on to be served.
+#[test]
+fn the_site_is_served_while_the_store_is_away() {
+    let mut site = site(8, 3);
+    come(&mut site);
+    wait_for_answers(&site, 30);
+
+    site.store.set_fault(Fault { status: Some(503), ..Fault::default() });
+    wait_until("it is missed", || !lines_with(&site, &["store: lost"]).is_empty());
+    wait_for_answers(&site, 150);
+    site.store.set_fault(Fault::default());
+    site.publish();
+    let revision = format!("revision={}", site.store.revision());
+    wait_until("news is in force again", || {
+        lines_with(&site, &["config in force", &revision]).len() == 3
+    });
+
+    assert_eq!(unanswered(&end(&site)), 0);
+}
+
+/// An instance starts while the store is away. Others still know all.
+#[test]
+fn an_instance_that_starts_without_the_store_learns_from_others() {
+    let mut site = site(8, 2);
+    site.store.set_fault(Fault { status: Some(503), ..Fault::default() });
+
+    site.add_instance().expect("an instance");
+
+    assert!(site.wait_for_rotation(3, PATIENCE), "it is ready");
+}
+
+/// The store drops its history, so changes since can't be told one by one.
+#[test]
+fn a_store_that_drops_its_history_is_read_anew() {
+    let mut site = site(8, 2);
+    come(&mut site);
+
+    site.store.set_fault(Fault { status: Some(503), ..Fault::default() });
+    site.publish();
+    site.add_target(medlarspur_standin::site::DESK).expect("a berth");
+    site.store.compact();
+    site.store.set_fault(Fault::default());
+    let revision = format!("known={}", site.store.revision());
+    wait_until("all is known", || lines_with(&site, &[&revision]).len() >= 2);
+
+    assert_eq!(unanswered(&end(&site)), 0);
+}
+
+/// Operators move the store, rewrite the settings and tell the instance. A
+/// restart would not be needed.
+#[test]
+fn a_store_that_moved_is_found_by_the_settings() {
+    let mut site = site(8, 1);
+    let moved = Store::start().expect("a store");
+    let mut setup = site.instances[0].setup.clone();
+    setup.store = moved.address();
+
+    site.instances[0].rewrite(setup).expect("a file");
+    site.instances[0].signal(Signal::SIGHUP).expect("it runs");
+
+    wait_until("the other store is asked", || moved.calls() > 0);
+    assert!(site.instances[0].ended().is_none());
+}
+
+/// The settings are rewritten without a signal. When the store is missed, they
+/// are read again.
+#[test]
+fn a_store_that_moved_is_found_without_a_signal() {
+    let mut site = site(8, 1);
+    let moved = Store::start().expect("a store");
+    let mut setup = site.instances[0].setup.clone();
+    setup.store = moved.address();
+
+    site.instances[0].rewrite(setup).expect("a file");
+    site.store.set_fault(Fault { status: Some(503), ..Fault::default() });
+
+    wait_until("the other store is asked", || moved.calls() > 0);
+}
+
+/// An operator's typing error must not stop an instance that runs.
+#[test]
+fn settings_that_do_not_hold_change_nothing() {
+    let mut site = site(8, 1);
+    let mut setup = site.instances[0].setup.clone();
+    setup.domain = "no domain!".to_owned();
+
+    site.instances[0].rewrite(setup).expect("a file");
+    site.instances[0].signal(Signal::SIGHUP).expect("it runs");
+
+    wait_until("it is told", || {
+        !lines_with(&site, &["reload", "the settings stay as they are"]).is_empty()
+    });
+    assert!(site.instances[0].is_ready());
+}
--- /dev/null
+++ b/daemon/tests/test_marked_targets.rs
@@ -0,0 +1,72 @@
+//! Targets that leave, crash and are replaced while callers use the site.
+
+use crate::marked::{come, end, lines_with, site, unanswered, wait_for_answers, wait_until};
+use medlarspur_lib::bundle::Class;
+use medlarspur_standin::site::{DESK, INGEST};
+
+/// A target is replaced in an orderly way: the new one starts, the old one says
+/// that it leaves, and goes. Nobody should notice.
+#[test]
+fn a_released_target_cuts_no_flow() {
+    let mut site = site(8, 3);
+    come(&mut site);
+    wait_for_answers(&site, 60);
+
+    site.release(0).expect("a new berth");
+    wait_for_answers(&site, 100);
+
+    assert_eq!(unanswered(&end(&site)), 0);
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_flow_once_that_is_known() {
+    let mut site = site(8, 2);
+    site.add_callers(Class::Request, 8);
+    wait_for_answers(&site, 40);
+    let leaving = site.target(0).expect("a target").incarnation;
+
+    site.drain(0);
+    let told = format!("target={leaving:08x} state=leaving");
+    wait_until("both know", || lines_with(&site, &[&told]).len() == 2);
+    wait_for_answers(&site, 5);
+    let opened = site.opened(0);
+    wait_for_answers(&site, 80);
+
+    assert_eq!(site.opened(0), opened);
+    assert_eq!(unanswered(&end(&site)), 0);
+}
+
+/// A target crashes and stays listed. Requests that ran there may be lost, but
+/// no caller keeps waiting for it: feeds are open again elsewhere.
+#[test]
+fn a_crashed_target_is_left_by_all_its_flows() {
+    let mut site = site(8, 3);
+    site.add_callers(Class::Feed, 30);
+    wait_for_answers(&site, 60);
+    let dead = site.target(0).expect("a target").incarnation;
+
+    site.end_target(0, false);
+    let lost = format!("target lost target={dead:08x}");
+    wait_until("it is missed", || !lines_with(&site, &[&lost]).is_empty());
+    wait_for_answers(&site, 150);
+
+    let tally = end(&site);
+    assert_eq!(unanswered(&tally), 0, "feeds are asked for again and answered");
+}
+
+/// The address of a dead target is given to one of another service at once. No
+/// packet meant for the first may be taken by the second.
+#[test]
+fn a_reused_address_takes_nothing_that_was_not_meant_for_it() {
+    let mut site = site(8, 3);
+    come(&mut site);
+    wait_for_answers(&site, 60);
+
+    site.end_target(0, false);
+    site.begin_target(0, INGEST);
+    site.end_target(3, true);
+    site.begin_target(3, DESK);
+    wait_for_answers(&site, 150);
+
+    end(&site);
+}
