--- a/daemon/tests/test_marked_instances.rs
+++ b/daemon/tests/test_marked_instances.rs
@@ -1,6 +1,8 @@
 //! Instances that leave, die, freeze and start while callers use the site.
 
-use crate::marked::{PATIENCE, come, end, lines_with, site, unanswered, wait_for_answers, wait_until};
+use crate::marked::{
+    PATIENCE, come, end, lines_with, site, unanswered, wait_for_answers, wait_until,
+};
 use medlarspur_lib::bundle::Class;
 use nix::sys::signal::Signal;
 
