marked: pass on what changed in the config instead of the whole

The difference of one route of 3,400 takes under 100 bytes (test), in a datagram. Up to 16 differences are kept, and whoever lacks more is told the whole.

--- /dev/null
+++ b/marked/examples/slopes.rs
@@ -0,0 +1,195 @@
+//! What the decisions where marks are used cost, by size: time and memory.
+//!
+//! Prints one row a measure; `docs/measures/marks.md` has a run and says what
+//! follows from it for the size aimed for.
+
+use medlarspur_lib::{
+    bundle::Class,
+    ids::{DomainName, ServiceName, Version},
+    time::Millis,
+};
+use medlarspur_marked::{
+    Catalog, Change, Config, Content, FlowKey, Forwarder, Incarnation, Kind, Mark, News, Note,
+    Output, Revision, Route, Scope, Segment, Share, Span, Target, Tuning, message,
+};
+use std::{fs, hint::black_box, net::SocketAddrV4, time::Instant};
+
+/// How many packets or openings a time is the mean of.
+const ROUNDS: u32 = 200_000;
+
+struct Nowhere;
+
+impl Output for Nowhere {
+    fn forward(&mut self, target: &Target, mark: Mark, packet: &[u8]) {
+        black_box((target.address, mark, packet));
+    }
+
+    fn reset(&mut self, flow: &FlowKey, seq: u32) {
+        black_box((flow, seq));
+    }
+
+    fn ask(&mut self, target: &Target, _path: &str) {
+        black_box(target.address);
+    }
+
+    fn note(&mut self, note: Note) {
+        black_box(note);
+    }
+
+    fn measure(&mut self, _service: &ServiceName, _class: Class, span: Span) {
+        black_box(span);
+    }
+}
+
+fn main() {
+    println!("{:52} {:>8} {:>12}", "measure", "size", "value");
+    for targets in [150, 1_400, 5_600] {
+        catalog(targets);
+    }
+    for flows in [300, 3_000, 18_000] {
+        packets(flows);
+    }
+    for targets in [4, 14, 120, 1_000] {
+        openings(targets);
+    }
+}
+
+fn row(measure: &str, size: usize, value: f64, unit: &str) {
+    println!("{measure:52} {size:8} {value:12.1} {unit}");
+}
+
+fn address(net: u8, number: usize, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new([net, 64, (number >> 8) as u8, number as u8].into(), port)
+}
+
+fn target(number: usize, service: usize) -> Target {
+    Target {
+        incarnation: Incarnation(0x7000_0000 + number as u64 * 7919),
+        service: ServiceName::new(&format!("service-{service}")),
+        address: address(10, number, 8080),
+        domain: DomainName::new("north"),
+        slots: 2,
+        leaving: false,
+        cold: Millis(0),
+    }
+}
+
+/// A site with that many targets and 0.6 routes a target, as at the size aimed
+/// for; `services` share them.
+fn site(targets: usize, services: usize) -> News {
+    let routes = (targets * 6 / 10).max(1);
+    let route = |number: usize| Route {
+        address: address(198, number, 8443),
+        class: Class::Feed,
+        shares: vec![Share {
+            service: ServiceName::new(&format!("service-{}", number % services)),
+            weight: 1,
+        }],
+    };
+    let config = Config {
+        version: Version(1),
+        routes: (0..routes).map(route).collect(),
+        health: Vec::new(),
+        idle: Millis::secs(15),
+    };
+    let mut changes = vec![Change { revision: Revision(1), content: Content::Config(config) }];
+    changes.extend((0..targets).map(|number| Change {
+        revision: Revision(number as u64 + 2),
+        content: Content::Target(target(number, number % services)),
+    }));
+    News { revision: Revision(targets as u64 + 2), scope: Scope::All, changes }
+}
+
+/// The resident memory of this process in bytes.
+fn resident() -> f64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: f64 = text.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or_default();
+    pages * 4096.0
+}
+
+fn catalog(targets: usize) {
+    let before = resident();
+    let news = site(targets, (targets / 8).max(2));
+    let bytes = message::encode_news(&news).map_or(0, |it| it.len());
+    row("whole picture, bytes to another instance", targets, bytes as f64, "B");
+    let mut catalog = Catalog::default();
+    let start = Instant::now();
+    catalog.merge(news, Millis(0));
+    row("whole picture, merged", targets, start.elapsed().as_secs_f64() * 1e6, "us");
+    row("whole picture, resident", targets, (resident() - before) / 1024.0, "KiB");
+    let change = |nth: u32| News {
+        revision: Revision(1_000_000 + u64::from(nth)),
+        scope: Scope::Since(Revision(0)),
+        changes: vec![Change {
+            revision: Revision(1_000_000 + u64::from(nth)),
+            content: Content::Target(target(nth as usize % targets, 0)),
+        }],
+    };
+    let start = Instant::now();
+    for nth in 0..1_000 {
+        catalog.merge(change(nth), Millis(0));
+    }
+    row("one change, merged", targets, start.elapsed().as_secs_f64() * 1e3, "us");
+    let start = Instant::now();
+    for nth in 0..100 {
+        black_box(catalog.since(Revision(1_000_990 + nth % 5), Millis(0)));
+    }
+    row("the last changes, gathered", targets, start.elapsed().as_secs_f64() * 1e4, "us");
+    std::mem::forget(catalog);
+}
+
+fn forwarder(targets: usize, services: usize) -> Forwarder {
+    let tuning = Tuning { domain: DomainName::new("north"), seed: 1 };
+    let mut forwarder = Forwarder::new(tuning);
+    forwarder.learn(site(targets, services), Millis(0), &mut Nowhere);
+    forwarder
+}
+
+fn flow(number: usize, routes: usize) -> FlowKey {
+    let caller = SocketAddrV4::new([100, 64, (number >> 8) as u8, number as u8].into(), 40_000);
+    FlowKey { caller, service: address(198, number % routes, 8443) }
+}
+
+fn packets(flows: usize) {
+    let targets = 5_600;
+    let before = resident();
+    let mut forwarder = forwarder(targets, 700);
+    let base = resident();
+    let segment = |nth: usize, round: u32| {
+        let key = flow(nth, 700);
+        let at = target(nth % 700 + 700 * (nth % 8), 0).incarnation;
+        let mark = Some(Mark::new(at, &key));
+        let seq = 1_000 + round * 100;
+        Segment { key, kind: Kind::Middle, seq, ack: 1, len: 100, mark }
+    };
+    let all: Vec<Segment> = (0..flows).map(|nth| segment(nth, 0)).collect();
+    for segment in &all {
+        forwarder.packet(segment, &[0; 134], Millis(1), &mut Nowhere);
+    }
+    let held = (resident() - base) / flows as f64;
+    row("a flow, resident (upper bound)", flows, held, "B");
+    let rounds = ROUNDS as usize / flows * flows;
+    let start = Instant::now();
+    for nth in 0..rounds.max(flows) {
+        let known = all[nth % flows];
+        let seq = known.seq + (nth / flows) as u32 * 100 + 100;
+        let segment = Segment { seq, ..known };
+        forwarder.packet(&segment, &[0; 134], Millis(2), &mut Nowhere);
+    }
+    let nanos = start.elapsed().as_nanos() as f64 / rounds.max(flows) as f64;
+    row("a packet in mid-flow, 5,600 targets", flows, nanos, "ns");
+    black_box(before);
+}
+
+fn openings(targets: usize) {
+    let mut forwarder = forwarder(targets, 1);
+    let count = 20_000;
+    let start = Instant::now();
+    for nth in 0..count {
+        let key = flow(nth, 1);
+        let open = Segment { key, kind: Kind::Open, seq: 1, ack: 0, len: 0, mark: None };
+        forwarder.packet(&open, &[0; 34], Millis(nth as u64 / 50), &mut Nowhere);
+    }
+    let nanos = start.elapsed().as_nanos() as f64 / count as f64;
+    row("an opening, targets of its service", targets, nanos, "ns");
+}
--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -7,7 +7,7 @@
 //!
 //! A target that is removed stays known for [`KEPT`], since flows to it go on.
 
-use crate::{FlowKey, Incarnation, Mark, mark::Index};
+use crate::{FlowKey, Incarnation, Mark, delta::Delta, mark::Index};
 use medlarspur_lib::{
     bundle::Class,
     collections::{Map, Set},
@@ -15,12 +15,16 @@
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
-use std::{cmp::Ordering, net::SocketAddrV4};
+use std::{cmp::Ordering, collections::VecDeque, net::SocketAddrV4};
 
 /// How long a removed target is remembered. Longer than the longest life of a
 /// flow on the platforms known (60 s) and than any delay of news.
 const KEPT: Millis = Millis::secs(90);
 
+/// How many differences of configs are kept: those of a storm between two pieces
+/// of news. Whoever lacks more is told the config whole.
+const DELTAS: usize = 16;
+
 /// The source's count of its changes.
 #[derive(
     Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -86,6 +90,9 @@
 pub enum Content {
     /// The config.
     Config(Config),
+    /// What makes the config of an earlier one. Who has another one than that
+    /// lacks something and must ask.
+    Delta(Delta),
     /// A target, present.
     Target(Target),
     /// A target was removed.
@@ -161,6 +168,8 @@
 pub struct Catalog {
     revision: Revision,
     config: Option<(Revision, Config)>,
+    /// How the config came from earlier ones, the latest last.
+    deltas: VecDeque<(Revision, Delta)>,
     routes: Map<SocketAddrV4, usize>,
     targets: Map<Incarnation, Entry>,
     services: Map<ServiceName, Vec<Incarnation>>,
@@ -231,9 +240,11 @@
     pub fn merge(&mut self, news: News, now: Millis) -> Vec<Incarnation> {
         let mut changed = Vec::new();
         let mut listed = Set::default();
+        let mut is_whole = true;
         for change in news.changes {
             match change.content {
                 Content::Config(config) => self.merge_config(change.revision, config),
+                Content::Delta(delta) => is_whole &= self.merge_delta(change.revision, delta),
                 Content::Target(target) => {
                     listed.insert(target.incarnation);
                     self.merge_target(change.revision, target, now, &mut changed);
@@ -243,7 +254,7 @@
                 }
             }
         }
-        let is_whole = match news.scope {
+        is_whole &= match news.scope {
             Scope::All => {
                 self.remove_others(news.revision, &listed, now, &mut changed);
                 true
@@ -268,11 +279,7 @@
     pub fn since(&self, known: Revision, now: Millis) -> News {
         let is_old = known == Revision::default() || known < self.forgotten;
         let is_told = |revision: Revision| is_old || revision > known;
-        let config = self.config.iter().filter(|(revision, _)| is_told(*revision));
-        let config = config.map(|(revision, config)| Change {
-            revision: *revision,
-            content: Content::Config(config.clone()),
-        });
+        let config = self.config_since(if is_old { Revision::default() } else { known });
         let targets = self.targets.values().filter(|entry| is_told(entry.revision));
         let targets = targets.map(|entry| entry.change(now));
         let tombs = self.tombs.iter().filter(|(_, (revision, _))| is_told(*revision));
@@ -280,20 +287,63 @@
             revision: *revision,
             content: Content::Removed(*incarnation),
         });
-        let changes = config.chain(targets).chain(tombs).collect();
+        let changes = config.into_iter().chain(targets).chain(tombs).collect();
         let scope = if is_old { Scope::All } else { Scope::Since(known) };
         News { revision: self.revision, scope, changes }
     }
 
     fn merge_config(&mut self, revision: Revision, config: Config) {
-        if self.config.as_ref().is_some_and(|(known, _)| *known >= revision) {
-            return;
+        match &self.config {
+            Some((known, _)) if *known >= revision => return,
+            Some((known, old)) => {
+                self.deltas.push_back((revision, Delta::between(*known, old, &config)));
+                if self.deltas.len() > DELTAS {
+                    self.deltas.pop_front();
+                }
+            }
+            None => {}
         }
         let positions = config.routes.iter().enumerate();
         self.routes = positions.map(|(position, route)| (route.address, position)).collect();
         self.config = Some((revision, config));
     }
 
+    /// Answers whether the config that it changes is the one in force, or is
+    /// older.
+    fn merge_delta(&mut self, revision: Revision, delta: Delta) -> bool {
+        let config = match &self.config {
+            Some((known, _)) if *known >= revision => return true,
+            Some((known, old)) if *known == delta.base => delta.apply(old),
+            _ => return false,
+        };
+        self.merge_config(revision, config);
+        true
+    }
+
+    /// The config for one that knows all up to a revision: the differences, if
+    /// they are still there, or the whole.
+    fn config_since(&self, known: Revision) -> Vec<Change> {
+        let Some((revision, config)) = &self.config else { return Vec::new() };
+        if *revision <= known {
+            return Vec::new();
+        }
+        let deltas = self.deltas.iter().filter(|(revision, _)| *revision > known);
+        let deltas: Vec<Change> = deltas
+            .map(|(revision, delta)| Change {
+                revision: *revision,
+                content: Content::Delta(delta.clone()),
+            })
+            .collect();
+        let is_chain = match deltas.first().map(|it| &it.content) {
+            Some(Content::Delta(first)) => first.base <= known,
+            _ => false,
+        };
+        if is_chain {
+            return deltas;
+        }
+        vec![Change { revision: *revision, content: Content::Config(config.clone()) }]
+    }
+
     fn merge_target(
         &mut self,
         revision: Revision,
--- /dev/null
+++ b/marked/src/delta.rs
@@ -0,0 +1,69 @@
+//! The difference between two configs, to be told instead of the whole.
+//!
+//! At the size aimed for a config has 3,400 routes, some 100 KB between
+//! instances, and changes 4,000 times a day by one or a few of them. Passed on
+//! whole to a hundred instances of a failure domain, each change would take a
+//! reader's share of traffic for minutes; the difference fits into a datagram.
+
+use crate::{Config, Revision, Route};
+use medlarspur_lib::{
+    collections::{Map, Set},
+    ids::{ServiceName, Version},
+    time::Millis,
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+
+/// What makes one config of another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The revision of the config that it changes.
+    pub base: Revision,
+    version: Version,
+    idle: Millis,
+    routes: Vec<Route>,
+    dropped: Vec<SocketAddrV4>,
+    health: Vec<(ServiceName, Box<str>)>,
+    ended: Vec<ServiceName>,
+}
+
+impl Delta {
+    /// The difference from `old`, which has revision `base`, to `new`.
+    pub fn between(base: Revision, old: &Config, new: &Config) -> Delta {
+        let known: Map<_, _> = old.routes.iter().map(|it| (it.address, it)).collect();
+        let kept: Set<_> = new.routes.iter().map(|it| it.address).collect();
+        let paths: Map<_, _> = old.health.iter().map(|(name, path)| (name, path)).collect();
+        let named: Set<_> = new.health.iter().map(|(name, _)| name).collect();
+        let is_new = |it: &&Route| known.get(&it.address) != Some(it);
+        let is_other = |it: &&(ServiceName, Box<str>)| paths.get(&it.0) != Some(&&it.1);
+        let ended = old.health.iter().filter(|(name, _)| !named.contains(name));
+        let addresses = old.routes.iter().map(|it| it.address);
+        Delta {
+            base,
+            version: new.version,
+            idle: new.idle,
+            routes: new.routes.iter().filter(is_new).cloned().collect(),
+            dropped: addresses.filter(|it| !kept.contains(it)).collect(),
+            health: new.health.iter().filter(is_other).cloned().collect(),
+            ended: ended.map(|(name, _)| name.clone()).collect(),
+        }
+    }
+
+    /// The config that `old` becomes. The order of its routes is not kept; no
+    /// two have one address.
+    pub fn apply(&self, old: &Config) -> Config {
+        let dropped: Set<_> = self.dropped.iter().copied().collect();
+        let set: Set<_> = self.routes.iter().map(|it| it.address).collect();
+        let stays = |it: &&Route| !dropped.contains(&it.address) && !set.contains(&it.address);
+        let ended: Set<_> = self.ended.iter().collect();
+        let named: Set<_> = self.health.iter().map(|(name, _)| name).collect();
+        let remains =
+            |it: &&(ServiceName, Box<str>)| !ended.contains(&it.0) && !named.contains(&it.0);
+        Config {
+            version: self.version,
+            idle: self.idle,
+            routes: old.routes.iter().filter(stays).chain(&self.routes).cloned().collect(),
+            health: old.health.iter().filter(remains).chain(&self.health).cloned().collect(),
+        }
+    }
+}
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -11,6 +11,7 @@
 //! `docs/design/programs.md` and `docs/design/marks.md`.
 
 mod catalog;
+mod delta;
 mod fleet;
 mod flow;
 mod forwarder;
@@ -23,6 +24,7 @@
 pub use catalog::{
     Catalog, Change, Config, Content, Entry, News, Presence, Revision, Route, Scope, Share, Target,
 };
+pub use delta::Delta;
 pub use fleet::{Fleet, Letter};
 pub use flow::{Flow, Phase, Seen};
 pub use forwarder::{Counts, Forwarder, Output, Refusal, Span, Tuning, Unroutable};
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -3,6 +3,7 @@
 mod fixtures;
 mod net;
 mod test_catalog;
+mod test_delta;
 mod test_fleet;
 mod test_flow;
 mod test_forwarder;
--- /dev/null
+++ b/marked/tests/test_delta.rs
@@ -0,0 +1,105 @@
+//! Differences of configs say the same as the configs.
+
+use super::fixtures::{change, config, millis, news, one, route};
+use medlarspur_lib::{bundle::Class, ids::ServiceName};
+use medlarspur_marked::{Catalog, Config, Content, Delta, Revision, Route, Scope};
+use proptest::{collection::vec, prelude::*};
+
+/// A config whose routes are drawn: (number of the address, service).
+fn drawn(version: u64, routes: &[(u8, u8)]) -> Config {
+    let mut it = config(version);
+    it.routes = Vec::new();
+    for (number, service) in routes {
+        let address = format!("198.18.1.{number}:80").parse().expect("an address");
+        if it.routes.iter().all(|route: &Route| route.address != address) {
+            it.routes.push(route(address, Class::Feed, &format!("service-{service}")));
+        }
+    }
+    it.health = (0..version % 4)
+        .map(|nth| (ServiceName::new(&format!("service-{nth}")), format!("/{version}").into()))
+        .collect();
+    it
+}
+
+fn sorted(mut config: Config) -> Config {
+    config.routes.sort_by_key(|route| route.address);
+    config.health.sort();
+    config
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_difference_makes_the_new_of_the_old(
+        old in vec((0..12u8, 0..3u8), 0..12), new in vec((0..12u8, 0..3u8), 0..12)
+    ) {
+        let (old, new) = (drawn(1, &old), drawn(2, &new));
+
+        let delta = Delta::between(Revision(1), &old, &new);
+
+        prop_assert_eq!(sorted(delta.apply(&old)), sorted(new));
+    }
+
+    /// A listener hears of some versions only, and asks for the rest.
+    #[test]
+    fn a_listener_that_misses_news_ends_with_the_same_config(
+        versions in vec(vec((0..12u8, 0..3u8), 0..12), 1..40), heard in any::<u64>()
+    ) {
+        let mut reader = Catalog::default();
+        let mut listener = Catalog::default();
+        for (routes, nth) in versions.iter().zip(1u64..) {
+            reader.merge(one(nth, Content::Config(drawn(nth, routes))), millis(0));
+            if heard >> (nth % 64) & 1 == 1 {
+                let before = listener.revision();
+                let told = reader.since(before, millis(0));
+                listener.merge(told, millis(0));
+                prop_assert_eq!(listener.revision(), reader.revision());
+            }
+        }
+        listener.merge(reader.since(listener.revision(), millis(0)), millis(0));
+
+        let config = |catalog: &Catalog| sorted(catalog.config().expect("a config").clone());
+        prop_assert_eq!(config(&listener), config(&reader));
+    }
+}
+
+/// A listener has another config than the one that changed, because news of one
+/// in between was lost. It must not claim to know all.
+#[test]
+fn a_difference_from_an_unknown_config_is_not_taken() {
+    let mut catalog = Catalog::default();
+    catalog.merge(one(1, Content::Config(config(1))), millis(0));
+    let delta = Delta::between(Revision(5), &config(5), &config(6));
+    let scope = Scope::Since(Revision(1));
+
+    catalog.merge(news(6, scope, vec![change(6, Content::Delta(delta))]), millis(1));
+
+    assert_eq!(catalog.config().expect("a config").version.0, 1);
+    assert_eq!(catalog.revision(), Revision(1));
+}
+
+/// One route of thousands changes. What goes from instance to instance must not
+/// grow with the others.
+#[test]
+fn news_of_one_route_does_not_grow_with_the_config() {
+    let size = |count: u16| {
+        let mut old = config(1);
+        old.routes = (0..count)
+            .map(|nth| {
+                let address = std::net::SocketAddrV4::new([198, 18, 2, 2].into(), nth + 1);
+                route(address, Class::Feed, "desk")
+            })
+            .collect();
+        let mut new = old.clone();
+        new.routes[0].shares[0].service = ServiceName::new("other");
+        let mut catalog = Catalog::default();
+        catalog.merge(one(1, Content::Config(old)), millis(0));
+        catalog.merge(one(2, Content::Config(new)), millis(0));
+        let told = catalog.since(Revision(1), millis(0));
+        medlarspur_marked::message::encode_news(&told).expect("sound").len()
+    };
+
+    assert!(size(3_400) < 100);
+    assert_eq!(size(3_400), size(34));
+}
