--- /dev/null
+++ b/marked/src/forwarder/counts.rs
@@ -0,0 +1,30 @@
+//! What a forwarder counts.
+
+use crate::Finding;
+
+/// Counts since the start.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    /// Flows that were given a target.
+    pub opened: u64,
+    /// Opening packets that were sent on again.
+    pub reopened: u64,
+    /// Packets in mid-flow that were sent on.
+    pub passed: u64,
+    /// Packets that went nowhere because they carry no mark.
+    pub unmarked: u64,
+    /// Packets that went nowhere because their mark is unknown.
+    pub unknown: u64,
+    /// Flows that were moved while they were being opened.
+    pub moved: u64,
+    /// Flows reset because they have no route.
+    pub no_route: u64,
+    /// Flows reset because no target can take them.
+    pub no_target: u64,
+    /// Flows reset because their target is lost.
+    pub lost: u64,
+    /// Targets that were asked whether they answer.
+    pub asked: u64,
+    /// Targets that did, or did not.
+    pub found: [u64; Finding::ALL.len()],
+}
--- /dev/null
+++ b/marked/src/forwarder/mod.rs
@@ -0,0 +1,311 @@
+//! What happens to each packet of a caller.
+//!
+//! - A packet in mid-flow goes where its mark says, whatever became of that
+//!   target's entry: flows outlive entries.
+//! - A packet whose mark means nothing here goes nowhere. Sent to another
+//!   target it would be answered by a reset, and a reset of our own would end a
+//!   flow that may be well; the caller sends it again while this instance
+//!   learns.
+//! - An opening packet gets a target, its repetitions the same one, unless that
+//!   one is known not to answer. Two targets that both answered would leave the
+//!   caller with the numbers of one and the mark of the other.
+//! - When a target is found lost, its open flows are reset at once, and what
+//!   was being opened there goes to another one.
+
+mod counts;
+mod output;
+mod placing;
+mod reach;
+mod state;
+
+pub use counts::Counts;
+pub use output::{Output, Refusal, Span, Unroutable};
+
+use crate::{
+    Catalog, Config, Flow, FlowKey, Incarnation, Kind, Mark, News, Note, Revision, Segment,
+    flow::Seen,
+};
+use medlarspur_lib::{
+    collections::{Map, SeededMap},
+    ids::DomainName,
+    time::Millis,
+};
+use medlarspur_load::random::Random;
+use placing::OPENING_LIMIT;
+use state::State;
+use std::collections::VecDeque;
+
+/// How long a request may wait for its answer and still count as work of its
+/// target. Callers give up after 8 s at most.
+const WORK_LIMIT: Millis = Millis::secs(8);
+/// How often records of flows that ended without a word are dropped.
+const SWEEP_PAUSE: Millis = Millis::secs(1);
+/// What an instance's place in the fleet makes different.
+#[derive(Debug, Clone)]
+pub struct Tuning {
+    /// The failure domain of this instance.
+    pub domain: DomainName,
+    /// Begins the sequence that decides between equal targets.
+    pub seed: u64,
+}
+
+/// The flows through one instance.
+#[derive(Debug)]
+pub struct Forwarder {
+    catalog: Catalog,
+    flows: SeededMap<FlowKey, Flow>,
+    states: Map<Incarnation, State>,
+    openings: VecDeque<(Millis, FlowKey)>,
+    lost: Vec<Incarnation>,
+    swept: Millis,
+    tuning: Tuning,
+    random: Random,
+    counts: Counts,
+}
+
+impl Forwarder {
+    /// One that knows nothing yet.
+    pub fn new(tuning: Tuning) -> Forwarder {
+        Forwarder {
+            catalog: Catalog::default(),
+            flows: SeededMap::default(),
+            states: Map::default(),
+            openings: VecDeque::new(),
+            lost: Vec::new(),
+            swept: Millis(0),
+            random: Random::new(tuning.seed),
+            tuning,
+            counts: Counts::default(),
+        }
+    }
+
+    /// What is known of targets and routes.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// How many flows have a record.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether no flow has a record.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// The newest revision that was heard of.
+    pub fn revision(&self) -> Revision {
+        self.catalog.revision()
+    }
+
+    /// Takes in news of targets and routes.
+    pub fn learn(&mut self, news: News, now: Millis, out: &mut impl Output) {
+        let version = self.catalog.config().map(|config| config.version);
+        for incarnation in self.catalog.merge(news, now) {
+            self.states.entry(incarnation).or_insert_with(|| State::new(now));
+            self.learn_entry(incarnation, now, out);
+        }
+        if let Some((revision, config)) = self.catalog.config_at()
+            && Some(config.version) != version
+        {
+            let routes = config.routes.len();
+            out.note(Note::Config { version: config.version, revision, routes });
+        }
+        let catalog = &self.catalog;
+        self.states.retain(|incarnation, _| catalog.entry(*incarnation).is_some());
+    }
+
+    /// Decides on one packet.
+    pub fn packet(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
+        if now.since(self.swept) >= SWEEP_PAUSE {
+            self.sweep(now);
+        }
+        match segment.kind {
+            Kind::Open => self.open(segment, bytes, now, out),
+            Kind::Middle => self.middle(segment, bytes, now, out),
+            Kind::Close | Kind::Abort => self.close(segment, bytes, now, out),
+        }
+    }
+
+    fn middle(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
+        let Some(target) = self.target(segment, out) else { return };
+        let is_lost = self.states.get(&target).is_some_and(|state| state.health.is_lost());
+        if is_lost {
+            self.reset(&segment.key, segment.ack, target, now, out);
+            return;
+        }
+        self.follow(target, segment, now, out);
+        self.counts.passed += 1;
+        self.send(target, &segment.key, bytes, out);
+    }
+
+    /// Where a packet in mid-flow goes: where its mark says. A caller that has
+    /// received no mark, or none that holds, may still be known here.
+    fn target(&mut self, segment: &Segment, out: &mut impl Output) -> Option<Incarnation> {
+        let marked = segment.mark.and_then(|mark| self.catalog.marked(mark, &segment.key));
+        if let Some(entry) = marked {
+            return Some(entry.target.incarnation);
+        }
+        let reason = match segment.mark {
+            Some(_) => Unroutable::UnknownMark,
+            None => Unroutable::Unmarked,
+        };
+        match reason {
+            Unroutable::UnknownMark => self.counts.unknown += 1,
+            Unroutable::Unmarked => self.counts.unmarked += 1,
+        }
+        out.note(Note::Dropped { flow: segment.key, reason, mark: segment.mark });
+        None
+    }
+
+    /// Notes what a packet shows of its target.
+    fn follow(
+        &mut self,
+        target: Incarnation,
+        segment: &Segment,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
+        let known = self.flows.remove(&segment.key).filter(|flow| flow.target == target);
+        let class = self.catalog.route(segment.key.service).map(|route| route.class);
+        let mut flow = match (known, class) {
+            (Some(flow), _) => {
+                self.account(&flow, -1);
+                flow
+            }
+            (None, Some(class)) if segment.len > 0 => Flow::resume(target, class, segment, now),
+            (None, _) => return,
+        };
+        let seen = flow.see(segment, now);
+        self.account(&flow, 1);
+        self.measure(&flow, seen, now, out);
+        self.flows.insert(segment.key, flow);
+        if seen.life {
+            self.see_life(target, now, out);
+        }
+        if let Some(sent) = seen.repeats {
+            self.doubt(target, segment.key, sent, now, out);
+        }
+    }
+
+    fn measure(&self, flow: &Flow, seen: Seen, now: Millis, out: &mut impl Output) {
+        let Some(entry) = self.catalog.entry(flow.target) else { return };
+        let handshake = seen.opened.then(|| Span::Handshake(now.since(flow.since)));
+        let answer = seen.answered.map(|since| Span::Answer(now.since(since)));
+        for span in handshake.into_iter().chain(answer) {
+            out.measure(&entry.target.service, flow.class, span);
+        }
+    }
+
+    fn close(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
+        let Some(target) = self.target(segment, out) else { return };
+        if segment.kind == Kind::Close {
+            self.follow(target, segment, now, out);
+        }
+        let flow = self.flows.get(&segment.key).filter(|flow| flow.opened);
+        if let (Some(flow), Some(entry)) = (flow, self.catalog.entry(target)) {
+            let length = Span::Length(now.since(flow.since));
+            out.measure(&entry.target.service, flow.class, length);
+        }
+        self.drop_flow(&segment.key);
+        self.counts.passed += 1;
+        self.send(target, &segment.key, bytes, out);
+    }
+
+    pub(super) fn send(
+        &self,
+        target: Incarnation,
+        key: &FlowKey,
+        bytes: &[u8],
+        out: &mut impl Output,
+    ) {
+        if let Some(entry) = self.catalog.entry(target) {
+            out.forward(&entry.target, Mark::new(target, key), bytes);
+        }
+    }
+
+    pub(super) fn reset(
+        &mut self,
+        key: &FlowKey,
+        seq: u32,
+        target: Incarnation,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
+        self.counts.lost += 1;
+        self.drop_flow(key);
+        out.reset(key, seq);
+        let lost = self.states.get(&target).and_then(|state| state.health.lost_since());
+        out.note(Note::Reset {
+            flow: *key,
+            refusal: Refusal::TargetLost,
+            target: Some(target),
+            lost: lost.map(|since| now.since(since)),
+        });
+    }
+
+    /// Does what is due by now.
+    pub fn tick(&mut self, now: Millis, out: &mut impl Output) {
+        while let Some(&(due, key)) = self.openings.front() {
+            if due > now {
+                break;
+            }
+            self.openings.pop_front();
+            self.remind(key, now, out);
+        }
+        self.ask_lost(now, out);
+    }
+
+    /// When [`tick`](Self::tick) has something to do next.
+    pub fn deadline(&mut self) -> Option<Millis> {
+        while let Some((_, key)) = self.openings.front() {
+            if self.flows.get(key).is_some_and(Flow::is_opening) {
+                break;
+            }
+            self.openings.pop_front();
+        }
+        let opening = self.openings.front().map(|(due, _)| *due);
+        let states = &self.states;
+        let retries = self.lost.iter().filter_map(|it| states.get(it)?.health.retry());
+        opening.into_iter().chain(retries).min()
+    }
+
+    /// Drops records of flows that ended without a word.
+    fn sweep(&mut self, now: Millis) {
+        self.swept = now;
+        let idle = self.catalog.config().map_or(Millis::secs(60), |config: &Config| config.idle);
+        let is_over = |flow: &Flow| {
+            let limit = if flow.is_opening() { OPENING_LIMIT } else { idle };
+            let waits = flow.waiting.is_some_and(|since| now.since(since) > WORK_LIMIT);
+            now.since(flow.touched) > limit || waits
+        };
+        let over: Vec<FlowKey> =
+            self.flows.iter().filter(|(_, flow)| is_over(flow)).map(|(key, _)| *key).collect();
+        for key in over {
+            self.drop_flow(&key);
+        }
+    }
+
+    pub(super) fn keep(&mut self, key: FlowKey, flow: Flow) {
+        self.account(&flow, 1);
+        self.flows.insert(key, flow);
+    }
+
+    pub(super) fn drop_flow(&mut self, key: &FlowKey) {
+        if let Some(flow) = self.flows.remove(key) {
+            self.account(&flow, -1);
+        }
+    }
+
+    pub(super) fn account(&mut self, flow: &Flow, sign: i32) {
+        if let Some(state) = self.states.get_mut(&flow.target) {
+            state.account(flow, sign);
+        }
+    }
+}
--- /dev/null
+++ b/marked/src/forwarder/reach.rs
@@ -0,0 +1,152 @@
+//! Noticing targets that do not answer, and leaving them.
+
+use super::{Forwarder, Output};
+use crate::{Entry, EntryState, Finding, FlowKey, Incarnation, Note, Phase, Presence};
+use medlarspur_lib::time::Millis;
+
+/// How long after a request to a target went unanswered others are preferred.
+pub(super) const DOUBT_TIME: Millis = Millis(300);
+
+impl Forwarder {
+    /// How many listed targets answer, and how many don't.
+    pub fn reach(&self) -> (usize, usize) {
+        let listed = self.catalog.entries().filter(|it| it.presence == Presence::Listed).count();
+        (listed.saturating_sub(self.lost.len()), self.lost.len())
+    }
+
+    pub(super) fn learn_entry(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
+        let Some(entry) = self.catalog.entry(target) else { return };
+        let state = match entry.presence {
+            Presence::Removed(_) => EntryState::Removed,
+            Presence::Listed if entry.target.leaving => EntryState::Leaving,
+            Presence::Listed => EntryState::Listed,
+        };
+        out.note(Note::Entry { target, state, revision: entry.revision });
+        if state == EntryState::Removed && !entry.target.leaving {
+            // It died, or its entry lapsed: asking tells which.
+            self.ask(target, now, out);
+        }
+    }
+
+    pub(super) fn see_life(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
+        let Some(state) = self.states.get_mut(&target) else { return };
+        state.doubted = None;
+        if state.health.see_life(now) {
+            self.lost.retain(|it| *it != target);
+            out.note(Note::Regained { target });
+        }
+    }
+
+    /// A packet of `flow` that was first sent at `sent` got no answer.
+    pub(super) fn doubt(
+        &mut self,
+        target: Incarnation,
+        flow: FlowKey,
+        sent: Millis,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
+        let Some(state) = self.states.get_mut(&target) else { return };
+        if state.health.doubt(sent, now) {
+            state.doubted = Some(now);
+            out.note(Note::Doubted { target, flow: Some(flow), silent: now.since(sent) });
+            self.ask(target, now, out);
+        }
+    }
+
+    fn ask(&mut self, incarnation: Incarnation, now: Millis, out: &mut impl Output) {
+        let Some(entry) = self.catalog.entry(incarnation) else { return };
+        let Some(path) = self.catalog.health(&entry.target.service) else { return };
+        out.ask(&entry.target, path);
+        self.counts.asked += 1;
+        if let Some(state) = self.states.get_mut(&incarnation) {
+            state.health.ask_again(now);
+        }
+    }
+
+    /// Takes in what asking a target brought.
+    pub fn answer(
+        &mut self,
+        target: Incarnation,
+        finding: Finding,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
+        self.counts.found[finding as usize] += 1;
+        let Some(state) = self.states.get_mut(&target) else { return };
+        if finding == Finding::Answers {
+            return self.see_life(target, now, out);
+        }
+        let silent = now.since(state.health.life());
+        if state.health.find(finding, now) {
+            let flows = self.flows.values().filter(|flow| flow.target == target).count();
+            out.note(Note::Lost { target, finding, silent, flows });
+            self.lost.push(target);
+            self.leave(target, now, out);
+            if finding == Finding::Silent {
+                self.doubt_domain(target, now, out);
+            }
+        }
+    }
+
+    /// Asks the other targets of a failure domain, one of whose targets is silent:
+    /// the whole domain may be cut off. Only those with flows here, and without a
+    /// sign of life as late as the time that a silent target takes to be found.
+    fn doubt_domain(&mut self, silent: Incarnation, now: Millis, out: &mut impl Output) {
+        let Some(domain) = self.catalog.entry(silent).map(|it| it.target.domain.clone()) else {
+            return;
+        };
+        let states = &self.states;
+        let is_suspect = |entry: &&Entry| {
+            let Some(state) = states.get(&entry.target.incarnation) else { return false };
+            let has_flows = state.working + state.opening + state.feeds > 0;
+            let is_quiet = now.since(state.health.life()) > DOUBT_TIME;
+            entry.target.domain == domain && has_flows && is_quiet && !state.health.is_lost()
+        };
+        let suspects = self.catalog.entries().filter(is_suspect);
+        let suspects: Vec<Incarnation> = suspects.map(|it| it.target.incarnation).collect();
+        for target in suspects {
+            let Some(state) = self.states.get_mut(&target) else { continue };
+            let silent = now.since(state.health.life());
+            if state.health.doubt(state.health.life(), now) {
+                out.note(Note::Doubted { target, flow: None, silent });
+                self.ask(target, now, out);
+            }
+        }
+    }
+
+    /// Takes all flows away from a target that was found lost.
+    fn leave(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
+        let flows = self.flows.iter().filter(|(_, flow)| flow.target == target);
+        let keys: Vec<FlowKey> = flows.map(|(key, _)| *key).collect();
+        for key in keys {
+            let Some(flow) = self.flows.get(&key) else { continue };
+            match flow.phase.clone() {
+                Phase::Opening { packet } => {
+                    self.counts.moved += 1;
+                    out.note(Note::Moved { flow: key, from: target });
+                    self.place(key, 0, &packet, now, out);
+                }
+                Phase::Open => {
+                    let seq = flow.acked;
+                    self.reset(&key, seq, target, now, out);
+                }
+            }
+        }
+    }
+
+    pub(super) fn ask_lost(&mut self, now: Millis, out: &mut impl Output) {
+        let states = &self.states;
+        let catalog = &self.catalog;
+        let is_listed = |it: &Incarnation| {
+            catalog.entry(*it).is_some_and(|entry| entry.presence == Presence::Listed)
+        };
+        self.lost.retain(|it| is_listed(it) && states.contains_key(it));
+        let is_due =
+            |it: &&Incarnation| self.states[*it].health.retry().is_some_and(|at| at <= now);
+        let due: Vec<Incarnation> = self.lost.iter().filter(is_due).copied().collect();
+        for target in due {
+            self.ask(target, now, out);
+        }
+    }
+}
