--- a/lib/tests/product/test_pages.rs
+++ b/lib/tests/product/test_pages.rs
@@ -3,7 +3,7 @@
 use medlarspur_lib::{
     bundle::Bundle,
     document::{Fault, Report},
-    settings::Settings,
+    settings::{MarkedSettings, Settings},
 };
 use std::fs;
 
@@ -69,3 +69,21 @@
     assert!(known(&report).len() > 10);
     assert_eq!(undescribed(&page, &report), Vec::<&str>::new());
 }
+
+#[test]
+fn the_example_of_settings_for_marks_is_sound() {
+    let page = page("settings-marks.md");
+
+    let settings = MarkedSettings::parse(example(&page)).expect("sound");
+
+    assert_eq!(settings.domain.as_str(), "lozenets");
+}
+
+#[test]
+fn every_setting_for_marks_is_described() {
+    let page = page("settings-marks.md");
+
+    let report = MarkedSettings::parse("unknown: 1\n").expect_err("a fault");
+
+    assert_eq!(undescribed(&page, &report), Vec::<&str>::new());
+}
