marked: ask other instances first at the start, and take no busy machine for a lost target

Two changes that belong to one finding.

Cause by reading, not by a trace: a target counts as silent when the connection was not seen in 60 ms, and the standard library looks at the clock, not at the connection, before it gives up; after all were killed a machine of 0.12 cores stands still for longer. Now the connection itself is looked at, and what asking brought is ignored if the target showed life since (test failed first).

--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -89,7 +89,7 @@
     let ready = Arc::new(AtomicBool::new(false));
     let asked = ready::serve(settings.ready, ready.clone());
     let asked = asked.context(system("tell whether it is ready"))?;
-    let reading = Reading::start(current.clone(), sender.clone());
+    let reading = Reading::start(current.clone(), sender.clone(), settings.control.is_some());
     let reading = reading.context(system("follow the store"))?;
     let clock = Clock::start();
     let fleet = settings.control.map(|control| join(control, settings, &sender, clock.now()));
@@ -244,8 +244,12 @@
     /// and the first answer of the store takes some ten.
     fn learn_first(&mut self) -> Result<(), RunError> {
         let mut dropped = self.clock.now();
+        self.take_messages();
         while !self.forwarder.catalog().is_usable() && !self.is_told() {
-            let limit = Some(Duration::from_millis(STALE.0));
+            let now = self.clock.now();
+            let due = self.fleet.as_ref().map(|(fleet, _)| fleet.deadline(now).since(now));
+            let limit = due.into_iter().chain([STALE]).min();
+            let limit = limit.map(|span| Duration::from_millis(span.0));
             match &self.fleet {
                 Some((_, post)) => wait([self.inbox.waker(), post.as_fd()], limit),
                 None => wait([self.inbox.waker()], limit),
--- a/daemon/src/marked/store.rs
+++ b/daemon/src/marked/store.rs
@@ -46,9 +46,11 @@
 }
 
 impl Reading {
-    /// Starts to read the store that the settings name.
-    pub fn start(current: Arc<Current>, sender: Sender) -> io::Result<Reading> {
-        let shared = Arc::new(Mutex::new(Order::Read));
+    /// Starts the thread for the store that the settings name. With `waits` it
+    /// reads only once it is told to.
+    pub fn start(current: Arc<Current>, sender: Sender, waits: bool) -> io::Result<Reading> {
+        let first = if waits { Order::Pause } else { Order::Read };
+        let shared = Arc::new(Mutex::new(first));
         let orders = shared.clone();
         let calls = Arc::<Calls>::default();
         let count = calls.clone();
--- a/marked/src/fleet.rs
+++ b/marked/src/fleet.rs
@@ -59,6 +59,17 @@
 const TOLD_ASKED: usize = 12;
 /// How long an instance without readers waits between two questions to seeds.
 const SEEK_PAUSE: Millis = Millis(1_000);
+/// How long an instance that starts waits for others that have the picture before
+/// it reads the store: an answer of a seed takes some 5 ms. A picture of 5,600
+/// targets takes 2 MB and 80 ms of processor time from the store, and a tenth of
+/// both from another instance; and a crowd that starts reads the store at once.
+const START_PAUSE: Millis = Millis(12);
+/// How long it waits for a picture that it has asked for before it reads the
+/// store after all.
+const PULL_TIME: Millis = Millis(400);
+/// How often a reader tells the seeds that it is one, so that they can tell
+/// whoever starts.
+const SEED_PAUSE: Millis = Millis::secs(4);
 /// How long after one question for lacking news the next is asked.
 const PULL_PAUSE: Millis = Millis(400);
 /// How long news may be on its way after a beat that tells its revision. The beat
@@ -109,6 +120,8 @@
     told: Revision,
     beaten: Option<Millis>,
     sought: Option<Millis>,
+    /// When it has told the seeds that it reads.
+    seeded: Option<Millis>,
     pulled: Option<Millis>,
     /// Who knows more, and when to ask it.
     lacking: Option<(SocketAddrV4, Millis)>,
@@ -117,7 +130,8 @@
 }
 
 impl Fleet {
-    /// One that knows the seeds only, and reads the store at first.
+    /// One that knows the seeds only, and reads the store soon if nobody has the
+    /// picture.
     pub fn new(
         me: SocketAddrV4,
         domain: &DomainName,
@@ -130,13 +144,13 @@
             domain: domain_id(domain),
             seeds: seeds.iter().copied().filter(|it| *it != me).collect(),
             peers: Map::default(),
-            // The first picture is read at once, but not for longer than needed.
-            reading: Some(now - LEAST_READING),
-            due: None,
+            reading: None,
+            due: Some((0, now + START_PAUSE)),
             fresh: None,
             told: Revision::default(),
             beaten: None,
             sought: None,
+            seeded: None,
             pulled: None,
             lacking: None,
             random: Random::new(seed),
@@ -274,7 +288,7 @@
         };
         let is_new = self.peers.insert(from, peer).is_none();
         for contact in &beat.contacts {
-            self.hear_of(*contact, now);
+            self.hear_of(*contact, known, now);
         }
         if beat.asks || is_new && beat.domain == self.domain {
             self.beat(from, Purpose::Answer, known, now);
@@ -289,7 +303,7 @@
     }
 
     /// Takes in that another one has told of an instance in this one's domain.
-    fn hear_of(&mut self, contact: SocketAddrV4, now: Millis) {
+    fn hear_of(&mut self, contact: SocketAddrV4, known: Revision, now: Millis) {
         let is_full = self.peers.len() >= MOST;
         if contact == self.me || is_full || self.peers.contains_key(&contact) {
             return;
@@ -303,6 +317,10 @@
             hearsay: true,
         };
         self.peers.insert(contact, unknown);
+        // Whoever starts needs the readers of its domain, and they it.
+        if self.readers(now).count() < READERS {
+            self.beat(contact, Purpose::Ask, known, now);
+        }
     }
 
     /// News of a reader has come, by way of others: the store answers it.
@@ -359,6 +377,9 @@
         }
         self.lacking = None;
         self.pulled = Some(now);
+        if known == Revision::default() && !self.is_reading() {
+            self.due = Some((0, now + PULL_TIME));
+        }
         Some(from)
     }
 
@@ -379,6 +400,12 @@
             self.sought = Some(now);
             self.seek(revision, now);
         }
+        if self.is_reading() && self.fresh.is_some() && is_due(self.seeded, SEED_PAUSE) {
+            self.seeded = Some(now);
+            for seed in self.seeds.clone() {
+                self.beat(seed, Purpose::Tell, revision, now);
+            }
+        }
         if !self.is_reading() && is_due(self.beaten, BEAT_PAUSE) {
             self.beaten = Some(now);
             let readers: Vec<_> = self.readers(now).collect();
@@ -421,7 +448,8 @@
             return;
         }
         let count = self.readers(now).count();
-        if count >= READERS {
+        let is_known = catalog.revision() > Revision::default();
+        if count >= READERS && is_known {
             self.due = None;
             return;
         }
@@ -433,7 +461,8 @@
         if due <= now {
             log::info!("readers: this instance reads the store, {count} others do");
             self.due = None;
-            self.reading = Some(now);
+            // What was read for the start only may stop at once.
+            self.reading = Some(if is_known { now } else { now - LEAST_READING });
             self.told = catalog.revision();
         }
     }
@@ -487,19 +516,23 @@
         self.send(to, &Message::Beat(beat));
     }
 
-    /// Some instances of the receiver's domain, drawn anew each time.
+    /// Some instances of the receiver's domain, readers first, the others drawn
+    /// anew each time.
     fn contacts(&mut self, to: SocketAddrV4, most: usize) -> Vec<SocketAddrV4> {
         let Some(domain) = self.peers.get(&to).map(|peer| peer.domain) else {
             return Vec::new();
         };
         let others = self.peers.iter().filter(|(it, peer)| **it != to && peer.domain == domain);
-        let mut others: Vec<SocketAddrV4> = others.map(|(address, _)| *address).collect();
+        let others = others.map(|(address, peer)| (peer.role == Role::Listener, *address));
+        let mut others: Vec<(bool, SocketAddrV4)> = others.collect();
         if others.len() > most {
             let start = (self.random.draw() % others.len() as u64) as usize;
             others.rotate_left(start);
+            // Readers first: they know all the others.
+            others.sort_by_key(|(listens, _)| *listens);
             others.truncate(most);
         }
-        others
+        others.into_iter().map(|(_, address)| address).collect()
     }
 }
 
--- a/marked/src/health.rs
+++ b/marked/src/health.rs
@@ -75,11 +75,18 @@
     }
 
     /// Takes in what asking brought. Answers whether that changes the belief.
+    ///
+    /// It does not if the target has shown life since it was asked: then the
+    /// answer got lost, or this machine was too busy to hear it in time, and to
+    /// reset the target's flows would break them.
     pub fn find(&mut self, finding: Finding, now: Millis) -> bool {
-        self.asked = Some(now);
+        let asked = self.asked.replace(now);
         if finding == Finding::Answers {
             return self.see_life(now);
         }
+        if self.lost.is_none() && asked.is_some_and(|asked| self.life > asked) {
+            return false;
+        }
         let pause = self.lost.map_or(FIRST_RETRY, |lost| LAST_RETRY.min(lost.pause + lost.pause));
         let since = self.lost.map_or(now, |lost| lost.since);
         let before = self.lost.replace(Lost { since, retry: now + pause, pause });
--- a/marked/tests/test_openings.rs
+++ b/marked/tests/test_openings.rs
@@ -252,3 +252,23 @@
 
     assert!(instance.out.asked.is_empty());
 }
+
+/// While a target is asked, it answers other flows. What asking brings is then
+/// out of date, or this machine was too busy to hear the answer; resetting the
+/// flows of a target that is well would break them.
+#[test]
+fn a_target_that_answered_others_while_it_was_asked_is_not_lost() {
+    let mut instance = Instance::new(&[target(1, "desk")]);
+    let key = flow(1, FEED);
+    let at = instance.opened(key, 0);
+    instance.packet(middle(key, at, 1001, 500, 100), 1_000);
+    instance.packet(middle(key, at, 1001, 500, 100), 1_200);
+    assert_eq!(instance.out.asked, [at]);
+    instance.packet(middle(key, at, 1101, 2500, 0), 1_250);
+
+    let now = super::fixtures::millis(1_320);
+    instance.forwarder.answer(at, Finding::Silent, now, &mut instance.out);
+
+    assert!(instance.out.resets.is_empty());
+    assert_eq!(instance.open(flow(2, FEED), 1_330), at);
+}
