marked: call a target silent only if another one is heard meanwhile

The lines: target doubted at 21.327, ten times target lost finding=silent from 21.451 on, silent_ms from 0.4 to 26 s.

Now nothing counts as silent while no target shows life; a near one is asked beside it, and up to three silences are taken for this machine's. A question takes up to 300 ms with two connections side by side instead of 60 ms each one after the other; what is being opened at a late target goes elsewhere after 120 ms, as before.

--- a/daemon/src/marked/asker.rs
+++ b/daemon/src/marked/asker.rs
@@ -41,9 +41,8 @@
         let (asker, path) = (self.clone(), path.to_owned());
         let (incarnation, address) = (target.incarnation, target.address);
         let run = move || {
-            let finding = health::ask(incarnation, address, &path);
+            health::ask(incarnation, address, &path, |finding| asker.report(incarnation, finding));
             asker.running.fetch_sub(1, Relaxed);
-            asker.report(incarnation, finding);
         };
         let thread = thread::Builder::new().name("ask".to_owned()).stack_size(STACK);
         if let Err(error) = thread.spawn(run) {
--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -66,7 +66,7 @@
 /// One series and where its value is found.
 type Series = (Family, &'static str, fn(&Numbers) -> u64);
 
-const SERIES: [Series; 20] = [
+const SERIES: [Series; 21] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -87,6 +87,7 @@
     (Family::Probes, "answers", |it| it.counts.found[Finding::Answers as usize]),
     (Family::Probes, "gone", |it| it.counts.found[Finding::Gone as usize]),
     (Family::Probes, "silent", |it| it.counts.found[Finding::Silent as usize]),
+    (Family::Probes, "late", |it| it.counts.found[Finding::Late as usize]),
 ];
 
 /// One gauge and where its value is found.
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -57,6 +57,10 @@
     states: Map<Incarnation, State>,
     openings: VecDeque<(Millis, FlowKey)>,
     lost: Vec<Incarnation>,
+    /// When any target showed life last.
+    life: Millis,
+    /// How many targets were silent since.
+    alone: u32,
     swept: Millis,
     tuning: Tuning,
     random: Random,
@@ -72,6 +76,8 @@
             states: Map::default(),
             openings: VecDeque::new(),
             lost: Vec::new(),
+            life: Millis(0),
+            alone: 0,
             swept: Millis(0),
             random: Random::new(tuning.seed),
             tuning,
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -1,9 +1,12 @@
 //! Noticing targets that do not answer, and leaving them.
 
 use super::{Forwarder, Output};
-use crate::{Entry, EntryState, Finding, FlowKey, Incarnation, Note, Phase, Presence};
+use crate::{Entry, EntryState, Finding, Flow, FlowKey, Incarnation, Note, Phase, Presence};
 use medlarspur_lib::time::Millis;
 
+/// How often in a row targets may be silent while none at all shows life before
+/// that counts: each takes 300 ms.
+const ALONE_LIMIT: u32 = 3;
 /// How long after a request to a target went unanswered others are preferred.
 pub(super) const DOUBT_TIME: Millis = Millis(300);
 
@@ -30,6 +33,8 @@
 
     pub(super) fn see_life(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
         let Some(state) = self.states.get_mut(&target) else { return };
+        self.life = now;
+        self.alone = 0;
         state.doubted = None;
         if state.health.see_life(now) {
             self.lost.retain(|it| *it != target);
@@ -73,22 +78,101 @@
         out: &mut impl Output,
     ) {
         self.counts.found[finding as usize] += 1;
-        let Some(state) = self.states.get_mut(&target) else { return };
-        if finding == Finding::Answers {
-            return self.see_life(target, now, out);
+        match finding {
+            Finding::Answers => self.see_life(target, now, out),
+            Finding::Late => self.move_openings(target, now, out),
+            Finding::Silent if self.is_alone(target) => {
+                self.alone += 1;
+                self.ask_beside(target, now, out);
+            }
+            Finding::Silent | Finding::Gone => self.find_lost(target, finding, now, out),
+        }
+    }
+
+    /// Whether no target at all has shown life since this one was asked. Then it
+    /// may be this machine that hears nobody: its link is full or cut, and to reset
+    /// the flows of targets that are well would break them. Not for long: a link
+    /// that stays full for a second is no longer one that flows pass.
+    fn is_alone(&self, target: Incarnation) -> bool {
+        if self.alone >= ALONE_LIMIT {
+            return false;
         }
+        let state = self.states.get(&target);
+        let asked = state.filter(|it| !it.health.is_lost()).and_then(|it| it.health.asked());
+        asked.is_some_and(|asked| self.life <= asked)
+    }
+
+    /// Asks a silent target again, and beside it one that should answer: a near
+    /// one, which no cut between domains takes away.
+    fn ask_beside(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
+        let domain = &self.tuning.domain;
+        let is_near = |entry: &&Entry| {
+            let it = &entry.target;
+            let state = self.states.get(&it.incarnation);
+            let is_lost = state.is_none_or(|state| state.health.is_lost());
+            it.incarnation != target && entry.presence == Presence::Listed && !is_lost
+        };
+        let others = self.catalog.entries().filter(is_near);
+        let beside = others.min_by_key(|entry| (entry.target.domain != *domain, entry.cold));
+        let beside = beside.map(|entry| entry.target.incarnation);
+        for asked in beside.into_iter().chain([target]) {
+            self.ask(asked, now, out);
+        }
+    }
+
+    fn find_lost(
+        &mut self,
+        target: Incarnation,
+        finding: Finding,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
+        let Some(state) = self.states.get_mut(&target) else { return };
         let silent = now.since(state.health.life());
-        if state.health.find(finding, now) {
-            let flows = self.flows.values().filter(|flow| flow.target == target).count();
-            out.note(Note::Lost { target, finding, silent, flows });
-            self.lost.push(target);
-            self.leave(target, now, out);
-            if finding == Finding::Silent {
-                self.doubt_domain(target, now, out);
-            }
+        if !state.health.find(finding, now) {
+            return;
+        }
+        let flows = self.flows.values().filter(|flow| flow.target == target).count();
+        out.note(Note::Lost { target, finding, silent, flows });
+        self.lost.push(target);
+        self.leave(target, now, out);
+        if finding == Finding::Silent {
+            self.doubt_domain(target, now, out);
+        }
+    }
+
+    /// Has what is being opened at a target that is late go elsewhere. Nothing
+    /// runs before a flow is open, so at worst the caller opens it anew.
+    fn move_openings(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
+        let Some(state) = self.states.get_mut(&target) else { return };
+        if state.health.asked().is_some_and(|asked| state.health.life() > asked) {
+            return;
+        }
+        state.doubted = Some(now);
+        let is_moved = |flow: &&Flow| flow.target == target && flow.is_opening();
+        let flows = self.flows.iter().filter(|(_, flow)| is_moved(flow));
+        let keys: Vec<FlowKey> = flows.map(|(key, _)| *key).collect();
+        for key in keys {
+            self.move_opening(key, target, now, out);
         }
     }
 
+    fn move_opening(
+        &mut self,
+        key: FlowKey,
+        from: Incarnation,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
+        let Some(Phase::Opening { packet }) = self.flows.get(&key).map(|it| it.phase.clone())
+        else {
+            return;
+        };
+        self.counts.moved += 1;
+        out.note(Note::Moved { flow: key, from });
+        self.place(key, 0, &packet, now, out);
+    }
+
     /// Asks the other targets of a failure domain, one of whose targets is silent:
     /// the whole domain may be cut off. Only those with flows here, and without a
     /// sign of life as late as the time that a silent target takes to be found.
@@ -121,16 +205,10 @@
         let keys: Vec<FlowKey> = flows.map(|(key, _)| *key).collect();
         for key in keys {
             let Some(flow) = self.flows.get(&key) else { continue };
-            match flow.phase.clone() {
-                Phase::Opening { packet } => {
-                    self.counts.moved += 1;
-                    out.note(Note::Moved { flow: key, from: target });
-                    self.place(key, 0, &packet, now, out);
-                }
-                Phase::Open => {
-                    let seq = flow.acked;
-                    self.reset(&key, seq, target, now, out);
-                }
+            let seq = flow.acked;
+            match flow.is_opening() {
+                true => self.move_opening(key, target, now, out),
+                false => self.reset(&key, seq, target, now, out),
             }
         }
     }
--- a/marked/src/health.rs
+++ b/marked/src/health.rs
@@ -27,11 +27,13 @@
     Gone,
     /// Nothing answers.
     Silent,
+    /// Nothing has answered yet; what comes of it is told later.
+    Late,
 }
 
 impl Finding {
     /// All of them, in the order of their values.
-    pub const ALL: [Finding; 3] = [Finding::Answers, Finding::Gone, Finding::Silent];
+    pub const ALL: [Finding; 4] = [Finding::Answers, Finding::Gone, Finding::Silent, Finding::Late];
 }
 
 /// What is believed of one target.
@@ -93,6 +95,11 @@
         before.is_none()
     }
 
+    /// When it was asked last.
+    pub fn asked(&self) -> Option<Millis> {
+        self.asked
+    }
+
     /// Whether the target does not answer.
     pub fn is_lost(&self) -> bool {
         self.lost.is_some()
