--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -12,3 +12,4 @@
 mod test_marked_store;
 mod test_marked_targets;
 mod test_operators;
+mod test_sink;
