--- /dev/null
+++ b/load/examples/choice.rs
@@ -0,0 +1,221 @@
+//! Compares ways to choose the target of a new flow, in virtual time.
+//!
+//! Several instances place flows on the same targets, and each knows only what
+//! passes through itself. Feeds stay where they are placed and ask about once a
+//! second; requests open a flow each. Prints how long callers wait, by way and
+//! load. `docs/measures/marks.md` has a run.
+
+use medlarspur_lib::bundle::Class;
+use medlarspur_load::{
+    choice::{Candidate, Tier, choose},
+    random::Random,
+};
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+/// How many instances and targets there are, as at today's sites.
+const INSTANCES: usize = 8;
+const TARGETS: usize = 14;
+const SLOTS: usize = 3;
+/// How many feeds are open.
+const FEEDS: usize = 300;
+/// The mean work of a request, in milliseconds.
+const WORK: f64 = 60.0;
+/// How long is played, in milliseconds.
+const LENGTH: u64 = 120_000;
+/// What is late: the aim of the busier site.
+const AIM: u64 = 250;
+
+/// A way to choose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// Any target.
+    Random,
+    /// One after the other, each instance for itself.
+    Turns,
+    /// The one of two drawn that has less work of this instance.
+    TwoChoices,
+    /// The one with the least work of this instance, as the product chooses.
+    LeastOwn,
+    /// The one with the least work of all: what no instance can know.
+    LeastOfAll,
+}
+
+const WAYS: [Way; 5] = [Way::Random, Way::Turns, Way::TwoChoices, Way::LeastOwn, Way::LeastOfAll];
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A feed asks.
+    Feed(usize),
+    /// A request comes to an instance.
+    Request(usize),
+    /// A target has worked off one of an instance, for a feed or not.
+    Done(usize, usize, bool),
+}
+
+struct World {
+    random: Random,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    count: u64,
+    /// Requests under way, by instance and target.
+    working: Vec<[u32; TARGETS]>,
+    /// Open feeds without a request under way, by instance and target.
+    idle: Vec<[u32; TARGETS]>,
+    /// Requests at a target, those that wait included, with when each came.
+    queues: Vec<Vec<(u64, usize, bool, u64)>>,
+    turns: Vec<usize>,
+    spans: Vec<u64>,
+    served: [u32; TARGETS],
+}
+
+fn main() {
+    println!(
+        "{:12} {:>5} {:>6} {:>6} {:>8} {:>10}",
+        "way", "load", "p50", "p99", "late %", "imbalance"
+    );
+    for load in [0.4, 0.57, 0.75] {
+        for way in WAYS {
+            play(way, load);
+        }
+    }
+}
+
+fn play(way: Way, load: f64) {
+    let mut world = World {
+        random: Random::new(9),
+        events: BinaryHeap::new(),
+        count: 0,
+        working: vec![[0; TARGETS]; INSTANCES],
+        idle: vec![[0; TARGETS]; INSTANCES],
+        queues: vec![Vec::new(); TARGETS],
+        turns: (0..INSTANCES).collect(),
+        spans: Vec::new(),
+        served: [0; TARGETS],
+    };
+    let rate = load * (TARGETS * SLOTS) as f64 / WORK;
+    // As at the sites, seven of nine requests come on feeds.
+    let pause = FEEDS as f64 / (rate * 7.0 / 9.0);
+    let mut feeds = Vec::new();
+    for feed in 0..FEEDS {
+        let instance = feed % INSTANCES;
+        let target = world.choose(way, instance, Class::Feed);
+        world.idle[instance][target] += 1;
+        feeds.push((instance, target));
+        let at = world.wait(pause);
+        world.push(at, Event::Feed(feed));
+    }
+    for instance in 0..INSTANCES {
+        let at = world.wait(INSTANCES as f64 / (rate * 2.0 / 9.0));
+        world.push(at, Event::Request(instance));
+    }
+    while let Some(Reverse((now, _, event))) = world.events.pop() {
+        if now > LENGTH {
+            break;
+        }
+        match event {
+            Event::Feed(feed) => {
+                let (instance, target) = feeds[feed];
+                world.begin(now, instance, target, true);
+                let at = now + world.wait(pause);
+                world.push(at, Event::Feed(feed));
+            }
+            Event::Request(instance) => {
+                let target = world.choose(way, instance, Class::Request);
+                world.begin(now, instance, target, false);
+                let at = now + world.wait(INSTANCES as f64 / (rate * 2.0 / 9.0));
+                world.push(at, Event::Request(instance));
+            }
+            Event::Done(target, instance, feed) => world.end(now, target, instance, feed),
+        }
+    }
+    world.report(way, load);
+}
+
+impl World {
+    /// A span drawn with this mean, exponentially.
+    fn wait(&mut self, mean: f64) -> u64 {
+        (-mean * (1.0 - self.random.fraction()).ln()) as u64
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.count += 1;
+        self.events.push(Reverse((at, self.count, event)));
+    }
+
+    fn choose(&mut self, way: Way, instance: usize, class: Class) -> usize {
+        let draw = self.random.draw();
+        match way {
+            Way::Random => (draw % TARGETS as u64) as usize,
+            Way::Turns => {
+                self.turns[instance] = (self.turns[instance] + 1) % TARGETS;
+                self.turns[instance]
+            }
+            Way::TwoChoices => {
+                let (a, b) = (draw as usize % TARGETS, (draw >> 32) as usize % TARGETS);
+                let load = |it: usize| (self.working[instance][it], self.idle[instance][it]);
+                if load(a) <= load(b) { a } else { b }
+            }
+            Way::LeastOwn => {
+                let candidates: Vec<_> =
+                    (0..TARGETS).map(|it| self.candidate(&[instance], it)).collect();
+                choose(&candidates, class, draw).unwrap_or_default()
+            }
+            Way::LeastOfAll => {
+                let all: Vec<usize> = (0..INSTANCES).collect();
+                let candidates: Vec<_> = (0..TARGETS).map(|it| self.candidate(&all, it)).collect();
+                choose(&candidates, class, draw).unwrap_or_default()
+            }
+        }
+    }
+
+    fn candidate(&self, instances: &[usize], target: usize) -> Candidate {
+        Candidate {
+            tier: Tier::Good,
+            slots: SLOTS as u32,
+            working: instances.iter().map(|it| self.working[*it][target]).sum(),
+            opening: 0,
+            feeds: instances.iter().map(|it| self.idle[*it][target]).sum(),
+            cold: false,
+            near: true,
+        }
+    }
+
+    fn begin(&mut self, now: u64, instance: usize, target: usize, feed: bool) {
+        self.working[instance][target] += 1;
+        if feed {
+            self.idle[instance][target] = self.idle[instance][target].saturating_sub(1);
+        }
+        let work = 10 + self.wait(WORK - 10.0);
+        self.queues[target].push((now, instance, feed, work));
+        if self.queues[target].len() <= SLOTS {
+            self.push(now + work, Event::Done(target, instance, feed));
+        }
+    }
+
+    fn end(&mut self, now: u64, target: usize, instance: usize, feed: bool) {
+        self.working[instance][target] -= 1;
+        if feed {
+            self.idle[instance][target] += 1;
+        }
+        let is_it = |it: &(u64, usize, bool, u64)| it.1 == instance && it.2 == feed;
+        let Some(at) = self.queues[target].iter().take(SLOTS).position(is_it) else { return };
+        let (since, ..) = self.queues[target].remove(at);
+        self.spans.push(now - since);
+        self.served[target] += 1;
+        if let Some(&(_, instance, feed, work)) = self.queues[target].get(SLOTS - 1) {
+            self.push(now + work, Event::Done(target, instance, feed));
+        }
+    }
+
+    fn report(&mut self, way: Way, load: f64) {
+        self.spans.sort_unstable();
+        let part = |part: f64| self.spans[(self.spans.len() as f64 * part) as usize];
+        let late = self.spans.iter().filter(|span| **span > AIM).count();
+        let late = late as f64 * 100.0 / self.spans.len() as f64;
+        let mean = self.served.iter().sum::<u32>() as f64 / TARGETS as f64;
+        let most = self.served.iter().copied().max().unwrap_or_default();
+        let imbalance = f64::from(most) / mean;
+        let (p50, p99) = (part(0.5), part(0.99));
+        let way = format!("{way:?}");
+        println!("{way:12} {load:5.2} {p50:6} {p99:6} {late:8.2} {imbalance:10.2}");
+    }
+}
