--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -7,7 +7,7 @@
     lines::Picture,
     meters::{self, Numbers, Published, Times},
     output::Datagrams,
-    peers::{self, Post},
+    peers::{self, ControlSocket},
     store::Reading,
 };
 use crate::{clock::Clock, sink::Sink};
@@ -150,10 +150,10 @@
     settings: &MarkedSettings,
     sender: &Sender,
     now: Millis,
-) -> io::Result<(Fleet, Post)> {
+) -> io::Result<(Fleet, ControlSocket)> {
     let mut tries = 0;
     loop {
-        let post = Post::bind(control)?;
+        let post = ControlSocket::bind(control)?;
         let local = post.local()?;
         match peers::serve(local, sender.clone()) {
             Ok(()) => {
@@ -171,7 +171,7 @@
     forwarder: Forwarder,
     datagrams: Datagrams,
     /// The other instances, if the settings say where to talk to them.
-    fleet: Option<(Fleet, Post)>,
+    fleet: Option<(Fleet, ControlSocket)>,
     reading: Reading,
     sender: Sender,
     batch: Batch,
--- a/daemon/src/marked/peers.rs
+++ b/daemon/src/marked/peers.rs
@@ -3,7 +3,7 @@
 
 use super::inbox::{Event, Sender};
 use medlarspur_marked::{
-    Fleet, Letter, News, Revision,
+    Fleet, News, Outgoing, Revision,
     message::{self, MAX_DATAGRAM, Message, MessageError},
 };
 use snafu::{ResultExt, Snafu};
@@ -38,16 +38,16 @@
 
 /// The socket for datagrams.
 #[derive(Debug)]
-pub struct Post {
+pub struct ControlSocket {
     socket: UdpSocket,
 }
 
-impl Post {
+impl ControlSocket {
     /// Binds the address.
-    pub fn bind(address: SocketAddrV4) -> io::Result<Post> {
+    pub fn bind(address: SocketAddrV4) -> io::Result<ControlSocket> {
         let socket = UdpSocket::bind(address)?;
         socket.set_nonblocking(true)?;
-        Ok(Post { socket })
+        Ok(ControlSocket { socket })
     }
 
     /// The bound address.
@@ -85,9 +85,9 @@
     }
 
     /// Sends what the fleet has to say. What can't be sent is lost like any
-    /// datagram; the next beat makes up for it.
+    /// datagram; the next heartbeat makes up for it.
     pub fn send(&self, fleet: &mut Fleet) {
-        for Letter { to, bytes } in fleet.take_letters() {
+        for Outgoing { to, bytes } in fleet.take_outgoing() {
             if let Err(error) = self.socket.send_to(&bytes, to) {
                 log::debug!("peers: nothing is sent to {to}: {error}");
             }
--- a/daemon/tests/test_marked_explained.rs
+++ b/daemon/tests/test_marked_explained.rs
@@ -17,8 +17,8 @@
 #[test]
 fn a_refused_flow_is_explained_by_targets_that_leave() {
     let mut site = site(4, 1);
-    for berth in 0..3 {
-        site.drain(berth);
+    for host in 0..3 {
+        site.drain(host);
     }
     wait_until("it is known", || lines_with(&site, &["state=leaving"]).len() == 3);
     site.add_callers(Class::Request, 1);
--- a/daemon/tests/test_marked_instances.rs
+++ b/daemon/tests/test_marked_instances.rs
@@ -77,7 +77,7 @@
 
     site.instances[0].signal(Signal::SIGSTOP).expect("it runs");
     wait_until("it has left rotation", || site.routers.count() == 2);
-    site.release(0).expect("a new berth");
+    site.release(0).expect("a new host");
     site.instances[0].signal(Signal::SIGCONT).expect("it is there");
     wait_until("it is back in rotation", || site.routers.count() == 3);
     wait_for_answers(&site, 100);
--- a/daemon/tests/test_marked_store.rs
+++ b/daemon/tests/test_marked_store.rs
@@ -45,7 +45,7 @@
 
     site.store.set_fault(Fault { status: Some(503), ..Fault::default() });
     site.publish();
-    site.add_target(medlarspur_standin::site::DESK).expect("a berth");
+    site.add_target(medlarspur_standin::site::DESK).expect("a host");
     site.store.compact();
     site.store.set_fault(Fault::default());
     let revision = format!("known={}", site.store.revision());
--- a/daemon/tests/test_marked_targets.rs
+++ b/daemon/tests/test_marked_targets.rs
@@ -12,7 +12,7 @@
     come(&mut site);
     wait_for_answers(&site, 60);
 
-    site.release(0).expect("a new berth");
+    site.release(0).expect("a new host");
     wait_for_answers(&site, 100);
 
     assert_eq!(unanswered(&end(&site)), 0);
--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -177,7 +177,7 @@
     /// The latest removal that is no longer remembered.
     forgotten: Revision,
     /// Targets that were removed before they were heard of.
-    tombs: Map<Incarnation, (Revision, Millis)>,
+    tombstones: Map<Incarnation, (Revision, Millis)>,
 }
 
 impl Catalog {
@@ -282,12 +282,12 @@
         let config = self.config_since(if is_old { Revision::default() } else { known });
         let targets = self.targets.values().filter(|entry| is_told(entry.revision));
         let targets = targets.map(|entry| entry.change(now));
-        let tombs = self.tombs.iter().filter(|(_, (revision, _))| is_told(*revision));
-        let tombs = tombs.map(|(incarnation, (revision, _))| Change {
+        let tombstones = self.tombstones.iter().filter(|(_, (revision, _))| is_told(*revision));
+        let tombstones = tombstones.map(|(incarnation, (revision, _))| Change {
             revision: *revision,
             content: Content::Removed(*incarnation),
         });
-        let changes = config.into_iter().chain(targets).chain(tombs).collect();
+        let changes = config.into_iter().chain(targets).chain(tombstones).collect();
         let scope = if is_old { Scope::All } else { Scope::Since(known) };
         News { revision: self.revision, scope, changes }
     }
@@ -352,7 +352,7 @@
         changed: &mut Vec<Incarnation>,
     ) {
         let incarnation = target.incarnation;
-        if self.tombs.get(&incarnation).is_some_and(|(removed, _)| *removed >= revision) {
+        if self.tombstones.get(&incarnation).is_some_and(|(removed, _)| *removed >= revision) {
             return;
         }
         let cold = now + target.cold;
@@ -377,8 +377,8 @@
         changed: &mut Vec<Incarnation>,
     ) {
         let Some(known) = self.targets.get_mut(&incarnation) else {
-            let tomb = self.tombs.entry(incarnation).or_insert((revision, now));
-            tomb.0 = tomb.0.max(revision);
+            let tombstone = self.tombstones.entry(incarnation).or_insert((revision, now));
+            tombstone.0 = tombstone.0.max(revision);
             return;
         };
         if known.revision >= revision {
@@ -409,10 +409,10 @@
     /// Drops what was removed more than [`KEPT`] ago.
     fn forget(&mut self, now: Millis) {
         let is_kept = |since: Millis| now.since(since) < KEPT;
-        let tombs = self.tombs.values().filter(|(_, since)| !is_kept(*since));
-        let forgotten = tombs.map(|(revision, _)| *revision).max();
+        let tombstones = self.tombstones.values().filter(|(_, since)| !is_kept(*since));
+        let forgotten = tombstones.map(|(revision, _)| *revision).max();
         self.forgotten = self.forgotten.max(forgotten.unwrap_or_default());
-        self.tombs.retain(|_, (_, since)| is_kept(*since));
+        self.tombstones.retain(|_, (_, since)| is_kept(*since));
         let old = self.targets.values().filter_map(|entry| match entry.presence {
             Presence::Removed(since) if !is_kept(since) => Some(entry.target.incarnation),
             _ => None,
--- a/marked/src/fleet.rs
+++ b/marked/src/fleet.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     Catalog, News, Revision, Scope,
-    message::{Beat, DomainId, Message, Role, encode},
+    message::{DomainId, Heartbeat, Message, Role, encode},
 };
 use medlarspur_lib::{collections::Map, ids::DomainName, time::Millis};
 use medlarspur_load::random::Random;
@@ -44,15 +44,15 @@
 /// would cost more calls than they save.
 const LEAST_READING: Millis = Millis::secs(3);
 /// How often an instance that does not read tells its readers that it is there.
-const BEAT_PAUSE: Millis = Millis::secs(4);
-/// How long after its last message an instance is taken for gone: two beats of
+const HEARTBEAT_PAUSE: Millis = Millis::secs(4);
+/// How long after its last message an instance is taken for gone: two heartbeats of
 /// one that does not read, with room.
 const GONE: Millis = Millis::secs(10);
 /// How long after others told of it an instance that was never heard is
 /// forgotten. Listeners are heard by readers only; when those go, whoever takes
 /// over should know the domain.
-const HEARSAY: Millis = Millis::secs(60);
-/// How many others a beat tells of: at most three, for a reader of a hundred
+const INDIRECT: Millis = Millis::secs(60);
+/// How many others a heartbeat tells of: at most three, for a reader of a hundred
 /// instances to stay within 8 KB a second.
 const TOLD: usize = 3;
 /// How many others whoever asks is told of.
@@ -72,7 +72,7 @@
 const SEED_PAUSE: Millis = Millis::secs(4);
 /// How long after one question for lacking news the next is asked.
 const PULL_PAUSE: Millis = Millis(400);
-/// How long news may be on its way after a beat that tells its revision. The beat
+/// How long news may be on its way after a heartbeat that tells its revision. The heartbeat
 /// comes straight from the reader, the news by way of others.
 const ON_ITS_WAY: Millis = Millis(250);
 
@@ -90,12 +90,12 @@
     /// When it was heard, or heard of.
     heard: Millis,
     /// Whether others have told of it and it was never heard itself.
-    hearsay: bool,
+    indirect: bool,
 }
 
 /// A datagram to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Letter {
+pub struct Outgoing {
     /// Who gets it.
     pub to: SocketAddrV4,
     /// Its bytes.
@@ -118,7 +118,7 @@
     fresh: Option<Millis>,
     /// Up to which revision it has passed news on.
     told: Revision,
-    beaten: Option<Millis>,
+    heartbeat_at: Option<Millis>,
     sought: Option<Millis>,
     /// When it has told the seeds that it reads.
     seeded: Option<Millis>,
@@ -126,7 +126,7 @@
     /// Who knows more, and when to ask it.
     lacking: Option<(SocketAddrV4, Millis)>,
     random: Random,
-    letters: Vec<Letter>,
+    outgoing: Vec<Outgoing>,
 }
 
 impl Fleet {
@@ -148,13 +148,13 @@
             due: Some((0, now + START_PAUSE)),
             fresh: None,
             told: Revision::default(),
-            beaten: None,
+            heartbeat_at: None,
             sought: None,
             seeded: None,
             pulled: None,
             lacking: None,
             random: Random::new(seed),
-            letters: Vec::new(),
+            outgoing: Vec::new(),
         }
     }
 
@@ -185,8 +185,8 @@
     }
 
     /// What to send.
-    pub fn take_letters(&mut self) -> Vec<Letter> {
-        std::mem::take(&mut self.letters)
+    pub fn take_outgoing(&mut self) -> Vec<Outgoing> {
+        std::mem::take(&mut self.outgoing)
     }
 
     /// The store has answered; `catalog` has what it said.
@@ -194,14 +194,14 @@
         self.fresh = Some(now);
         // News says as well that the store has answered.
         if !self.pass_on(catalog, now) {
-            self.beat_domain(catalog.revision(), now);
+            self.tell_domain(catalog.revision(), now);
         }
     }
 
     /// The store can't be reached: the others must not rely on this instance.
     pub fn store_failed(&mut self, catalog: &Catalog, now: Millis) {
         if self.fresh.take().is_some() {
-            self.beat_domain(catalog.revision(), now);
+            self.tell_domain(catalog.revision(), now);
         }
     }
 
@@ -240,8 +240,8 @@
 
     fn send(&mut self, to: SocketAddrV4, message: &Message) {
         match encode(message) {
-            Ok(bytes) => self.letters.push(Letter { to, bytes }),
-            // One item may be too large for a datagram. The next beat tells the
+            Ok(bytes) => self.outgoing.push(Outgoing { to, bytes }),
+            // One item may be too large for a datagram. The next heartbeat tells the
             // revision, and whoever lacks it asks for it.
             Err(error) => log::debug!("peers: a message is not sent: {error}"),
         }
@@ -261,8 +261,8 @@
         now: Millis,
     ) -> Option<News> {
         match message {
-            Message::Beat(beat) => {
-                self.receive_beat(from, &beat, catalog.revision(), now);
+            Message::Heartbeat(heartbeat) => {
+                self.receive_heartbeat(from, &heartbeat, catalog.revision(), now);
                 None
             }
             Message::News { reader, news, to } => {
@@ -272,32 +272,38 @@
         }
     }
 
-    fn receive_beat(&mut self, from: SocketAddrV4, beat: &Beat, known: Revision, now: Millis) {
-        let fresh = beat.fresh.map(|age| now.since(Millis(age.into())));
+    fn receive_heartbeat(
+        &mut self,
+        from: SocketAddrV4,
+        heartbeat: &Heartbeat,
+        known: Revision,
+        now: Millis,
+    ) {
+        let fresh = heartbeat.fresh.map(|age| now.since(Millis(age.into())));
         if self.peers.len() >= MOST && !self.peers.contains_key(&from) {
             log::debug!("peers: {from} is one too many");
             return;
         }
         let peer = Peer {
-            domain: beat.domain,
-            role: beat.role,
+            domain: heartbeat.domain,
+            role: heartbeat.role,
             fresh,
-            revision: beat.revision,
+            revision: heartbeat.revision,
             heard: now,
-            hearsay: false,
+            indirect: false,
         };
         let is_new = self.peers.insert(from, peer).is_none();
-        for contact in &beat.contacts {
+        for contact in &heartbeat.contacts {
             self.hear_of(*contact, known, now);
         }
-        if beat.asks || is_new && beat.domain == self.domain {
-            self.beat(from, Purpose::Answer, known, now);
+        if heartbeat.asks || is_new && heartbeat.domain == self.domain {
+            self.heartbeat(from, Purpose::Answer, known, now);
         }
         // Within a domain all that readers know is passed on. An instance that
         // starts, or can't reach the store, takes it from anywhere.
         let starts = known == Revision::default();
         let is_cut = self.is_reading() && self.fresh.is_none();
-        if beat.revision > known && (beat.domain == self.domain || starts || is_cut) {
+        if heartbeat.revision > known && (heartbeat.domain == self.domain || starts || is_cut) {
             let wait = if starts { Millis(0) } else { ON_ITS_WAY };
             self.lacking.get_or_insert((from, now + wait));
         }
@@ -315,12 +321,12 @@
             fresh: None,
             revision: Revision::default(),
             heard: now,
-            hearsay: true,
+            indirect: true,
         };
         self.peers.insert(contact, unknown);
         // Whoever starts needs the readers of its domain, and they it.
         if self.readers(now).count() < READERS {
-            self.beat(contact, Purpose::Ask, known, now);
+            self.heartbeat(contact, Purpose::Ask, known, now);
         }
     }
 
@@ -392,7 +398,7 @@
 
     /// Does what is due by now.
     pub fn tick(&mut self, catalog: &Catalog, now: Millis) {
-        let limit = |peer: &Peer| if peer.hearsay { HEARSAY } else { GONE };
+        let limit = |peer: &Peer| if peer.indirect { INDIRECT } else { GONE };
         self.peers.retain(|_, peer| now.since(peer.heard) < limit(peer));
         self.decide(catalog, now);
         let is_due = |at: Option<Millis>, pause| at.is_none_or(|at| now.since(at) >= pause);
@@ -404,14 +410,14 @@
         if self.is_reading() && self.fresh.is_some() && is_due(self.seeded, SEED_PAUSE) {
             self.seeded = Some(now);
             for seed in self.seeds.clone() {
-                self.beat(seed, Purpose::Tell, revision, now);
+                self.heartbeat(seed, Purpose::Tell, revision, now);
             }
         }
-        if !self.is_reading() && is_due(self.beaten, BEAT_PAUSE) {
-            self.beaten = Some(now);
+        if !self.is_reading() && is_due(self.heartbeat_at, HEARTBEAT_PAUSE) {
+            self.heartbeat_at = Some(now);
             let readers: Vec<_> = self.readers(now).collect();
             for reader in readers {
-                self.beat(reader, Purpose::Tell, revision, now);
+                self.heartbeat(reader, Purpose::Tell, revision, now);
             }
         }
     }
@@ -424,7 +430,7 @@
             asked.push(others[(self.random.draw() % others.len() as u64) as usize]);
         }
         for seed in asked {
-            self.beat(seed, Purpose::Ask, revision, now);
+            self.heartbeat(seed, Purpose::Ask, revision, now);
         }
     }
 
@@ -498,23 +504,23 @@
     }
 
     /// Tells the whole domain, unless enough others do: when all start at once,
-    /// all read, and beats between all pairs would grow with their square.
-    fn beat_domain(&mut self, revision: Revision, now: Millis) {
+    /// all read, and heartbeats between all pairs would grow with their square.
+    fn tell_domain(&mut self, revision: Revision, now: Millis) {
         if self.is_spare(now) {
             return;
         }
         for to in self.domain_members() {
-            self.beat(to, Purpose::Tell, revision, now);
+            self.heartbeat(to, Purpose::Tell, revision, now);
         }
     }
 
-    fn beat(&mut self, to: SocketAddrV4, purpose: Purpose, revision: Revision, now: Millis) {
+    fn heartbeat(&mut self, to: SocketAddrV4, purpose: Purpose, revision: Revision, now: Millis) {
         let fresh = self.fresh.map(|at| now.since(at).0).and_then(|age| u16::try_from(age).ok());
         let role = if self.is_reading() { Role::Reader } else { Role::Listener };
         let contacts = self.contacts(to, purpose.contacts());
         let asks = purpose == Purpose::Ask;
-        let beat = Beat { domain: self.domain, role, fresh, revision, asks, contacts };
-        self.send(to, &Message::Beat(beat));
+        let heartbeat = Heartbeat { domain: self.domain, role, fresh, revision, asks, contacts };
+        self.send(to, &Message::Heartbeat(heartbeat));
     }
 
     /// Some instances of the receiver's domain, readers first, the others drawn
@@ -537,7 +543,7 @@
     }
 }
 
-/// What a beat is sent for.
+/// What a heartbeat is sent for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Purpose {
     /// To say that this instance is there and what it knows.
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -25,7 +25,7 @@
     Catalog, Change, Config, Content, Entry, News, Presence, Revision, Route, Scope, Share, Target,
 };
 pub use delta::Delta;
-pub use fleet::{Fleet, Letter};
+pub use fleet::{Fleet, Outgoing};
 pub use flow::{Flow, Phase, Seen};
 pub use forwarder::{Counts, Forwarder, Output, Refusal, Span, Tuning, Unroutable};
 pub use health::{Finding, Health};
--- a/marked/src/message.rs
+++ b/marked/src/message.rs
@@ -27,7 +27,7 @@
 
 /// Says that an instance is there and what it knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// Its failure domain.
     pub domain: DomainId,
     /// Whether it reads the store.
@@ -47,7 +47,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// A sign of life.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// News that the receiver passes on. It is told to whom: a listener knows
     /// only some of its domain, and the reader that sends the news knows all.
     News {
--- a/marked/tests/net.rs
+++ b/marked/tests/net.rs
@@ -196,12 +196,12 @@
 
     fn post(&mut self, from: SocketAddrV4) {
         let it = self.instances.get_mut(&from).expect("it is there");
-        for letter in it.fleet.take_letters() {
+        for outgoing in it.fleet.take_outgoing() {
             self.datagrams += 1;
-            *self.sent.entry(from).or_default() += letter.bytes.len() as u64 + 28;
+            *self.sent.entry(from).or_default() += outgoing.bytes.len() as u64 + 28;
             let is_lost = self.random.draw() % 1000 < self.loss;
-            if !is_lost && self.reaches(from, letter.to) {
-                self.flying.push((self.now + 1, from, letter.to, letter.bytes));
+            if !is_lost && self.reaches(from, outgoing.to) {
+                self.flying.push((self.now + 1, from, outgoing.to, outgoing.bytes));
             }
         }
     }
