marked: don't spin while a question must wait, and take many silences for one

Whoever had asked for news and heard of more had its next step in the past until it might ask again, up to 400 ms: the main thread's wait returned at once for so long, on a twentieth of a core.

Nothing was to count as silent for three questions while nobody is heard, but the silences were counted over all targets: of ten in the same moment, as behind a full link, seven would still have been reset. Now it is 900 ms, whatever their number, and the target beside is not asked ten times at once.

Also an order to pause the store's thread can't be overwritten by the one before, and two comments say what the code does.

--- a/daemon/src/marked/store.rs
+++ b/daemon/src/marked/store.rs
@@ -88,18 +88,24 @@
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// What to do now. A revision to read on from is taken once, under one lock, so
+/// that a pause which is ordered meanwhile stays.
+fn take(orders: &Mutex<Order>) -> Order {
+    let mut order = lock(orders);
+    match *order {
+        Order::ReadFrom(_) => std::mem::replace(&mut *order, Order::Read),
+        order => order,
+    }
+}
+
 fn run(current: &Current, sender: &Sender, orders: &Mutex<Order>, calls: &Calls) {
     let mut address = current.store();
     let mut follower = Follower::new(Http::new(address));
     let mut reachable = None;
     loop {
-        let order = *lock(orders);
-        match order {
+        match take(orders) {
             Order::Read => {}
-            Order::ReadFrom(known) => {
-                follower.resume(known);
-                *lock(orders) = Order::Read;
-            }
+            Order::ReadFrom(known) => follower.resume(known),
             Order::Pause => {
                 thread::park();
                 continue;
--- a/marked/src/fleet.rs
+++ b/marked/src/fleet.rs
@@ -163,6 +163,11 @@
         self.reading.is_some()
     }
 
+    /// Its failure domain, as messages carry it.
+    pub fn domain(&self) -> DomainId {
+        self.domain
+    }
+
     /// How many others are known.
     pub fn len(&self) -> usize {
         self.peers.len()
@@ -487,7 +492,9 @@
 
     /// When [`tick`](Self::tick) has something to do next.
     pub fn deadline(&self, now: Millis) -> Millis {
-        let lacking = self.lacking.map(|(_, due)| due);
+        // Not before the next question is allowed: until then nothing can be done.
+        let allowed = self.pulled.map_or(now, |at| at + PULL_PAUSE);
+        let lacking = self.lacking.map(|(_, due)| due.max(allowed));
         lacking.into_iter().chain([self.next_step(now)]).min().unwrap_or(now)
     }
 
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -40,6 +40,7 @@
 const WORK_LIMIT: Millis = Millis::secs(8);
 /// How often records of flows that ended without a word are dropped.
 const SWEEP_PAUSE: Millis = Millis::secs(1);
+
 /// What an instance's place in the fleet makes different.
 #[derive(Debug, Clone)]
 pub struct Tuning {
@@ -59,8 +60,8 @@
     lost: Vec<Incarnation>,
     /// When any target showed life last.
     life: Millis,
-    /// How many targets were silent since.
-    alone: u32,
+    /// When a target was found silent first since.
+    alone: Option<Millis>,
     swept: Millis,
     tuning: Tuning,
     random: Random,
@@ -77,7 +78,7 @@
             openings: VecDeque::new(),
             lost: Vec::new(),
             life: Millis(0),
-            alone: 0,
+            alone: None,
             swept: Millis(0),
             random: Random::new(tuning.seed),
             tuning,
@@ -105,7 +106,7 @@
         self.flows.is_empty()
     }
 
-    /// The newest revision that was heard of.
+    /// Up to which revision all changes are known.
     pub fn revision(&self) -> Revision {
         self.catalog.revision()
     }
@@ -151,8 +152,8 @@
         self.send(target, &segment.key, bytes, out);
     }
 
-    /// Where a packet in mid-flow goes: where its mark says. A caller that has
-    /// received no mark, or none that holds, may still be known here.
+    /// Where a packet in mid-flow goes: where its mark says, and nowhere without
+    /// one that holds.
     fn target(&mut self, segment: &Segment, out: &mut impl Output) -> Option<Incarnation> {
         let marked = segment.mark.and_then(|mark| self.catalog.marked(mark, &segment.key));
         if let Some(entry) = marked {
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -1,12 +1,13 @@
 //! Noticing targets that do not answer, and leaving them.
 
-use super::{Forwarder, Output};
+use super::{Forwarder, Output, State};
 use crate::{Entry, EntryState, Finding, Flow, FlowKey, Incarnation, Note, Phase, Presence};
 use medlarspur_lib::time::Millis;
 
-/// How often in a row targets may be silent while none at all shows life before
-/// that counts: each takes 300 ms.
-const ALONE_LIMIT: u32 = 3;
+/// How long targets may be silent while none at all shows life before that
+/// counts: three questions of 300 ms. Their number says nothing, since a link that
+/// is full makes all silent in the same moment.
+const ALONE_LIMIT: Millis = Millis(900);
 /// How long after a request to a target went unanswered others are preferred.
 pub(super) const DOUBT_TIME: Millis = Millis(300);
 
@@ -34,7 +35,7 @@
     pub(super) fn see_life(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
         let Some(state) = self.states.get_mut(&target) else { return };
         self.life = now;
-        self.alone = 0;
+        self.alone = None;
         state.doubted = None;
         if state.health.see_life(now) {
             self.lost.retain(|it| *it != target);
@@ -81,10 +82,7 @@
         match finding {
             Finding::Answers => self.see_life(target, now, out),
             Finding::Late => self.move_openings(target, now, out),
-            Finding::Silent if self.is_alone(target) => {
-                self.alone += 1;
-                self.ask_beside(target, now, out);
-            }
+            Finding::Silent if self.is_alone(target, now) => self.ask_beside(target, now, out),
             Finding::Silent | Finding::Gone => self.find_lost(target, finding, now, out),
         }
     }
@@ -93,13 +91,11 @@
     /// may be this machine that hears nobody: its link is full or cut, and to reset
     /// the flows of targets that are well would break them. Not for long: a link
     /// that stays full for a second is no longer one that flows pass.
-    fn is_alone(&self, target: Incarnation) -> bool {
-        if self.alone >= ALONE_LIMIT {
-            return false;
-        }
+    fn is_alone(&mut self, target: Incarnation, now: Millis) -> bool {
         let state = self.states.get(&target);
         let asked = state.filter(|it| !it.health.is_lost()).and_then(|it| it.health.asked());
-        asked.is_some_and(|asked| self.life <= asked)
+        let hears_nobody = asked.is_some_and(|asked| self.life <= asked);
+        hears_nobody && now.since(*self.alone.get_or_insert(now)) < ALONE_LIMIT
     }
 
     /// Asks a silent target again, and beside it one that should answer: a near
@@ -109,8 +105,10 @@
         let is_near = |entry: &&Entry| {
             let it = &entry.target;
             let state = self.states.get(&it.incarnation);
-            let is_lost = state.is_none_or(|state| state.health.is_lost());
-            it.incarnation != target && entry.presence == Presence::Listed && !is_lost
+            let is_asked =
+                |state: &State| state.health.asked().is_some_and(|at| now.since(at) < DOUBT_TIME);
+            let is_out = state.is_none_or(|state| state.health.is_lost() || is_asked(state));
+            it.incarnation != target && entry.presence == Presence::Listed && !is_out
         };
         let others = self.catalog.entries().filter(is_near);
         let beside = others.min_by_key(|entry| (entry.target.domain != *domain, entry.cold));
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -203,6 +203,36 @@
     }
 }
 
+/// Whoever has just asked for news hears of more and must wait before it asks
+/// again. If its next step lay in the past until then, the main thread would
+/// spin, on a twentieth of a core, instead of passing packets on.
+#[test]
+fn an_instance_that_waits_to_ask_again_does_not_spin() {
+    let mut net = settled(1, 5);
+    let listener = address(1, 5);
+    let reader = address(1, 1);
+    let revision = medlarspur_marked::Revision(1_000);
+    let it = net.instances.get_mut(&listener).expect("it is there");
+    let beat = medlarspur_marked::message::Heartbeat {
+        domain: it.fleet.domain(),
+        role: medlarspur_marked::message::Role::Reader,
+        fresh: Some(0),
+        revision,
+        asks: false,
+        contacts: Vec::new(),
+    };
+    let message = medlarspur_marked::message::Message::Heartbeat(beat);
+    let now = super::fixtures::millis(2_000_000);
+    it.fleet.receive(reader, message, &it.catalog, now);
+    it.fleet.suspect_lack();
+    assert_eq!(it.fleet.pull(it.catalog.revision(), now), Some(reader));
+
+    it.fleet.suspect_lack();
+
+    assert_eq!(it.fleet.pull(it.catalog.revision(), now), None);
+    assert!(it.fleet.deadline(now) > now);
+}
+
 /// Each call is priced. With a watch on every instance, calls would grow with
 /// the fleet.
 #[test]
--- a/marked/tests/test_forwarder.rs
+++ b/marked/tests/test_forwarder.rs
@@ -105,6 +105,36 @@
     assert_eq!(instance.out.resets.len(), 1, "in the end it is");
 }
 
+/// Ten targets are silent in the same moment, as they are behind a link that is
+/// full. That they are many says no more than one alone.
+#[test]
+fn many_silences_at_once_are_no_proof() {
+    let targets: Vec<_> = (1..=10).map(|number| target(number, "desk")).collect();
+    let mut instance = Instance::new(&targets);
+    for number in 0..40 {
+        instance.opened(flow(number, FEED), 0);
+    }
+    let silent = |instance: &mut Instance, now: u64| {
+        for it in &targets {
+            let now = super::fixtures::millis(now);
+            instance.forwarder.answer(it.incarnation, Finding::Silent, now, &mut instance.out);
+        }
+    };
+    for number in 0..40 {
+        let key = flow(number, FEED);
+        let at = instance.out.sent[usize::from(number) * 2].0;
+        instance.packet(middle(key, at, 1001, 500, 100), 1_000);
+        instance.packet(middle(key, at, 1001, 500, 100), 1_200);
+    }
+
+    silent(&mut instance, 1_500);
+    assert!(instance.out.resets.is_empty());
+    silent(&mut instance, 1_800);
+    assert!(instance.out.resets.is_empty());
+    silent(&mut instance, 2_400);
+    assert_eq!(instance.out.resets.len(), 40, "in the end they are lost");
+}
+
 /// A target that has not answered an opening yet may be dead. Callers' time runs,
 /// so the opening goes elsewhere before that is sure; open flows stay.
 #[test]
