testutils: send no signal to the number of an ended child

Cause: signals went to the number of a child also after the child had been waited for.

Before: the system answers 'no such process', or a stranger gets the signal. After: a typed error, and nothing is sent.

--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -13,7 +13,7 @@
     io::{self, BufRead, BufReader, Write},
     net::SocketAddrV4,
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
     thread,
     time::{Duration, Instant},
 };
@@ -71,11 +71,52 @@
     Signalled {
         /// The instance.
         name: String,
+        /// Why.
+        source: SignalError,
+    },
+}
+
+/// Why a child process got no signal.
+#[derive(Debug, Snafu)]
+pub enum SignalError {
+    /// It has ended.
+    #[snafu(display("it has ended: {status}"))]
+    Ended {
+        /// How.
+        status: ExitStatus,
+    },
+    /// It can't be told whether it has ended.
+    #[snafu(display("it can't be looked at"))]
+    Look {
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The system does not send the signal.
+    #[snafu(display("the signal can't be sent"))]
+    Send {
         /// What the system said.
         source: Errno,
     },
 }
 
+/// Sends a signal to a child process, unless it has ended.
+///
+/// A child that was waited for has given its number back, and the system hands it to
+/// another process: of 32,768 numbers, within a minute on a machine that starts many.
+/// The signal would stop, freeze or kill a stranger, which shows as a test runner or
+/// shell that is gone for no reason. As long as nobody else can wait for the child, its
+/// number stays its own after this look.
+///
+/// # Errors
+///
+/// Fails if the child has ended, or if the system says so.
+pub fn signal(child: &mut Child, signal: Signal) -> Result<(), SignalError> {
+    if let Some(status) = child.try_wait().context(LookSnafu)? {
+        return EndedSnafu { status }.fail();
+    }
+    signal::kill(Pid::from_raw(child.id().cast_signed()), signal).context(SendSnafu)
+}
+
 /// How long an instance may take to get ready.
 const READY: Duration = Duration::from_secs(20);
 /// How often it is asked.
@@ -141,9 +182,8 @@
     }
 
     /// Sends a signal to the process.
-    pub fn signal(&self, signal: Signal) -> Result<(), ProcessError> {
-        let pid = Pid::from_raw(self.child.id().cast_signed());
-        signal::kill(pid, signal).context(SignalledSnafu { name: &self.listed.name })
+    pub fn signal(&mut self, with: Signal) -> Result<(), ProcessError> {
+        signal(&mut self.child, with).context(SignalledSnafu { name: &self.listed.name })
     }
 
     /// Whether the process has ended.
