operator: answer status and explain where marks are used

Cause: somebody on call had lines and metrics of an instance there, and no way to ask it why a flow goes where it goes; 'medlarspur status' and 'explain' got 404.

Flows may be given as lines write them. A line tells where operators are served. Weighed: a copy of the state for the serving thread, which would cost each round what now only a question costs.

--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -6,16 +6,25 @@
     flags::Explain,
     output::{self, or_dash, short, span},
 };
-use medlarspur_lib::status::Explanation;
+use medlarspur_lib::status::{Explanation, MarkedExplanation};
+use serde::{Deserialize, Serialize};
+
+/// What an instance answers, by how its site agrees on flows.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Found {
+    Table(Box<Explanation>),
+    Marks(Box<MarkedExplanation>),
+}
 
 pub fn run(flags: &Explain) -> Result<Code, CommandError> {
     let path = format!("/explain?flow={}", flags.flow);
-    let found: Explanation = Client::new().json(flags.instance, &path)?;
-    if flags.json {
-        output::json(&found)?;
-        return Ok(Code::Done);
+    let found: Found = Client::new().json(flags.instance, &path)?;
+    match &found {
+        _ if flags.json => output::json(&found)?,
+        Found::Table(found) => print(found),
+        Found::Marks(found) => print_marked(found),
     }
-    print(&found);
     Ok(Code::Done)
 }
 
@@ -43,3 +52,13 @@
         output::line(&format!("keeper   {keeper}"));
     }
 }
+
+fn print_marked(found: &MarkedExplanation) {
+    output::line(&format!("{}: {}", found.flow, found.reason));
+    output::line(&format!("class    {}", or_dash(found.class)));
+    output::picture(&found.picture);
+    if let Some(target) = &found.target {
+        output::line(&format!("target   {} at {}", target.incarnation, target.address));
+    }
+    output::targets("CANDIDATE", &found.candidates).print();
+}
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -9,9 +9,9 @@
 use medlarspur_lib::{
     collections::Set,
     members::MemberState,
-    status::{Status, Unready},
+    status::{MarkedStatus, Status, Unready},
 };
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use snafu::ensure;
 use std::net::SocketAddr;
 
@@ -19,10 +19,18 @@
 #[derive(Serialize)]
 struct Answer {
     address: SocketAddr,
-    status: Option<Status>,
+    status: Option<Found>,
     error: Option<String>,
 }
 
+/// What an instance says, by how its site agrees on flows.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Found {
+    Table(Box<Status>),
+    Marks(Box<MarkedStatus>),
+}
+
 pub fn run(flags: &flags::Status) -> Result<Code, CommandError> {
     ensure!(!flags.addresses.is_empty(), NoInstanceSnafu);
     let client = Client::new();
@@ -52,12 +60,28 @@
     if answers.iter().any(|answer| answer.status.is_none()) {
         return Code::Instance;
     }
-    let unready = found(answers).any(|status| status.unready.is_some());
-    if unready || digests(answers) > 1 { Code::No } else { Code::Done }
+    let unready = found(answers).any(|status| status.unready.is_some())
+        || marked(answers).any(|status| !status.ready);
+    let differ = digests(answers) > 1 || versions(answers) > 1;
+    if unready || differ { Code::No } else { Code::Done }
 }
 
 fn found(answers: &[Answer]) -> impl Iterator<Item = &Status> {
-    answers.iter().filter_map(|answer| answer.status.as_ref())
+    answers.iter().filter_map(|answer| match &answer.status {
+        Some(Found::Table(status)) => Some(&**status),
+        _ => None,
+    })
+}
+
+fn marked(answers: &[Answer]) -> impl Iterator<Item = &MarkedStatus> {
+    answers.iter().filter_map(|answer| match &answer.status {
+        Some(Found::Marks(status)) => Some(&**status),
+        _ => None,
+    })
+}
+
+fn versions(answers: &[Answer]) -> usize {
+    marked(answers).map(|status| status.picture.version).collect::<Set<_>>().len()
 }
 
 fn digests(answers: &[Answer]) -> usize {
@@ -66,7 +90,13 @@
 }
 
 fn print(answers: &[Answer]) {
-    print_instances(answers);
+    if found(answers).next().is_some() || marked(answers).next().is_none() {
+        print_instances(answers);
+    }
+    print_marked(answers);
+    if versions(answers) > 1 {
+        output::line("! the instances do not have the same config in force");
+    }
     if digests(answers) > 1 {
         output::line("! the instances do not have the same bundle in force");
     }
@@ -78,10 +108,46 @@
             output::line(&format!("! {error}"));
         }
     }
-    if let [Answer { status: Some(status), .. }] = answers {
+    if let ([_], Some(status)) = (answers, found(answers).next()) {
         print_members(status);
         print_services(status);
     }
+    if let ([_], Some(status)) = (answers, marked(answers).next()) {
+        output::picture(&status.picture);
+        for service in &status.services {
+            let (name, pressure, waiting) = (&service.name, service.pressure, service.waiting);
+            output::line("");
+            output::line(&format!(
+                "{name}: answers take {pressure} % of their goals, {waiting} flows wait"
+            ));
+            output::targets("TARGET", &service.targets).print();
+        }
+    }
+}
+
+fn print_marked(answers: &[Answer]) {
+    let mut table = Table::new(&[
+        "INSTANCE", "ADDRESS", "DOMAIN", "READY", "READS", "UPTIME", "CONFIG", "REVISION", "AGE",
+        "FLOWS", "MEMBERS",
+    ]);
+    for answer in answers {
+        let Some(Found::Marks(status)) = &answer.status else { continue };
+        let yes = |is: bool| if is { "yes" } else { "no" }.to_owned();
+        table.row(vec![
+            status.name.to_string(),
+            answer.address.to_string(),
+            status.domain.to_string(),
+            yes(status.ready),
+            yes(status.reading),
+            span(status.uptime.0),
+            or_dash(status.picture.version),
+            status.picture.revision.to_string(),
+            or_dash(status.picture.age.map(|age| span(age.0))),
+            status.flows.to_string(),
+            status.members.to_string(),
+        ]);
+    }
+    table.print();
 }
 
 fn print_instances(answers: &[Answer]) {
@@ -91,7 +157,7 @@
     ]);
     for answer in answers {
         let address = answer.address.to_string();
-        let Some(status) = &answer.status else {
+        let Some(Found::Table(status)) = &answer.status else {
             let mut row = vec!["?".to_owned(), address];
             row.resize(10, "-".to_owned());
             table.row(row);
--- a/cli/src/flags.rs
+++ b/cli/src/flags.rs
@@ -76,7 +76,8 @@
         }
         /// Prints where the next packet of a flow goes from an instance, and why.
         cmd explain {
-            /// The flow, as tcp:CALLER-IP:PORT:SERVICE-IP:PORT.
+            /// The flow, as tcp:CALLER-IP:PORT:SERVICE-IP:PORT, or as lines
+            /// have it, CALLER-IP:PORT>SERVICE-IP:PORT.
             required flow: FlowKey
             /// The address of the instance to ask.
             required --instance address: SocketAddr
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -1,6 +1,7 @@
 //! Printing: lines, tables and JSON.
 
 use crate::error::{CommandError, JsonSnafu};
+use medlarspur_lib::status::{MarkedTarget, Picture};
 use serde::Serialize;
 use snafu::ResultExt;
 use std::{
@@ -56,6 +57,30 @@
     }
 }
 
+/// Prints up to where an instance knows config and targets.
+pub fn picture(picture: &Picture) {
+    let age = picture.age.map(|age| span(age.0));
+    let confirmed = age.map_or("never confirmed".to_owned(), |age| format!("confirmed {age} ago"));
+    line(&format!("config   version {}", or_dash(picture.version)));
+    line(&format!("picture  up to revision {}, {confirmed}", picture.revision));
+}
+
+/// Targets as an instance sees them, under a heading for their names.
+pub fn targets(heading: &str, targets: &[MarkedTarget]) -> Table {
+    let mut table = Table::new(&[heading, "ADDRESS", "DOMAIN", "USE", "WORK", "FEEDS"]);
+    for it in targets {
+        table.row(vec![
+            it.incarnation.clone(),
+            it.address.to_string(),
+            it.domain.to_string(),
+            it.usage.to_string(),
+            it.work.to_string(),
+            it.feeds.to_string(),
+        ]);
+    }
+    table
+}
+
 /// A span of milliseconds in its largest fitting unit.
 pub fn span(millis: u64) -> String {
     match millis {
--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -8,12 +8,13 @@
     members::MemberState,
     packet::FlowKey,
     status::{
-        BundleStatus, Explanation, FlowStatus, Life, MemberStatus, Owner, PlanStatus, Reason,
-        ServiceStatus, Status, TargetStatus, Unready,
+        BundleStatus, Explanation, FlowStatus, Life, MarkedExplanation, MarkedReason,
+        MarkedService, MarkedStatus, MarkedTarget, MemberStatus, Owner, Picture, PlanStatus,
+        Reason, ServiceStatus, Status, TargetStatus, TargetUse, Unready,
     },
     time::Millis,
 };
-use medlarspur_operator::{Family, Meters, Operator, Source};
+use medlarspur_operator::{Family, MarkedSource, Meters, Operator, Source};
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
     sync::Arc,
@@ -32,6 +33,62 @@
     Operator::start(address, Arc::new(Instance { name, version }), meters).expect("starts")
 }
 
+/// Starts an instance where marks are used, with a config of this version in force.
+pub fn marked(name: &'static str, version: Option<u64>) -> Operator {
+    let meters = Meters::new().expect("metrics");
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+    let source = Arc::new(Instance { name, version });
+    Operator::start_marked(address, source, meters).expect("starts")
+}
+
+impl MarkedSource for Instance {
+    fn status(&self) -> Option<MarkedStatus> {
+        Some(MarkedStatus {
+            name: InstanceName::new(self.name),
+            domain: DomainName::new("lozenets"),
+            uptime: Millis(61_000),
+            ready: self.version.is_some(),
+            reading: true,
+            members: 3,
+            flows: 12,
+            picture: picture(self.version),
+            services: vec![MarkedService {
+                name: ServiceName::new("alertdesk"),
+                pressure: 31,
+                waiting: 0,
+                targets: marked_targets(),
+            }],
+        })
+    }
+
+    fn explain(&self, flow: &FlowKey) -> Option<MarkedExplanation> {
+        Some(MarkedExplanation {
+            flow: *flow,
+            reason: MarkedReason::Known,
+            class: Some(Class::Feed),
+            target: marked_targets().pop(),
+            candidates: marked_targets(),
+            picture: picture(self.version),
+        })
+    }
+}
+
+fn picture(version: Option<u64>) -> Picture {
+    Picture { version: version.map(Version), revision: 41, age: Some(Millis(350)) }
+}
+
+fn marked_targets() -> Vec<MarkedTarget> {
+    let target = |number: u8, usage| MarkedTarget {
+        incarnation: format!("7f3a91c{number}"),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 64, number), 8080),
+        domain: DomainName::new("druzhba"),
+        usage,
+        work: 2,
+        feeds: 5,
+    };
+    vec![target(1, TargetUse::Good), target(2, TargetUse::Leaving)]
+}
+
 impl Source for Instance {
     fn status(&self) -> Status {
         let bundle = self.version.map(bundle);
--- a/cli/tests/test_help.rs
+++ b/cli/tests/test_help.rs
@@ -121,7 +121,8 @@
 
           ARGS:
             <flow>
-              The flow, as tcp:CALLER-IP:PORT:SERVICE-IP:PORT.
+              The flow, as tcp:CALLER-IP:PORT:SERVICE-IP:PORT, or as lines
+              have it, CALLER-IP:PORT>SERVICE-IP:PORT.
 
           OPTIONS:
             --instance <address>
--- a/cli/tests/test_instances.rs
+++ b/cli/tests/test_instances.rs
@@ -1,6 +1,9 @@
 //! Reading from instances.
 
-use crate::{fixtures::folder, instances::instance};
+use crate::{
+    fixtures::folder,
+    instances::{instance, marked},
+};
 use expect_test::expect;
 
 /// Takes the ports out of what was printed; the system chooses them. A table
@@ -146,3 +149,63 @@
     assert_eq!(json.lines().count(), 2);
     assert!(json.contains(r#""flows":1200,"packets":0,"#), "{json}");
 }
+
+#[test]
+fn status_where_marks_are_used_tells_how_old_the_picture_is() {
+    let one = marked("edge-1", Some(9));
+
+    let printed = folder().run(&format!("status {}", one.address()));
+
+    expect![[r#"
+        exit code 0
+        INSTANCE  ADDRESS          DOMAIN    READY  READS  UPTIME  CONFIG  REVISION  AGE    FLOWS  MEMBERS
+        edge-1    127.0.0.1:  lozenets  yes    yes    1m1s    9       41        350ms  12     3
+        config   version 9
+        picture  up to revision 41, confirmed 350ms ago
+
+        alertdesk: answers take 31 % of their goals, 0 flows wait
+        TARGET    ADDRESS         DOMAIN   USE      WORK  FEEDS
+        7f3a91c1  10.1.64.1:8080  druzhba  good     2     5
+        7f3a91c2  10.1.64.2:8080  druzhba  leaving  2     5
+    "#]].assert_eq(&without_ports(&printed));
+}
+
+/// Two instances have different configs in force: news has not reached one of them.
+#[test]
+fn status_shows_that_configs_differ() {
+    let (one, two) = (marked("edge-1", Some(9)), marked("edge-2", Some(8)));
+
+    let printed = folder().run(&format!("status {} {}", one.address(), two.address()));
+
+    expect![[r#"
+        exit code 1
+        INSTANCE  ADDRESS          DOMAIN    READY  READS  UPTIME  CONFIG  REVISION  AGE    FLOWS  MEMBERS
+        edge-1    127.0.0.1:  lozenets  yes    yes    1m1s    9       41        350ms  12     3
+        edge-2    127.0.0.1:  lozenets  yes    yes    1m1s    8       41        350ms  12     3
+        ! the instances do not have the same config in force
+    "#]].assert_eq(&without_ports(&printed));
+}
+
+#[test]
+fn explain_takes_a_flow_as_lines_write_it() {
+    let one = marked("edge-1", Some(9));
+    let flow = "100.64.0.7:2525>198.18.0.1:8443";
+
+    let printed = folder().run(&format!("explain {flow} --instance {}", one.address()));
+    let json = folder().printed(&format!("explain {flow} --json --instance {}", one.address()));
+
+    expect![[r#"
+        exit code 0
+        tcp:100.64.0.7:2525:198.18.0.1:8443: this instance has a record of the flow
+        class    feed
+        config   version 9
+        picture  up to revision 41, confirmed 350ms ago
+        target   7f3a91c2 at 10.1.64.2:8080
+        CANDIDATE  ADDRESS         DOMAIN   USE      WORK  FEEDS
+        7f3a91c1   10.1.64.1:8080  druzhba  good     2     5
+        7f3a91c2   10.1.64.2:8080  druzhba  leaving  2     5
+    "#]]
+    .assert_eq(&printed);
+    let value: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+    assert_eq!(value["reason"], "known");
+}
--- a/daemon/src/marked/inbox.rs
+++ b/daemon/src/marked/inbox.rs
@@ -1,6 +1,7 @@
 //! What other threads hand to the main thread, with a way to wake it.
 
-use medlarspur_marked::{Finding, Incarnation, News, Revision};
+use medlarspur_lib::status::{MarkedExplanation, MarkedStatus};
+use medlarspur_marked::{Finding, FlowKey, Incarnation, News, Revision};
 use nix::{
     errno::Errno,
     fcntl::OFlag,
@@ -44,6 +45,17 @@
     },
     /// What asking a target brought.
     Found(Incarnation, Finding),
+    /// An operator asks.
+    Shown(Question),
+}
+
+/// What operators ask, each with where the answer goes; it has room for it.
+#[derive(Debug)]
+pub enum Question {
+    /// For the state of the instance.
+    Status(SyncSender<MarkedStatus>),
+    /// Where a flow goes and why.
+    Explain(FlowKey, SyncSender<MarkedExplanation>),
 }
 
 /// The main thread's end.
--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -3,16 +3,22 @@
 use super::{
     asker::Asker,
     current::Current,
-    inbox::{self, Event, Inbox, Sender},
+    inbox::{self, Event, Inbox, Question, Sender},
     lines::Picture,
     meters::{self, Numbers, Published, Times},
     output::Datagrams,
     peers::{self, ControlSocket},
+    shown::Shown,
     store::Reading,
 };
 use crate::{clock::Clock, sink::Sink};
 use medlarspur_fabric::{Batch, Socket, SocketError, Wire, wait};
-use medlarspur_lib::{settings::MarkedSettings, time::Millis};
+use medlarspur_lib::{
+    ids::{DomainName, InstanceName},
+    settings::MarkedSettings,
+    status::MarkedStatus,
+    time::Millis,
+};
 use medlarspur_marked::{Fleet, Forwarder, News, Tuning};
 use medlarspur_operator::{Meters, MetersError, Operator};
 use medlarspur_platform::site::{packet, ready};
@@ -104,6 +110,8 @@
     );
     let tuning = Tuning { domain: settings.domain.clone(), seed: rand::random() };
     let mut instance = Instance {
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
         forwarder: Forwarder::new(tuning),
         datagrams: Datagrams::new(Asker::new(sender.clone()), settings.callers, clock.now()),
         fleet,
@@ -168,6 +176,8 @@
 }
 
 struct Instance {
+    name: InstanceName,
+    domain: DomainName,
     forwarder: Forwarder,
     datagrams: Datagrams,
     /// The other instances, if the settings say where to talk to them.
@@ -213,6 +223,7 @@
 
     /// Publishes what was counted, and begins to serve metrics when that is due.
     fn publish(&mut self) {
+        let confirmed = self.confirmed();
         let Some(metrics) = &mut self.metrics else { return };
         let now = self.clock.now();
         let fleet = self.fleet.as_ref().map(|(fleet, _)| fleet);
@@ -224,7 +235,7 @@
             members: fleet.map_or(0, |fleet| fleet.len() as u64),
             ready: self.ready.load(Relaxed),
             reading: fleet.is_none_or(Fleet::is_reading),
-            confirmed: self.read.max(fleet.and_then(Fleet::confirmed)),
+            confirmed,
             revision: self.forwarder.revision(),
             version: config.map_or(0, |config| config.version.0),
             reach: self.forwarder.reach(),
@@ -232,8 +243,12 @@
         });
         if metrics.server.is_none() && metrics.due <= now {
             metrics.due = now + METRICS_DELAY;
-            match Operator::start_metrics(metrics.address, metrics.meters.clone()) {
-                Ok(server) => metrics.server = Some(server),
+            let source = Arc::new(Shown::new(self.sender.clone()));
+            match Operator::start_marked(metrics.address, source, metrics.meters.clone()) {
+                Ok(server) => {
+                    log::info!(address:% = server.address(); "operators: served");
+                    metrics.server = Some(server);
+                }
                 Err(error) => log::warn!("metrics: not served: {}", Report::from_error(error)),
             }
         }
@@ -329,12 +344,43 @@
     /// Notes by what picture the decisions of this round are made.
     fn begin(&mut self) {
         let now = self.clock.now();
-        let fleet = self.fleet.as_ref().and_then(|(fleet, _)| fleet.confirmed());
-        let confirmed = self.read.max(fleet);
-        let age = confirmed.map(|at| now.since(at));
+        let age = self.confirmed().map(|at| now.since(at));
         self.datagrams.begin(Picture { revision: self.forwarder.revision(), age }, now);
     }
 
+    /// When the store or a reader confirmed the picture last.
+    fn confirmed(&self) -> Option<Millis> {
+        self.read.max(self.fleet.as_ref().and_then(|(fleet, _)| fleet.confirmed()))
+    }
+
+    fn show_operator(&self, question: Question, now: Millis) {
+        let age = self.confirmed().map(|at| now.since(at));
+        let is_heard = match question {
+            Question::Status(reply) => reply.try_send(self.status(age, now)).is_ok(),
+            Question::Explain(flow, reply) => {
+                reply.try_send(self.forwarder.explain(&flow, age, now)).is_ok()
+            }
+        };
+        if !is_heard {
+            log::debug!("operator: whoever asked has gone");
+        }
+    }
+
+    fn status(&self, age: Option<Millis>, now: Millis) -> MarkedStatus {
+        let fleet = self.fleet.as_ref().map(|(fleet, _)| fleet);
+        MarkedStatus {
+            name: self.name.clone(),
+            domain: self.domain.clone(),
+            uptime: self.clock.uptime(),
+            ready: self.ready.load(Relaxed),
+            reading: fleet.is_none_or(Fleet::is_reading),
+            members: fleet.map_or(0, |fleet| fleet.len() as u64) + 1,
+            flows: self.forwarder.len() as u64,
+            picture: self.forwarder.picture(age),
+            services: self.forwarder.services(now),
+        }
+    }
+
     fn take_packets(&mut self) -> Result<(), RunError> {
         for _ in 0..ROUND {
             let count = self.receive()?;
@@ -394,6 +440,7 @@
                 Event::Found(target, finding) => {
                     self.forwarder.answer(target, finding, now, &mut self.datagrams);
                 }
+                Event::Shown(question) => self.show_operator(question, now),
             }
         }
     }
--- a/daemon/src/marked/mod.rs
+++ b/daemon/src/marked/mod.rs
@@ -22,6 +22,7 @@
 mod meters;
 mod output;
 mod peers;
+mod shown;
 mod store;
 
 pub use instance::{RunError, run};
--- a/daemon/tests/test_marked_explained.rs
+++ b/daemon/tests/test_marked_explained.rs
@@ -2,8 +2,12 @@
 //! else, as `docs/OPERATIONS.md` tells.
 
 use crate::marked::{lines_with, site, wait_for_answers, wait_until};
-use medlarspur_lib::bundle::Class;
-use medlarspur_standin::caller::Outcome;
+use medlarspur_lib::{
+    bundle::Class,
+    packet::FlowKey,
+    status::{MarkedExplanation, MarkedReason, MarkedStatus, TargetUse},
+};
+use medlarspur_standin::{caller::Outcome, site::Site};
 
 /// The value of a field of a line.
 fn field<'a>(line: &'a str, name: &str) -> &'a str {
@@ -76,3 +80,50 @@
     let (known, revision) = (field(&line, "known"), field(&config, "revision"));
     assert_eq!(known.parse::<u64>().unwrap(), revision.parse::<u64>().unwrap());
 }
+
+/// Asks the only instance as operators do.
+fn ask<T: serde::de::DeserializeOwned>(site: &Site, path: &str) -> T {
+    let served = "operators: served";
+    wait_until("operators are served", || !lines_with(site, &[served]).is_empty());
+    let line = lines_with(site, &[served]).remove(0);
+    let url = format!("http://{}{path}", field(&line, "address"));
+    let text = ureq::get(&url).call().expect("an answer").into_body().read_to_string();
+    serde_json::from_str(&text.expect("text")).expect("JSON")
+}
+
+/// Somebody on call has a flow from a line and asks the instance while the flow lives.
+#[test]
+fn a_live_flow_is_explained_by_its_instance() {
+    let mut site = site(4, 1);
+    site.add_callers(Class::Feed, 3);
+    wait_for_answers(&site, 10);
+    let line = lines_with(&site, &["flow opened"]).remove(0);
+    let flow: FlowKey = field(&line, "flow").parse().expect("a flow");
+    let other: FlowKey = "127.0.0.1:1>198.18.9.9:9".parse().expect("a flow");
+
+    let found: MarkedExplanation = ask(&site, &format!("/explain?flow={flow}"));
+    let nowhere: MarkedExplanation = ask(&site, &format!("/explain?flow={other}"));
+
+    assert_eq!(found.reason, MarkedReason::Known);
+    assert_eq!(found.class, Some(Class::Feed));
+    let target = found.target.expect("it has one");
+    assert_eq!(target.incarnation, field(&line, "target"));
+    assert_eq!(target.usage, TargetUse::Good);
+    assert!(found.candidates.contains(&target) || found.candidates.len() == 3);
+    assert_eq!((nowhere.reason, nowhere.target), (MarkedReason::NoRoute, None));
+}
+
+#[test]
+fn an_instance_tells_its_state() {
+    let mut site = site(4, 1);
+    site.drain(0);
+    wait_until("it is known", || !lines_with(&site, &["state=leaving"]).is_empty());
+
+    let status: MarkedStatus = ask(&site, "/status");
+
+    assert!(status.ready && status.reading);
+    assert!(status.picture.version.is_some() && status.picture.age.is_some());
+    let targets = status.services.iter().flat_map(|service| &service.targets);
+    let leaving = targets.filter(|it| it.usage == TargetUse::Leaving).count();
+    assert_eq!((status.services.len(), leaving), (2, 1));
+}
--- a/lib/src/packet/flow.rs
+++ b/lib/src/packet/flow.rs
@@ -46,6 +46,12 @@
     type Err = FlowKeyError;
 
     fn from_str(text: &str) -> Result<FlowKey, FlowKeyError> {
+        let address = |text: &str| text.parse().context(AddressSnafu { text });
+        // As log lines write flows, where there is one protocol only.
+        if let Some((caller, service)) = text.split_once('>') {
+            let (caller, service) = (address(caller)?, address(service)?);
+            return Ok(FlowKey { protocol: Protocol::Tcp, caller, service });
+        }
         let (protocol, rest) = text.split_once(':').context(ShapeSnafu { text })?;
         let protocol = match protocol {
             "tcp" => Protocol::Tcp,
@@ -53,7 +59,6 @@
             _ => return ShapeSnafu { text }.fail(),
         };
         let middle = rest.match_indices(':').nth(1).context(ShapeSnafu { text })?.0;
-        let address = |text: &str| text.parse().context(AddressSnafu { text });
         let caller = address(&rest[..middle])?;
         let service = address(&rest[middle + 1..])?;
         Ok(FlowKey { protocol, caller, service })
--- a/lib/src/status/mod.rs
+++ b/lib/src/status/mod.rs
@@ -6,6 +6,7 @@
 mod explanation;
 mod flow;
 mod instance;
+mod marked;
 mod text;
 
 pub use self::{
@@ -14,4 +15,8 @@
     instance::{
         BundleStatus, Life, MemberStatus, PlanStatus, ServiceStatus, Status, TargetStatus, Unready,
     },
+    marked::{
+        MarkedExplanation, MarkedReason, MarkedService, MarkedStatus, MarkedTarget, Picture,
+        TargetUse,
+    },
 };
--- a/lib/tests/edge/test_input.rs
+++ b/lib/tests/edge/test_input.rs
@@ -3,7 +3,7 @@
 use medlarspur_lib::{
     bundle::Protocol,
     ids::FlowId,
-    packet::{Mark, Packet},
+    packet::{FlowKey, Mark, Packet},
     question::{Answer, Datagram, Question, QuestionError, Word},
     settings::Secret,
     view::{ServiceKey, TargetKey},
@@ -125,3 +125,16 @@
         prop_assert!(Datagram::decode(&bytes, &SECRET).is_err());
     }
 }
+
+/// Whoever is on call copies flows from log lines, which write them without a protocol
+/// where there is only one.
+#[test]
+fn a_flow_is_read_as_lines_write_it() {
+    let by_lines: Result<FlowKey, _> = "10.0.0.1:40000>10.70.0.1:7001".parse();
+    let in_full: Result<FlowKey, _> = "tcp:10.0.0.1:40000:10.70.0.1:7001".parse();
+
+    assert_eq!(by_lines.expect("a flow"), in_full.expect("a flow"));
+    for wrong in ["10.0.0.1>10.70.0.1:7001", ">", "10.0.0.1:1>", "tcp:10.0.0.1:1>2"] {
+        assert!(wrong.parse::<FlowKey>().is_err(), "{wrong}");
+    }
+}
--- /dev/null
+++ b/marked/src/forwarder/explain.rs
@@ -0,0 +1,98 @@
+//! What the forwarder knows and why flows go where they go, for operators.
+
+use super::Forwarder;
+use crate::{Entry, FlowKey, Presence};
+use medlarspur_lib::{
+    bundle::Protocol,
+    collections::Set,
+    ids::ServiceName,
+    packet,
+    status::{MarkedExplanation, MarkedReason, MarkedService, MarkedTarget, Picture, TargetUse},
+    time::Millis,
+};
+use medlarspur_load::choice::Tier;
+
+impl Forwarder {
+    /// Where a flow goes and why. `age` is that of the picture.
+    pub fn explain(&self, key: &FlowKey, age: Option<Millis>, now: Millis) -> MarkedExplanation {
+        let route = self.catalog.route(key.service);
+        let services = route.iter().flat_map(|route| &route.shares);
+        let services: Vec<_> = services.map(|share| &share.service).collect();
+        let entries = services.into_iter().flat_map(|service| self.catalog.targets(service));
+        let candidates: Vec<_> = entries.map(|entry| self.shown(entry, now)).collect();
+        let known = self.flows.get(key).and_then(|flow| self.catalog.entry(flow.target));
+        let takes = |it: &MarkedTarget| {
+            matches!(it.usage, TargetUse::Good | TargetUse::Unlisted | TargetUse::Doubtful)
+        };
+        let reason = if known.is_some() {
+            MarkedReason::Known
+        } else if self.is_held(key) {
+            MarkedReason::Waiting
+        } else if route.is_none() {
+            MarkedReason::NoRoute
+        } else if candidates.iter().any(takes) {
+            MarkedReason::Unknown
+        } else {
+            MarkedReason::NoTarget
+        };
+        MarkedExplanation {
+            flow: packet::FlowKey {
+                protocol: Protocol::Tcp,
+                caller: key.caller,
+                service: key.service,
+            },
+            reason,
+            class: route.map(|route| route.class),
+            target: known.map(|entry| self.shown(entry, now)),
+            candidates,
+            picture: self.picture(age),
+        }
+    }
+
+    /// Up to where the config and the targets are known.
+    pub fn picture(&self, age: Option<Millis>) -> Picture {
+        let version = self.catalog.config().map(|config| config.version);
+        Picture { version, revision: self.revision().0, age }
+    }
+
+    /// All services that have targets.
+    pub fn services(&self, now: Millis) -> Vec<MarkedService> {
+        let names: Set<&ServiceName> =
+            self.catalog.entries().map(|it| &it.target.service).collect();
+        let mut names: Vec<_> = names.into_iter().collect();
+        names.sort_unstable();
+        names.into_iter().map(|name| self.service(name, now)).collect()
+    }
+
+    fn service(&self, name: &ServiceName, now: Millis) -> MarkedService {
+        let (pressure, waiting) = self.room(name);
+        let targets = self.catalog.targets(name).map(|entry| self.shown(entry, now)).collect();
+        MarkedService { name: name.clone(), pressure, waiting, targets }
+    }
+
+    fn shown(&self, entry: &Entry, now: Millis) -> MarkedTarget {
+        let target = &entry.target;
+        let state = self.states.get(&target.incarnation);
+        MarkedTarget {
+            incarnation: target.incarnation.to_string(),
+            address: target.address,
+            domain: target.domain.clone(),
+            usage: self.usage(entry, now),
+            work: state.map_or(0, |state| state.working + state.opening),
+            feeds: state.map_or(0, |state| state.feeds),
+        }
+    }
+
+    fn usage(&self, entry: &Entry, now: Millis) -> TargetUse {
+        let is_lost =
+            self.states.get(&entry.target.incarnation).is_some_and(|it| it.health.is_lost());
+        match self.candidate(entry, now).map(|it| it.tier) {
+            Some(Tier::Good) => TargetUse::Good,
+            Some(Tier::Unlisted) => TargetUse::Unlisted,
+            Some(Tier::Doubtful) => TargetUse::Doubtful,
+            None if entry.target.leaving => TargetUse::Leaving,
+            None if is_lost && entry.presence == Presence::Listed => TargetUse::Lost,
+            None => TargetUse::Removed,
+        }
+    }
+}
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -13,6 +13,7 @@
 //!   was being opened there goes to another one.
 
 mod counts;
+mod explain;
 mod output;
 mod placing;
 mod reach;
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -108,7 +108,7 @@
     }
 
     /// A target as one that could take a flow; none if it must not.
-    fn candidate(&self, entry: &Entry, now: Millis) -> Option<Candidate> {
+    pub(super) fn candidate(&self, entry: &Entry, now: Millis) -> Option<Candidate> {
         let state = self.states.get(&entry.target.incarnation)?;
         if entry.target.leaving || state.health.is_lost() {
             return None;
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -178,6 +178,13 @@
         self.place(it, now, out);
     }
 
+    /// How long answers of a service take, in hundredths of their goals, and how many
+    /// flows wait for it.
+    pub(super) fn room(&self, service: &ServiceName) -> (u32, u64) {
+        let room = self.rooms.get(service);
+        room.map_or((0, 0), |room| (room.limit.pressure(), room.backlog.len() as u64))
+    }
+
     /// When the first flow has waited too long.
     pub(super) fn patience(&self) -> Option<Millis> {
         self.rooms.values().filter_map(|room| room.backlog.deadline()).min()
--- a/marked/tests/test_waiting.rs
+++ b/marked/tests/test_waiting.rs
@@ -4,7 +4,10 @@
     FEED, Instance, REQUEST, UPLOAD, change, config, flow, middle, millis, news, one, segment,
     target,
 };
-use medlarspur_lib::time::Millis;
+use medlarspur_lib::{
+    status::{MarkedReason, TargetUse},
+    time::Millis,
+};
 use medlarspur_marked::{Content, FlowKey, Incarnation, Kind, Note, Refusal, Revision, Scope};
 
 /// The goal of all routes.
@@ -255,3 +258,24 @@
     let known: Vec<Incarnation> = one_of_four.out.sent.iter().map(|it| it.0).collect();
     assert!(known.iter().all(|it| one_of_four.forwarder.catalog().entry(*it).is_some()));
 }
+
+#[test]
+fn operators_see_why_a_flow_goes_where_it_goes() {
+    let mut instance = busy(140);
+    let held = fill(&mut instance, 500);
+    let mut leaving = target(2, "desk");
+    leaving.leaving = true;
+    instance.learn(one(201, Content::Target(leaving)), 510);
+    let reason = |key| instance.forwarder.explain(&key, None, millis(520)).reason;
+
+    assert_eq!(reason(held), MarkedReason::Waiting);
+    assert_eq!(reason(flow(100, FEED)), MarkedReason::Known);
+    assert_eq!(reason(flow(999, FEED)), MarkedReason::Unknown);
+    assert_eq!(reason(flow(1, "198.18.9.9:1".parse().expect("an address"))), MarkedReason::NoRoute);
+    let service = instance.forwarder.services(millis(520)).remove(0);
+    assert_eq!((service.name.as_str(), service.waiting), ("desk", 1));
+    assert!(service.pressure > 55);
+    let mut usages: Vec<_> = service.targets.iter().map(|it| it.usage).collect();
+    usages.sort_unstable();
+    assert_eq!(usages, [TargetUse::Good, TargetUse::Leaving]);
+}
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -13,5 +13,5 @@
 pub use self::{
     meters::{ClassMeters, Count, Family, Gauge, Meters, MetersError},
     server::{Operator, OperatorError, QUIET_TARGETS},
-    source::Source,
+    source::{MarkedSource, Source},
 };
--- a/operator/src/routes.rs
+++ b/operator/src/routes.rs
@@ -1,9 +1,12 @@
 //! The routes, all of them `GET`.
 
-use crate::{meters::Meters, source::Source};
+use crate::{
+    meters::Meters,
+    source::{MarkedSource, Source},
+};
 use medlarspur_lib::{
     packet::FlowKey,
-    status::{Explanation, FlowStatus, Status},
+    status::{Explanation, FlowStatus, MarkedExplanation, MarkedStatus, Status},
 };
 use rocket::{
     Request, Route, State, catch,
@@ -24,6 +27,8 @@
 
 /// The instance, as rocket keeps it.
 pub(crate) type Shared = Arc<dyn Source>;
+/// The same where marks are used.
+pub(crate) type SharedMarked = Arc<dyn MarkedSource>;
 
 /// What is wrong with a question.
 #[derive(Serialize)]
@@ -37,8 +42,8 @@
     routes![healthz, readyz, status, explain, flows, metrics]
 }
 
-pub(crate) fn metrics_only() -> Vec<Route> {
-    routes![healthz, metrics]
+pub(crate) fn marked() -> Vec<Route> {
+    routes![healthz, marked_status, marked_explain, metrics]
 }
 
 pub(crate) fn catchers() -> Vec<Catcher> {
@@ -69,6 +74,23 @@
     Ok(Json(source.explain(&key)))
 }
 
+#[get("/status")]
+fn marked_status(source: &State<SharedMarked>) -> Answer<MarkedStatus> {
+    source.status().map(Json).ok_or_else(busy)
+}
+
+#[get("/explain?<flow>")]
+fn marked_explain(source: &State<SharedMarked>, flow: &str) -> Answer<MarkedExplanation> {
+    let key: FlowKey = flow.parse().map_err(|error| wrong(Code::BadRequest, &error))?;
+    source.explain(&key).map(Json).ok_or_else(busy)
+}
+
+/// The packet path has not answered.
+fn busy() -> Custom<Json<Wrong>> {
+    let error = "the instance is too busy to answer; ask again".to_owned();
+    Custom(Code::ServiceUnavailable, Json(Wrong { error }))
+}
+
 #[get("/flows?<limit>")]
 fn flows(source: &State<Shared>, limit: Option<usize>) -> Json<Vec<FlowStatus>> {
     Json(source.flows(limit.unwrap_or(FLOWS).min(MAX_FLOWS)))
--- a/operator/src/server.rs
+++ b/operator/src/server.rs
@@ -1,6 +1,10 @@
 //! The thread that serves operators.
 
-use crate::{meters::Meters, routes, source::Source};
+use crate::{
+    meters::Meters,
+    routes,
+    source::{MarkedSource, Source},
+};
 use rocket::{
     Build, Config, Rocket, Shutdown,
     config::{Ident, LogLevel},
@@ -83,14 +87,18 @@
         })
     }
 
-    /// Serves metrics only, as [`start`](Self::start) does.
+    /// Serves an instance where marks are used, as [`start`](Self::start) does.
     ///
     /// # Errors
     ///
     /// Fails if the address can't be bound or the system gives no thread.
-    pub fn start_metrics(address: SocketAddrV4, meters: Meters) -> Result<Operator, OperatorError> {
+    pub fn start_marked(
+        address: SocketAddrV4,
+        source: Arc<dyn MarkedSource>,
+        meters: Meters,
+    ) -> Result<Operator, OperatorError> {
         Operator::launch(address, move |rocket| {
-            rocket.manage(meters).mount("/", routes::metrics_only())
+            rocket.manage(source).manage(meters).mount("/", routes::marked())
         })
     }
 
