--- a/load/examples/overload.rs
+++ b/load/examples/overload.rs
@@ -14,9 +14,9 @@
         "{:25} {:5} {:>7} {:>5} {:>7} {:>5}",
         "scene", "limit", "in time", "late", "refused", "%"
     );
-    for (name, scene, span) in scenes() {
+    for (name, scene, span) in SCENES {
         for limited in [false, true] {
-            let got = (1..=SEEDS).map(|seed| play(Scene { seed, ..scene }, limited));
+            let got = (1..=SEEDS).map(|seed| play(scene(seed), limited));
             let got = got.map(|world| world.got(span.0, span.1));
             let got = got.fold(Got::default(), |sum, it| sum + it);
             let limit = if limited { "yes" } else { "no" };
@@ -28,40 +28,12 @@
     }
 }
 
-fn scenes() -> Vec<(&'static str, Scene, (u64, u64))> {
-    let alerts = Scene {
-        instances: 7,
-        targets: 14,
-        left: 6,
-        gone: (4_000, 9_000),
-        slots: 2,
-        queue: 8,
-        requests: 83.0,
-        feeds: 292.0,
-        work: 32.0,
-        goal: 150,
-        outage: (0, 0),
-        length: 14_000,
-        seed: 5,
-    };
-    let booking = Scene {
-        instances: 8,
-        left: 14,
-        slots: 3,
-        queue: 12,
-        work: 60.0,
-        goal: 250,
-        outage: (4_000, 5_700),
-        ..alerts
-    };
-    vec![
-        ("half of the targets gone", alerts, (4_000, 10_000)),
-        (
-            "a quarter more than that",
-            Scene { requests: 104.0, feeds: 365.0, ..alerts },
-            (4_000, 10_000),
-        ),
-        ("a crowd after an outage", booking, (4_000, 8_000)),
-        ("an ordinary day", Scene { left: 14, ..alerts }, (0, 14_000)),
-    ]
-}
+/// A name, a scene by seed, and the span whose callers are counted.
+type Played = (&'static str, fn(u64) -> Scene, (u64, u64));
+
+const SCENES: [Played; 4] = [
+    ("half of the targets gone", Scene::half_gone, (4_000, 10_000)),
+    ("a quarter more than that", Scene::more_asked, (4_000, 10_000)),
+    ("a crowd after an outage", Scene::outage, (4_000, 8_000)),
+    ("an ordinary day", Scene::site, (0, 14_000)),
+];
--- a/load/tests/overload.rs
+++ b/load/tests/overload.rs
@@ -45,6 +45,51 @@
     pub seed: u64,
 }
 
+impl Scene {
+    /// The site with the shortest goals, on an ordinary day: seven instances, 14 targets
+    /// of two slots.
+    pub fn site(seed: u64) -> Scene {
+        Scene {
+            instances: 7,
+            targets: 14,
+            left: 14,
+            gone: (0, 0),
+            slots: 2,
+            queue: 8,
+            requests: 83.0,
+            feeds: 292.0,
+            work: 32.0,
+            goal: 150,
+            outage: (0, 0),
+            length: 14_000,
+            seed,
+        }
+    }
+
+    /// Eight of its targets are gone for five seconds, and their successors aren't known.
+    pub fn half_gone(seed: u64) -> Scene {
+        Scene { left: 6, gone: (4_000, 9_000), ..Scene::site(seed) }
+    }
+
+    /// The same with a quarter more requests.
+    pub fn more_asked(seed: u64) -> Scene {
+        Scene { requests: 104.0, feeds: 365.0, ..Scene::half_gone(seed) }
+    }
+
+    /// The site with the longest work a request; nobody is served for 1.7 s.
+    pub fn outage(seed: u64) -> Scene {
+        Scene {
+            instances: 8,
+            slots: 3,
+            queue: 12,
+            work: 60.0,
+            goal: 250,
+            outage: (4_000, 5_700),
+            ..Scene::site(seed)
+        }
+    }
+}
+
 /// What callers got who asked in a span.
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
 pub struct Got {
--- a/load/tests/test_overload.rs
+++ b/load/tests/test_overload.rs
@@ -2,29 +2,10 @@
 
 use super::overload::{Got, Scene, play};
 
-/// The site with the shortest goals: seven instances, 14 targets of two slots.
-fn site() -> Scene {
-    Scene {
-        instances: 7,
-        targets: 14,
-        left: 14,
-        gone: (0, 0),
-        slots: 2,
-        queue: 8,
-        requests: 83.0,
-        feeds: 292.0,
-        work: 32.0,
-        goal: 150,
-        outage: (0, 0),
-        length: 14_000,
-        seed: 0,
-    }
-}
-
 /// What callers got over some seeds, without and with openings that wait.
-fn compare(scene: Scene, from: u64, to: u64) -> [Got; 2] {
+fn compare(scene: fn(u64) -> Scene, from: u64, to: u64) -> [Got; 2] {
     [false, true].map(|limited| {
-        let got = (1..=6).map(|seed| play(Scene { seed, ..scene }, limited).got(from, to));
+        let got = (1..=6).map(|seed| play(scene(seed), limited).got(from, to));
         got.fold(Got::default(), |sum, it| sum + it)
     })
 }
@@ -35,9 +16,7 @@
 /// late.
 #[test]
 fn more_are_answered_in_time_while_half_of_the_targets_are_gone() {
-    let scene = Scene { left: 6, gone: (4_000, 9_000), ..site() };
-
-    let [without, with] = compare(scene, 4_000, 10_000);
+    let [without, with] = compare(Scene::half_gone, 4_000, 10_000);
 
     assert!(with.part() > without.part() + 0.03, "{without:?}, then {with:?}");
     assert!(with.refused < without.refused * 2, "{without:?}, then {with:?}");
@@ -47,9 +26,7 @@
 /// must not make all the rest late.
 #[test]
 fn a_larger_excess_gains_more() {
-    let scene = Scene { left: 6, gone: (4_000, 9_000), requests: 104.0, feeds: 365.0, ..site() };
-
-    let [without, with] = compare(scene, 4_000, 10_000);
+    let [without, with] = compare(Scene::more_asked, 4_000, 10_000);
 
     assert!(with.part() > without.part() + 0.12, "{without:?}, then {with:?}");
     assert!(with.refused < without.refused, "{without:?}, then {with:?}");
@@ -59,17 +36,7 @@
 /// second. Fewer are told that they were not served, and no fewer are in time.
 #[test]
 fn a_crowd_after_an_outage_is_served_with_fewer_refusals() {
-    let scene = Scene {
-        instances: 8,
-        slots: 3,
-        queue: 12,
-        work: 60.0,
-        goal: 250,
-        outage: (4_000, 5_700),
-        ..site()
-    };
-
-    let [without, with] = compare(scene, 4_000, 8_000);
+    let [without, with] = compare(Scene::outage, 4_000, 8_000);
 
     assert!(with.in_time >= without.in_time, "{without:?}, then {with:?}");
     assert!(with.refused * 2 < without.refused, "{without:?}, then {with:?}");
@@ -78,7 +45,7 @@
 /// Nothing waits where targets keep up: the limit must cost nothing on all other days.
 #[test]
 fn an_ordinary_day_is_as_before() {
-    let [without, with] = compare(site(), 0, 14_000);
+    let [without, with] = compare(Scene::site, 0, 14_000);
 
     assert_eq!(with.refused, 0);
     assert!(with.part() > without.part() - 0.001, "{without:?}, then {with:?}");
