--- a/load/src/limit.rs
+++ b/load/src/limit.rs
@@ -63,14 +63,20 @@
 }
 
 impl Limit {
-    /// Takes in that a request was answered after `span`, whose goal was `goal`.
-    /// `working` requests are still under way here, and `part` is this
-    /// instance's part of the targets' slots.
-    pub fn answer(&mut self, span: Millis, goal: Millis, working: u32, part: f32, now: Millis) {
+    /// Takes in that a request was answered after `span`, whose goal was `goal`; answers
+    /// whether the limit is to be [adjusted](Self::adjust). On most days it is not, and
+    /// the work under way need not be counted.
+    pub fn hear(&mut self, span: Millis, goal: Millis, now: Millis) -> bool {
         let ratio = (span.0 as f32 / goal.0.max(1) as f32).min(MOST);
         self.mean =
             if self.is_known(now) { self.mean + (ratio - self.mean) * WEIGHT } else { ratio };
         self.heard = Some(now);
+        self.mean > SLOW || self.limit.is_some()
+    }
+
+    /// Adjusts the limit after an answer. `working` requests are still under way here,
+    /// and `part` is this instance's part of the targets' slots.
+    pub fn adjust(&mut self, working: u32, part: f32, now: Millis) {
         if self.mean > SLOW {
             self.reduce(working, part, now);
         } else if let Some(limit) = &mut self.limit {
@@ -91,9 +97,14 @@
         self.limit = Some((limit * REDUCED).max(part).max(1.0));
     }
 
+    /// Whether any number may begin.
+    pub fn is_open(&self, now: Millis) -> bool {
+        self.limit.is_none() || !self.is_known(now)
+    }
+
     /// Whether one more of a class may begin while `working` are under way.
     pub fn admits(&self, class: Class, working: u32, now: Millis) -> bool {
-        let limit = self.limit.filter(|_| self.is_known(now));
+        let limit = self.limit.filter(|_| !self.is_open(now));
         let factor = if class == Class::Request { REQUESTS } else { 1.0 };
         limit.is_none_or(|limit| (working as f32) < limit * factor)
     }
--- a/load/tests/overload.rs
+++ b/load/tests/overload.rs
@@ -317,8 +317,10 @@
         let at = work.instance;
         self.working[at][target] -= 1;
         let (span, goal) = (Millis(now - work.came), Millis(self.scene.goal));
-        let (working, part) = (self.under_way(at), self.part(now));
-        self.limits[at].answer(span, goal, working, part, Millis(now));
+        if self.limits[at].hear(span, goal, Millis(now)) {
+            let (working, part) = (self.under_way(at), self.part(now));
+            self.limits[at].adjust(working, part, Millis(now));
+        }
         self.answers.push((work.asked, Some(now - work.asked)));
         self.release(at, now);
     }
--- a/load/tests/test_limit.rs
+++ b/load/tests/test_limit.rs
@@ -8,11 +8,18 @@
 
 const GOAL: Millis = Millis(150);
 
+/// Has a limit hear of an answer after `span`, with `working` still under way.
+fn answer(limit: &mut Limit, span: u64, working: u32, now: u64) {
+    if limit.hear(Millis(span), GOAL, Millis(now)) {
+        limit.adjust(working, 2.0, Millis(now));
+    }
+}
+
 /// A limit that has heard many answers of one length, with `working` under way.
 fn heard(span: u64, working: u32, count: u64) -> Limit {
     let mut limit = Limit::default();
     for number in 0..count {
-        limit.answer(Millis(span), GOAL, working, 2.0, Millis(number * 20));
+        answer(&mut limit, span, working, number * 20);
     }
     limit
 }
@@ -60,7 +67,7 @@
     let start = 4_000;
 
     for number in 0..60 {
-        limit.answer(Millis(45), GOAL, 20, 2.0, Millis(start + number * 20));
+        answer(&mut limit, 45, 20, start + number * 20);
     }
 
     assert!(limit.admits(Class::Feed, 20, Millis(start + 1_200)));
@@ -79,7 +86,7 @@
 fn one_long_answer_is_no_queue() {
     let mut limit = heard(45, 10, 50);
 
-    limit.answer(Millis(9_000), GOAL, 10, 2.0, Millis(1_000));
+    answer(&mut limit, 9_000, 10, 1_000);
 
     assert!(limit.admits(Class::Feed, 9, Millis(1_000)));
 }
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -83,6 +83,13 @@
         out: &mut impl Output,
     ) -> Option<Newcomer> {
         let Some(goal) = goal.filter(|_| it.class != Class::Upload) else { return Some(it) };
+        let is_open = self
+            .rooms
+            .get(&it.service)
+            .is_none_or(|room| room.backlog.is_empty() && room.limit.is_open(now));
+        if is_open {
+            return Some(it);
+        }
         let Load { work, .. } = self.load(&it.service);
         let room = self.rooms.entry(it.service.clone()).or_default();
         if room.backlog.admits(it.class) && room.limit.admits(it.class, work, now) {
@@ -116,9 +123,13 @@
         let Some(flow) = self.flows.get(key) else { return };
         let Some(entry) = self.catalog.entry(flow.target) else { return };
         let service = entry.target.service.clone();
+        if !self.rooms.entry(service.clone()).or_default().limit.hear(span, goal, now) {
+            return;
+        }
         let Load { work, part } = self.load(&service);
-        let room = self.rooms.entry(service).or_default();
-        room.limit.answer(span, goal, work, part, now);
+        if let Some(room) = self.rooms.get_mut(&service) {
+            room.limit.adjust(work, part, now);
+        }
     }
 
     /// Opens what has waited and finds room now, and turns away what has waited too
