marked: count refusals in one place, and look an answer's route up once

Counting a refusal and sending it stood side by side in six places; Counts::refuse and Forwarder::refuse do both. An answer looked its route and its flow up a second time on the packet path, where both were at hand. That uploads don't wait was decided in two places. is_listed had twins. The factor at which a limit is dropped has a name, and says that other values were not tried.

--- a/load/src/limit.rs
+++ b/load/src/limit.rs
@@ -54,6 +54,10 @@
 /// second. A slower raise, by one a round trip, brings no more in time in the
 /// scenes of `examples/overload.rs`.
 const GROWTH: f32 = 0.5;
+/// From how many times the work under way and the own part of the slots on a limit binds
+/// nobody and is dropped. Twice, so that it is not dropped and set anew with each swing of
+/// the work; chosen, other values were not tried.
+const UNUSED: f32 = 2.0;
 /// The most that one answer counts. A request that waited for a lost packet or a
 /// frozen machine says nothing about queues.
 const MOST: f32 = 2.0;
@@ -128,7 +132,7 @@
             self.reduce(working, part, now);
         } else if let Some(limit) = &mut self.limit {
             *limit += GROWTH;
-            if *limit > 2.0 * (working as f32 + part) {
+            if *limit > UNUSED * (working as f32 + part) {
                 self.limit = None;
             }
         }
--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -406,7 +406,7 @@
         changed: &mut Vec<Incarnation>,
     ) {
         let known = self.targets.values();
-        let gone = known.filter(|entry| entry.presence == Presence::Listed);
+        let gone = known.filter(|entry| entry.is_listed());
         let gone = gone.map(|entry| entry.target.incarnation).filter(|it| !listed.contains(it));
         for incarnation in gone.collect::<Vec<_>>() {
             self.remove(revision, incarnation, now, changed);
--- a/marked/src/forwarder/counts.rs
+++ b/marked/src/forwarder/counts.rs
@@ -1,6 +1,6 @@
 //! What a forwarder counts.
 
-use crate::Finding;
+use crate::{Finding, Refusal};
 
 /// Counts since the start.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -34,3 +34,16 @@
     /// Targets that did, or did not.
     pub found: [u64; Finding::ALL.len()],
 }
+
+impl Counts {
+    /// Counts a flow that was reset.
+    pub(super) fn refuse(&mut self, refusal: Refusal) {
+        let count = match refusal {
+            Refusal::NoRoute => &mut self.no_route,
+            Refusal::NoTarget => &mut self.no_target,
+            Refusal::Busy => &mut self.busy,
+            Refusal::TargetLost => &mut self.lost,
+        };
+        *count += 1;
+    }
+}
--- a/marked/src/forwarder/explain.rs
+++ b/marked/src/forwarder/explain.rs
@@ -1,7 +1,7 @@
 //! What the forwarder knows and why flows go where they go, for operators.
 
 use super::Forwarder;
-use crate::{Entry, FlowKey, Presence};
+use crate::{Entry, FlowKey};
 use medlarspur_lib::{
     bundle::Protocol,
     collections::Set,
@@ -91,7 +91,7 @@
             Some(Tier::Unlisted) => TargetUse::Unlisted,
             Some(Tier::Doubtful) => TargetUse::Doubtful,
             None if entry.target.leaving => TargetUse::Leaving,
-            None if is_lost && entry.presence == Presence::Listed => TargetUse::Lost,
+            None if is_lost && entry.is_listed() => TargetUse::Lost,
             None => TargetUse::Removed,
         }
     }
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -196,7 +196,8 @@
         out: &mut impl Output,
     ) {
         let known = self.flows.remove(&segment.key).filter(|flow| flow.target == target);
-        let class = self.catalog.route(segment.key.service).map(|route| route.class);
+        let route = self.catalog.route(segment.key.service);
+        let (class, goal) = (route.map(|route| route.class), route.and_then(waiting::goal));
         let mut flow = match (known, class) {
             (Some(flow), _) => {
                 self.account(&flow, -1);
@@ -208,10 +209,9 @@
         let seen = flow.see(segment, now);
         self.account(&flow, 1);
         self.measure(&flow, seen, now, out);
-        let class = flow.class;
         self.flows.insert(segment.key, flow);
-        if let Some(since) = seen.answered {
-            self.hear_answer(&segment.key, class, now.since(since), now);
+        if let (Some(since), Some(goal)) = (seen.answered, goal) {
+            self.hear_answer(target, goal, now.since(since), now);
         }
         if seen.life {
             self.see_life(target, now, out);
@@ -269,7 +269,7 @@
         now: Millis,
         out: &mut impl Output,
     ) {
-        self.counts.lost += 1;
+        self.counts.refuse(Refusal::TargetLost);
         self.drop_flow(key);
         out.reset(key, seq);
         let lost = self.states.get(&target).and_then(|state| state.health.lost_since());
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -1,6 +1,10 @@
 //! Giving new flows a target.
 
-use super::{Forwarder, Output, Refusal, reach::DOUBT_TIME, waiting::NewFlow};
+use super::{
+    Forwarder, Output, Refusal,
+    reach::DOUBT_TIME,
+    waiting::{self, NewFlow},
+};
 use crate::{Entry, Flow, FlowKey, Incarnation, Mark, Note, Phase, Presence, Segment};
 use medlarspur_lib::{bundle::Class, ids::ServiceName, time::Millis};
 use medlarspur_load::choice::{self, Candidate, Tier};
@@ -33,10 +37,9 @@
             return;
         }
         let Some(route) = self.catalog.route(segment.key.service) else {
-            self.counts.no_route += 1;
-            return refuse(&segment.key, Refusal::NoRoute, out);
+            return self.refuse(&segment.key, Refusal::NoRoute, out);
         };
-        let goal = route.goal;
+        let goal = waiting::goal(route);
         let new = NewFlow {
             key: segment.key,
             seq: segment.seq,
@@ -64,8 +67,7 @@
         let NewFlow { key, seq, class, service, packet } = it;
         self.drop_flow(&key);
         let Some((target, note)) = self.choose(&service, class, &key, now) else {
-            self.counts.no_target += 1;
-            return refuse(&key, Refusal::NoTarget, out);
+            return self.refuse(&key, Refusal::NoTarget, out);
         };
         self.counts.opened += 1;
         out.note(note);
@@ -143,10 +145,11 @@
         self.send(target, &key, &packet, out);
         self.doubt(target, key, since, now, out);
     }
-}
 
-/// Resets a flow that went to no target.
-pub(super) fn refuse(flow: &FlowKey, refusal: Refusal, out: &mut impl Output) {
-    out.reset(flow, 0);
-    out.note(Note::Reset { flow: *flow, refusal, target: None, lost: None });
+    /// Resets a flow that went to no target.
+    pub(super) fn refuse(&mut self, flow: &FlowKey, refusal: Refusal, out: &mut impl Output) {
+        self.counts.refuse(refusal);
+        out.reset(flow, 0);
+        out.note(Note::Reset { flow: *flow, refusal, target: None, lost: None });
+    }
 }
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -1,6 +1,6 @@
 //! Noticing targets that do not answer, and leaving them.
 
-use super::{Forwarder, Output, Refusal, State, placing::refuse, waiting::NewFlow};
+use super::{Forwarder, Output, Refusal, State, waiting::NewFlow};
 use crate::{Entry, EntryState, Finding, Flow, FlowKey, Incarnation, Note, Phase, Presence};
 use medlarspur_lib::time::Millis;
 
@@ -14,7 +14,7 @@
 impl Forwarder {
     /// How many listed targets answer, and how many don't.
     pub fn reach(&self) -> (usize, usize) {
-        let listed = self.catalog.entries().filter(|it| it.presence == Presence::Listed).count();
+        let listed = self.catalog.entries().filter(|it| it.is_listed()).count();
         (listed.saturating_sub(self.lost.len()), self.lost.len())
     }
 
@@ -108,7 +108,7 @@
             let is_asked =
                 |state: &State| state.health.asked().is_some_and(|at| now.since(at) < DOUBT_TIME);
             let is_out = state.is_none_or(|state| state.health.is_lost() || is_asked(state));
-            it.incarnation != target && entry.presence == Presence::Listed && !is_out
+            it.incarnation != target && entry.is_listed() && !is_out
         };
         let others = self.catalog.entries().filter(is_near);
         let beside = others.min_by_key(|entry| (entry.target.domain != *domain, entry.cold));
@@ -168,8 +168,7 @@
         };
         let Some(route) = self.catalog.route(key.service) else {
             self.drop_flow(&key);
-            self.counts.no_route += 1;
-            return refuse(&key, Refusal::NoRoute, out);
+            return self.refuse(&key, Refusal::NoRoute, out);
         };
         let service = route.share(self.random.draw()).clone();
         self.counts.moved += 1;
@@ -220,9 +219,8 @@
     pub(super) fn ask_lost(&mut self, now: Millis, out: &mut impl Output) {
         let states = &self.states;
         let catalog = &self.catalog;
-        let is_listed = |it: &Incarnation| {
-            catalog.entry(*it).is_some_and(|entry| entry.presence == Presence::Listed)
-        };
+        let is_listed =
+            |it: &Incarnation| catalog.entry(*it).is_some_and(|entry| entry.is_listed());
         self.lost.retain(|it| is_listed(it) && states.contains_key(it));
         let is_due =
             |it: &&Incarnation| self.states[*it].health.retry().is_some_and(|at| at <= now);
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -3,8 +3,8 @@
 //! Which ones go first, and how much may be under way, is decided by
 //! `medlarspur_load::{backlog, limit}`, which say for which patterns of load.
 
-use super::{Forwarder, Output, Refusal, placing::refuse};
-use crate::{FlowKey, Note, Segment};
+use super::{Forwarder, Output, Refusal};
+use crate::{FlowKey, Incarnation, Note, Route, Segment};
 use medlarspur_lib::{
     bundle::Class,
     collections::{Map, Set},
@@ -74,9 +74,6 @@
     }
 
     /// Has the flow wait if its service has no room; gives it back if it has.
-    ///
-    /// Uploads don't wait: most of their time is that of their bytes on the way,
-    /// which says nothing about the targets.
     pub(super) fn hold(
         &mut self,
         it: NewFlow,
@@ -85,7 +82,7 @@
         now: Millis,
         out: &mut impl Output,
     ) -> Option<NewFlow> {
-        let Some(goal) = goal.filter(|_| it.class != Class::Upload) else { return Some(it) };
+        let Some(goal) = goal else { return Some(it) };
         let is_open = self
             .rooms
             .get(&it.service)
@@ -103,8 +100,7 @@
         let waiting = Waiting { key: it.key, class: it.class, asked, until: now + patience(goal) };
         let count = room.backlog.len();
         if room.backlog.push(waiting).is_some() {
-            self.counts.busy += 1;
-            refuse(&it.key, Refusal::Busy, out);
+            self.refuse(&it.key, Refusal::Busy, out);
             return None;
         }
         self.counts.held += 1;
@@ -122,12 +118,15 @@
         }
     }
 
-    /// Takes in how long a request of a service took.
-    pub(super) fn hear_answer(&mut self, key: &FlowKey, class: Class, span: Millis, now: Millis) {
-        let Some(route) = self.catalog.route(key.service) else { return };
-        let Some(goal) = route.goal.filter(|_| class != Class::Upload) else { return };
-        let Some(flow) = self.flows.get(key) else { return };
-        let Some(entry) = self.catalog.entry(flow.target) else { return };
+    /// Takes in how long a request to a target took.
+    pub(super) fn hear_answer(
+        &mut self,
+        target: Incarnation,
+        goal: Millis,
+        span: Millis,
+        now: Millis,
+    ) {
+        let Some(entry) = self.catalog.entry(target) else { return };
         let service = entry.target.service.clone();
         if !self.rooms.entry(service.clone()).or_default().limit.hear(span, goal, now) {
             return;
@@ -173,8 +172,7 @@
             let Some(late) = room.backlog.expire(now) else { return };
             let Some(it) = self.held.remove(&late.key) else { continue };
             if is_slow {
-                self.counts.busy += 1;
-                refuse(&late.key, Refusal::Busy, out);
+                self.refuse(&late.key, Refusal::Busy, out);
             } else {
                 // Answers come in good time, so the work that seems to be under way is
                 // not: its answers went by another instance.
@@ -186,8 +184,7 @@
     /// Opens a flow that has waited, by the config that is in force now.
     fn place_late(&mut self, mut it: NewFlow, now: Millis, out: &mut impl Output) {
         let Some(route) = self.catalog.route(it.key.service) else {
-            self.counts.no_route += 1;
-            return refuse(&it.key, Refusal::NoRoute, out);
+            return self.refuse(&it.key, Refusal::NoRoute, out);
         };
         if !route.shares.iter().any(|share| share.service == it.service) {
             it.service = route.share(self.random.draw()).clone();
@@ -220,5 +217,13 @@
     }
 }
 
+/// The goal that decides whether flows of a route wait, if any does.
+///
+/// Uploads don't wait: most of their time is that of their bytes on the way, which says
+/// nothing about the targets.
+pub(super) fn goal(route: &Route) -> Option<Millis> {
+    route.goal.filter(|_| route.class != Class::Upload)
+}
+
 /// The rooms of all services.
 pub(super) type Rooms = Map<ServiceName, Room>;
