--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -58,7 +58,7 @@
     output::line(&format!("class    {}", or_dash(found.class)));
     output::picture(&found.picture);
     if let Some(target) = &found.target {
-        output::line(&format!("target   {} at {}", target.incarnation, target.address));
+        output::line(&format!("target   {} at {}", target.name, target.address));
     }
     output::targets("CANDIDATE", &found.candidates).print();
 }
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -70,7 +70,7 @@
     let mut table = Table::new(&[heading, "ADDRESS", "DOMAIN", "USE", "WORK", "FEEDS"]);
     for it in targets {
         table.row(vec![
-            it.incarnation.clone(),
+            it.name.to_string(),
             it.address.to_string(),
             it.domain.to_string(),
             it.usage.to_string(),
--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -79,7 +79,8 @@
 
 fn marked_targets() -> Vec<MarkedTarget> {
     let target = |number: u8, usage| MarkedTarget {
-        incarnation: format!("7f3a91c{number}"),
+        name: TargetName::new(&format!("7f3a91c{number}")),
+        start: 0,
         address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 64, number), 8080),
         domain: DomainName::new("druzhba"),
         usage,
--- a/daemon/src/marked/asker.rs
+++ b/daemon/src/marked/asker.rs
@@ -40,8 +40,9 @@
         }
         let (asker, path) = (self.clone(), path.to_owned());
         let (incarnation, address) = (target.incarnation, target.address);
+        let name = target.name.clone();
         let run = move || {
-            health::ask(incarnation, address, &path, |finding| asker.report(incarnation, finding));
+            health::ask(&name, address, &path, |finding| asker.report(incarnation, finding));
             asker.running.fetch_sub(1, Relaxed);
         };
         let thread = thread::Builder::new().name("ask".to_owned()).stack_size(STACK);
--- a/daemon/src/marked/lines.rs
+++ b/daemon/src/marked/lines.rs
@@ -1,8 +1,8 @@
 //! Writes down decisions, in a bounded number.
 
-use medlarspur_lib::time::Millis;
+use medlarspur_lib::{collections::Map, ids::TargetName, time::Millis};
 use medlarspur_load::lines::{Budget, Verdict};
-use medlarspur_marked::{Note, NoteKind, Revision};
+use medlarspur_marked::{Incarnation, Note, NoteKind, Revision};
 use std::fmt;
 
 /// The log target of lines on decisions; `docs/OPERATIONS.md` lists their fields.
@@ -17,30 +17,49 @@
     pub age: Option<Millis>,
 }
 
-/// The budgets of all kinds of lines.
+/// How many starts of targets are remembered by name: those of the size aimed for, with
+/// as many that were replaced within their memory. Beyond it all are forgotten, and
+/// lines name a target by its number until news of it comes again.
+const MOST_NAMES: usize = 20_000;
+
+/// The budgets of all kinds of lines, and the names of targets.
 #[derive(Debug)]
 pub struct Lines {
     budgets: [Budget; NoteKind::ALL.len()],
+    names: Map<Incarnation, TargetName>,
 }
 
 impl Lines {
     /// Full budgets.
     pub fn new(now: Millis) -> Lines {
-        Lines { budgets: [Budget::new(now); NoteKind::ALL.len()] }
+        Lines { budgets: [Budget::new(now); NoteKind::ALL.len()], names: Map::default() }
     }
 
     /// Writes a note, if its kind's budget has room.
     pub fn write(&mut self, note: &Note, picture: Picture, now: Millis) {
+        if let Note::Entry { target, name, .. } = note {
+            self.learn(*target, name);
+        }
         let kind = note.kind();
         let Verdict::Write { left_out } = self.budgets[kind as usize].take(now) else { return };
         if left_out > 0 {
             log::warn!(target: TARGET, kind = kind.name(), count = left_out; "lines left out");
         }
-        let mut fields = note.fields();
+        let name = |target: Incarnation| {
+            self.names.get(&target).map_or_else(|| target.to_string(), TargetName::to_string)
+        };
+        let mut fields = note.fields(name);
         fields.push(("known", picture.revision.0.to_string()));
         fields.extend(picture.age.map(|age| ("age_ms", age.to_string())));
         log(note.event(), &fields);
     }
+
+    fn learn(&mut self, target: Incarnation, name: &TargetName) {
+        if self.names.len() >= MOST_NAMES {
+            self.names.clear();
+        }
+        self.names.insert(target, name.clone());
+    }
 }
 
 fn log(event: impl fmt::Display, fields: &[(&'static str, String)]) {
--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -136,6 +136,8 @@
     meters.observe(Family::Platform, "answered", move || read.answered.load(Relaxed));
     let read = calls.clone();
     meters.observe(Family::Platform, "failed", move || read.failed.load(Relaxed));
+    let read = calls.clone();
+    meters.observe(Family::Drops, "record", move || read.faults.load(Relaxed));
     if let Some(sink) = sink {
         meters.observe(Family::Rings, "log", move || sink.lost());
     }
--- a/daemon/src/marked/output.rs
+++ b/daemon/src/marked/output.rs
@@ -58,7 +58,7 @@
 impl Output for Datagrams {
     fn forward(&mut self, target: &Target, mark: Mark, bytes: &[u8]) {
         self.scratch.clear();
-        packet::wrap(target.incarnation, mark, bytes, &mut self.scratch);
+        packet::wrap(&target.name, mark, bytes, &mut self.scratch);
         self.outbox.push(target.address, &self.scratch);
     }
 
--- a/daemon/src/marked/store.rs
+++ b/daemon/src/marked/store.rs
@@ -19,6 +19,10 @@
     thread::{self, Thread},
 };
 
+/// How many faults of one answer are listed. Another writer may fill the store with
+/// entries that can't be used, and each full reading would tell them all again.
+const MOST_FAULTS: usize = 20;
+
 /// How calls to the store ended.
 #[derive(Debug, Default)]
 pub struct Calls {
@@ -26,6 +30,8 @@
     pub answered: AtomicU64,
     /// Without one that could be used.
     pub failed: AtomicU64,
+    /// Items, or parts of the config, that were not taken.
+    pub faults: AtomicU64,
 }
 
 /// Tells the thread whether to read.
@@ -118,6 +124,7 @@
         let step = follower.step(rand::random());
         let counter = if step.error.is_none() { &calls.answered } else { &calls.failed };
         counter.fetch_add(1, Relaxed);
+        calls.faults.fetch_add(step.faults.len() as u64, Relaxed);
         if note(&step, &mut reachable) {
             current.reload();
         }
@@ -142,8 +149,12 @@
 /// Logs what was not taken, and when the store is lost or regained; answers
 /// whether it was lost just now.
 fn note(step: &Step, reachable: &mut Option<bool>) -> bool {
-    for fault in &step.faults {
-        log::warn!("store: an item is not taken: {}", Report::from_error(fault));
+    for fault in step.faults.iter().take(MOST_FAULTS) {
+        log::warn!("store: not taken: {}", Report::from_error(fault));
+    }
+    let others = step.faults.len().saturating_sub(MOST_FAULTS);
+    if others > 0 {
+        log::warn!("store: {others} more faults, not listed");
     }
     let is_reachable = matches!(step.error, None | Some(StoreError::Compacted));
     if *reachable == Some(is_reachable) {
--- a/daemon/tests/test_marked_explained.rs
+++ b/daemon/tests/test_marked_explained.rs
@@ -46,7 +46,7 @@
     site.add_callers(Class::Feed, 6);
     wait_for_answers(&site, 20);
     let dead = site.target(0).expect("a target").incarnation;
-    let dead = format!("target={dead:08x}");
+    let dead = format!("target=i-{dead:08x}");
 
     site.end_target(0, false);
     let reset = ["flow reset", "reason=target-lost", &dead];
@@ -107,7 +107,7 @@
     assert_eq!(found.reason, MarkedReason::Known);
     assert_eq!(found.class, Some(Class::Feed));
     let target = found.target.expect("it has one");
-    assert_eq!(target.incarnation, field(&line, "target"));
+    assert_eq!(target.name.as_str(), field(&line, "target"));
     assert_eq!(target.usage, TargetUse::Good);
     assert!(found.candidates.contains(&target) || found.candidates.len() == 3);
     assert_eq!((nowhere.reason, nowhere.target), (MarkedReason::NoRoute, None));
--- a/daemon/tests/test_marked_targets.rs
+++ b/daemon/tests/test_marked_targets.rs
@@ -26,8 +26,8 @@
     let leaving = site.target(0).expect("a target").incarnation;
 
     site.drain(0);
-    let told = format!("target={leaving:08x} state=leaving");
-    wait_until("both know", || lines_with(&site, &[&told]).len() == 2);
+    let told = format!("target entry target=i-{leaving:08x}");
+    wait_until("both know", || lines_with(&site, &[&told, "state=leaving"]).len() == 2);
     wait_for_answers(&site, 5);
     let opened = site.opened(0);
     wait_for_answers(&site, 80);
@@ -46,7 +46,7 @@
     let dead = site.target(0).expect("a target").incarnation;
 
     site.end_target(0, false);
-    let lost = format!("target lost target={dead:08x}");
+    let lost = format!("target lost target=i-{dead:08x}");
     wait_until("it is missed", || !lines_with(&site, &[&lost]).is_empty());
     wait_for_answers(&site, 150);
 
--- a/lib/src/status/marked.rs
+++ b/lib/src/status/marked.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     bundle::Class,
-    ids::{DomainName, InstanceName, ServiceName, Version},
+    ids::{DomainName, InstanceName, ServiceName, TargetName, Version},
     packet::FlowKey,
     time::Millis,
 };
@@ -61,8 +61,12 @@
     /// A target as this instance sees it.
     #[derive(Serialize, Deserialize)]
     pub struct MarkedTarget {
-        /// This start of it, as in the store and in log lines.
-        pub incarnation: String,
+        /// The name under which it is listed, as in log lines; the same for all of its
+        /// starts.
+        pub name: TargetName,
+        /// When it started by its own clock, in milliseconds since 1970; 0 if the
+        /// platform doesn't say.
+        pub start: u64,
         /// Where it takes packets.
         pub address: SocketAddrV4,
         /// Its failure domain.
@@ -106,6 +110,10 @@
         Unlisted,
         /// Something got no answer lately: only if no better one is there.
         Doubtful,
+        /// Its entry was changed so that it names no target that could be used.
+        Unusable,
+        /// It has started again since: the later start takes new flows.
+        Replaced,
         /// It leaves and takes none.
         Leaving,
         /// It does not answer and takes none.
@@ -152,6 +160,8 @@
             TargetUse::Good => "good",
             TargetUse::Unlisted => "unlisted",
             TargetUse::Doubtful => "doubtful",
+            TargetUse::Unusable => "unusable",
+            TargetUse::Replaced => "replaced",
             TargetUse::Leaving => "leaving",
             TargetUse::Lost => "lost",
             TargetUse::Removed => "removed",
--- a/marked/examples/slopes.rs
+++ b/marked/examples/slopes.rs
@@ -5,12 +5,12 @@
 
 use medlarspur_lib::{
     bundle::Class,
-    ids::{DomainName, ServiceName, Version},
+    ids::{DomainName, ServiceName, TargetName, Version},
     time::Millis,
 };
 use medlarspur_marked::{
     Catalog, Change, Config, Content, FlowKey, Forwarder, Incarnation, Kind, Mark, News, Note,
-    Output, Revision, Route, Scope, Segment, Share, Span, Target, Tuning, message,
+    Output, Revision, Route, Scope, Segment, Share, Span, Start, Target, Tuning, message,
 };
 use std::{fs, hint::black_box, net::SocketAddrV4, time::Instant};
 
@@ -63,8 +63,12 @@
 }
 
 fn target(number: usize, service: usize) -> Target {
+    let name = TargetName::new(&format!("i-{:08x}", 0x7000_0000 + number * 7919));
+    let start = Start(1_700_000_000_000 + number as u64);
     Target {
-        incarnation: Incarnation(0x7000_0000 + number as u64 * 7919),
+        incarnation: Incarnation::new(&name, start),
+        name,
+        start,
         service: ServiceName::new(&format!("service-{service}")),
         address: address(10, number, 8080),
         domain: DomainName::new("north"),
--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -5,17 +5,23 @@
 //! the same news may come late, twice, from several sources and out of order
 //! and every instance ends with the same picture. Nothing ever goes back.
 //!
+//! Of a target that starts again under its name the later start wins, whatever
+//! the revisions: an entry that the earlier process had still under way may be
+//! written after the first one of the later process, and would have new flows
+//! wait for a process that is gone.
+//!
 //! A target that is removed stays known for [`KEPT`], since flows to it go on.
 
-use crate::{FlowKey, Incarnation, Mark, delta::Delta, mark::Index};
+use crate::{
+    Change, Config, Content, Entry, FlowKey, Incarnation, Mark, News, Presence, Revision, Route,
+    Scope, Start, Target, delta::Delta, mark::Index,
+};
 use medlarspur_lib::{
-    bundle::Class,
     collections::{Map, Set},
-    ids::{DomainName, ServiceName, Version},
+    ids::{ServiceName, TargetName},
     time::Millis,
 };
-use serde::{Deserialize, Serialize};
-use std::{cmp::Ordering, collections::VecDeque, net::SocketAddrV4};
+use std::{collections::VecDeque, net::SocketAddrV4};
 
 /// How long a removed target is remembered. Longer than the longest life of a
 /// flow on the platforms known (60 s) and than any delay of news.
@@ -25,149 +31,22 @@
 /// of news. Whoever lacks more is told the config whole.
 const DELTAS: usize = 16;
 
-/// The source's count of its changes.
-#[derive(
-    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Revision(pub u64);
-
-/// One target, as it describes itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Target {
-    /// This start of it.
-    pub incarnation: Incarnation,
-    /// The service that it serves.
-    pub service: ServiceName,
-    /// Where it takes packets (UDP) and questions about its health (TCP).
-    pub address: SocketAddrV4,
-    /// Its failure domain.
-    pub domain: DomainName,
-    /// How many requests it works on at once; at least 1.
-    pub slots: u32,
-    /// Whether it is about to go: its flows go on, new ones go elsewhere.
-    pub leaving: bool,
-    /// How much longer it is slow after its start, counted from the moment
-    /// when the entry was written.
-    pub cold: Millis,
-}
-
-/// Where new flows to an address and port go.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Route {
-    /// The address and port that callers ask for.
-    pub address: SocketAddrV4,
-    /// The class of the requests inside.
-    pub class: Class,
-    /// Within which time they should be answered, if operators say so.
-    pub goal: Option<Millis>,
-    /// The services that new flows are split over; never empty, and the sum
-    /// of the weights is positive.
-    pub shares: Vec<Share>,
-}
-
-/// A service's part of a route.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Share {
-    /// The service.
-    pub service: ServiceName,
-    /// Its weight among the shares of the route.
-    pub weight: u32,
-}
-
-/// What operators have published, as one value.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Config {
-    /// Its version.
-    pub version: Version,
-    /// All routes.
-    pub routes: Vec<Route>,
-    /// The path of each service's health endpoint.
-    pub health: Vec<(ServiceName, Box<str>)>,
-    /// How long a flow may be silent before it may be forgotten.
-    pub idle: Millis,
-}
-
-/// What has changed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Content {
-    /// The config.
-    Config(Config),
-    /// What makes the config of an earlier one. Who has another one than that
-    /// lacks something and must ask.
-    Delta(Delta),
-    /// A target, present.
-    Target(Target),
-    /// A target was removed.
-    Removed(Incarnation),
-}
-
-/// One item at its revision.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Change {
-    /// When the source changed it last.
-    pub revision: Revision,
-    /// What it is now.
-    pub content: Content,
-}
-
-/// How much of the source a piece of news covers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Scope {
-    /// All changes since a revision.
-    Since(Revision),
-    /// All targets: one that is not there was removed.
-    All,
-}
-
-/// News from a source.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct News {
-    /// The source's count when it told this.
-    pub revision: Revision,
-    /// What it covers.
-    pub scope: Scope,
-    /// The items.
-    pub changes: Vec<Change>,
-}
-
-/// Whether the source lists a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Presence {
-    /// It does.
-    Listed,
-    /// It did until then, by this instance's clock.
-    Removed(Millis),
-}
-
-/// A target with what is known of its entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Entry {
-    /// The target.
-    pub target: Target,
-    /// The revision of this picture.
-    pub revision: Revision,
-    /// Whether it is listed.
-    pub presence: Presence,
-    /// Until when it is slow after its start.
-    pub cold: Millis,
+/// What is known of the entries under one name.
+#[derive(Debug, Default)]
+struct Listing {
+    /// The latest start that was heard of.
+    start: Start,
+    /// That start, while it is remembered.
+    current: Option<Incarnation>,
+    /// The latest news that no target is listed there.
+    withdrawn: Option<Withdrawal>,
 }
 
-impl Entry {
-    /// Whether the source lists it.
-    pub fn is_listed(&self) -> bool {
-        self.presence == Presence::Listed
-    }
-
-    /// The entry as news.
-    fn change(&self, now: Millis) -> Change {
-        let content = match self.presence {
-            Presence::Listed => {
-                Content::Target(Target { cold: self.cold.since(now), ..self.target.clone() })
-            }
-            Presence::Removed(_) => Content::Removed(self.target.incarnation),
-        };
-        Change { revision: self.revision, content }
-    }
+/// That an entry names no target any more.
+#[derive(Debug, Clone, Copy)]
+struct Withdrawal {
+    revision: Revision,
+    presence: Presence,
 }
 
 /// All that is known of targets and routes.
@@ -183,8 +62,9 @@
     indexes: Map<Index, Vec<Incarnation>>,
     /// The latest removal that is no longer remembered.
     forgotten: Revision,
-    /// Targets that were removed before they were heard of.
-    tombstones: Map<Incarnation, (Revision, Millis)>,
+    names: Map<TargetName, Listing>,
+    /// Targets that were not taken because another one has their number.
+    clashes: u64,
 }
 
 impl Catalog {
@@ -219,6 +99,16 @@
         self.targets.get(&incarnation)
     }
 
+    /// The latest start of a target, while it is remembered.
+    pub fn latest(&self, name: &TargetName) -> Option<&Entry> {
+        self.targets.get(&self.names.get(name)?.current?)
+    }
+
+    /// How many targets were not taken because another one has their number.
+    pub fn clashes(&self) -> u64 {
+        self.clashes
+    }
+
     /// All targets that are known.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.targets.values()
@@ -227,7 +117,8 @@
     /// The targets of a service, removed ones included.
     pub fn targets(&self, service: &ServiceName) -> impl Iterator<Item = &Entry> {
         let found = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        found.iter().filter_map(|incarnation| self.targets.get(incarnation))
+        let entries = found.iter().filter_map(|incarnation| self.targets.get(incarnation));
+        entries.filter(move |entry| entry.target.service == *service)
     }
 
     /// The path of a service's health endpoint.
@@ -253,11 +144,25 @@
                 Content::Config(config) => self.merge_config(change.revision, config),
                 Content::Delta(delta) => is_whole &= self.merge_delta(change.revision, delta),
                 Content::Target(target) => {
-                    listed.insert(target.incarnation);
+                    listed.insert(target.name.clone());
                     self.merge_target(change.revision, target, now, &mut changed);
                 }
-                Content::Removed(incarnation) => {
-                    self.remove(change.revision, incarnation, now, &mut changed);
+                Content::Removed(name) => {
+                    let presence = Presence::Removed(now);
+                    self.withdraw(
+                        &name,
+                        Withdrawal { revision: change.revision, presence },
+                        &mut changed,
+                    );
+                }
+                Content::Unusable(name) => {
+                    let presence = Presence::Unusable(now);
+                    self.withdraw(
+                        &name,
+                        Withdrawal { revision: change.revision, presence },
+                        &mut changed,
+                    );
+                    listed.insert(name);
                 }
             }
         }
@@ -287,14 +192,10 @@
         let is_old = known == Revision::default() || known < self.forgotten;
         let is_told = |revision: Revision| is_old || revision > known;
         let config = self.config_since(if is_old { Revision::default() } else { known });
-        let targets = self.targets.values().filter(|entry| is_told(entry.revision));
-        let targets = targets.map(|entry| entry.change(now));
-        let tombstones = self.tombstones.iter().filter(|(_, (revision, _))| is_told(*revision));
-        let tombstones = tombstones.map(|(incarnation, (revision, _))| Change {
-            revision: *revision,
-            content: Content::Removed(*incarnation),
-        });
-        let changes = config.into_iter().chain(targets).chain(tombstones).collect();
+        let targets = self.targets.values().filter_map(|entry| entry.change(now));
+        let withdrawn = self.names.iter().filter_map(|(name, it)| it.change(name));
+        let others = targets.chain(withdrawn).filter(|change| is_told(change.revision));
+        let changes = config.into_iter().chain(others).collect();
         let scope = if is_old { Scope::All } else { Scope::Since(known) };
         News { revision: self.revision, scope, changes }
     }
@@ -359,80 +260,126 @@
         changed: &mut Vec<Incarnation>,
     ) {
         let incarnation = target.incarnation;
-        if self.tombstones.get(&incarnation).is_some_and(|(removed, _)| *removed >= revision) {
+        if self.is_clash(&target) {
+            self.clashes += 1;
+            return;
+        }
+        let listing = self.names.entry(target.name.clone()).or_default();
+        let unusable = |revision| Withdrawal { revision, presence: Presence::Unusable(now) };
+        if target.start < listing.start {
+            // Whoever says when it started says so always: without it, the entry comes
+            // from another writer, and names no target.
+            if target.start == Start::default() {
+                self.withdraw(&target.name, unusable(revision), changed);
+            }
             return;
         }
+        if target.start > listing.start {
+            let is_foreign = listing.start == Start::default();
+            listing.start = target.start;
+            let earlier = listing.current.take().and_then(|it| self.targets.get_mut(&it));
+            if let Some(earlier) = earlier {
+                earlier.presence = Presence::Replaced(now);
+                changed.push(earlier.target.incarnation);
+                let known = earlier.revision;
+                if is_foreign && listing.withdrawn.is_none_or(|it| it.revision < known) {
+                    listing.withdrawn = Some(unusable(known));
+                }
+            }
+        }
+        if listing.withdrawn.is_some_and(|it| it.revision >= revision) {
+            return;
+        }
+        listing.current = Some(incarnation);
         let cold = now + target.cold;
         let fresh = Entry { target, revision, presence: Presence::Listed, cold };
         match self.targets.get_mut(&incarnation) {
             Some(known) if known.revision >= revision => return,
-            Some(known) => *known = fresh,
-            None => {
-                self.services.entry(fresh.target.service.clone()).or_default().push(incarnation);
-                self.indexes.entry(Index::of(incarnation)).or_default().push(incarnation);
-                self.targets.insert(incarnation, fresh);
-            }
+            Some(_) => {}
+            None => self.indexes.entry(Index::of(incarnation)).or_default().push(incarnation),
+        }
+        let service = self.services.entry(fresh.target.service.clone()).or_default();
+        if !service.contains(&incarnation) {
+            service.push(incarnation);
         }
+        self.targets.insert(incarnation, fresh);
         changed.push(incarnation);
     }
 
-    fn remove(
+    /// Whether another target has the same number. Packets in mid-flow would go to
+    /// either of the two, and be answered by a reset at the wrong one.
+    fn is_clash(&self, target: &Target) -> bool {
+        let known = self.targets.get(&target.incarnation).map(|entry| &entry.target);
+        known.is_some_and(|it| (&it.name, it.start) != (&target.name, target.start))
+    }
+
+    fn withdraw(
         &mut self,
-        revision: Revision,
-        incarnation: Incarnation,
-        now: Millis,
+        name: &TargetName,
+        withdrawal: Withdrawal,
         changed: &mut Vec<Incarnation>,
     ) {
-        let Some(known) = self.targets.get_mut(&incarnation) else {
-            let tombstone = self.tombstones.entry(incarnation).or_insert((revision, now));
-            tombstone.0 = tombstone.0.max(revision);
-            return;
-        };
+        let Withdrawal { revision, presence } = withdrawal;
+        let listing = self.names.entry(name.clone()).or_default();
+        if listing.withdrawn.is_none_or(|it| it.revision < revision) {
+            listing.withdrawn = Some(withdrawal);
+        }
+        let Some(known) = listing.current.and_then(|it| self.targets.get_mut(&it)) else { return };
         if known.revision >= revision {
             return;
         }
         known.revision = revision;
-        if known.presence == Presence::Listed {
-            known.presence = Presence::Removed(now);
-            changed.push(incarnation);
+        // An entry that named no target and then goes says nothing more of the target.
+        let is_news = match presence {
+            Presence::Unusable(_) => !matches!(known.presence, Presence::Unusable(_)),
+            _ => known.is_listed(),
+        };
+        if is_news {
+            known.presence = presence;
+            changed.push(known.target.incarnation);
         }
     }
 
     fn remove_others(
         &mut self,
         revision: Revision,
-        listed: &Set<Incarnation>,
+        listed: &Set<TargetName>,
         now: Millis,
         changed: &mut Vec<Incarnation>,
     ) {
-        let known = self.targets.values();
-        let gone = known.filter(|entry| entry.is_listed());
-        let gone = gone.map(|entry| entry.target.incarnation).filter(|it| !listed.contains(it));
-        for incarnation in gone.collect::<Vec<_>>() {
-            self.remove(revision, incarnation, now, changed);
+        let known = self.targets.values().filter(|entry| entry.is_listed());
+        let gone = known.map(|entry| &entry.target.name).filter(|it| !listed.contains(*it));
+        let withdrawal = Withdrawal { revision, presence: Presence::Removed(now) };
+        for name in gone.cloned().collect::<Vec<_>>() {
+            self.withdraw(&name, withdrawal, changed);
         }
     }
 
     /// Drops what was removed more than [`KEPT`] ago.
     fn forget(&mut self, now: Millis) {
-        let is_kept = |since: Millis| now.since(since) < KEPT;
-        let tombstones = self.tombstones.values().filter(|(_, since)| !is_kept(*since));
-        let forgotten = tombstones.map(|(revision, _)| *revision).max();
-        self.forgotten = self.forgotten.max(forgotten.unwrap_or_default());
-        self.tombstones.retain(|_, (_, since)| is_kept(*since));
-        let old = self.targets.values().filter_map(|entry| match entry.presence {
-            Presence::Removed(since) if !is_kept(since) => Some(entry.target.incarnation),
-            _ => None,
-        });
-        for incarnation in old.collect::<Vec<_>>() {
+        let is_over = |presence: Presence| presence.ended().is_some_and(|at| now.since(at) >= KEPT);
+        let old = self.targets.values().filter(|entry| is_over(entry.presence));
+        for incarnation in old.map(|it| it.target.incarnation).collect::<Vec<_>>() {
             self.drop_target(incarnation);
         }
+        let (targets, forgotten) = (&self.targets, &mut self.forgotten);
+        self.names.retain(|_, listing| {
+            let is_kept = listing.current.is_some_and(|it| targets.contains_key(&it))
+                || listing.withdrawn.is_some_and(|it| !is_over(it.presence));
+            if !is_kept && let Some(withdrawal) = listing.withdrawn {
+                *forgotten = withdrawal.revision.max(*forgotten);
+            }
+            is_kept
+        });
     }
 
     fn drop_target(&mut self, incarnation: Incarnation) {
         let Some(entry) = self.targets.remove(&incarnation) else { return };
         self.forgotten = self.forgotten.max(entry.revision);
-        if let Some(list) = self.services.get_mut(&entry.target.service) {
+        if let Some(listing) = self.names.get_mut(&entry.target.name) {
+            listing.current.take_if(|it| *it == incarnation);
+        }
+        for list in self.services.values_mut() {
             list.retain(|it| *it != incarnation);
         }
         if let Some(list) = self.indexes.get_mut(&Index::of(incarnation)) {
@@ -441,17 +388,17 @@
     }
 }
 
-impl Route {
-    /// The shares in a fixed order, whose cumulative weights split new flows.
-    pub fn share(&self, draw: u64) -> &ServiceName {
-        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
-        let mut rest = draw % total.max(1);
-        for share in &self.shares {
-            match rest.cmp(&u64::from(share.weight)) {
-                Ordering::Less => return &share.service,
-                _ => rest -= u64::from(share.weight),
-            }
+impl Listing {
+    /// That no target is listed there as news, unless the entry of one says so.
+    fn change(&self, name: &TargetName) -> Option<Change> {
+        if self.current.is_some() {
+            return None;
         }
-        &self.shares[0].service
+        let Withdrawal { revision, presence } = self.withdrawn?;
+        let content = match presence {
+            Presence::Unusable(_) => Content::Unusable(name.clone()),
+            _ => Content::Removed(name.clone()),
+        };
+        Some(Change { revision, content })
     }
 }
--- a/marked/src/delta.rs
+++ b/marked/src/delta.rs
@@ -28,6 +28,10 @@
 }
 
 impl Delta {
+    pub(crate) fn is_sound(&self) -> bool {
+        self.routes.iter().all(Route::is_sound)
+    }
+
     /// The difference from `old`, which has revision `base`, to `new`.
     pub fn between(base: Revision, old: &Config, new: &Config) -> Delta {
         let known: Map<_, _> = old.routes.iter().map(|it| (it.address, it)).collect();
--- /dev/null
+++ b/marked/src/entry.rs
@@ -0,0 +1,61 @@
+//! A target with what is known of its entry.
+
+use crate::{Change, Content, Revision, Target};
+use medlarspur_lib::time::Millis;
+
+/// Whether the source lists a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// It does.
+    Listed,
+    /// It did until then, by this instance's clock.
+    Removed(Millis),
+    /// Since then its entry names no target that could be used.
+    Unusable(Millis),
+    /// Since then a later start under the same name is known.
+    Replaced(Millis),
+}
+
+impl Presence {
+    /// Since when it is not listed, if it is not.
+    pub fn ended(self) -> Option<Millis> {
+        match self {
+            Presence::Listed => None,
+            Presence::Removed(at) | Presence::Unusable(at) | Presence::Replaced(at) => Some(at),
+        }
+    }
+}
+
+/// A target with what is known of its entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The target.
+    pub target: Target,
+    /// The revision of this picture.
+    pub revision: Revision,
+    /// Whether it is listed.
+    pub presence: Presence,
+    /// Until when it is slow after its start.
+    pub cold: Millis,
+}
+
+impl Entry {
+    /// Whether the source lists it.
+    pub fn is_listed(&self) -> bool {
+        self.presence == Presence::Listed
+    }
+
+    /// The entry as news; none if a later start of the target says more.
+    pub(crate) fn change(&self, now: Millis) -> Option<Change> {
+        let name = || self.target.name.clone();
+        let content = match self.presence {
+            Presence::Listed => {
+                Content::Target(Target { cold: self.cold.since(now), ..self.target.clone() })
+            }
+            Presence::Removed(_) => Content::Removed(name()),
+            Presence::Unusable(_) => Content::Unusable(name()),
+            Presence::Replaced(_) => return None,
+        };
+        Some(Change { revision: self.revision, content })
+    }
+}
--- a/marked/src/fleet/spread.rs
+++ b/marked/src/fleet/spread.rs
@@ -1,17 +1,20 @@
 //! Passing news on through a failure domain, as a tree.
 
 use super::{Fleet, lack::ON_ITS_WAY, presence::MOST};
-use crate::{Catalog, News, Revision, Scope, message::Message};
+use crate::{
+    Catalog, Change, News, Revision, Scope,
+    message::{MAX_DATAGRAM, Message, size},
+};
 use medlarspur_lib::time::Millis;
 use std::net::SocketAddrV4;
 
 /// To how many others an instance passes news on. Four levels reach a hundred
 /// instances of a domain twice over.
 const FANOUT: usize = 5;
-/// How many changes go into one datagram. An entry of a target takes some 60
-/// bytes and an address to pass it on to 6, of which a domain of a hundred has
-/// twenty a branch; [`MAX_DATAGRAM`](crate::message::MAX_DATAGRAM) is 1,200.
-const PIECE: usize = 12;
+/// How many bytes of changes go into one datagram. An entry of a target takes some 90
+/// bytes; beside them stand the head and addresses to pass it on to, of 6 bytes, of which
+/// a domain of a hundred has twenty a branch. [`MAX_DATAGRAM`] is 1,200.
+const PIECE: usize = MAX_DATAGRAM - 250;
 
 impl Fleet {
     /// Tells the domain what is new since the last time; answers whether anything
@@ -86,9 +89,9 @@
     let mut changes = news.changes.clone();
     changes.sort_by_key(|change| change.revision);
     let mut pieces: Vec<News> = Vec::new();
-    for changes in changes.chunks(PIECE) {
+    for changes in packed(changes) {
         let revision = changes[changes.len() - 1].revision;
-        pieces.push(News { revision, scope: Scope::Since(known), changes: changes.to_vec() });
+        pieces.push(News { revision, scope: Scope::Since(known), changes });
         known = revision;
     }
     match pieces.last_mut() {
@@ -97,3 +100,22 @@
     }
     pieces
 }
+
+/// Groups changes, in their order, so that each group has [`PIECE`] bytes at most, or
+/// one change.
+fn packed(changes: Vec<Change>) -> Vec<Vec<Change>> {
+    let mut groups: Vec<Vec<Change>> = Vec::new();
+    let mut room = 0;
+    for change in changes {
+        let size = size(&change);
+        match groups.last_mut() {
+            Some(group) if size <= room => group.push(change),
+            _ => {
+                groups.push(vec![change]);
+                room = PIECE;
+            }
+        }
+        room = room.saturating_sub(size);
+    }
+    groups
+}
--- a/marked/src/forwarder/explain.rs
+++ b/marked/src/forwarder/explain.rs
@@ -1,7 +1,7 @@
 //! What the forwarder knows and why flows go where they go, for operators.
 
 use super::Forwarder;
-use crate::{Entry, FlowKey};
+use crate::{Entry, FlowKey, Presence};
 use medlarspur_lib::{
     bundle::Protocol,
     collections::Set,
@@ -74,7 +74,8 @@
         let target = &entry.target;
         let state = self.states.get(&target.incarnation);
         MarkedTarget {
-            incarnation: target.incarnation.to_string(),
+            name: target.name.clone(),
+            start: target.start.0,
             address: target.address,
             domain: target.domain.clone(),
             usage: self.usage(entry, now),
@@ -92,6 +93,8 @@
             Some(Tier::Doubtful) => TargetUse::Doubtful,
             None if entry.target.leaving => TargetUse::Leaving,
             None if is_lost && entry.is_listed() => TargetUse::Lost,
+            None if matches!(entry.presence, Presence::Unusable(_)) => TargetUse::Unusable,
+            None if matches!(entry.presence, Presence::Replaced(_)) => TargetUse::Replaced,
             None => TargetUse::Removed,
         }
     }
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -122,6 +122,7 @@
             {
                 return None;
             }
+            Presence::Unusable(_) | Presence::Replaced(_) => return None,
             _ if is_doubted => Tier::Doubtful,
             Presence::Removed(_) => Tier::Unlisted,
             Presence::Listed => Tier::Good,
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -1,8 +1,10 @@
 //! Noticing targets that do not answer, and leaving them.
 
 use super::{Forwarder, Output, Refusal, State, waiting::NewFlow};
-use crate::{Entry, EntryState, Finding, Flow, FlowKey, Incarnation, Note, Phase, Presence};
-use medlarspur_lib::time::Millis;
+use crate::{
+    Entry, EntryState, Finding, Flow, FlowKey, Health, Incarnation, Note, Phase, Presence, Target,
+};
+use medlarspur_lib::{ids::TargetName, time::Millis};
 
 /// How long targets may be silent while none at all shows life before that
 /// counts: three questions of 300 ms. Their number says nothing, since a link that
@@ -22,13 +24,40 @@
         let Some(entry) = self.catalog.entry(target) else { return };
         let state = match entry.presence {
             Presence::Removed(_) => EntryState::Removed,
+            Presence::Unusable(_) => EntryState::Unusable,
+            Presence::Replaced(_) => EntryState::Replaced,
             Presence::Listed if entry.target.leaving => EntryState::Leaving,
             Presence::Listed => EntryState::Listed,
         };
-        out.note(Note::Entry { target, state, revision: entry.revision });
-        if state == EntryState::Removed && !entry.target.leaving {
+        let Target { name, start, leaving, .. } = entry.target.clone();
+        let revision = entry.revision;
+        out.note(Note::Entry { target, name: name.clone(), start, state, revision });
+        match state {
             // It died, or its entry lapsed: asking tells which.
-            self.ask(target, now, out);
+            EntryState::Removed if !leaving => self.ask(target, now, out),
+            EntryState::Replaced => self.learn_replaced(target, &name, now, out),
+            _ => {}
+        }
+    }
+
+    /// A target has started again. Whoever did not know it yet may have opened flows
+    /// with the earlier start's mark, and where the address is the same, they are at the
+    /// later one. To reset them as flows of a dead process would break them; the process
+    /// itself resets what it doesn't hold. Where the address is another one, the earlier
+    /// process is asked, and its flows are reset once it is found gone.
+    fn learn_replaced(
+        &mut self,
+        target: Incarnation,
+        name: &TargetName,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
+        let address = |entry: Option<&Entry>| entry.map(|it| it.target.address);
+        if address(self.catalog.entry(target)) != address(self.catalog.latest(name)) {
+            return self.ask(target, now, out);
+        }
+        if let Some(state) = self.states.get_mut(&target) {
+            state.health = Health::new(now);
         }
     }
 
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -12,23 +12,27 @@
 
 mod catalog;
 mod delta;
+mod entry;
 mod fleet;
 mod flow;
 mod forwarder;
 mod health;
+mod incarnation;
 mod mark;
 pub mod message;
+mod news;
 mod note;
 mod segment;
 
-pub use catalog::{
-    Catalog, Change, Config, Content, Entry, News, Presence, Revision, Route, Scope, Share, Target,
-};
+pub use catalog::Catalog;
 pub use delta::Delta;
+pub use entry::{Entry, Presence};
 pub use fleet::{Fleet, Outgoing};
 pub use flow::{Flow, Phase, Seen};
 pub use forwarder::{Counts, Forwarder, Output, Refusal, Span, Tuning, Unroutable};
 pub use health::{Finding, Health};
-pub use mark::{Incarnation, Mark};
+pub use incarnation::{Incarnation, Start};
+pub use mark::Mark;
+pub use news::{Change, Config, Content, MOST_SLOTS, News, Revision, Route, Scope, Share, Target};
 pub use note::{EntryState, Fields, Note, NoteKind};
 pub use segment::{FlowKey, Kind, Segment};
--- a/marked/src/mark.rs
+++ b/marked/src/mark.rs
@@ -11,11 +11,9 @@
 //! them usable as keys. A guessed mark holds by chance once in four million
 //! (2^22) times the number of targets that share its index.
 
-use crate::FlowKey;
-use serde::{Deserialize, Serialize};
+use crate::{FlowKey, Incarnation};
 use siphasher::sip::SipHasher13;
 use std::{
-    fmt,
     hash::{Hash, Hasher},
     num::NonZeroU32,
 };
@@ -29,17 +27,6 @@
 /// Tells the hash that makes the index from the one that makes the check.
 const INDEX_SALT: u64 = 0x6d61_726b;
 
-/// One start of a target. A target that restarts, and another one that takes
-/// over its address, is a different incarnation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Incarnation(pub u64);
-
-impl fmt::Display for Incarnation {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:08x}", self.0)
-    }
-}
-
 /// A mark as packets carry it; never 0, which stands for none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Mark(NonZeroU32);
--- a/marked/src/message.rs
+++ b/marked/src/message.rs
@@ -1,13 +1,13 @@
 //! What instances tell each other, as datagrams and as whole pictures.
 
-use crate::{News, Revision};
+use crate::{Change, News, Revision};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 use std::net::SocketAddrV4;
 
 /// The version of these messages; instances of different versions ignore each
 /// other and read the store themselves.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// The most bytes of a datagram between instances, below an ordinary network's
 /// 1,500 with all headers.
 pub const MAX_DATAGRAM: usize = 1_200;
@@ -78,6 +78,9 @@
         /// What is wrong.
         source: postcard::Error,
     },
+    /// It holds values that no instance sends.
+    #[snafu(display("the message holds values out of range"))]
+    Unsound,
     /// It does not fit into a datagram.
     #[snafu(display("the message has {size} bytes, {MAX_DATAGRAM} fit"))]
     Oversize {
@@ -103,7 +106,11 @@
 ///
 /// Fails on anything that [`encode`] doesn't make.
 pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
-    postcard::from_bytes(body(bytes)?).context(DecodeSnafu)
+    let message = postcard::from_bytes(body(bytes)?).context(DecodeSnafu)?;
+    if let Message::News { news, .. } = &message {
+        ensure!(news.is_sound(), UnsoundSnafu);
+    }
+    Ok(message)
 }
 
 /// Encodes a picture for a stream, of any size.
@@ -121,7 +128,15 @@
 ///
 /// Fails on anything that [`encode_news`] doesn't make.
 pub fn decode_news(bytes: &[u8]) -> Result<News, MessageError> {
-    postcard::from_bytes(body(bytes)?).context(DecodeSnafu)
+    let news: News = postcard::from_bytes(body(bytes)?).context(DecodeSnafu)?;
+    ensure!(news.is_sound(), UnsoundSnafu);
+    Ok(news)
+}
+
+/// How many bytes a change takes in a message; more than any datagram has if it can't
+/// be encoded, and whoever sends it is told why.
+pub(crate) fn size(change: &Change) -> usize {
+    postcard::to_stdvec(change).map_or(usize::MAX, |bytes| bytes.len())
 }
 
 fn body(bytes: &[u8]) -> Result<&[u8], MessageError> {
--- /dev/null
+++ b/marked/src/news.rs
@@ -0,0 +1,167 @@
+//! News of targets and routes: what instances read from the platform and tell
+//! each other.
+
+use crate::{Incarnation, Start, delta::Delta};
+use medlarspur_lib::{
+    bundle::Class,
+    ids::{DomainName, ServiceName, TargetName, Version},
+    time::Millis,
+};
+use serde::{Deserialize, Serialize};
+use std::{cmp::Ordering, net::SocketAddrV4};
+
+/// The most slots that a target may claim. Those of today have 2 or 3; a number
+/// beyond this is a mistake, and would draw all new flows to that target.
+pub const MOST_SLOTS: u32 = 10_000;
+
+/// The source's count of its changes.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Revision(pub u64);
+
+/// One target, as it describes itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// The name under which all of its starts are listed.
+    pub name: TargetName,
+    /// When it started.
+    pub start: Start,
+    /// This start of it: [`Incarnation::new`] of the two above.
+    pub incarnation: Incarnation,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Where it takes packets (UDP) and questions about its health (TCP).
+    pub address: SocketAddrV4,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// How many requests it works on at once; 1 to [`MOST_SLOTS`].
+    pub slots: u32,
+    /// Whether it is about to go: its flows go on, new ones go elsewhere.
+    pub leaving: bool,
+    /// How much longer it is slow after its start, counted from the moment
+    /// when the entry was written.
+    pub cold: Millis,
+}
+
+/// Where new flows to an address and port go.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// The address and port that callers ask for.
+    pub address: SocketAddrV4,
+    /// The class of the requests inside.
+    pub class: Class,
+    /// Within which time they should be answered, if operators say so.
+    pub goal: Option<Millis>,
+    /// The services that new flows are split over; never empty, and the sum
+    /// of the weights is positive.
+    pub shares: Vec<Share>,
+}
+
+/// A service's part of a route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceName,
+    /// Its weight among the shares of the route.
+    pub weight: u32,
+}
+
+/// What operators have published, as one value.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// Its version.
+    pub version: Version,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// The path of each service's health endpoint.
+    pub health: Vec<(ServiceName, Box<str>)>,
+    /// How long a flow may be silent before it may be forgotten.
+    pub idle: Millis,
+}
+
+/// What has changed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Content {
+    /// The config.
+    Config(Config),
+    /// What makes the config of an earlier one. Who has another one than that
+    /// lacks something and must ask.
+    Delta(Delta),
+    /// A target, present.
+    Target(Target),
+    /// The entry of that name was removed, whichever start of it was listed.
+    Removed(TargetName),
+    /// The entry of that name is there and names no target that could be used:
+    /// another writer changed it. Flows at the target that it named go on.
+    Unusable(TargetName),
+}
+
+/// One item at its revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// When the source changed it last.
+    pub revision: Revision,
+    /// What it is now.
+    pub content: Content,
+}
+
+/// How much of the source a piece of news covers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// All changes since a revision.
+    Since(Revision),
+    /// All targets: one that is not there was removed.
+    All,
+}
+
+/// News from a source.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The source's count when it told this.
+    pub revision: Revision,
+    /// What it covers.
+    pub scope: Scope,
+    /// The items.
+    pub changes: Vec<Change>,
+}
+
+impl News {
+    /// Whether all values are in their ranges. What comes from the platform is;
+    /// a message between instances may be damaged, and one target with no slots or
+    /// one route without a service would end the thread that forwards packets.
+    pub fn is_sound(&self) -> bool {
+        self.changes.iter().all(|change| match &change.content {
+            Content::Config(config) => config.routes.iter().all(Route::is_sound),
+            Content::Delta(delta) => delta.is_sound(),
+            Content::Target(target) => target.is_sound(),
+            Content::Removed(_) | Content::Unusable(_) => true,
+        })
+    }
+}
+
+impl Target {
+    fn is_sound(&self) -> bool {
+        let is_named = self.incarnation == Incarnation::new(&self.name, self.start);
+        is_named && (1..=MOST_SLOTS).contains(&self.slots)
+    }
+}
+
+impl Route {
+    pub(crate) fn is_sound(&self) -> bool {
+        self.shares.iter().any(|share| share.weight > 0)
+    }
+
+    /// The shares in a fixed order, whose cumulative weights split new flows.
+    pub fn share(&self, draw: u64) -> &ServiceName {
+        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let mut rest = draw % total.max(1);
+        for share in &self.shares {
+            match rest.cmp(&u64::from(share.weight)) {
+                Ordering::Less => return &share.service,
+                _ => rest -= u64::from(share.weight),
+            }
+        }
+        &self.shares[0].service
+    }
+}
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -1,7 +1,11 @@
 //! What was decided or is believed anew, for whoever explains it afterwards.
 
-use crate::{Finding, FlowKey, Incarnation, Mark, Refusal, Revision, Unroutable};
-use medlarspur_lib::{bundle::Class, ids::Version, time::Millis};
+use crate::{Finding, FlowKey, Incarnation, Mark, Refusal, Revision, Start, Unroutable};
+use medlarspur_lib::{
+    bundle::Class,
+    ids::{TargetName, Version},
+    time::Millis,
+};
 use medlarspur_load::choice::Tier;
 use std::fmt;
 
@@ -92,6 +96,10 @@
     Entry {
         /// The target.
         target: Incarnation,
+        /// The name under which it is listed.
+        name: TargetName,
+        /// When it started, by its own clock.
+        start: Start,
         /// What became of it.
         state: EntryState,
         /// The revision that says so.
@@ -117,6 +125,10 @@
     Leaving,
     /// It is not listed any more.
     Removed,
+    /// Its entry names no target that could be used.
+    Unusable,
+    /// A later start under its name is known.
+    Replaced,
 }
 
 /// The kinds of notes. Their number is bounded apart from each other, so that
@@ -203,12 +215,12 @@
         }
     }
 
-    /// Its fields.
-    pub fn fields(&self) -> Fields {
+    /// Its fields; `name` tells what a target is called in lines.
+    pub fn fields(&self, name: impl Fn(Incarnation) -> String) -> Fields {
         match self {
             Note::Opened { flow, target, class, tier, work, candidates } => vec![
                 ("flow", flow.to_string()),
-                ("target", target.to_string()),
+                ("target", name(*target)),
                 ("class", lower(class)),
                 ("tier", lower(tier)),
                 ("work", work.to_string()),
@@ -222,11 +234,11 @@
                 ("waiting", waiting.to_string()),
             ],
             Note::Moved { flow, from } => {
-                vec![("flow", flow.to_string()), ("from", from.to_string())]
+                vec![("flow", flow.to_string()), ("from", name(*from))]
             }
             Note::Reset { flow, refusal, target, lost } => {
                 let mut fields = vec![("flow", flow.to_string()), ("reason", lower(refusal))];
-                fields.extend(target.map(|it| ("target", it.to_string())));
+                fields.extend(target.map(|it| ("target", name(it))));
                 fields.extend(lost.map(|it| ("lost_ms", it.to_string())));
                 fields
             }
@@ -236,20 +248,20 @@
                 fields
             }
             Note::Doubted { target, flow, silent } => {
-                let mut fields =
-                    vec![("target", target.to_string()), ("silent_ms", silent.to_string())];
+                let mut fields = vec![("target", name(*target)), ("silent_ms", silent.to_string())];
                 fields.extend(flow.map(|it| ("flow", it.to_string())));
                 fields
             }
             Note::Lost { target, finding, silent, flows } => vec![
-                ("target", target.to_string()),
+                ("target", name(*target)),
                 ("finding", lower(finding)),
                 ("silent_ms", silent.to_string()),
                 ("flows", flows.to_string()),
             ],
-            Note::Regained { target } => vec![("target", target.to_string())],
-            Note::Entry { target, state, revision } => vec![
-                ("target", target.to_string()),
+            Note::Regained { target } => vec![("target", name(*target))],
+            Note::Entry { target, start, state, revision, .. } => vec![
+                ("target", name(*target)),
+                ("start", start.0.to_string()),
                 ("state", lower(state)),
                 ("revision", revision.0.to_string()),
             ],
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -2,12 +2,12 @@
 
 use medlarspur_lib::{
     bundle::Class,
-    ids::{DomainName, ServiceName, Version},
+    ids::{DomainName, ServiceName, TargetName, Version},
     time::Millis,
 };
 use medlarspur_marked::{
     Change, Config, Content, FlowKey, Forwarder, Incarnation, Kind, Mark, News, Note, Output,
-    Refusal, Revision, Route, Scope, Segment, Share, Span, Target, Tuning,
+    Refusal, Revision, Route, Scope, Segment, Share, Span, Start, Target, Tuning,
 };
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -22,10 +22,23 @@
     Millis(millis)
 }
 
+/// The name of target `number`.
+pub fn name(number: u64) -> TargetName {
+    TargetName::new(&format!("i-{:08x}", 0x7000_0000 + number))
+}
+
 /// Target `number` of a service, at an address of its own.
 pub fn target(number: u64, service: &str) -> Target {
+    started(number, service, 1_700_000_000_000)
+}
+
+/// The same, started at a moment of its own clock.
+pub fn started(number: u64, service: &str, start: u64) -> Target {
+    let (name, start) = (name(number), Start(start));
     Target {
-        incarnation: Incarnation(0x7000_0000 + number),
+        incarnation: Incarnation::new(&name, start),
+        name,
+        start,
         service: ServiceName::new(service),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 64, number as u8), 8080),
         domain: DomainName::new("north"),
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -11,4 +11,5 @@
 mod test_mark;
 mod test_openings;
 mod test_properties;
+mod test_restarts;
 mod test_waiting;
--- a/marked/tests/test_catalog.rs
+++ b/marked/tests/test_catalog.rs
@@ -1,6 +1,6 @@
 //! News in any order makes one picture.
 
-use super::fixtures::{FEED, change, config, millis, news, one, target};
+use super::fixtures::{FEED, change, config, millis, name, news, one, started, target};
 use medlarspur_lib::ids::ServiceName;
 use medlarspur_marked::{Catalog, Content, Incarnation, News, Presence, Revision, Scope};
 use proptest::prelude::*;
@@ -15,9 +15,10 @@
 }
 
 fn histories() -> impl Strategy<Value = Vec<News>> {
-    let content = (1..6u64, 0..3u8).prop_map(|(number, kind)| match kind {
-        0 => Content::Removed(target(number, "desk").incarnation),
-        1 => Content::Target(target(number, "desk")),
+    let content = (1..6u64, 0..4u64, 0..6u8).prop_map(|(number, start, kind)| match kind {
+        0 => Content::Removed(name(number)),
+        1 => Content::Unusable(name(number)),
+        2..5 => Content::Target(started(number, "desk", start)),
         _ => Content::Config(config(number)),
     });
     proptest::collection::vec(content, 1..30).prop_map(|contents| {
@@ -82,7 +83,7 @@
 fn a_removal_that_came_first_keeps_the_entry_out() {
     let mut catalog = Catalog::default();
     let gone = target(1, "desk");
-    catalog.merge(one(9, Content::Removed(gone.incarnation)), millis(0));
+    catalog.merge(one(9, Content::Removed(gone.name.clone())), millis(0));
 
     catalog.merge(one(8, Content::Target(gone)), millis(1));
 
@@ -125,7 +126,7 @@
     let mut catalog = Catalog::default();
     let it = target(1, "desk");
     catalog.merge(one(1, Content::Target(it.clone())), millis(0));
-    catalog.merge(one(2, Content::Removed(it.incarnation)), millis(10));
+    catalog.merge(one(2, Content::Removed(it.name.clone())), millis(10));
 
     catalog.merge(one(3, Content::Target(it.clone())), millis(20));
 
@@ -140,7 +141,7 @@
     let mut catalog = Catalog::default();
     let it = target(1, "desk");
     catalog.merge(one(1, Content::Target(it.clone())), millis(0));
-    catalog.merge(one(2, Content::Removed(it.incarnation)), millis(0));
+    catalog.merge(one(2, Content::Removed(it.name.clone())), millis(0));
 
     catalog.merge(one(3, Content::Config(config(1))), millis(60_000));
     assert!(catalog.entry(it.incarnation).is_some());
@@ -167,8 +168,8 @@
 fn the_latest_of_two_removals_counts() {
     let mut catalog = Catalog::default();
     let gone = target(1, "desk");
-    catalog.merge(one(9, Content::Removed(gone.incarnation)), millis(0));
-    catalog.merge(one(4, Content::Removed(gone.incarnation)), millis(0));
+    catalog.merge(one(9, Content::Removed(gone.name.clone())), millis(0));
+    catalog.merge(one(4, Content::Removed(gone.name.clone())), millis(0));
 
     catalog.merge(one(6, Content::Target(gone)), millis(1));
 
@@ -186,7 +187,7 @@
     asked.merge(one(2, Content::Target(gone.clone())), millis(0));
     let mut away = Catalog::default();
     away.merge(asked.since(Revision(0), millis(0)), millis(0));
-    asked.merge(one(3, Content::Removed(gone.incarnation)), millis(10));
+    asked.merge(one(3, Content::Removed(gone.name.clone())), millis(10));
     asked.merge(one(4, Content::Config(config(1))), millis(100_000));
 
     let told = asked.since(away.revision(), millis(100_000));
--- a/marked/tests/test_forwarder.rs
+++ b/marked/tests/test_forwarder.rs
@@ -34,7 +34,7 @@
     let mut instance = Instance::new(&[target(1, "desk"), target(2, "desk")]);
     let key = flow(1, FEED);
     let at = instance.opened(key, 0);
-    instance.learn(one(200, Content::Removed(at)), 100);
+    instance.learn(one(200, Content::Removed(super::fixtures::name(1))), 100);
 
     instance.packet(middle(key, at, 1001, 500, 100), 30_000);
 
--- a/marked/tests/test_openings.rs
+++ b/marked/tests/test_openings.rs
@@ -1,6 +1,6 @@
 //! Where opening packets go, and what happens when nothing answers them.
 
-use super::fixtures::{FEED, Instance, REQUEST, flow, middle, one, segment, target};
+use super::fixtures::{FEED, Instance, REQUEST, flow, middle, name, one, segment, target};
 use medlarspur_marked::{Content, Finding, Incarnation, Kind, Refusal};
 
 #[test]
@@ -159,7 +159,7 @@
 fn a_target_whose_entry_lapsed_is_used_while_it_answers() {
     let mut instance = Instance::new(&[target(1, "desk")]);
     let only = target(1, "desk").incarnation;
-    instance.learn(one(200, Content::Removed(only)), 1000);
+    instance.learn(one(200, Content::Removed(name(1))), 1000);
     assert_eq!(instance.out.asked, [only]);
     instance.forwarder.answer(
         only,
--- a/marked/tests/test_properties.rs
+++ b/marked/tests/test_properties.rs
@@ -88,7 +88,7 @@
                     instance.learn(one(revision, Content::Target(entry)), now);
                 }
                 Step::Removed { target } => {
-                    instance.learn(one(revision, Content::Removed(of(target).incarnation)), now);
+                    instance.learn(one(revision, Content::Removed(of(target).name)), now);
                 }
                 Step::Found { target, finding } => {
                     let findings = [Finding::Answers, Finding::Gone, Finding::Silent];
--- /dev/null
+++ b/marked/tests/test_restarts.rs
@@ -0,0 +1,217 @@
+//! Targets that start again under the name that they had.
+
+use super::fixtures::{FEED, Instance, flow, middle, millis, name, one, segment, started, target};
+use medlarspur_marked::{Catalog, Content, EntryState, Finding, Incarnation, Kind, Note, Presence};
+
+const FIRST: u64 = 1_700_000_000_000;
+const SECOND: u64 = FIRST + 9_000;
+const THIRD: u64 = FIRST + 9_400;
+
+fn incarnation(start: u64) -> Incarnation {
+    started(1, "desk", start).incarnation
+}
+
+fn presence(catalog: &Catalog, start: u64) -> Presence {
+    catalog.entry(incarnation(start)).expect("known").presence
+}
+
+/// An instance that knows the first start of target 1, and target 2.
+fn two() -> Instance {
+    Instance::new(&[started(1, "desk", FIRST), target(2, "desk")])
+}
+
+/// The store is away while a target starts again, so instances open flows by its earlier
+/// entry. Those are at the new process, which has the same address; to reset them once
+/// its entry is known would break them.
+#[test]
+fn flows_that_were_opened_by_the_earlier_entry_go_on() {
+    let mut instance = Instance::new(&[started(1, "desk", FIRST)]);
+    let key = flow(1, FEED);
+    let at = instance.opened(key, 100);
+
+    instance.learn(one(200, Content::Target(started(1, "desk", SECOND))), 2_000);
+    instance.packet(middle(key, at, 1001, 500, 100), 2_100);
+
+    assert!(instance.out.resets.is_empty());
+    assert_eq!(instance.last(), incarnation(FIRST), "its mark stays what it was");
+    assert_eq!(instance.open(flow(2, FEED), 2_200), incarnation(SECOND));
+}
+
+/// An entry that the earlier process had under way is written after the first one of the
+/// later process. Taken, it would make the target lead back to what is gone: its slow
+/// start, that it leaves, an old address.
+#[test]
+fn a_late_entry_of_the_earlier_start_changes_nothing() {
+    let mut instance = two();
+    instance.learn(one(200, Content::Target(started(1, "desk", SECOND))), 1_000);
+    let mut late = started(1, "desk", FIRST);
+    late.leaving = true;
+
+    instance.learn(one(201, Content::Target(late)), 1_100);
+
+    assert_eq!(presence(instance.forwarder.catalog(), SECOND), Presence::Listed);
+    let opened = (10..20).map(|number| instance.open(flow(number, FEED), 1_200));
+    assert!(opened.collect::<Vec<_>>().contains(&incarnation(SECOND)));
+}
+
+/// It crashes, its entry lapses, and it comes back under its id.
+#[test]
+fn a_target_that_comes_back_after_its_entry_lapsed_is_used() {
+    let mut instance = Instance::new(&[started(1, "desk", FIRST)]);
+    instance.learn(one(200, Content::Removed(name(1))), 1_000);
+    instance.packet(segment(flow(1, FEED), Kind::Open), 1_100);
+    assert_eq!(instance.out.resets.len(), 1);
+
+    instance.learn(one(201, Content::Target(started(1, "desk", SECOND))), 2_000);
+
+    assert_eq!(instance.open(flow(2, FEED), 2_100), incarnation(SECOND));
+    assert!(matches!(presence(instance.forwarder.catalog(), FIRST), Presence::Replaced(_)));
+}
+
+/// It fails again just after its start. Of the two entries in one heartbeat, the first
+/// may be heard of last, from another instance.
+#[test]
+fn of_two_starts_within_a_heartbeat_the_later_one_counts() {
+    let mut instance = two();
+    instance.learn(one(202, Content::Target(started(1, "desk", THIRD))), 1_000);
+
+    instance.learn(one(201, Content::Target(started(1, "desk", SECOND))), 1_010);
+
+    assert_eq!(presence(instance.forwarder.catalog(), THIRD), Presence::Listed);
+    assert!(instance.forwarder.catalog().entry(incarnation(SECOND)).is_none());
+}
+
+/// It was leaving, and is started again instead of ending for good.
+#[test]
+fn a_target_that_left_and_started_again_takes_new_flows() {
+    let mut leaving = started(1, "desk", FIRST);
+    leaving.leaving = true;
+    let mut instance = Instance::new(&[leaving]);
+
+    instance.learn(one(200, Content::Target(started(1, "desk", SECOND))), 1_000);
+
+    assert_eq!(instance.open(flow(1, FEED), 1_100), incarnation(SECOND));
+}
+
+/// Nothing answered at the target, so its flows were reset and new ones went elsewhere.
+/// The process that starts in its place has done nothing wrong.
+#[test]
+fn what_was_believed_of_the_earlier_start_is_not_held_against_the_later_one() {
+    let mut instance = Instance::new(&[started(1, "desk", FIRST)]);
+    instance.forwarder.answer(incarnation(FIRST), Finding::Gone, millis(500), &mut instance.out);
+
+    instance.learn(one(200, Content::Target(started(1, "desk", SECOND))), 1_000);
+
+    assert_eq!(instance.open(flow(1, FEED), 1_010), incarnation(SECOND));
+}
+
+/// The target was asked just before it ended, and the finding comes after the entry of
+/// its next start.
+#[test]
+fn what_asking_the_earlier_start_brought_says_nothing_of_the_later_one() {
+    let mut instance = Instance::new(&[started(1, "desk", FIRST)]);
+    instance.learn(one(200, Content::Target(started(1, "desk", SECOND))), 1_000);
+    let key = flow(1, FEED);
+    let at = instance.opened(key, 1_010);
+
+    instance.forwarder.answer(
+        incarnation(FIRST),
+        Finding::Silent,
+        millis(1_100),
+        &mut instance.out,
+    );
+    instance.packet(middle(key, at, 1001, 500, 100), 1_200);
+
+    assert!(instance.out.resets.is_empty());
+    assert_eq!(instance.open(flow(2, FEED), 1_300), incarnation(SECOND));
+}
+
+/// It starts again at another address, and a target of another service has taken over
+/// the earlier one. Its old flows must not wait there for ever.
+#[test]
+fn at_another_address_the_earlier_start_is_asked() {
+    let mut instance = Instance::new(&[started(1, "desk", FIRST)]);
+    let key = flow(1, FEED);
+    let at = instance.opened(key, 100);
+    let mut moved = started(1, "desk", SECOND);
+    moved.address.set_port(9_090);
+    let mut other = target(3, "ingest");
+    other.address = started(1, "desk", FIRST).address;
+    instance.learn(one(199, Content::Target(other.clone())), 1_900);
+    instance.learn(one(200, Content::Target(moved)), 2_000);
+    assert_eq!(instance.out.asked, [incarnation(FIRST)]);
+
+    instance.forwarder.answer(at, Finding::Gone, millis(2_010), &mut instance.out);
+
+    assert_eq!(instance.out.resets.len(), 1);
+    assert_eq!(instance.open(flow(2, FEED), 2_100), incarnation(SECOND));
+    assert!(instance.out.sent.iter().all(|(to, ..)| *to != other.incarnation));
+}
+
+/// One instance knows the later start and another one doesn't yet. Packets of a flow may
+/// reach either.
+#[test]
+fn instances_with_different_pictures_send_a_flow_to_the_same_process() {
+    let mut ahead = Instance::new(&[started(1, "desk", FIRST)]);
+    let mut behind = Instance::new(&[started(1, "desk", FIRST)]);
+    ahead.learn(one(200, Content::Target(started(1, "desk", SECOND))), 1_000);
+    let by_old = flow(1, FEED);
+    let at = behind.opened(by_old, 1_100);
+    let by_new = flow(2, FEED);
+    let new = ahead.opened(by_new, 1_100);
+
+    ahead.packet(middle(by_old, at, 1001, 500, 100), 1_200);
+    behind.out.sent.clear();
+    behind.packet(middle(by_new, new, 1001, 500, 100), 1_200);
+
+    assert_eq!(ahead.last(), at);
+    assert!(behind.out.sent.is_empty(), "a mark that is not known yet leads nowhere");
+    assert!(behind.out.resets.is_empty());
+    behind.learn(one(200, Content::Target(started(1, "desk", SECOND))), 1_300);
+    behind.packet(middle(by_new, new, 1001, 500, 100), 1_400);
+    assert_eq!(behind.last(), incarnation(SECOND));
+}
+
+#[test]
+fn a_start_again_is_told_with_its_name_and_both_starts() {
+    let mut instance = two();
+
+    instance.learn(one(200, Content::Target(started(1, "desk", SECOND))), 1_000);
+
+    let told = instance.out.notes.iter().filter_map(|note| match note {
+        Note::Entry { name: it, start, state, .. } if *it == name(1) => Some((start.0, *state)),
+        _ => None,
+    });
+    let told = told.collect::<Vec<_>>();
+    assert!(told.contains(&(FIRST, EntryState::Replaced)), "{told:?}");
+    assert!(told.contains(&(SECOND, EntryState::Listed)), "{told:?}");
+}
+
+/// Two targets whose numbers are the same by chance: packets in mid-flow of one would
+/// reach the other, which resets them.
+#[test]
+fn a_target_whose_number_is_in_use_is_not_taken() {
+    let mut instance = two();
+    let mut clash = target(9, "desk");
+    clash.incarnation = incarnation(FIRST);
+
+    instance.learn(one(200, Content::Target(clash)), 1_000);
+
+    assert_eq!(instance.forwarder.catalog().clashes(), 1);
+    assert_eq!(presence(instance.forwarder.catalog(), FIRST), Presence::Listed);
+}
+
+/// Another program writes an entry under the id of a target, with all fields but the
+/// moment of its start, which targets here always give.
+#[test]
+fn an_entry_without_a_start_names_no_target_where_starts_are_known() {
+    let mut instance = Instance::new(&[started(1, "desk", FIRST)]);
+
+    instance.learn(one(200, Content::Target(started(1, "desk", 0))), 1_000);
+    instance.packet(segment(flow(1, FEED), Kind::Open), 1_100);
+
+    assert!(matches!(presence(instance.forwarder.catalog(), FIRST), Presence::Unusable(_)));
+    assert_eq!(instance.out.resets.len(), 1);
+    instance.learn(one(201, Content::Target(started(1, "desk", FIRST))), 2_000);
+    assert_eq!(instance.open(flow(2, FEED), 2_100), incarnation(FIRST));
+}
