--- a/daemon/tests/test_marked_soak.rs
+++ b/daemon/tests/test_marked_soak.rs
@@ -41,3 +41,9 @@
 fn seed_165_is_sound() {
     soak(165);
 }
+
+/// The first seed on which targets start again under their ids and are full.
+#[test]
+fn seed_1000_is_sound() {
+    soak(1_000);
+}
--- a/daemon/tests/test_marked_targets.rs
+++ b/daemon/tests/test_marked_targets.rs
@@ -70,3 +70,42 @@
 
     end(&site);
 }
+
+/// A target crashes and starts again at once, under its id and at its address. What it
+/// worked on is lost; callers go on with the new process, which knows none of their flows.
+#[test]
+fn a_target_that_starts_again_under_its_id_is_used_at_once() {
+    let mut site = site(4, 2);
+    site.add_callers(Class::Feed, 16);
+    wait_for_answers(&site, 40);
+    let name = format!("target=i-{:08x}", site.target(0).expect("a target").incarnation);
+
+    site.restart_target(0);
+    let replaced = ["target entry", &name, "state=replaced"];
+    wait_until("both know", || lines_with(&site, &replaced).len() == 2);
+    site.add_callers(Class::Request, 8);
+    wait_for_answers(&site, 150);
+
+    assert!(site.opened(0) > 0, "it takes flows again");
+    assert_eq!(unanswered(&end(&site)), 0, "feeds are asked for again and answered");
+}
+
+/// A target has as many flows as it takes. It goes on with them, and nobody is reset for
+/// it; requests go elsewhere, and come back once it has room.
+#[test]
+fn a_full_target_keeps_its_flows_and_gets_no_others() {
+    let mut site = site(8, 2);
+    site.add_callers(Class::Feed, 16);
+    site.add_callers(Class::Request, 12);
+    wait_for_answers(&site, 80);
+    let name = format!("target=i-{:08x}", site.target(0).expect("a target").incarnation);
+
+    site.set_full(0, true);
+    wait_until("it is noticed", || !lines_with(&site, &["target full", &name]).is_empty());
+    wait_for_answers(&site, 150);
+    site.set_full(0, false);
+    wait_for_answers(&site, 150);
+
+    assert!(lines_with(&site, &["flow reset", "reason=target-lost"]).is_empty());
+    assert_eq!(unanswered(&end(&site)), 0);
+}
