--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -148,20 +148,12 @@
                     self.merge_target(change.revision, target, now, &mut changed);
                 }
                 Content::Removed(name) => {
-                    let presence = Presence::Removed(now);
-                    self.withdraw(
-                        &name,
-                        Withdrawal { revision: change.revision, presence },
-                        &mut changed,
-                    );
+                    let withdrawal = Withdrawal::new(change.revision, Presence::Removed(now));
+                    self.withdraw(&name, withdrawal, &mut changed);
                 }
                 Content::Unusable(name) => {
-                    let presence = Presence::Unusable(now);
-                    self.withdraw(
-                        &name,
-                        Withdrawal { revision: change.revision, presence },
-                        &mut changed,
-                    );
+                    let withdrawal = Withdrawal::new(change.revision, Presence::Unusable(now));
+                    self.withdraw(&name, withdrawal, &mut changed);
                     listed.insert(name);
                 }
             }
@@ -265,7 +257,7 @@
             return;
         }
         let listing = self.names.entry(target.name.clone()).or_default();
-        let unusable = |revision| Withdrawal { revision, presence: Presence::Unusable(now) };
+        let unusable = |revision| Withdrawal::new(revision, Presence::Unusable(now));
         if target.start < listing.start {
             // Whoever says when it started says so always: without it, the entry comes
             // from another writer, and names no target.
@@ -349,7 +341,7 @@
     ) {
         let known = self.targets.values().filter(|entry| entry.is_listed());
         let gone = known.map(|entry| &entry.target.name).filter(|it| !listed.contains(*it));
-        let withdrawal = Withdrawal { revision, presence: Presence::Removed(now) };
+        let withdrawal = Withdrawal::new(revision, Presence::Removed(now));
         for name in gone.cloned().collect::<Vec<_>>() {
             self.withdraw(&name, withdrawal, changed);
         }
@@ -388,6 +380,12 @@
     }
 }
 
+impl Withdrawal {
+    fn new(revision: Revision, presence: Presence) -> Withdrawal {
+        Withdrawal { revision, presence }
+    }
+}
+
 impl Listing {
     /// That no target is listed there as news, unless the entry of one says so.
     fn change(&self, name: &TargetName) -> Option<Change> {
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -93,9 +93,7 @@
     ) {
         let Some(state) = self.states.get_mut(&target) else { return };
         if state.health.doubt(sent, now) {
-            state.doubted = Some(now);
-            out.note(Note::Doubted { target, flow: Some(flow), silent: now.since(sent) });
-            self.ask(target, now, out);
+            self.ask_doubted(target, flow, sent, now, out);
         }
     }
 
@@ -111,10 +109,23 @@
         let Some(state) = self.states.get_mut(&target) else { return };
         state.refused += u32::from(state.health.taken() <= sent);
         if state.health.doubt_opening(sent, now) {
+            self.ask_doubted(target, flow, sent, now, out);
+        }
+    }
+
+    fn ask_doubted(
+        &mut self,
+        target: Incarnation,
+        flow: FlowKey,
+        sent: Millis,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
+        if let Some(state) = self.states.get_mut(&target) {
             state.doubted = Some(now);
-            out.note(Note::Doubted { target, flow: Some(flow), silent: now.since(sent) });
-            self.ask(target, now, out);
         }
+        out.note(Note::Doubted { target, flow: Some(flow), silent: now.since(sent) });
+        self.ask(target, now, out);
     }
 
     pub(super) fn ask(&mut self, incarnation: Incarnation, now: Millis, out: &mut impl Output) {
