--- a/marked/src/forwarder/full.rs
+++ b/marked/src/forwarder/full.rs
@@ -102,7 +102,7 @@
     ) -> bool {
         let Some(state) = self.states.get(&target) else { return false };
         let health = &state.health;
-        let is_passed = self.answered > since && health.taken() < since;
+        let is_passed = self.heard.answered_since(since) && health.taken() < since;
         let is_full = match state.vacancy.is_full() {
             true => is_passed || now.since(since) >= FULL_PATIENCE,
             false => is_passed && state.refused >= UNANSWERED && health.life() > since,
@@ -214,7 +214,7 @@
     fn silence(&self, target: Incarnation) -> Option<Millis> {
         let entry = self.catalog.entry(target)?;
         let state = self.states.get(&target)?;
-        let service = self.answers.get(&entry.target.service).and_then(|it| it.bound());
+        let service = self.heard.longest_answer(&entry.target.service);
         let usual = state.answers.bound().max(service).unwrap_or(UNKNOWN_SILENCE);
         Some(usual.clamp(LEAST_SILENCE, MOST_SILENCE))
     }
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -17,6 +17,7 @@
 mod counts;
 mod explain;
 mod full;
+mod heard;
 mod leaving;
 mod output;
 mod placing;
@@ -31,12 +32,13 @@
     Catalog, Config, Flow, FlowKey, Incarnation, Kind, Mark, News, Note, Revision, Segment,
     flow::Seen,
 };
+use heard::Heard;
 use medlarspur_lib::{
     collections::{Map, SeededMap},
-    ids::{DomainName, ServiceName},
+    ids::DomainName,
     time::Millis,
 };
-use medlarspur_load::{estimate::Estimate, random::Random, reserve::Mix};
+use medlarspur_load::random::Random;
 use placing::OPENING_LIMIT;
 use state::State;
 use std::collections::VecDeque;
@@ -45,9 +47,6 @@
 /// How long a request may wait for its answer and still count as work of its
 /// target. Callers give up after 8 s at most.
 const WORK_LIMIT: Millis = Millis::secs(8);
-/// How many handshakes in a row whose opening was sent again say nothing of how long
-/// handshakes take. A few targets that are full at once make fewer.
-const MOST_AMBIGUOUS: u32 = 8;
 /// How often records of flows that ended without a word are dropped.
 const SWEEP_PAUSE: Millis = Millis::secs(1);
 
@@ -77,15 +76,8 @@
     lost: Vec<Incarnation>,
     /// Targets that take no openings.
     full: Vec<Incarnation>,
-    /// How long handshakes take, and answers of each service.
-    handshakes: Estimate,
-    /// How many handshakes in a row may have been answers to either of two openings.
-    ambiguous: u32,
-    answers: Map<ServiceName, Estimate>,
-    /// Which part of the work of each service is that of requests.
-    mixes: Map<ServiceName, Mix>,
-    /// When the latest opening came that a target has answered.
-    answered: Millis,
+    /// What was learnt from answers.
+    heard: Heard,
     /// When any target showed life last.
     life: Millis,
     /// When a target was found silent first since.
@@ -110,11 +102,7 @@
             domains: 1,
             lost: Vec::new(),
             full: Vec::new(),
-            handshakes: Estimate::default(),
-            ambiguous: 0,
-            answers: Map::default(),
-            mixes: Map::default(),
-            answered: Millis(0),
+            heard: Heard::default(),
             life: Millis(0),
             alone: None,
             swept: Millis(0),
@@ -255,32 +243,19 @@
         let Some(entry) = self.catalog.entry(flow.target) else { return };
         let service = entry.target.service.clone();
         if seen.opened {
-            let span = now.since(flow.since);
-            out.measure(&service, flow.class, Span::Handshake(span));
-            self.hear_handshake(span, flow.resent);
-            self.answered = self.answered.max(flow.since);
+            out.measure(&service, flow.class, Span::Handshake(now.since(flow.since)));
+            self.heard.handshake(flow.since, flow.resent, now);
         }
         if let Some(since) = seen.answered {
             let span = now.since(since);
             out.measure(&service, flow.class, Span::Answer(span));
-            self.mixes.entry(service.clone()).or_default().hear(flow.class, span);
-            self.answers.entry(service).or_default().hear(span);
+            self.heard.answer(&service, flow.class, span);
             if let Some(state) = self.states.get_mut(&flow.target) {
                 state.answers.hear(span);
             }
         }
     }
 
-    /// Takes in how long a handshake took. Where the opening was sent more than once, the
-    /// answer may be to either, and a target that leaves the first unanswered would make
-    /// all openings wait longer. Callers who are far make all of them so; then they count.
-    fn hear_handshake(&mut self, span: Millis, is_ambiguous: bool) {
-        self.ambiguous = if is_ambiguous { self.ambiguous + 1 } else { 0 };
-        if !is_ambiguous || self.ambiguous > MOST_AMBIGUOUS {
-            self.handshakes.hear(span);
-        }
-    }
-
     fn close(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
         if self.is_held(&segment.key) {
             return self.forget(&segment.key);
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -90,7 +90,7 @@
     }
 
     fn opening_patience(&self) -> Millis {
-        let usual = self.handshakes.bound().map_or(LEAST_PATIENCE, |usual| usual + LATENESS);
+        let usual = self.heard.longest_handshake().map_or(LEAST_PATIENCE, |usual| usual + LATENESS);
         usual.clamp(LEAST_PATIENCE, MOST_PATIENCE)
     }
 
@@ -140,7 +140,7 @@
         names: &[Incarnation],
         candidates: &mut [Candidate],
     ) {
-        let mix = self.mixes.get(service).copied().unwrap_or_default();
+        let mix = self.heard.mix(service);
         let domain = |name| self.catalog.entry(name).map(|entry| &entry.target.domain);
         let mut ranked: Vec<_> =
             names.iter().enumerate().map(|(at, name)| (domain(*name), *name, at)).collect();
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -66,8 +66,7 @@
         self.rooms.retain(|service, room| {
             !room.backlog.is_empty() || catalog.targets(service).next().is_some()
         });
-        self.answers.retain(|service, _| catalog.targets(service).next().is_some());
-        self.mixes.retain(|service, _| catalog.targets(service).next().is_some());
+        self.heard.retain(|service| catalog.targets(service).next().is_some());
     }
 
     /// Whether a flow waits to be opened.
