--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -44,6 +44,8 @@
     pub reach: (usize, usize),
     /// Targets that take no openings.
     pub full: usize,
+    /// Targets that were not taken because another one has their number.
+    pub clashes: u64,
 }
 
 /// The copy that scrapes read.
@@ -68,7 +70,7 @@
 /// One series and where its value is found.
 type Series = (Family, &'static str, fn(&Numbers) -> u64);
 
-const SERIES: [Series; 27] = [
+const SERIES: [Series; 28] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -84,6 +86,7 @@
     (Family::Flows, "reset-target-lost", |it| it.counts.lost),
     (Family::Drops, "unmarked", |it| it.counts.unmarked),
     (Family::Drops, "unknown-mark", |it| it.counts.unknown),
+    (Family::Drops, "record-clash", |it| it.clashes),
     (Family::Drops, "oversize", |it| it.wire.oversize),
     (Family::Drops, "empty", |it| it.wire.empty),
     (Family::Drops, "send-full", |it| it.wire.full),
