marked: let openings speak against a target only within two seconds

An instance opens a flow at a target every few seconds there, instances come and go, and the ends of some handshakes go by others; two such openings, seconds apart, added up.

--- a/load/tests/test_vacancy.rs
+++ b/load/tests/test_vacancy.rs
@@ -66,6 +66,19 @@
     assert!(!vacancy.is_full());
 }
 
+#[test]
+fn after_one_answer_a_request_is_tried_and_after_six_a_feed() {
+    let mut vacancy = Vacancy::default();
+    vacancy.refuse(Millis(0));
+
+    vacancy.answer();
+
+    assert!(vacancy.admits(Class::Request, 0) && !vacancy.admits(Class::Request, 1));
+    assert!(!vacancy.admits(Class::Feed, 0));
+    (1..6).for_each(|_| vacancy.answer());
+    assert!(vacancy.admits(Class::Feed, 0) && !vacancy.admits(Class::Feed, 1));
+}
+
 /// How many targets and places, and how many instances.
 const TARGETS: usize = 14;
 const PLACES: usize = 25;
--- a/marked/src/forwarder/full.rs
+++ b/marked/src/forwarder/full.rs
@@ -7,7 +7,8 @@
 //! when they try it again. It is lost only if its open flows are unanswered too: a caller
 //! has repeated what it sent, and nothing of any flow there was answered for longer than
 //! answers usually take. To reset the flows of a target that serves them would break
-//! them, and bring their callers back as new flows that fill the next target.
+//! them, and bring their callers back as new flows that fill the next target. The ways that
+//! were weighed are in `docs/design/full.md`.
 
 use super::{Forwarder, Output, State};
 use crate::{Entry, Finding, Incarnation, Note};
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -107,7 +107,7 @@
         out: &mut impl Output,
     ) {
         let Some(state) = self.states.get_mut(&target) else { return };
-        state.refused += u32::from(state.health.taken() <= sent);
+        state.refuse(sent, now);
         if state.health.doubt_opening(sent, now) {
             self.ask_doubted(target, flow, sent, now, out);
         }
--- a/marked/src/forwarder/state.rs
+++ b/marked/src/forwarder/state.rs
@@ -4,6 +4,12 @@
 use medlarspur_lib::{bundle::Class, time::Millis};
 use medlarspur_load::{estimate::Estimate, vacancy::Vacancy};
 
+/// Within which time openings must be unanswered to speak together against a target. Where
+/// instances come and go, the ends of some handshakes go by others; at a large site, where
+/// an instance opens a flow at a target every few seconds, such openings added up, and 150
+/// pairs of instance and target looked full on a day on which none was.
+const TOGETHER: Millis = Millis::secs(2);
+
 /// What is known of a target besides its entry.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct State {
@@ -11,8 +17,10 @@
     pub(super) doubted: Option<Millis>,
     /// Whether it has room for new flows.
     pub(super) vacancy: Vacancy,
-    /// How many openings there are unanswered since the last one that was taken.
+    /// How many openings there are unanswered since the last one that was taken, and when
+    /// the latest of them was found to be.
     pub(super) refused: u32,
+    pub(super) refused_at: Millis,
     /// Whether it has declined openings, and not only been silent, since it was found full.
     pub(super) declined: bool,
     /// Whether the last question there stayed without an answer.
@@ -35,6 +43,7 @@
             doubted: None,
             vacancy: Vacancy::default(),
             refused: 0,
+            refused_at: now,
             declined: false,
             silent: false,
             check: None,
@@ -46,6 +55,16 @@
         }
     }
 
+    /// Notes that an opening which came at `sent` is unanswered.
+    pub(super) fn refuse(&mut self, sent: Millis, now: Millis) {
+        if self.health.taken() > sent {
+            return;
+        }
+        let is_together = now.since(self.refused_at) < TOGETHER;
+        self.refused = if is_together { self.refused + 1 } else { 1 };
+        self.refused_at = now;
+    }
+
     /// Adds or takes away what a flow means for its target.
     pub(super) fn account(&mut self, flow: &Flow, sign: i32) {
         let is_work = flow.is_opening() || flow.is_waiting();
--- a/marked/tests/test_full.rs
+++ b/marked/tests/test_full.rs
@@ -438,3 +438,30 @@
 
     assert_eq!(instance.out.asked.len(), 1);
 }
+
+/// At a large site an instance opens a flow at a target every few seconds, and the ends of
+/// some handshakes go by other instances. Added up over a day, they would make every
+/// target look full.
+#[test]
+fn openings_that_are_unanswered_seconds_apart_say_nothing_together() {
+    let (mut instance, feed, at) = two();
+    let opening = |instance: &mut Instance, numbers, now| {
+        let key = open_at(instance, at, numbers, now);
+        instance.tick(now + 30);
+        for it in [target(1, "desk"), target(2, "desk")] {
+            let answers = Finding::Answers;
+            instance.forwarder.answer(it.incarnation, answers, millis(now + 33), &mut instance.out);
+        }
+        let other = open_other(instance, at, 400..900, now + 40);
+        instance.packet(middle(other.0, other.1, 1001, 500, 0), now + 48);
+        instance.tick(now + 62);
+        key
+    };
+    opening(&mut instance, 200..230, 1_000);
+
+    let second = opening(&mut instance, 1_000..1_300, 4_000);
+
+    assert_eq!(usage(&instance, at, 4_070), TargetUse::Good);
+    assert_eq!(goes(&instance, second), Some(at));
+    assert!(instance.forwarder.explain(&feed, None, millis(4_070)).target.is_some());
+}
