--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -33,7 +33,10 @@
 const FAR_UPLOAD: f32 = 2.0;
 
 /// What going to a target that is [kept](crate::reserve) for requests costs a feed, in
-/// requests a slot: a little more than going to another failure domain.
+/// requests a slot: a little more than going to another failure domain. In a crowd of 2.4
+/// times the usual, 92, 93 and 97 % of the requests of three sites were in time with it,
+/// and 85, 75 and 93 % without (three runs each, and one); with 0.3 it was 90, 88 and 96 %.
+/// Of 100 feeds, two to six fewer were.
 const KEPT: f32 = 0.5;
 
 /// How willingly a target is taken; earlier ones go before later ones, whatever
--- a/load/src/reserve.rs
+++ b/load/src/reserve.rs
@@ -21,8 +21,8 @@
 const WEIGHT: f32 = 0.001;
 /// What is taken for the part of requests before any answer, and how many answers that
 /// counts for. Most feeds open in the first seconds of an instance and stay, so what is
-/// learnt after a hundred answers comes too late: 77 to 83 % of the requests of a crowd
-/// were in time in place of 88 to 93. The part is that of today's sites; where it is
+/// learnt after a hundred answers comes too late: 77, 83 and 95 % of the requests of a
+/// crowd were in time at three sites in place of 86, 87 and 97. The part is that of today's sites; where it is
 /// another, the first thousand answers outweigh it.
 const ASSUMED: f32 = 0.27;
 const ASSUMED_COUNT: u32 = 50;
