marked: take openings of callers who have gone for no sign of their target

Cause: a flow that has waited here for room is opened up to a second late. Its caller, who has several flows, has often gone on with another one and ends no handshake. The opening counted as unanswered: its target was asked, and two of them made it look full.

A flow that waited 200 ms or more now says nothing of its target, and stops counting as work when it isn't opened within the usual time.

Tests failed first: callers_who_have_gone_say_nothing_of_their_target and an_opening_for_a_caller_who_has_gone_is_no_work.

--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -43,6 +43,11 @@
     pub resent: bool,
     /// How often it was looked at while its opening was unanswered.
     pub looks: u8,
+    /// Whether it waited here for so long that its caller may have gone.
+    pub overdue: bool,
+    /// Whether it is overdue and was not opened within the usual time. Then it counts as
+    /// work of its target only once it is opened after all.
+    pub abandoned: bool,
     /// When its opening packet came, or the first packet that was seen here.
     pub since: Millis,
     /// When its last packet came.
@@ -100,6 +105,8 @@
             opened: false,
             resent: false,
             looks: 0,
+            overdue: false,
+            abandoned: false,
             since: now,
             touched: now,
             waiting: None,
@@ -148,6 +155,7 @@
             return false;
         }
         self.phase = Phase::Open;
+        self.abandoned = false;
         self.acked = segment.ack;
         self.sent = segment.seq;
         self.sent_at = now;
--- a/marked/src/forwarder/leaving.rs
+++ b/marked/src/forwarder/leaving.rs
@@ -1,6 +1,6 @@
 //! Taking flows away from targets that don't answer.
 
-use super::{Forwarder, Output, Refusal, waiting::NewFlow};
+use super::{Forwarder, Output, Refusal, placing::OVERDUE, waiting::NewFlow};
 use crate::{Finding, Flow, FlowKey, Incarnation, Note, Phase};
 use medlarspur_lib::time::Millis;
 use medlarspur_load::vacancy::Vacancy;
@@ -67,10 +67,12 @@
         now: Millis,
         out: &mut impl Output,
     ) {
-        let Some(Phase::Opening { packet }) = self.flows.get(&key).map(|it| it.phase.clone())
-        else {
-            return;
-        };
+        let Some(flow) = self.flows.get(&key) else { return };
+        if flow.abandoned {
+            return self.drop_flow(&key);
+        }
+        let Phase::Opening { packet } = flow.phase.clone() else { return };
+        let waited = if flow.overdue { OVERDUE } else { Millis(0) };
         let Some(route) = self.catalog.route(key.service) else {
             self.drop_flow(&key);
             return self.refuse(&key, Refusal::NoRoute, out);
@@ -78,7 +80,7 @@
         let service = route.share(self.random.draw()).clone();
         self.counts.moved += 1;
         out.note(Note::Moved { flow: key, from });
-        self.place(NewFlow { key, seq: 0, class: route.class, service, packet }, now, out);
+        self.place(NewFlow { key, seq: 0, class: route.class, service, packet, waited }, now, out);
     }
 
     /// Takes all flows away from a target that was found lost.
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -21,6 +21,10 @@
 /// Until when an unanswered opening is looked at. After 200 ms its caller sends it again
 /// by itself, and each copy has the target asked if it is silent.
 const LAST_LOOK: Millis = Millis(200);
+/// How long a flow must have waited here for its caller to count as maybe gone. Callers
+/// with several flows go on with the one that becomes free first, and end no handshake of
+/// the others. Until 200 ms no caller has sent its opening again, so most are still there.
+pub(super) const OVERDUE: Millis = Millis(200);
 /// How much later than usual an end of the handshake may be looked at: a round of an
 /// instance with a twentieth of a core takes some milliseconds.
 const LATENESS: Millis = Millis(10);
@@ -59,6 +63,7 @@
             class: route.class,
             service: route.share(self.random.draw()).clone(),
             packet: bytes.into(),
+            waited: Millis(0),
         };
         if let Some(new) = self.hold(new, goal, segment, now, out) {
             self.place(new, now, out);
@@ -77,7 +82,7 @@
 
     /// Gives a new flow a target.
     pub(super) fn place(&mut self, it: NewFlow, now: Millis, out: &mut impl Output) {
-        let NewFlow { key, seq, class, service, packet } = it;
+        let NewFlow { key, seq, class, service, packet, waited } = it;
         self.drop_flow(&key);
         let Some((target, note)) = self.choose(&service, class, &key, now) else {
             return self.refuse(&key, self.excluded(&service), out);
@@ -85,7 +90,9 @@
         self.counts.opened += 1;
         out.note(note);
         self.send(target, &key, &packet, out);
-        self.keep(key, Flow::open(target, class, packet, seq, now));
+        let mut flow = Flow::open(target, class, packet, seq, now);
+        flow.overdue = waited >= OVERDUE;
+        self.keep(key, flow);
         self.openings.push_back((now + self.opening_patience(), key));
     }
 
@@ -202,6 +209,9 @@
         let patience = self.opening_patience();
         let Some(flow) = self.flows.get_mut(&key) else { return };
         let Phase::Opening { packet } = &flow.phase else { return };
+        if flow.overdue {
+            return self.abandon(key);
+        }
         let (target, since, packet) = (flow.target, flow.since, packet.clone());
         let is_first = flow.looks == 0;
         flow.looks += 1;
@@ -220,6 +230,19 @@
         }
     }
 
+    /// Takes an overdue opening for one whose caller has gone. It says nothing of its
+    /// target then, and is no work. Taken for silence, the openings of a crowd that has
+    /// waited here make targets look full: on a day with a third of the usual slots one
+    /// instance found all 14 targets full within a second, and 2,155 callers were turned
+    /// away while some targets stood idle. Should the caller be there after all, the end of
+    /// its handshake finds the target by its mark.
+    fn abandon(&mut self, key: FlowKey) {
+        let Some(mut flow) = self.flows.remove(&key) else { return };
+        self.account(&flow, -1);
+        flow.abandoned = true;
+        self.flows.insert(key, flow);
+    }
+
     /// Resets a flow that went to no target.
     pub(super) fn refuse(&mut self, flow: &FlowKey, refusal: Refusal, out: &mut impl Output) {
         self.counts.refuse(refusal);
--- a/marked/src/forwarder/state.rs
+++ b/marked/src/forwarder/state.rs
@@ -67,6 +67,9 @@
 
     /// Adds or takes away what a flow means for its target.
     pub(super) fn account(&mut self, flow: &Flow, sign: i32) {
+        if flow.abandoned {
+            return;
+        }
         let is_work = flow.is_opening() || flow.is_waiting();
         if is_work && flow.class == Class::Request {
             self.requests = self.requests.saturating_add_signed(sign);
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -37,6 +37,8 @@
     pub(super) service: ServiceName,
     /// Its opening packet.
     pub(super) packet: Box<[u8]>,
+    /// How long its caller has waited for it to be opened.
+    pub(super) waited: Millis,
 }
 
 /// Work under way at a service as far as this instance sees it.
@@ -167,7 +169,7 @@
             }
             room.backlog.remove(next.key);
             if let Some(it) = self.held.remove(&next.key) {
-                self.place_late(it, now, out);
+                self.place_late(it, next.asked, now, out);
             }
         }
     }
@@ -183,13 +185,14 @@
             } else {
                 // Answers come in good time, so the work that seems to be under way is
                 // not: its answers went by another instance.
-                self.place_late(it, now, out);
+                self.place_late(it, late.asked, now, out);
             }
         }
     }
 
-    /// Opens a flow that has waited, by the config that is in force now.
-    fn place_late(&mut self, mut it: NewFlow, now: Millis, out: &mut impl Output) {
+    /// Opens a flow that has waited since `asked`, by the config that is in force now.
+    fn place_late(&mut self, mut it: NewFlow, asked: Millis, now: Millis, out: &mut impl Output) {
+        it.waited = now.since(asked);
         let Some(route) = self.catalog.route(it.key.service) else {
             return self.refuse(&it.key, Refusal::NoRoute, out);
         };
--- a/marked/tests/test_waiting.rs
+++ b/marked/tests/test_waiting.rs
@@ -230,6 +230,55 @@
     assert_eq!(instance.out.resets, [(held, 0, Refusal::NoRoute)]);
 }
 
+/// A feed that waits at an instance is opened half a second later. Its caller has gone on
+/// with another flow that became free meanwhile, and never ends the handshake.
+fn opened_for_nobody() -> (Instance, Incarnation) {
+    let mut instance = busy(140);
+    let held = fill(&mut instance, 500);
+    empty(&mut instance, held, 1_000);
+    instance.out.notes.clear();
+    instance.tick(1_000);
+    assert_eq!(opened(&instance), [held]);
+    let target = instance.last();
+    (instance, target)
+}
+
+/// Callers who have gone leave openings unanswered, and their targets are well. Taken for
+/// silence of the targets, a crowd would make all of them look full, and callers would be
+/// turned away while targets stand idle.
+#[test]
+fn callers_who_have_gone_say_nothing_of_their_target() {
+    let (mut instance, _) = opened_for_nobody();
+    let asked = instance.forwarder.counts().asked;
+    let sent = instance.out.sent.len();
+
+    for now in (1_010..1_400).step_by(10) {
+        instance.tick(now);
+    }
+
+    assert_eq!(instance.forwarder.counts().asked, asked);
+    assert_eq!(instance.forwarder.counts().moved, 0);
+    assert_eq!(instance.out.sent.len(), sent);
+}
+
+/// What is opened for callers who have gone is no work. Counted as such until the record
+/// is dropped, it would keep others waiting for 1.6 s.
+#[test]
+fn an_opening_for_a_caller_who_has_gone_is_no_work() {
+    let (mut instance, target) = opened_for_nobody();
+    let work = |instance: &Instance| {
+        let services = instance.forwarder.services(millis(1_000));
+        let targets = services.into_iter().flat_map(|it| it.targets);
+        targets.map(|it| it.work).sum::<u32>()
+    };
+    let before = work(&instance);
+
+    instance.tick(1_100);
+
+    assert_eq!(work(&instance), before - 1);
+    instance.packet(middle(flow(100, FEED), target, 1001, 500, 0), 1_110);
+}
+
 #[test]
 fn somebody_who_waits_is_due() {
     let mut instance = busy(140);
