load: keep feeds off for as long as a crowd lasts

Cause: the limit lets a feed in whenever little is under way, and in any crowd there are such moments. A feed stays when the moment is over, so each one leaves more feeds open, until they are a crowd by themselves.

Hypothesis: feeds are opened only once answers have been quick for a while. The mean for it runs over thirty answers, or two seconds where fewer come.

Tests: a_short_pause_in_a_crowd_lets_requests_in_and_no_feed failed first; feeds_are_let_in_once_a_crowd_is_over. Changed: slow_answers_lower_the_ limit_to_the_own_part_at_most let a feed in while answers were slow; it asserts the same floor by requests now.

--- a/load/src/limit.rs
+++ b/load/src/limit.rs
@@ -36,6 +36,14 @@
 /// The weight of a new count of the work under way in its mean: as fast as the mean of
 /// the answer times, since both must show the same crowd.
 const COUNTED: f32 = WEIGHT;
+/// The least weight of a new answer in the mean that keeps [feeds off](Limit::is_strained):
+/// over some thirty answers the pauses that there are in any crowd no longer show.
+const SLOWER: f32 = 0.03;
+/// The longest time over which that mean is taken. An instance of a small site hears forty
+/// answers a second, and one of a large site seven; without this a crowd that is over would
+/// keep feeds off there for four seconds more. Of half a second, one and two, two left the
+/// most in time where the excess lasts.
+const LASTING: Millis = Millis::secs(2);
 /// The weight of a new answer time in the mean: four answers take some 80 ms at an
 /// instance of today's sites, and one long request among them is no queue yet. An eighth
 /// does neither better nor worse in the scenes of `examples/overload.rs`.
@@ -83,6 +91,8 @@
     limit: Option<f32>,
     /// The mean of answer times, each as a part of its goal.
     mean: f32,
+    /// The same over a longer time.
+    level: f32,
     /// The mean of the work under way while answers are slow, in parts of the own part of
     /// the slots.
     queue: f32,
@@ -98,8 +108,14 @@
     /// the work under way need not be counted.
     pub fn hear(&mut self, span: Millis, goal: Millis, now: Millis) -> bool {
         let ratio = (span.0 as f32 / goal.0.max(1) as f32).min(MOST);
-        self.mean =
-            if self.is_known(now) { self.mean + (ratio - self.mean) * WEIGHT } else { ratio };
+        match self.heard.filter(|_| self.is_known(now)) {
+            Some(heard) => {
+                let lasted = now.since(heard).0 as f32 / LASTING.0 as f32;
+                self.mean += (ratio - self.mean) * WEIGHT;
+                self.level += (ratio - self.level) * lasted.clamp(SLOWER, 1.0);
+            }
+            None => (self.mean, self.level) = (ratio, ratio),
+        }
         self.heard = Some(now);
         if self.mean <= SLOW && self.limit.is_none() {
             self.queue = 0.0;
@@ -139,14 +155,16 @@
 
     /// Whether one more of a class may begin while that much work is under way. A
     /// request waits for requests only: feeds that are open go on whatever the limit
-    /// says, so in an excess of them the whole of it would fall on requests.
+    /// says, so in an excess of them the whole of it would fall on requests. A feed waits
+    /// for as long as the service is [strained](Self::is_strained), too.
     pub fn admits(&self, class: Class, work: Work, now: Millis) -> bool {
         let limit = self.limit.filter(|_| !self.is_open(now));
         let (work, factor) = match class {
             Class::Request => (work.requests, REQUESTS),
             Class::Feed | Class::Upload => (work.all, 1.0),
         };
-        limit.is_none_or(|limit| (work as f32) < limit * factor)
+        let is_kept_off = class != Class::Request && self.is_strained(now);
+        limit.is_none_or(|limit| !is_kept_off && (work as f32) < limit * factor)
     }
 
     /// Whether answers have taken too much of their goals lately, and work waits in queues.
@@ -154,6 +172,13 @@
         self.is_known(now) && self.mean > SLOW && self.queue > QUEUED
     }
 
+    /// Whether the same is true over a longer time. Then no feed is opened. A feed
+    /// that is let in during a short pause stays when the pause is over, and each pause of a
+    /// crowd lets in some more, until what is open is a crowd by itself.
+    pub fn is_strained(&self, now: Millis) -> bool {
+        self.is_known(now) && self.level > SLOW && self.queue > QUEUED
+    }
+
     /// Whether the mean is of late.
     fn is_known(&self, now: Millis) -> bool {
         self.heard.is_some_and(|at| now.since(at) <= STALE)
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -177,7 +177,7 @@
     fn expire(&mut self, service: &ServiceName, now: Millis, out: &mut impl Output) {
         loop {
             let Some(room) = self.rooms.get_mut(service) else { return };
-            let is_slow = room.limit.is_slow(now);
+            let is_slow = room.limit.is_slow(now) || room.limit.is_strained(now);
             let Some(late) = room.backlog.expire(now) else { return };
             let Some(it) = self.held.remove(&late.key) else { continue };
             if is_slow {
