marked: look a candidate's entry up once when a feed is opened

The opening of a feed looked each target up again for its failure domain and sorted all of them, though only which are first is needed.

--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -6,8 +6,16 @@
     waiting::{self, NewFlow},
 };
 use crate::{Entry, Flow, FlowKey, Incarnation, Mark, Note, Phase, Presence, Segment};
-use medlarspur_lib::{bundle::Class, ids::ServiceName, time::Millis};
-use medlarspur_load::choice::{self, Candidate, Tier};
+use medlarspur_lib::{
+    bundle::Class,
+    collections::Map,
+    ids::{DomainName, ServiceName},
+    time::Millis,
+};
+use medlarspur_load::{
+    choice::{self, Candidate, Tier},
+    reserve::Mix,
+};
 
 /// How long an opening packet may go without the end of the handshake, at least, before
 /// it is sent again and its target doubted. A round trip through caller and target
@@ -108,20 +116,18 @@
         key: &FlowKey,
         now: Millis,
     ) -> Option<(Incarnation, Note)> {
-        let entries = self.catalog.targets(service);
-        let (mut names, mut candidates): (Vec<_>, Vec<_>) = entries
-            .filter_map(|entry| {
-                Some((entry.target.incarnation, self.candidate(entry, class, now)?))
-            })
-            .unzip();
+        let candidate = |entry| Some((entry, self.candidate(entry, class, now)?));
+        let targets = self.catalog.targets(service);
+        let (mut entries, mut candidates): (Vec<&Entry>, Vec<Candidate>) =
+            targets.filter_map(candidate).unzip();
         if class == Class::Feed {
-            self.keep_for_requests(service, &names, &mut candidates);
+            keep_for_requests(self.heard.mix(service), &entries, &mut candidates);
         }
         loop {
             let position = choice::choose(&candidates, class, self.random.draw())?;
             let count = candidates.len();
             let chosen = candidates.swap_remove(position);
-            let target = names.swap_remove(position);
+            let target = entries.swap_remove(position).target.incarnation;
             // Another target may have the same mark for this flow, and packets
             // in mid-flow would go there.
             let meant = self.catalog.marked(Mark::new(target, key), key);
@@ -139,26 +145,6 @@
         }
     }
 
-    /// Marks the targets that feeds should leave to requests: in each failure domain the
-    /// first ones by their numbers, which all instances rank alike.
-    fn keep_for_requests(
-        &self,
-        service: &ServiceName,
-        names: &[Incarnation],
-        candidates: &mut [Candidate],
-    ) {
-        let mix = self.heard.mix(service);
-        let domain = |name| self.catalog.entry(name).map(|entry| &entry.target.domain);
-        let mut ranked: Vec<_> =
-            names.iter().enumerate().map(|(at, name)| (domain(*name), *name, at)).collect();
-        ranked.sort_unstable();
-        for domain in ranked.chunk_by(|a, b| a.0 == b.0) {
-            for (.., at) in &domain[..mix.kept(domain.len())] {
-                candidates[*at].kept = true;
-            }
-        }
-    }
-
     /// Why no target of a service can take a flow.
     fn excluded(&self, service: &ServiceName) -> Refusal {
         let mut targets = self.catalog.targets(service).filter(|it| !it.target.leaving);
@@ -250,3 +236,23 @@
         out.note(Note::Reset { flow: *flow, refusal, target: None, lost: None });
     }
 }
+
+/// Marks the targets that feeds should leave to requests: in each failure domain the
+/// first ones by their numbers, which all instances rank alike.
+fn keep_for_requests(mix: Mix, entries: &[&Entry], candidates: &mut [Candidate]) {
+    let mut domains: Map<&DomainName, Vec<(Incarnation, usize)>> = Map::default();
+    for (at, entry) in entries.iter().enumerate() {
+        let domain = domains.entry(&entry.target.domain).or_default();
+        domain.push((entry.target.incarnation, at));
+    }
+    for domain in domains.values_mut() {
+        let kept = mix.kept(domain.len());
+        // Every opening of a feed comes here, and only which ones are first is needed.
+        if kept < domain.len() {
+            domain.select_nth_unstable(kept);
+        }
+        for (_, at) in &domain[..kept] {
+            candidates[*at].kept = true;
+        }
+    }
+}
