marked: remove five decisions that are worth nothing

Removed: openings leave a target that is late to accept a question; one silent target has the others of its domain asked; the answers of the single target beside those of its service; the repetition of an opening tells since when its caller waits; what has waited too long is opened if answers are in good time.

--- a/daemon/src/marked/asker.rs
+++ b/daemon/src/marked/asker.rs
@@ -42,7 +42,8 @@
         let (incarnation, address) = (target.incarnation, target.address);
         let name = target.name.clone();
         let run = move || {
-            health::ask(&name, address, &path, |finding| asker.report(incarnation, finding));
+            let finding = health::ask(&name, address, &path);
+            asker.report(incarnation, finding);
             asker.running.fetch_sub(1, Relaxed);
         };
         let thread = thread::Builder::new().name("ask".to_owned()).stack_size(STACK);
--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -70,7 +70,7 @@
 /// One series and where its value is found.
 type Series = (Family, &'static str, fn(&Numbers) -> u64);
 
-const SERIES: [Series; 28] = [
+const SERIES: [Series; 27] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -98,7 +98,6 @@
     (Family::Probes, "declines", |it| it.counts.found[Finding::Declines as usize]),
     (Family::Probes, "gone", |it| it.counts.found[Finding::Gone as usize]),
     (Family::Probes, "silent", |it| it.counts.found[Finding::Silent as usize]),
-    (Family::Probes, "late", |it| it.counts.found[Finding::Late as usize]),
 ];
 
 /// One gauge and where its value is found.
--- a/docs/measures/ablation/table.py
+++ b/docs/measures/ablation/table.py
@@ -17,7 +17,7 @@
 FIRST = 1
 
 
-def days(folders):
+def days(folders, head):
     """The days of trial entries: (mechanism, (site, day, seed)) -> figures."""
     found = {}
     for folder in folders:
@@ -28,6 +28,8 @@
             entry = json.loads(text)
             if not entry["why"].startswith(PREFIX) or not entry["days"]:
                 continue
+            if head and not entry["head"].startswith(head):
+                continue
             name = entry["why"].removeprefix(PREFIX)
             day = entry["days"][0]
             seed = re.search(r"--seed (\d+)", " ".join(map(str, entry["argv"])))
@@ -59,9 +61,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("journal", nargs="+", help="folders with entries")
     parser.add_argument("--sites", nargs="*", help="only these sites")
+    parser.add_argument("--head", help="only runs on this commit")
     parser.add_argument("--days", action="store_true", help="a line for each day that differs")
     options = parser.parse_args()
-    found = days(options.journal)
+    found = days(options.journal, options.head)
     names = list(dict.fromkeys(name for name, _ in found))
     print(f"{'without':16} {'runs':>4} {'worth':>6} {'with':>6} {'diff':>7} {'worst':>7} {'best':>7}"
           f" {'first':>6} {'with':>6} {'asks':>6} {'calls':>6}  rules")
--- a/marked/src/forwarder/full.rs
+++ b/marked/src/forwarder/full.rs
@@ -152,10 +152,6 @@
         }
         self.fill(target, now, out);
         self.check(target, now, out);
-        let is_lost = self.states.get(&target).is_some_and(|state| state.health.is_lost());
-        if !is_heard && !is_lost {
-            self.doubt_domain(target, now, out);
-        }
     }
 
     /// Has new flows leave a target.
@@ -214,9 +210,8 @@
     /// How long the open flows of a target may be unanswered. None if it isn't known.
     fn silence(&self, target: Incarnation) -> Option<Millis> {
         let entry = self.catalog.entry(target)?;
-        let state = self.states.get(&target)?;
-        let service = self.heard.longest_answer(&entry.target.service);
-        let usual = state.answers.bound().max(service).unwrap_or(UNKNOWN_SILENCE);
+        let service = &entry.target.service;
+        let usual = self.heard.longest_answer(service).unwrap_or(UNKNOWN_SILENCE);
         Some(usual.clamp(LEAST_SILENCE, MOST_SILENCE))
     }
 
--- a/marked/src/forwarder/leaving.rs
+++ b/marked/src/forwarder/leaving.rs
@@ -25,27 +25,10 @@
         self.lost.push(target);
         self.full.retain(|it| *it != target);
         self.leave(target, now, out);
-        if finding == Finding::Silent {
-            self.doubt_domain(target, now, out);
-        }
-    }
-
-    /// Has what is being opened at a target that is late go elsewhere. Nothing
-    /// runs before a flow is open, so at worst the caller opens it anew.
-    pub(super) fn move_openings(
-        &mut self,
-        target: Incarnation,
-        now: Millis,
-        out: &mut impl Output,
-    ) {
-        let Some(state) = self.states.get_mut(&target) else { return };
-        if state.health.asked().is_some_and(|asked| state.health.taken() > asked) {
-            return;
-        }
-        state.doubted = Some(now);
-        self.move_all_openings(target, now, out);
     }
 
+    /// Has what is being opened at a target go elsewhere. Nothing runs before a flow is
+    /// open, so at worst the caller opens it anew.
     pub(super) fn move_all_openings(
         &mut self,
         target: Incarnation,
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -250,9 +250,6 @@
             let span = now.since(since);
             out.measure(&service, flow.class, Span::Answer(span));
             self.heard.answer(&service, flow.class, span);
-            if let Some(state) = self.states.get_mut(&flow.target) {
-                state.answers.hear(span);
-            }
         }
     }
 
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -73,7 +73,7 @@
             packet: bytes.into(),
             waited: Millis(0),
         };
-        if let Some(new) = self.hold(new, goal, segment, now, out) {
+        if let Some(new) = self.hold(new, goal, now, out) {
             self.place(new, now, out);
         }
     }
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -124,7 +124,7 @@
         if let Some(state) = self.states.get_mut(&target) {
             state.doubted = Some(now);
         }
-        out.note(Note::Doubted { target, flow: Some(flow), silent: now.since(sent) });
+        out.note(Note::Doubted { target, flow, silent: now.since(sent) });
         self.ask(target, now, out);
     }
 
@@ -151,7 +151,6 @@
         match finding {
             Finding::Answers => self.find_room(target, now, out),
             Finding::Declines => self.find_declined(target, now, out),
-            Finding::Late => self.move_openings(target, now, out),
             Finding::Silent if self.is_alone(target, now) => self.ask_beside(target, now, out),
             Finding::Silent => self.find_silent(target, now, out),
             // A target that leaves stops listening before it ends its last flows.
@@ -195,34 +194,6 @@
         }
     }
 
-    /// Asks the other targets of a failure domain, one of whose targets is silent:
-    /// the whole domain may be cut off. Only those with flows here, and without a
-    /// sign of life as late as the time that a silent target takes to be found.
-    pub(super) fn doubt_domain(&mut self, silent: Incarnation, now: Millis, out: &mut impl Output) {
-        let Some(domain) = self.catalog.entry(silent).map(|it| it.target.domain.clone()) else {
-            return;
-        };
-        let states = &self.states;
-        let is_suspect = |entry: &&Entry| {
-            let Some(state) = states.get(&entry.target.incarnation) else { return false };
-            let has_flows = state.working + state.opening + state.feeds > 0;
-            let is_quiet = now.since(state.health.life()) > DOUBT_TIME;
-            let is_other = entry.target.incarnation != silent;
-            let is_near = is_other && entry.target.domain == domain;
-            is_near && has_flows && is_quiet && !state.health.is_lost()
-        };
-        let suspects = self.catalog.entries().filter(is_suspect);
-        let suspects: Vec<Incarnation> = suspects.map(|it| it.target.incarnation).collect();
-        for target in suspects {
-            let Some(state) = self.states.get_mut(&target) else { continue };
-            let silent = now.since(state.health.life());
-            if state.health.doubt(state.health.life(), now) {
-                out.note(Note::Doubted { target, flow: None, silent });
-                self.ask(target, now, out);
-            }
-        }
-    }
-
     pub(super) fn ask_lost(&mut self, now: Millis, out: &mut impl Output) {
         let states = &self.states;
         let catalog = &self.catalog;
--- a/marked/src/forwarder/state.rs
+++ b/marked/src/forwarder/state.rs
@@ -2,7 +2,7 @@
 
 use crate::{Flow, Health};
 use medlarspur_lib::{bundle::Class, time::Millis};
-use medlarspur_load::{estimate::Estimate, vacancy::Vacancy};
+use medlarspur_load::vacancy::Vacancy;
 
 /// Within which time openings must be unanswered to speak together against a target. Where
 /// instances come and go, the ends of some handshakes go by others; at a large site, where
@@ -27,8 +27,6 @@
     pub(super) silent: bool,
     /// When to look whether its open flows are still unanswered.
     pub(super) check: Option<Millis>,
-    /// How long its answers take.
-    pub(super) answers: Estimate,
     pub(super) working: u32,
     pub(super) opening: u32,
     pub(super) feeds: u32,
@@ -47,7 +45,6 @@
             declined: false,
             silent: false,
             check: None,
-            answers: Estimate::default(),
             working: 0,
             opening: 0,
             feeds: 0,
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -4,7 +4,7 @@
 //! `medlarspur_load::{backlog, limit}`, which say for which patterns of load.
 
 use super::{Forwarder, Output, Refusal};
-use crate::{FlowKey, Incarnation, Note, Route, Segment};
+use crate::{FlowKey, Incarnation, Note, Route};
 use medlarspur_lib::{
     bundle::Class,
     collections::{Map, Set},
@@ -16,9 +16,6 @@
     limit::{Limit, Work},
 };
 
-/// After which time callers repeat an opening packet, by how often they have.
-const REPEATS: [Millis; 3] = [Millis(0), Millis(200), Millis(600)];
-
 /// What is under way at a service, and what waits for it.
 #[derive(Debug, Default)]
 pub(super) struct Room {
@@ -81,7 +78,6 @@
         &mut self,
         it: NewFlow,
         goal: Option<Millis>,
-        segment: &Segment,
         now: Millis,
         out: &mut impl Output,
     ) -> Option<NewFlow> {
@@ -98,9 +94,8 @@
         if room.backlog.admits(it.class) && room.limit.admits(it.class, work, now) {
             return Some(it);
         }
-        let repeats = (segment.ack as usize).min(REPEATS.len() - 1);
-        let asked = now - REPEATS[repeats];
-        let waiting = Waiting { key: it.key, class: it.class, asked, until: now + patience(goal) };
+        let until = now + patience(goal);
+        let waiting = Waiting { key: it.key, class: it.class, asked: now, until };
         let count = room.backlog.len();
         if room.backlog.push(waiting).is_some() {
             self.refuse(&it.key, Refusal::Busy, out);
@@ -177,15 +172,9 @@
     fn expire(&mut self, service: &ServiceName, now: Millis, out: &mut impl Output) {
         loop {
             let Some(room) = self.rooms.get_mut(service) else { return };
-            let is_slow = room.limit.is_slow(now) || room.limit.is_strained(now);
             let Some(late) = room.backlog.expire(now) else { return };
-            let Some(it) = self.held.remove(&late.key) else { continue };
-            if is_slow {
+            if self.held.remove(&late.key).is_some() {
                 self.refuse(&late.key, Refusal::Busy, out);
-            } else {
-                // Answers come in good time, so the work that seems to be under way is
-                // not: its answers went by another instance.
-                self.place_late(it, late.asked, now, out);
             }
         }
     }
--- a/marked/src/health.rs
+++ b/marked/src/health.rs
@@ -29,14 +29,12 @@
     Gone,
     /// Nothing answers.
     Silent,
-    /// Nothing has answered yet; what comes of it is told later.
-    Late,
 }
 
 impl Finding {
     /// All of them, in the order of their values.
-    pub const ALL: [Finding; 5] =
-        [Finding::Answers, Finding::Declines, Finding::Gone, Finding::Silent, Finding::Late];
+    pub const ALL: [Finding; 4] =
+        [Finding::Answers, Finding::Declines, Finding::Gone, Finding::Silent];
 }
 
 /// What is believed of one target.
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -71,8 +71,8 @@
     Doubted {
         /// The target.
         target: Incarnation,
-        /// The flow whose packet got no answer, if it was one.
-        flow: Option<FlowKey>,
+        /// The flow whose packet got no answer.
+        flow: FlowKey,
         /// How long that packet has waited.
         silent: Millis,
     },
@@ -266,11 +266,11 @@
                 fields.extend(mark.map(|it| ("mark", format!("{:08x}", it.to_wire()))));
                 fields
             }
-            Note::Doubted { target, flow, silent } => {
-                let mut fields = vec![("target", name(*target)), ("silent_ms", silent.to_string())];
-                fields.extend(flow.map(|it| ("flow", it.to_string())));
-                fields
-            }
+            Note::Doubted { target, flow, silent } => vec![
+                ("target", name(*target)),
+                ("silent_ms", silent.to_string()),
+                ("flow", flow.to_string()),
+            ],
             Note::Lost { target, finding, silent, flows } => vec![
                 ("target", name(*target)),
                 ("finding", lower(finding)),
