--- a/docs/measures/ablation/ablate.py
+++ b/docs/measures/ablation/ablate.py
@@ -93,6 +93,7 @@
     options.bench = str(pathlib.Path(options.bench).resolve())
     options.sites = str(pathlib.Path(options.sites).resolve())
     known = tomllib.loads((HERE / "mechanisms.toml").read_text())["mechanism"]
+    known = [it for it in known if "until" not in it]
     known.insert(0, {"name": "none", "edits": []})
     chosen = [it for it in known if not options.only or it["name"] in options.only]
     plan = pathlib.Path(options.plan).read_text().splitlines()
