marked: ask targets that are listed again one after the other

Ruled out: second tries of questions to lost targets that are held up by the cut and arrive together.

Each instance now waits up to half a second, drawn by itself.

--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -8,6 +8,11 @@
 /// counts: three questions of 300 ms. Their number says nothing, since a link that
 /// is full makes all silent in the same moment.
 const ALONE_LIMIT: Millis = Millis(900);
+/// How long instances wait at most before they ask a target that is listed again. After
+/// 12 s in which a failure domain was cut off, 163 instances asked each of its 39 targets in
+/// the moment in which the news of its entry came, and the target reset nine of ten of their
+/// connections.
+const RELISTED_PAUSE: Millis = Millis(500);
 /// How long after a request to a target went unanswered others are preferred.
 pub(super) const DOUBT_TIME: Millis = Millis(300);
 
@@ -31,7 +36,7 @@
         let revision = entry.revision;
         out.note(Note::Entry { target, name: name.clone(), start, state, revision });
         match state {
-            EntryState::Listed => self.ask_relisted(target, now, out),
+            EntryState::Listed => self.await_relisted(target, now),
             // It died, or its entry lapsed: asking tells which.
             EntryState::Removed if !leaving => self.ask(target, now, out),
             EntryState::Replaced => self.learn_replaced(target, &name, now, out),
@@ -40,12 +45,14 @@
     }
 
     /// A target that was lost is listed again: its entry had lapsed, and nothing asks it any
-    /// more. Without this question it would stay out of use until it starts again.
-    fn ask_relisted(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
-        let is_lost = self.states.get(&target).is_some_and(|state| state.health.is_lost());
-        if is_lost && !self.lost.contains(&target) {
+    /// more. Without a question it would stay out of use until it starts again. Each instance
+    /// asks at a moment of its own, since all hear the news in the same one.
+    fn await_relisted(&mut self, target: Incarnation, now: Millis) {
+        let pause = Millis(self.random.draw() % RELISTED_PAUSE.0);
+        let Some(state) = self.states.get_mut(&target) else { return };
+        if state.health.is_lost() && !self.lost.contains(&target) {
+            state.health.defer(now + pause);
             self.lost.push(target);
-            self.ask(target, now, out);
         }
     }
 
--- a/marked/src/health.rs
+++ b/marked/src/health.rs
@@ -140,6 +140,13 @@
         self.lost.map(|lost| lost.retry)
     }
 
+    /// Has a lost target asked again at a moment.
+    pub fn defer(&mut self, until: Millis) {
+        if let Some(lost) = &mut self.lost {
+            lost.retry = until;
+        }
+    }
+
     /// Notes that a lost target is asked again.
     pub fn ask_again(&mut self, now: Millis) {
         self.asked = Some(now);
