marked: send no new flow into a failure domain that operators have emptied

Cause: the system did not know evacuation at all.

An evacuation is a fact of its own beside the entries of targets, with a revision of its own, so that what a target writes meanwhile says nothing against it, older news never undoes it, and a whole picture ends what it does not list. Ruled out: a mark at the entries of the domain's targets (a target that starts meanwhile has none, and its entry is newer than the evacuation).

Each way to a target knows it: new flows, copies of unanswered openings, openings that are sent again, moved or waited, places that come free, questions to full targets. Targets whose service bounds what they get after their start get nothing until they are warm.

--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -63,6 +63,9 @@
     let confirmed = age.map_or("never confirmed".to_owned(), |age| format!("confirmed {age} ago"));
     line(&format!("config   version {}", or_dash(picture.version)));
     line(&format!("picture  up to revision {}, {confirmed}", picture.revision));
+    for it in &picture.evacuated {
+        line(&format!("domain   {} evacuated since revision {}", it.domain, it.revision));
+    }
 }
 
 /// Targets as an instance sees them, under a heading for their names.
--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -8,9 +8,9 @@
     members::MemberState,
     packet::FlowKey,
     status::{
-        BundleStatus, Explanation, FlowStatus, Life, MarkedExplanation, MarkedReason,
-        MarkedService, MarkedStatus, MarkedTarget, MemberStatus, Owner, Picture, PlanStatus,
-        Reason, ServiceStatus, Status, TargetStatus, TargetUse, Unready,
+        BundleStatus, EvacuatedDomain, Explanation, FlowStatus, Life, MarkedExplanation,
+        MarkedReason, MarkedService, MarkedStatus, MarkedTarget, MemberStatus, Owner, Picture,
+        PlanStatus, Reason, ServiceStatus, Status, TargetStatus, TargetUse, Unready,
     },
     time::Millis,
 };
@@ -74,7 +74,13 @@
 }
 
 fn picture(version: Option<u64>) -> Picture {
-    Picture { version: version.map(Version), revision: 41, age: Some(Millis(350)) }
+    let evacuated = EvacuatedDomain { domain: DomainName::new("mladost"), revision: 40 };
+    Picture {
+        version: version.map(Version),
+        revision: 41,
+        age: Some(Millis(350)),
+        evacuated: vec![evacuated],
+    }
 }
 
 fn marked_targets() -> Vec<MarkedTarget> {
--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -240,6 +240,7 @@
             version: config.map_or(0, |config| config.version.0),
             reach: self.forwarder.reach(),
             full: self.forwarder.count_full(),
+            evacuated: self.forwarder.catalog().evacuated().count(),
             clashes: self.forwarder.catalog().clashes(),
             ..self.numbers
         });
--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -44,6 +44,8 @@
     pub reach: (usize, usize),
     /// Targets that take no openings.
     pub full: usize,
+    /// Failure domains that operators have emptied.
+    pub evacuated: usize,
     /// Targets that were not taken because another one has their number.
     pub clashes: u64,
 }
@@ -70,7 +72,7 @@
 /// One series and where its value is found.
 type Series = (Family, &'static str, fn(&Numbers) -> u64);
 
-const SERIES: [Series; 27] = [
+const SERIES: [Series; 31] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -80,6 +82,10 @@
     (Family::Flows, "reset-no-route", |it| it.counts.no_route),
     (Family::Flows, "reset-no-target", |it| it.counts.no_target),
     (Family::Flows, "reset-full", |it| it.counts.full),
+    (Family::Flows, "reset-evacuated", |it| it.counts.evacuated),
+    (Family::Flows, "reset-warming", |it| it.counts.warming),
+    (Family::Flows, "evacuated-avoided", |it| it.counts.avoided),
+    (Family::Flows, "warming-spared", |it| it.counts.spared),
     (Family::Flows, "target-filled", |it| it.counts.filled),
     (Family::Flows, "held", |it| it.counts.held),
     (Family::Flows, "reset-busy", |it| it.counts.busy),
@@ -103,7 +109,7 @@
 /// One gauge and where its value is found.
 type Level = (Gauge, fn(&Numbers) -> u64);
 
-const LEVELS: [Level; 9] = [
+const LEVELS: [Level; 10] = [
     (Gauge::Ready, |it| u64::from(it.ready)),
     (Gauge::FlowsHeld, |it| it.flows),
     (Gauge::MembersLive, |it| it.members + 1),
@@ -113,6 +119,7 @@
     (Gauge::TargetsLive, |it| it.reach.0 as u64),
     (Gauge::TargetsLost, |it| it.reach.1 as u64),
     (Gauge::TargetsFull, |it| it.full as u64),
+    (Gauge::DomainsEvacuated, |it| it.evacuated as u64),
 ];
 
 /// Shows all numbers.
--- a/lib/src/status/marked.rs
+++ b/lib/src/status/marked.rs
@@ -43,6 +43,18 @@
         pub revision: u64,
         /// Milliseconds since the store or a reader confirmed that, if either has.
         pub age: Option<Millis>,
+        /// The failure domains that operators have emptied.
+        #[serde(default)]
+        pub evacuated: Vec<EvacuatedDomain>,
+    }
+
+    /// A failure domain whose targets get no new flows.
+    #[derive(Serialize, Deserialize)]
+    pub struct EvacuatedDomain {
+        /// Its name.
+        pub domain: DomainName,
+        /// The revision that says so.
+        pub revision: u64,
     }
 
     /// A service as this instance sees it.
@@ -112,6 +124,10 @@
         Doubtful,
         /// It takes no openings, or one at a time to try, and serves the flows that it has.
         Full,
+        /// Operators have emptied its failure domain: it takes none.
+        Evacuated,
+        /// It is slow after its start, its service bounds what it gets meanwhile: none.
+        Warming,
         /// Its entry was changed so that it names no target that could be used.
         Unusable,
         /// It has started again since: the later start takes new flows.
@@ -163,6 +179,8 @@
             TargetUse::Unlisted => "unlisted",
             TargetUse::Doubtful => "doubtful",
             TargetUse::Full => "full",
+            TargetUse::Evacuated => "evacuated",
+            TargetUse::Warming => "warming",
             TargetUse::Unusable => "unusable",
             TargetUse::Replaced => "replaced",
             TargetUse::Leaving => "leaving",
--- a/marked/examples/slopes.rs
+++ b/marked/examples/slopes.rs
@@ -94,7 +94,7 @@
     let config = Config {
         version: Version(1),
         routes: (0..routes).map(route).collect(),
-        health: Vec::new(),
+        services: Vec::new(),
         idle: Millis::secs(15),
     };
     let mut changes = vec![Change { revision: Revision(1), content: Content::Config(config) }];
--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -14,11 +14,11 @@
 
 use crate::{
     Change, Config, Content, Entry, FlowKey, Incarnation, Mark, News, Presence, Revision, Route,
-    Scope, Start, Target, delta::Delta, mark::Index,
+    Scope, Service, Start, Target, delta::Delta, evacuation::Evacuations, mark::Index,
 };
 use medlarspur_lib::{
     collections::{Map, Set},
-    ids::{ServiceName, TargetName},
+    ids::{DomainName, ServiceName, TargetName},
     time::Millis,
 };
 use std::{collections::VecDeque, net::SocketAddrV4};
@@ -49,6 +49,15 @@
     presence: Presence,
 }
 
+/// What news has changed.
+#[derive(Debug, Default)]
+pub struct Changed {
+    /// Targets whose entries are others now.
+    pub targets: Vec<Incarnation>,
+    /// Failure domains that operators have emptied, or have taken back.
+    pub domains: Vec<DomainName>,
+}
+
 /// All that is known of targets and routes.
 #[derive(Debug, Default)]
 pub struct Catalog {
@@ -63,6 +72,7 @@
     /// The latest removal that is no longer remembered.
     forgotten: Revision,
     names: Map<TargetName, Listing>,
+    evacuations: Evacuations,
     /// Targets that were not taken because another one has their number.
     clashes: u64,
 }
@@ -83,9 +93,33 @@
         self.config.as_ref().map(|(revision, config)| (*revision, config))
     }
 
-    /// Whether there is enough to serve: routes, and a target.
+    /// Whether there is enough to serve: routes, a target, and all that was so at one
+    /// revision. A single piece of news may name targets and not that their failure
+    /// domain is evacuated.
     pub fn is_usable(&self) -> bool {
-        self.config.is_some() && !self.targets.is_empty()
+        let is_whole = self.revision > Revision::default();
+        is_whole && self.config.is_some() && !self.targets.is_empty()
+    }
+
+    /// Whether operators want the targets of a failure domain to get no new flows.
+    pub fn is_evacuated(&self, domain: &DomainName) -> bool {
+        self.evacuations.holds(domain)
+    }
+
+    /// The failure domains whose targets are to get no new flows.
+    pub fn evacuated(&self) -> impl Iterator<Item = &DomainName> {
+        self.evacuations.evacuated()
+    }
+
+    /// When this instance heard that operators have taken an evacuation of a failure
+    /// domain back.
+    pub fn restored(&self, domain: &DomainName) -> Option<Millis> {
+        self.evacuations.ended(domain)
+    }
+
+    /// The revision that says whether a failure domain is evacuated, if any does.
+    pub fn evacuation(&self, domain: &DomainName) -> Option<Revision> {
+        self.evacuations.revision(domain)
     }
 
     /// The route at an address and port.
@@ -121,10 +155,9 @@
         entries.filter(move |entry| entry.target.service == *service)
     }
 
-    /// The path of a service's health endpoint.
-    pub fn health(&self, service: &ServiceName) -> Option<&str> {
-        let paths = &self.config()?.health;
-        paths.iter().find(|(name, _)| name == service).map(|(_, path)| path.as_ref())
+    /// What the config says of a service.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.config()?.services.iter().find(|it| it.name == *name)
     }
 
     /// The target that a mark of a flow means; none if the mark doesn't hold.
@@ -134,10 +167,12 @@
         self.targets.get(incarnation)
     }
 
-    /// Takes in news; answers the targets whose entries changed.
-    pub fn merge(&mut self, news: News, now: Millis) -> Vec<Incarnation> {
+    /// Takes in news.
+    pub fn merge(&mut self, news: News, now: Millis) -> Changed {
         let mut changed = Vec::new();
+        let mut domains = Vec::new();
         let mut listed = Set::default();
+        let mut evacuated = Set::default();
         let mut is_whole = true;
         for change in news.changes {
             match change.content {
@@ -156,11 +191,21 @@
                     self.withdraw(&name, withdrawal, &mut changed);
                     listed.insert(name);
                 }
+                Content::Evacuated(domain) => {
+                    let is_new = self.evacuations.set(&domain, change.revision, None);
+                    domains.extend(is_new.then(|| domain.clone()));
+                    evacuated.insert(domain);
+                }
+                Content::Restored(domain) => {
+                    let is_new = self.evacuations.set(&domain, change.revision, Some(now));
+                    domains.extend(is_new.then_some(domain));
+                }
             }
         }
         is_whole &= match news.scope {
             Scope::All => {
                 self.remove_others(news.revision, &listed, now, &mut changed);
+                domains.extend(self.evacuations.end_others(news.revision, &evacuated, now));
                 true
             }
             Scope::Since(known) => known <= self.revision,
@@ -169,7 +214,7 @@
             self.revision = self.revision.max(news.revision);
         }
         self.forget(now);
-        changed
+        Changed { targets: changed, domains }
     }
 
     /// Whether there are changes before that news which are not known here.
@@ -186,7 +231,8 @@
         let config = self.config_since(if is_old { Revision::default() } else { known });
         let targets = self.targets.values().filter_map(|entry| entry.change(now));
         let withdrawn = self.names.iter().filter_map(|(name, it)| it.change(name));
-        let others = targets.chain(withdrawn).filter(|change| is_told(change.revision));
+        let others = targets.chain(withdrawn).chain(self.evacuations.changes());
+        let others = others.filter(|change| is_told(change.revision));
         let changes = config.into_iter().chain(others).collect();
         let scope = if is_old { Scope::All } else { Scope::Since(known) };
         News { revision: self.revision, scope, changes }
@@ -354,6 +400,9 @@
         for incarnation in old.map(|it| it.target.incarnation).collect::<Vec<_>>() {
             self.drop_target(incarnation);
         }
+        if let Some(revision) = self.evacuations.forget(KEPT, now) {
+            self.forgotten = revision.max(self.forgotten);
+        }
         let (targets, forgotten) = (&self.targets, &mut self.forgotten);
         self.names.retain(|_, listing| {
             let is_kept = listing.current.is_some_and(|it| targets.contains_key(&it))
--- a/marked/src/delta.rs
+++ b/marked/src/delta.rs
@@ -5,7 +5,7 @@
 //! whole to a hundred instances of a failure domain, each change would take a
 //! reader's share of traffic for minutes; the difference fits into a datagram.
 
-use crate::{Config, Revision, Route};
+use crate::{Config, Revision, Route, Service};
 use medlarspur_lib::{
     collections::{Map, Set},
     ids::{ServiceName, Version},
@@ -23,24 +23,24 @@
     idle: Millis,
     routes: Vec<Route>,
     dropped: Vec<SocketAddrV4>,
-    health: Vec<(ServiceName, Box<str>)>,
+    services: Vec<Service>,
     ended: Vec<ServiceName>,
 }
 
 impl Delta {
     pub(crate) fn is_sound(&self) -> bool {
-        self.routes.iter().all(Route::is_sound)
+        self.routes.iter().all(Route::is_sound) && self.services.iter().all(Service::is_sound)
     }
 
     /// The difference from `old`, which has revision `base`, to `new`.
     pub fn between(base: Revision, old: &Config, new: &Config) -> Delta {
         let known: Map<_, _> = old.routes.iter().map(|it| (it.address, it)).collect();
         let kept: Set<_> = new.routes.iter().map(|it| it.address).collect();
-        let paths: Map<_, _> = old.health.iter().map(|(name, path)| (name, path)).collect();
-        let named: Set<_> = new.health.iter().map(|(name, _)| name).collect();
+        let before: Map<_, _> = old.services.iter().map(|it| (&it.name, it)).collect();
+        let named: Set<_> = new.services.iter().map(|it| &it.name).collect();
         let is_new = |it: &&Route| known.get(&it.address) != Some(it);
-        let is_other = |it: &&(ServiceName, Box<str>)| paths.get(&it.0) != Some(&&it.1);
-        let ended = old.health.iter().filter(|(name, _)| !named.contains(name));
+        let is_other = |it: &&Service| before.get(&it.name) != Some(it);
+        let ended = old.services.iter().map(|it| &it.name).filter(|it| !named.contains(it));
         let addresses = old.routes.iter().map(|it| it.address);
         Delta {
             base,
@@ -48,8 +48,8 @@
             idle: new.idle,
             routes: new.routes.iter().filter(is_new).cloned().collect(),
             dropped: addresses.filter(|it| !kept.contains(it)).collect(),
-            health: new.health.iter().filter(is_other).cloned().collect(),
-            ended: ended.map(|(name, _)| name.clone()).collect(),
+            services: new.services.iter().filter(is_other).cloned().collect(),
+            ended: ended.cloned().collect(),
         }
     }
 
@@ -60,14 +60,13 @@
         let set: Set<_> = self.routes.iter().map(|it| it.address).collect();
         let stays = |it: &&Route| !dropped.contains(&it.address) && !set.contains(&it.address);
         let ended: Set<_> = self.ended.iter().collect();
-        let named: Set<_> = self.health.iter().map(|(name, _)| name).collect();
-        let remains =
-            |it: &&(ServiceName, Box<str>)| !ended.contains(&it.0) && !named.contains(&it.0);
+        let named: Set<_> = self.services.iter().map(|it| &it.name).collect();
+        let remains = |it: &&Service| !ended.contains(&it.name) && !named.contains(&it.name);
         Config {
             version: self.version,
             idle: self.idle,
             routes: old.routes.iter().filter(stays).chain(&self.routes).cloned().collect(),
-            health: old.health.iter().filter(remains).chain(&self.health).cloned().collect(),
+            services: old.services.iter().filter(remains).chain(&self.services).cloned().collect(),
         }
     }
 }
--- a/marked/src/forwarder/counts.rs
+++ b/marked/src/forwarder/counts.rs
@@ -25,6 +25,15 @@
     pub no_target: u64,
     /// Flows reset because all targets that could take them are full.
     pub full: u64,
+    /// Flows reset because operators have emptied the domains of all targets that could
+    /// take them.
+    pub evacuated: u64,
+    /// Flows reset because all targets that could take them are slow after their start.
+    pub warming: u64,
+    /// Flows that went elsewhere while targets of their service were in an evacuated domain.
+    pub avoided: u64,
+    /// Flows that went elsewhere while targets of their service were slow after their start.
+    pub spared: u64,
     /// How often a target was found full.
     pub filled: u64,
     /// Openings that had to wait for room at their service.
@@ -46,6 +55,8 @@
             Refusal::NoRoute => &mut self.no_route,
             Refusal::NoTarget => &mut self.no_target,
             Refusal::Full => &mut self.full,
+            Refusal::Evacuated => &mut self.evacuated,
+            Refusal::Warming => &mut self.warming,
             Refusal::Busy => &mut self.busy,
             Refusal::TargetLost => &mut self.lost,
         };
--- a/marked/src/forwarder/explain.rs
+++ b/marked/src/forwarder/explain.rs
@@ -1,13 +1,16 @@
 //! What the forwarder knows and why flows go where they go, for operators.
 
-use super::Forwarder;
+use super::{Forwarder, closed::Closed};
 use crate::{Entry, FlowKey, Presence};
 use medlarspur_lib::{
     bundle::{Class, Protocol},
     collections::Set,
-    ids::ServiceName,
+    ids::{DomainName, ServiceName},
     packet,
-    status::{MarkedExplanation, MarkedReason, MarkedService, MarkedTarget, Picture, TargetUse},
+    status::{
+        EvacuatedDomain, MarkedExplanation, MarkedReason, MarkedService, MarkedTarget, Picture,
+        TargetUse,
+    },
     time::Millis,
 };
 use medlarspur_load::choice::Tier;
@@ -52,7 +55,15 @@
     /// Up to where the config and the targets are known.
     pub fn picture(&self, age: Option<Millis>) -> Picture {
         let version = self.catalog.config().map(|config| config.version);
-        Picture { version, revision: self.revision().0, age }
+        let mut evacuated: Vec<_> =
+            self.catalog.evacuated().map(|it| self.shown_domain(it)).collect();
+        evacuated.sort_by(|one, other| one.domain.cmp(&other.domain));
+        Picture { version, revision: self.revision().0, age, evacuated }
+    }
+
+    fn shown_domain(&self, domain: &DomainName) -> EvacuatedDomain {
+        let revision = self.catalog.evacuation(domain).unwrap_or_default();
+        EvacuatedDomain { domain: domain.clone(), revision: revision.0 }
     }
 
     /// All services that have targets.
@@ -87,10 +98,17 @@
     fn usage(&self, entry: &Entry, now: Millis) -> TargetUse {
         let is_lost =
             self.states.get(&entry.target.incarnation).is_some_and(|it| it.health.is_lost());
-        if self.is_full(entry) && entry.is_listed() && !is_lost && !entry.target.leaving {
-            return TargetUse::Full;
+        let closed = self.closed(entry, self.warmup(&entry.target.service), now);
+        if entry.is_listed() && !is_lost && !entry.target.leaving {
+            match closed {
+                Some(Closed::Evacuated) => return TargetUse::Evacuated,
+                Some(Closed::Warming) => return TargetUse::Warming,
+                None if self.is_full(entry) => return TargetUse::Full,
+                None => {}
+            }
         }
-        match self.candidate(entry, Class::Request, now).map(|it| it.tier) {
+        let candidate = self.candidate(entry, Class::Request, now).filter(|_| closed.is_none());
+        match candidate.map(|it| it.tier) {
             Some(Tier::Good) => TargetUse::Good,
             Some(Tier::Unlisted) => TargetUse::Unlisted,
             Some(Tier::Doubtful) => TargetUse::Doubtful,
--- a/marked/src/forwarder/full.rs
+++ b/marked/src/forwarder/full.rs
@@ -216,16 +216,18 @@
         Some(usual.clamp(LEAST_SILENCE, MOST_SILENCE))
     }
 
-    /// Asks full targets whose pause is over whether they have room. One that leaves takes
-    /// none, and one that is not listed may be again, and is only asked then.
+    /// Asks full targets whose pause is over whether they have room. One that leaves or
+    /// whose domain is evacuated takes none, and one that is not listed may be again, and is only asked then.
     pub(super) fn ask_full(&mut self, now: Millis, out: &mut impl Output) {
         let states = &self.states;
         self.full.retain(|it| states.contains_key(it));
         let is_due = |it: &&Incarnation| states[*it].vacancy.retry().is_some_and(|at| at <= now);
         let due: Vec<Incarnation> = self.full.iter().filter(is_due).copied().collect();
-        let takes_flows = |entry: &Entry| entry.is_listed() && !entry.target.leaving;
         for target in due {
-            if self.catalog.entry(target).is_some_and(takes_flows) {
+            let entry = self.catalog.entry(target);
+            if entry.is_some_and(|it| it.is_listed() && !it.target.leaving)
+                && !self.is_evacuated(target)
+            {
                 self.ask(target, now, out);
             } else if let Some(state) = self.states.get_mut(&target) {
                 state.vacancy.ask(now);
--- a/marked/src/forwarder/leaving.rs
+++ b/marked/src/forwarder/leaving.rs
@@ -43,7 +43,7 @@
         }
     }
 
-    fn move_opening(
+    pub(super) fn move_opening(
         &mut self,
         key: FlowKey,
         from: Incarnation,
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -9,11 +9,14 @@
 //! - An opening packet gets a target, its repetitions the same one, unless that
 //!   one is known not to answer. Two targets that both answered would leave the
 //!   caller with the numbers of one and the mark of the other.
+//! - A target whose failure domain operators have emptied gets no new flows; those that
+//!   it has go on, and so do their packets.
 //! - A target that takes no openings is full: new flows go elsewhere, and those that
 //!   it has go on.
 //! - When a target is found lost, its open flows are reset at once, and what
 //!   was being opened there goes to another one.
 
+mod closed;
 mod counts;
 mod explain;
 mod full;
@@ -140,7 +143,12 @@
     /// Takes in news of targets and routes.
     pub fn learn(&mut self, news: News, now: Millis, out: &mut impl Output) {
         let version = self.catalog.config().map(|config| config.version);
-        for incarnation in self.catalog.merge(news, now) {
+        let changed = self.catalog.merge(news, now);
+        for domain in changed.domains {
+            let note = self.domain_note(domain);
+            out.note(note);
+        }
+        for incarnation in changed.targets {
             self.states.entry(incarnation).or_insert_with(|| State::new(now));
             self.learn_entry(incarnation, now, out);
         }
--- a/marked/src/forwarder/output.rs
+++ b/marked/src/forwarder/output.rs
@@ -38,6 +38,12 @@
     NoTarget,
     /// All targets of its service that could take it are full: none answered openings.
     Full,
+    /// All targets of its service that could take it are in failure domains that
+    /// operators have emptied. No packet went to a target.
+    Evacuated,
+    /// All targets of its service that could take it are slow after their start, and the
+    /// service bounds what they get. No packet went to a target.
+    Warming,
     /// Its service had no room until an answer would have come too late. No packet
     /// went to a target.
     Busy,
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Forwarder, Output, Refusal,
+    closed::Closed,
     reach::DOUBT_TIME,
     waiting::{self, NewFlow},
 };
@@ -79,13 +80,16 @@
     }
 
     /// The target that a flow was opened to a moment ago and that may still
-    /// answer. Later, the same ports are a new flow.
+    /// answer. Later, the same ports are a new flow. An opening that nothing has answered
+    /// leaves a failure domain that operators have emptied meanwhile: its copy would open
+    /// the flow there after all.
     fn opened(&self, key: &FlowKey, now: Millis) -> Option<Incarnation> {
         let flow = self.flows.get(key)?;
         let is_copy = flow.opened && now.since(flow.since) <= OPENING_LIMIT;
         let is_lost = self.states.get(&flow.target).is_some_and(|it| it.health.is_lost());
         let is_known = self.catalog.entry(flow.target).is_some();
-        (is_copy && !is_lost && is_known).then_some(flow.target)
+        let is_late = flow.is_opening() && self.is_evacuated(flow.target);
+        (is_copy && !is_lost && is_known && !is_late).then_some(flow.target)
     }
 
     /// Gives a new flow a target.
@@ -93,7 +97,7 @@
         let NewFlow { key, seq, class, service, packet, waited } = it;
         self.drop_flow(&key);
         let Some((target, note)) = self.choose(&service, class, &key, now) else {
-            return self.refuse(&key, self.excluded(&service), out);
+            return self.refuse(&key, self.excluded(&service, now), out);
         };
         self.counts.opened += 1;
         out.note(note);
@@ -116,10 +120,20 @@
         key: &FlowKey,
         now: Millis,
     ) -> Option<(Incarnation, Note)> {
-        let candidate = |entry| Some((entry, self.candidate(entry, class, now)?));
-        let targets = self.catalog.targets(service);
-        let (mut entries, mut candidates): (Vec<&Entry>, Vec<Candidate>) =
-            targets.filter_map(candidate).unzip();
+        let warmup = self.warmup(service);
+        let (mut evacuated, mut warming) = (false, false);
+        let (mut entries, mut candidates): (Vec<&Entry>, Vec<Candidate>) = Default::default();
+        for entry in self.catalog.targets(service) {
+            match self.closed(entry, warmup, now) {
+                Some(Closed::Evacuated) => evacuated = true,
+                Some(Closed::Warming) => warming = true,
+                None => {
+                    let Some(candidate) = self.candidate(entry, class, now) else { continue };
+                    entries.push(entry);
+                    candidates.push(candidate);
+                }
+            }
+        }
         if class == Class::Feed {
             keep_for_requests(self.heard.mix(service), &entries, &mut candidates);
         }
@@ -132,6 +146,8 @@
             // in mid-flow would go there.
             let meant = self.catalog.marked(Mark::new(target, key), key);
             if meant.is_some_and(|entry| entry.target.incarnation == target) {
+                self.counts.avoided += u64::from(evacuated);
+                self.counts.spared += u64::from(warming);
                 let note = Note::Opened {
                     flow: *key,
                     target,
@@ -146,15 +162,23 @@
     }
 
     /// Why no target of a service can take a flow.
-    fn excluded(&self, service: &ServiceName) -> Refusal {
-        let mut targets = self.catalog.targets(service).filter(|it| !it.target.leaving);
-        match targets.any(|entry| self.is_full(entry)) {
-            true => Refusal::Full,
-            false => Refusal::NoTarget,
+    fn excluded(&self, service: &ServiceName, now: Millis) -> Refusal {
+        let targets = self.catalog.targets(service).filter(|it| !it.target.leaving);
+        let targets: Vec<&Entry> = targets.collect();
+        let warmup = self.warmup(service);
+        let closed = |it: &&Entry| it.is_listed().then(|| self.closed(it, warmup, now)).flatten();
+        if targets.iter().any(|entry| closed(entry).is_none() && self.is_full(entry)) {
+            return Refusal::Full;
+        }
+        match targets.iter().find_map(closed) {
+            Some(Closed::Warming) => Refusal::Warming,
+            Some(Closed::Evacuated) => Refusal::Evacuated,
+            None => Refusal::NoTarget,
         }
     }
 
-    /// A target as one that could take a flow; none if it must not.
+    /// A target as one that could take a flow, unless it is [closed](Closed); none if it
+    /// must not.
     pub(super) fn candidate(&self, entry: &Entry, class: Class, now: Millis) -> Option<Candidate> {
         let state = self.states.get(&entry.target.incarnation)?;
         if entry.target.leaving || state.health.is_lost() {
@@ -201,6 +225,9 @@
         let (target, since, packet) = (flow.target, flow.since, packet.clone());
         let is_first = flow.looks == 0;
         flow.looks += 1;
+        if self.is_evacuated(target) {
+            return self.move_opening(key, target, now, out);
+        }
         if self.refuse_place(target, since, now, out) {
             return;
         }
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -155,8 +155,8 @@
 
     pub(super) fn ask(&mut self, incarnation: Incarnation, now: Millis, out: &mut impl Output) {
         let Some(entry) = self.catalog.entry(incarnation) else { return };
-        let Some(path) = self.catalog.health(&entry.target.service) else { return };
-        out.ask(&entry.target, path);
+        let Some(service) = self.catalog.service(&entry.target.service) else { return };
+        out.ask(&entry.target, &service.health);
         self.counts.asked += 1;
         if let Some(state) = self.states.get_mut(&incarnation) {
             state.health.ask_again(now);
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -207,6 +207,10 @@
         let (mut work, mut slots) = (Work::default(), 0);
         for entry in self.catalog.targets(service) {
             let Some(state) = self.states.get(&entry.target.incarnation) else { continue };
+            // What goes on in an evacuated domain takes no room from those that are used.
+            if self.catalog.is_evacuated(&entry.target.domain) {
+                continue;
+            }
             work.all += state.working + state.opening;
             work.requests += state.requests;
             if !entry.target.leaving && !state.health.is_lost() && entry.is_listed() {
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -13,6 +13,7 @@
 mod catalog;
 mod delta;
 mod entry;
+mod evacuation;
 mod fleet;
 mod flow;
 mod forwarder;
@@ -24,7 +25,7 @@
 mod note;
 mod segment;
 
-pub use catalog::Catalog;
+pub use catalog::{Catalog, Changed};
 pub use delta::Delta;
 pub use entry::{Entry, Presence};
 pub use fleet::{Fleet, Outgoing};
@@ -33,6 +34,9 @@
 pub use health::{Finding, Health};
 pub use incarnation::{Incarnation, Start};
 pub use mark::Mark;
-pub use news::{Change, Config, Content, MOST_SLOTS, News, Revision, Route, Scope, Share, Target};
+pub use news::{
+    Change, Config, Content, MOST_SLOTS, News, Revision, Route, Scope, Service, Share, Target,
+    Warmup,
+};
 pub use note::{EntryState, Fields, Note, NoteKind};
 pub use segment::{FlowKey, Kind, Segment};
--- a/marked/src/news.rs
+++ b/marked/src/news.rs
@@ -74,12 +74,33 @@
     pub version: Version,
     /// All routes.
     pub routes: Vec<Route>,
-    /// The path of each service's health endpoint.
-    pub health: Vec<(ServiceName, Box<str>)>,
+    /// What is known of services besides their targets; no two have one name.
+    pub services: Vec<Service>,
     /// How long a flow may be silent before it may be forgotten.
     pub idle: Millis,
 }
 
+/// A service apart from its targets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceName,
+    /// The path of its health endpoint.
+    pub health: Box<str>,
+    /// What its targets bear after their start, if operators bound it.
+    pub warmup: Option<Warmup>,
+}
+
+/// What targets bear while they are slow after their start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Warmup {
+    /// How long it takes.
+    pub span: Millis,
+    /// How many requests a second one of them bears meanwhile, from all instances
+    /// together; never 0.
+    pub rate: u32,
+}
+
 /// What has changed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Content {
@@ -95,6 +116,10 @@
     /// The entry of that name is there and names no target that could be used:
     /// another writer changed it. Flows at the target that it named go on.
     Unusable(TargetName),
+    /// Operators want the targets of a failure domain to get no new flows.
+    Evacuated(DomainName),
+    /// They don't any more.
+    Restored(DomainName),
 }
 
 /// One item at its revision.
@@ -111,7 +136,7 @@
 pub enum Scope {
     /// All changes since a revision.
     Since(Revision),
-    /// All targets: one that is not there was removed.
+    /// All targets and evacuated failure domains: one that is not there is not any more.
     All,
 }
 
@@ -132,10 +157,14 @@
     /// one route without a service would end the thread that forwards packets.
     pub fn is_sound(&self) -> bool {
         self.changes.iter().all(|change| match &change.content {
-            Content::Config(config) => config.routes.iter().all(Route::is_sound),
+            Content::Config(config) => {
+                let services = config.services.iter().all(Service::is_sound);
+                services && config.routes.iter().all(Route::is_sound)
+            }
             Content::Delta(delta) => delta.is_sound(),
             Content::Target(target) => target.is_sound(),
             Content::Removed(_) | Content::Unusable(_) => true,
+            Content::Evacuated(_) | Content::Restored(_) => true,
         })
     }
 }
@@ -147,6 +176,12 @@
     }
 }
 
+impl Service {
+    pub(crate) fn is_sound(&self) -> bool {
+        self.warmup.is_none_or(|it| it.rate > 0)
+    }
+}
+
 impl Route {
     pub(crate) fn is_sound(&self) -> bool {
         self.shares.iter().any(|share| share.weight > 0)
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -3,7 +3,7 @@
 use crate::{Finding, FlowKey, Incarnation, Mark, Refusal, Revision, Start, Unroutable};
 use medlarspur_lib::{
     bundle::Class,
-    ids::{TargetName, Version},
+    ids::{DomainName, TargetName, Version},
     time::Millis,
 };
 use medlarspur_load::choice::Tier;
@@ -121,6 +121,24 @@
         /// The revision that says so.
         revision: Revision,
     },
+    /// Operators have emptied a failure domain: its targets get no new flows.
+    Evacuated {
+        /// The failure domain.
+        domain: DomainName,
+        /// The revision that says so.
+        revision: Revision,
+        /// How many targets are listed there.
+        targets: usize,
+    },
+    /// Operators have taken that back.
+    Restored {
+        /// The failure domain.
+        domain: DomainName,
+        /// The revision that says so, or up to which no evacuation is listed any more.
+        revision: Revision,
+        /// How many targets are listed there.
+        targets: usize,
+    },
     /// A config is in force.
     Config {
         /// Its version.
@@ -165,7 +183,7 @@
     Doubted,
     /// [`Note::Lost`], [`Note::Regained`], [`Note::Full`] and [`Note::Vacant`].
     Reach,
-    /// [`Note::Entry`] and [`Note::Config`].
+    /// [`Note::Entry`], [`Note::Config`], [`Note::Evacuated`] and [`Note::Restored`].
     News,
 }
 
@@ -213,6 +231,7 @@
             Note::Lost { .. } | Note::Regained { .. } => NoteKind::Reach,
             Note::Full { .. } | Note::Vacant { .. } => NoteKind::Reach,
             Note::Entry { .. } | Note::Config { .. } => NoteKind::News,
+            Note::Evacuated { .. } | Note::Restored { .. } => NoteKind::News,
         }
     }
 
@@ -230,6 +249,8 @@
             Note::Full { .. } => "target full",
             Note::Vacant { .. } => "target vacant",
             Note::Entry { .. } => "target entry",
+            Note::Evacuated { .. } => "domain evacuated",
+            Note::Restored { .. } => "domain restored",
             Note::Config { .. } => "config in force",
         }
     }
@@ -292,6 +313,12 @@
                 ("state", lower(state)),
                 ("revision", revision.0.to_string()),
             ],
+            Note::Evacuated { domain, revision, targets }
+            | Note::Restored { domain, revision, targets } => vec![
+                ("domain", domain.to_string()),
+                ("revision", revision.0.to_string()),
+                ("targets", targets.to_string()),
+            ],
             Note::Config { version, revision, routes } => vec![
                 ("version", version.to_string()),
                 ("revision", revision.0.to_string()),
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -7,7 +7,7 @@
 };
 use medlarspur_marked::{
     Change, Config, Content, FlowKey, Forwarder, Incarnation, Kind, Mark, News, Note, Output,
-    Refusal, Revision, Route, Scope, Segment, Share, Span, Start, Target, Tuning,
+    Refusal, Revision, Route, Scope, Segment, Service, Share, Span, Start, Target, Tuning,
 };
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -53,6 +53,11 @@
     Route { address, class, goal: None, shares: vec![share] }
 }
 
+/// What a config says of a service.
+pub fn described(name: &str) -> Service {
+    Service { name: ServiceName::new(name), health: "/health".into(), warmup: None }
+}
+
 pub fn config(version: u64) -> Config {
     Config {
         version: Version(version),
@@ -61,10 +66,7 @@
             route(REQUEST, Class::Request, "desk"),
             route(UPLOAD, Class::Upload, "ingest"),
         ],
-        health: vec![
-            (ServiceName::new("desk"), "/health".into()),
-            (ServiceName::new("ingest"), "/health".into()),
-        ],
+        services: vec![described("desk"), described("ingest")],
         idle: Millis::secs(15),
     }
 }
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -4,6 +4,7 @@
 mod net;
 mod test_catalog;
 mod test_delta;
+mod test_evacuation;
 mod test_fleet;
 mod test_flow;
 mod test_forwarder;
--- a/marked/tests/test_delta.rs
+++ b/marked/tests/test_delta.rs
@@ -2,7 +2,7 @@
 
 use super::fixtures::{change, config, millis, news, one, route};
 use medlarspur_lib::{bundle::Class, ids::ServiceName};
-use medlarspur_marked::{Catalog, Config, Content, Delta, Revision, Route, Scope};
+use medlarspur_marked::{Catalog, Config, Content, Delta, Revision, Route, Scope, Service, Warmup};
 use proptest::{collection::vec, prelude::*};
 
 /// A config whose routes are drawn: (number of the address, service).
@@ -15,15 +15,19 @@
             it.routes.push(route(address, Class::Feed, &format!("service-{service}")));
         }
     }
-    it.health = (0..version % 4)
-        .map(|nth| (ServiceName::new(&format!("service-{nth}")), format!("/{version}").into()))
+    it.services = (0..version % 4)
+        .map(|nth| Service {
+            name: ServiceName::new(&format!("service-{nth}")),
+            health: format!("/{version}").into(),
+            warmup: (nth > 0).then_some(Warmup { span: millis(2_000), rate: version as u32 }),
+        })
         .collect();
     it
 }
 
 fn sorted(mut config: Config) -> Config {
     config.routes.sort_by_key(|route| route.address);
-    config.health.sort();
+    config.services.sort_by(|one, other| one.name.cmp(&other.name));
     config
 }
 
--- a/marked/tests/test_waiting.rs
+++ b/marked/tests/test_waiting.rs
@@ -5,11 +5,12 @@
     target,
 };
 use medlarspur_lib::{
+    ids::DomainName,
     status::{MarkedReason, TargetUse},
     time::Millis,
 };
 use medlarspur_marked::{
-    Content, Finding, FlowKey, Incarnation, Kind, Note, Refusal, Revision, Scope,
+    Content, Finding, FlowKey, Incarnation, Kind, Note, Refusal, Revision, Scope, Target,
 };
 use std::net::SocketAddrV4;
 
@@ -100,6 +101,25 @@
     assert!(instance.out.resets.is_empty());
 }
 
+/// A request waits here because its service has no room, and a failure domain is emptied
+/// meanwhile. It is opened by what holds then.
+#[test]
+fn what_waits_is_not_opened_in_a_domain_that_was_evacuated_meanwhile() {
+    let mut instance = busy(140);
+    let south = DomainName::new("south");
+    let moved = Target { domain: south.clone(), ..target(2, "desk") };
+    instance.learn(one(201, Content::Target(moved.clone())), 450);
+    let held = fill(&mut instance, REQUEST, 500);
+
+    instance.learn(one(202, Content::Evacuated(south)), 510);
+    empty(&mut instance, held, 520);
+    instance.out.sent.clear();
+    instance.tick(530);
+
+    assert_eq!(opened(&instance).last(), Some(&held));
+    assert_ne!(instance.last(), moved.incarnation);
+}
+
 #[test]
 fn what_waits_is_opened_once_there_is_room_newest_first() {
     let mut instance = busy(140);
--- a/operator/src/meters/family.rs
+++ b/operator/src/meters/family.rs
@@ -124,11 +124,13 @@
     TargetsLost,
     /// Targets that take no openings and serve the flows that they have.
     TargetsFull,
+    /// Failure domains that operators have emptied.
+    DomainsEvacuated,
 }
 
 impl Gauge {
     /// Every gauge.
-    pub const ALL: [Gauge; 13] = [
+    pub const ALL: [Gauge; 14] = [
         Gauge::Ready,
         Gauge::FlowsHeld,
         Gauge::MembersLive,
@@ -142,6 +144,7 @@
         Gauge::TargetsLive,
         Gauge::TargetsLost,
         Gauge::TargetsFull,
+        Gauge::DomainsEvacuated,
     ];
 
     /// Its name in the metrics.
@@ -160,6 +163,7 @@
             Gauge::TargetsLive => "medlarspur_targets_live",
             Gauge::TargetsLost => "medlarspur_targets_lost",
             Gauge::TargetsFull => "medlarspur_targets_full",
+            Gauge::DomainsEvacuated => "medlarspur_domains_evacuated",
         }
     }
 
@@ -180,6 +184,7 @@
             Gauge::TargetsFull => {
                 "Targets that take no openings and serve the flows that they have."
             }
+            Gauge::DomainsEvacuated => "Failure domains that operators have emptied.",
         }
     }
 }
