marked: take late openings into account when a question stays unanswered

Cause of the known red test a_full_target_keeps_its_flows_and_gets_no_others, as far as it was understood: where all openings have waited here for 200 ms, nothing but openings of callers who may have gone is unanswered, and find_silent looked at the others only. A full target that leaves the question unanswered as well, and serves its feeds, was left as it is and swallowed what was opened late. The new test was red before.

What asking brings is now held against both kinds of openings in one place, for silence as for connections that the target ends.

--- a/marked/src/forwarder/full.rs
+++ b/marked/src/forwarder/full.rs
@@ -128,7 +128,7 @@
     ) {
         self.see_life(target, now, out);
         let Some(state) = self.states.get_mut(&target) else { return };
-        if state.refused > 0 || state.unsure || state.vacancy.is_full() {
+        if state.is_declining() || state.vacancy.is_full() {
             state.declined = true;
             self.fill(target, now, out);
         }
@@ -145,7 +145,7 @@
             // Its entry went too, which no full target's does.
             return self.find_lost(target, Finding::Silent, now, out);
         }
-        if is_taken || is_heard && state.refused == 0 {
+        if is_taken || is_heard && !state.is_declining() {
             return;
         }
         if let Some(state) = self.states.get_mut(&target) {
--- a/marked/src/forwarder/state.rs
+++ b/marked/src/forwarder/state.rs
@@ -55,6 +55,14 @@
         }
     }
 
+    /// Whether any opening there is unanswered, be it one whose caller may have gone. That
+    /// speaks against a target only together with what asking it brings: where everybody
+    /// waits here, there are no other openings, and a full target that is silent would
+    /// swallow all that is opened late.
+    pub(super) fn is_declining(&self) -> bool {
+        self.refused > 0 || self.unsure
+    }
+
     /// Notes that an opening which came at `sent` is unanswered.
     pub(super) fn refuse(&mut self, sent: Millis, now: Millis) {
         if self.health.taken() > sent {
--- a/marked/tests/test_waiting.rs
+++ b/marked/tests/test_waiting.rs
@@ -291,6 +291,22 @@
     assert_eq!(instance.forwarder.count_full(), 1);
 }
 
+/// The same with one that is full and leaves the question unanswered, while it serves the
+/// feeds that it has. Left as it is, it would swallow all that is opened late.
+#[test]
+fn a_full_target_that_stays_silent_is_noticed_though_all_openings_have_waited() {
+    let (mut instance, target) = opened_for_nobody();
+    instance.tick(1_100);
+    let feed = (1..=20).map(|number| flow(number, FEED));
+    for key in feed {
+        instance.packet(middle(key, target, 1101, 700, 0), 1_200);
+    }
+
+    instance.forwarder.answer(target, Finding::Silent, millis(1_400), &mut instance.out);
+
+    assert_eq!(instance.forwarder.count_full(), 1);
+}
+
 /// What is opened for callers who have gone is no work. Counted as such until the record
 /// is dropped, it would keep others waiting for 1.6 s.
 #[test]
