--- a/daemon/tests/marked.rs
+++ b/daemon/tests/marked.rs
@@ -22,6 +22,7 @@
     // How soon news is in force is measured elsewhere: here a busy machine may
     // be late.
     site.terms.bound = Millis(u64::MAX);
+    site.terms.evacuated = Millis(u64::MAX);
     for _ in 0..instances {
         site.add_instance().expect("an instance");
     }
