marked: keep requests of a route in its regions

A route may name the regions in which its requests must stay. New flows of it go to targets of domains that the settings place in one of them, by every way to a target; a domain whose region is not known is in none.

--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -108,7 +108,9 @@
         control = control.map(|it| it.to_string());
         "start"
     );
-    let tuning = Tuning { domain: settings.domain.clone(), seed: rand::random() };
+    let regions = settings.regions.iter().map(|it| (it.domain.clone(), it.region.clone()));
+    let regions = regions.collect();
+    let tuning = Tuning { domain: settings.domain.clone(), regions, seed: rand::random() };
     let mut instance = Instance {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -72,7 +72,7 @@
 /// One series and where its value is found.
 type Series = (Family, &'static str, fn(&Numbers) -> u64);
 
-const SERIES: [Series; 31] = [
+const SERIES: [Series; 32] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -84,6 +84,7 @@
     (Family::Flows, "reset-full", |it| it.counts.full),
     (Family::Flows, "reset-evacuated", |it| it.counts.evacuated),
     (Family::Flows, "reset-warming", |it| it.counts.warming),
+    (Family::Flows, "reset-away", |it| it.counts.away),
     (Family::Flows, "evacuated-avoided", |it| it.counts.avoided),
     (Family::Flows, "warming-spared", |it| it.counts.spared),
     (Family::Flows, "target-filled", |it| it.counts.filled),
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -11,6 +11,8 @@
     InstanceName,
     /// The name of a failure domain.
     DomainName,
+    /// The name of a region: failure domains that are near each other.
+    RegionName,
 }
 
 number! {
--- a/lib/src/settings/marked.rs
+++ b/lib/src/settings/marked.rs
@@ -2,8 +2,8 @@
 
 use super::parse::{distinct, log_form, peers, remote, socket};
 use crate::{
-    document::{self, Lines, Node, Report},
-    ids::{DomainName, InstanceName},
+    document::{self, Fault, Lines, Node, Report},
+    ids::{DomainName, InstanceName, RegionName},
     settings::LogForm,
     time::Millis,
 };
@@ -22,9 +22,11 @@
     "store",
     "control",
     "peers",
+    "regions",
     "grace",
     "log",
 ];
+const REGION_FIELDS: &[&str] = &["domain", "region"];
 /// The value of `agreement` that these settings have.
 const MARKS: &str = "marks";
 /// How long an instance that was told to leave is let live if the settings
@@ -53,6 +55,8 @@
         pub control: Option<SocketAddrV4>,
         /// Control addresses of some instances, by which to find the others.
         pub peers: Vec<SocketAddrV4>,
+        /// The region of each failure domain, as far as it is known.
+        pub regions: Vec<DomainRegion>,
         /// How long after it was told to leave it is killed.
         pub grace: Millis,
         /// The form of log lines.
@@ -60,6 +64,16 @@
     }
 }
 
+value! {
+    /// Where a failure domain is.
+    pub struct DomainRegion {
+        /// The failure domain.
+        pub domain: DomainName,
+        /// Its region.
+        pub region: RegionName,
+    }
+}
+
 impl MarkedSettings {
     /// Whether a text holds settings of this kind, and not those of an instance
     /// whose fabric returns nothing.
@@ -93,6 +107,7 @@
     let store = fields.required("store").and_then(|node| remote(&node));
     let control = fields.maybe("control", socket);
     let peers = fields.or("peers", Vec::new(), peers);
+    let regions = fields.or("regions", Vec::new(), regions);
     let grace = fields.or("grace", GRACE, |node| node.span(Millis(100)..=Millis::secs(600)));
     let log = fields.or("log", LogForm::Text, |node| node.checked("text or json", log_form));
     agreement?;
@@ -106,7 +121,25 @@
         store: store?,
         control: control?,
         peers: peers?,
+        regions: regions?,
         grace: grace?,
         log: log?,
     })
 }
+
+fn regions(node: &Node<'_>) -> Option<Vec<DomainRegion>> {
+    let mut known = Vec::<DomainRegion>::new();
+    for item in node.items()? {
+        let fields = item.fields(REGION_FIELDS)?;
+        let domain = fields.required("domain")?;
+        let (name, region) = (domain.name(), fields.required("region")?.name());
+        let (name, region) = (DomainName::new(name?), RegionName::new(region?));
+        if known.iter().any(|it| it.domain == name) {
+            let other = document::Path::default().field("regions");
+            let found = name.to_string();
+            return domain.fault(Fault::Repeated { what: "the failure domain", found, other });
+        }
+        known.push(DomainRegion { domain: name, region });
+    }
+    Some(known)
+}
--- a/lib/src/settings/mod.rs
+++ b/lib/src/settings/mod.rs
@@ -6,7 +6,7 @@
 mod marked;
 mod parse;
 
-pub use marked::MarkedSettings;
+pub use marked::{DomainRegion, MarkedSettings};
 
 use crate::{
     bundle::Keys,
--- a/lib/src/status/marked.rs
+++ b/lib/src/status/marked.rs
@@ -128,6 +128,8 @@
         Evacuated,
         /// It is slow after its start, its service bounds what it gets meanwhile: none.
         Warming,
+        /// It is outside of the regions in which the route's requests must stay.
+        Away,
         /// Its entry was changed so that it names no target that could be used.
         Unusable,
         /// It has started again since: the later start takes new flows.
@@ -181,6 +183,7 @@
             TargetUse::Full => "full",
             TargetUse::Evacuated => "evacuated",
             TargetUse::Warming => "warming",
+            TargetUse::Away => "away",
             TargetUse::Unusable => "unusable",
             TargetUse::Replaced => "replaced",
             TargetUse::Leaving => "leaving",
--- a/lib/tests/product/test_marked_settings.rs
+++ b/lib/tests/product/test_marked_settings.rs
@@ -1,7 +1,7 @@
 //! Settings of an instance whose fabric returns marks.
 
 use expect_test::expect;
-use medlarspur_lib::settings::{LogForm, MarkedSettings};
+use medlarspur_lib::settings::{DomainRegion, LogForm, MarkedSettings};
 
 const SOUND: &str = "\
 agreement: marks
@@ -32,11 +32,37 @@
 
     expect![[r#"
         line 1: (top): the field `name` is missing; add `name:`
-        line 2: nam: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, control, peers, grace, log
+        line 2: nam: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, control, peers, regions, grace, log
         line 6: store: `store.example:1` does not fit; write an IPv4 address and a port other than 0, such as 10.0.0.1:6080
         line 7: grace: `soon` does not fit; write a span of time with its unit, such as 500ms, 30s, 5m or 1h
         line 8: metrics: the address `10.1.0.10:8167` stands at ready already; change or remove it here or at ready
-        line 9: colour: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, control, peers, grace, log"#]].assert_eq(&report.to_string());
+        line 9: colour: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, control, peers, regions, grace, log"#]].assert_eq(&report.to_string());
+}
+
+#[test]
+fn regions_of_failure_domains_are_read() {
+    let text = format!(
+        "{SOUND}regions:\n  - domain: north\n    region: here\n  - domain: south\n    region: there\n"
+    );
+
+    let settings = MarkedSettings::parse(&text).expect("sound");
+
+    let names = |it: &DomainRegion| (it.domain.to_string(), it.region.to_string());
+    let found: Vec<_> = settings.regions.iter().map(names).collect();
+    let expected = [("north", "here"), ("south", "there")];
+    assert_eq!(found, expected.map(|(domain, region)| (domain.to_owned(), region.to_owned())));
+}
+
+/// With two regions for one domain, requests that must stay in one of them might leave it.
+#[test]
+fn a_failure_domain_has_one_region() {
+    let text = format!(
+        "{SOUND}regions:\n  - domain: north\n    region: here\n  - domain: north\n    region: there\n"
+    );
+
+    let report = MarkedSettings::parse(&text).expect_err("a fault");
+
+    expect!["line 11: regions[1].domain: the failure domain `north` stands at regions already; change or remove it here or at regions"].assert_eq(&report.to_string());
 }
 
 #[test]
--- a/marked/examples/slopes.rs
+++ b/marked/examples/slopes.rs
@@ -90,6 +90,7 @@
             service: ServiceName::new(&format!("service-{}", number % services)),
             weight: 1,
         }],
+        regions: Vec::new(),
     };
     let config = Config {
         version: Version(1),
@@ -144,7 +145,7 @@
 }
 
 fn forwarder(targets: usize, services: usize) -> Forwarder {
-    let tuning = Tuning { domain: DomainName::new("north"), seed: 1 };
+    let tuning = Tuning { domain: DomainName::new("north"), regions: Default::default(), seed: 1 };
     let mut forwarder = Forwarder::new(tuning);
     forwarder.learn(site(targets, services), Millis(0), &mut Nowhere);
     forwarder
--- a/marked/src/forwarder/closed.rs
+++ b/marked/src/forwarder/closed.rs
@@ -1,15 +1,16 @@
 //! Targets that live, have room and are to get no new flows all the same.
 //!
-//! Operators have emptied their failure domain, or they are slow after their start and
-//! bear only so many requests a second from all instances together. No instance sees what
-//! the others open there, so a target whose service bounds that gets nothing until it is
-//! warm: a part of the bound for each instance would be passed wherever instances
-//! disagree on how many they are (`docs/design/evacuation.md`).
+//! Operators have emptied their failure domain; or the route's requests must stay in other
+//! regions; or they are slow after their start and bear only so many requests a second from
+//! all instances together. No instance sees what the others open there, so a target whose
+//! service bounds that gets nothing until it is warm: a part of the bound for each instance
+//! would be passed wherever instances disagree on how many they are
+//! (`docs/design/evacuation.md`).
 
 use super::Forwarder;
-use crate::{Entry, Incarnation, Note, Revision, Warmup};
+use crate::{Entry, FlowKey, Incarnation, Note, Warmup};
 use medlarspur_lib::{
-    ids::{DomainName, ServiceName},
+    ids::{DomainName, RegionName, ServiceName},
     time::Millis,
 };
 
@@ -18,47 +19,73 @@
 pub(super) enum Closed {
     /// Operators have emptied its failure domain.
     Evacuated,
+    /// It is outside of the regions in which the route's requests must stay.
+    Away,
     /// It is slow after its start, and its service bounds what it gets meanwhile.
     Warming,
 }
 
+/// What closes targets to new flows of a route, beside evacuations.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Bounds<'a> {
+    warmup: Option<Warmup>,
+    /// Where its requests must stay; anywhere if it is empty.
+    regions: &'a [RegionName],
+}
+
 impl Forwarder {
-    /// What bounds new flows to slow targets of a service.
-    pub(super) fn warmup(&self, service: &ServiceName) -> Option<Warmup> {
-        self.catalog.service(service)?.warmup
+    /// What closes targets of a service whatever the route is.
+    pub(super) fn service_bounds(&self, service: &ServiceName) -> Bounds<'_> {
+        let warmup = self.catalog.service(service).and_then(|it| it.warmup);
+        Bounds { warmup, regions: &[] }
+    }
+
+    /// What closes targets of a service to new flows to an address and port.
+    pub(super) fn bounds(&self, service: &ServiceName, flow: &FlowKey) -> Bounds<'_> {
+        let regions = self.catalog.route(flow.service).map(|route| route.regions.as_slice());
+        Bounds { regions: regions.unwrap_or_default(), ..self.service_bounds(service) }
     }
 
-    /// Why a target of a service with this `warmup` is to get no new flows, if anything
-    /// says so.
-    pub(super) fn closed(
-        &self,
-        entry: &Entry,
-        warmup: Option<Warmup>,
-        now: Millis,
-    ) -> Option<Closed> {
-        if self.catalog.is_evacuated(&entry.target.domain) {
+    /// Why a target is to get no new flows with these bounds, if anything says so.
+    pub(super) fn closed(&self, entry: &Entry, bounds: Bounds<'_>, now: Millis) -> Option<Closed> {
+        let domain = &entry.target.domain;
+        if self.catalog.is_evacuated(domain) {
             return Some(Closed::Evacuated);
         }
-        warmup.filter(|it| self.is_warming(entry, *it, now)).map(|_| Closed::Warming)
+        if !self.is_within(domain, bounds.regions) {
+            return Some(Closed::Away);
+        }
+        let is_warming = bounds.warmup.is_some_and(|it| self.is_warming(entry, it, now));
+        is_warming.then_some(Closed::Warming)
+    }
+
+    /// Whether a failure domain is in one of these regions, or they are none. One whose region
+    /// is not known may be anywhere, so it is in none of them.
+    fn is_within(&self, domain: &DomainName, regions: &[RegionName]) -> bool {
+        let region = || self.tuning.regions.get(domain);
+        regions.is_empty() || region().is_some_and(|region| regions.contains(region))
     }
 
     fn is_warming(&self, entry: &Entry, warmup: Warmup, now: Millis) -> bool {
-        // Targets that got nothing while their domain was evacuated may have become cold.
+        // Targets that got nothing while their domain was evacuated may have become slow.
         // They say so some time after the evacuation has ended; until then they would get
         // all that is opened, being idle.
         let restored = self.catalog.restored(&entry.target.domain);
         now < entry.cold || restored.is_some_and(|at| now < at + warmup.span)
     }
 
-    /// Whether the target of a flow is in a failure domain that operators have emptied.
-    pub(super) fn is_evacuated(&self, target: Incarnation) -> bool {
-        let entry = self.catalog.entry(target);
-        entry.is_some_and(|entry| self.catalog.is_evacuated(&entry.target.domain))
+    /// Whether operators have emptied the failure domain of a flow's target, or have said that
+    /// requests of its route must stay in other regions.
+    pub(super) fn is_barred(&self, flow: &FlowKey, target: Incarnation) -> bool {
+        let Some(entry) = self.catalog.entry(target) else { return false };
+        let domain = &entry.target.domain;
+        let regions = self.bounds(&entry.target.service, flow).regions;
+        self.catalog.is_evacuated(domain) || !self.is_within(domain, regions)
     }
 
     /// What is written down of a failure domain that was emptied or is in use again.
     pub(super) fn domain_note(&self, domain: DomainName) -> Note {
-        let revision: Revision = self.catalog.evacuation(&domain).unwrap_or_default();
+        let revision = self.catalog.evacuation(&domain).unwrap_or_default();
         let targets = self.catalog.entries();
         let targets = targets.filter(|it| it.is_listed() && it.target.domain == domain).count();
         match self.catalog.is_evacuated(&domain) {
--- a/marked/src/forwarder/counts.rs
+++ b/marked/src/forwarder/counts.rs
@@ -30,6 +30,8 @@
     pub evacuated: u64,
     /// Flows reset because all targets that could take them are slow after their start.
     pub warming: u64,
+    /// Flows reset because no target is in the regions of their route.
+    pub away: u64,
     /// Flows that went elsewhere while targets of their service were in an evacuated domain.
     pub avoided: u64,
     /// Flows that went elsewhere while targets of their service were slow after their start.
@@ -57,6 +59,7 @@
             Refusal::Full => &mut self.full,
             Refusal::Evacuated => &mut self.evacuated,
             Refusal::Warming => &mut self.warming,
+            Refusal::Away => &mut self.away,
             Refusal::Busy => &mut self.busy,
             Refusal::TargetLost => &mut self.lost,
         };
--- a/marked/src/forwarder/explain.rs
+++ b/marked/src/forwarder/explain.rs
@@ -1,6 +1,9 @@
 //! What the forwarder knows and why flows go where they go, for operators.
 
-use super::{Forwarder, closed::Closed};
+use super::{
+    Forwarder,
+    closed::{Bounds, Closed},
+};
 use crate::{Entry, FlowKey, Presence};
 use medlarspur_lib::{
     bundle::{Class, Protocol},
@@ -22,7 +25,9 @@
         let services = route.iter().flat_map(|route| &route.shares);
         let services: Vec<_> = services.map(|share| &share.service).collect();
         let entries = services.into_iter().flat_map(|service| self.catalog.targets(service));
-        let candidates: Vec<_> = entries.map(|entry| self.shown(entry, now)).collect();
+        let bounds = |entry: &Entry| self.bounds(&entry.target.service, key);
+        let shown = |entry| self.shown(entry, bounds(entry), now);
+        let candidates: Vec<_> = entries.map(shown).collect();
         let known = self.flows.get(key).and_then(|flow| self.catalog.entry(flow.target));
         let takes = |it: &MarkedTarget| {
             matches!(it.usage, TargetUse::Good | TargetUse::Unlisted | TargetUse::Doubtful)
@@ -46,7 +51,7 @@
             },
             reason,
             class: route.map(|route| route.class),
-            target: known.map(|entry| self.shown(entry, now)),
+            target: known.map(shown),
             candidates,
             picture: self.picture(age),
         }
@@ -77,11 +82,13 @@
 
     fn service(&self, name: &ServiceName, now: Millis) -> MarkedService {
         let (pressure, waiting) = self.room(name);
-        let targets = self.catalog.targets(name).map(|entry| self.shown(entry, now)).collect();
+        let bounds = self.service_bounds(name);
+        let targets = self.catalog.targets(name);
+        let targets = targets.map(|entry| self.shown(entry, bounds, now)).collect();
         MarkedService { name: name.clone(), pressure, waiting, targets }
     }
 
-    fn shown(&self, entry: &Entry, now: Millis) -> MarkedTarget {
+    fn shown(&self, entry: &Entry, bounds: Bounds<'_>, now: Millis) -> MarkedTarget {
         let target = &entry.target;
         let state = self.states.get(&target.incarnation);
         MarkedTarget {
@@ -89,19 +96,20 @@
             start: target.start.0,
             address: target.address,
             domain: target.domain.clone(),
-            usage: self.usage(entry, now),
+            usage: self.usage(entry, bounds, now),
             work: state.map_or(0, |state| state.working + state.opening),
             feeds: state.map_or(0, |state| state.feeds),
         }
     }
 
-    fn usage(&self, entry: &Entry, now: Millis) -> TargetUse {
+    fn usage(&self, entry: &Entry, bounds: Bounds<'_>, now: Millis) -> TargetUse {
         let is_lost =
             self.states.get(&entry.target.incarnation).is_some_and(|it| it.health.is_lost());
-        let closed = self.closed(entry, self.warmup(&entry.target.service), now);
+        let closed = self.closed(entry, bounds, now);
         if entry.is_listed() && !is_lost && !entry.target.leaving {
             match closed {
                 Some(Closed::Evacuated) => return TargetUse::Evacuated,
+                Some(Closed::Away) => return TargetUse::Away,
                 Some(Closed::Warming) => return TargetUse::Warming,
                 None if self.is_full(entry) => return TargetUse::Full,
                 None => {}
--- a/marked/src/forwarder/full.rs
+++ b/marked/src/forwarder/full.rs
@@ -216,22 +216,26 @@
         Some(usual.clamp(LEAST_SILENCE, MOST_SILENCE))
     }
 
-    /// Asks full targets whose pause is over whether they have room. One that leaves or
-    /// whose domain is evacuated takes none, and one that is not listed may be again, and is only asked then.
+    /// Asks full targets whose pause is over whether they have room. One that leaves or whose
+    /// domain is evacuated takes none, and one that is not listed may be again, and is only
+    /// asked then.
     pub(super) fn ask_full(&mut self, now: Millis, out: &mut impl Output) {
         let states = &self.states;
         self.full.retain(|it| states.contains_key(it));
         let is_due = |it: &&Incarnation| states[*it].vacancy.retry().is_some_and(|at| at <= now);
         let due: Vec<Incarnation> = self.full.iter().filter(is_due).copied().collect();
         for target in due {
-            let entry = self.catalog.entry(target);
-            if entry.is_some_and(|it| it.is_listed() && !it.target.leaving)
-                && !self.is_evacuated(target)
-            {
+            if self.may_have_room(target) {
                 self.ask(target, now, out);
             } else if let Some(state) = self.states.get_mut(&target) {
                 state.vacancy.ask(now);
             }
         }
     }
+
+    fn may_have_room(&self, target: Incarnation) -> bool {
+        let Some(entry) = self.catalog.entry(target) else { return false };
+        let is_open = entry.is_listed() && !entry.target.leaving;
+        is_open && !self.catalog.is_evacuated(&entry.target.domain)
+    }
 }
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -38,7 +38,7 @@
 use heard::Heard;
 use medlarspur_lib::{
     collections::{Map, SeededMap},
-    ids::DomainName,
+    ids::{DomainName, RegionName},
     time::Millis,
 };
 use medlarspur_load::random::Random;
@@ -58,6 +58,8 @@
 pub struct Tuning {
     /// The failure domain of this instance.
     pub domain: DomainName,
+    /// The region of each failure domain, as far as it is known.
+    pub regions: Map<DomainName, RegionName>,
     /// Begins the sequence that decides between equal targets.
     pub seed: u64,
 }
--- a/marked/src/forwarder/output.rs
+++ b/marked/src/forwarder/output.rs
@@ -44,6 +44,9 @@
     /// All targets of its service that could take it are slow after their start, and the
     /// service bounds what they get. No packet went to a target.
     Warming,
+    /// All targets of its service that could take it are outside of the regions in which
+    /// its route must stay. No packet went to a target.
+    Away,
     /// Its service had no room until an answer would have come too late. No packet
     /// went to a target.
     Busy,
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -81,14 +81,14 @@
 
     /// The target that a flow was opened to a moment ago and that may still
     /// answer. Later, the same ports are a new flow. An opening that nothing has answered
-    /// leaves a failure domain that operators have emptied meanwhile: its copy would open
-    /// the flow there after all.
+    /// leaves a failure domain that operators have emptied meanwhile, or where its route's
+    /// requests must not go any more: its copy would open the flow there after all.
     fn opened(&self, key: &FlowKey, now: Millis) -> Option<Incarnation> {
         let flow = self.flows.get(key)?;
         let is_copy = flow.opened && now.since(flow.since) <= OPENING_LIMIT;
         let is_lost = self.states.get(&flow.target).is_some_and(|it| it.health.is_lost());
         let is_known = self.catalog.entry(flow.target).is_some();
-        let is_late = flow.is_opening() && self.is_evacuated(flow.target);
+        let is_late = flow.is_opening() && self.is_barred(key, flow.target);
         (is_copy && !is_lost && is_known && !is_late).then_some(flow.target)
     }
 
@@ -97,7 +97,7 @@
         let NewFlow { key, seq, class, service, packet, waited } = it;
         self.drop_flow(&key);
         let Some((target, note)) = self.choose(&service, class, &key, now) else {
-            return self.refuse(&key, self.excluded(&service, now), out);
+            return self.refuse(&key, self.excluded(&service, &key, now), out);
         };
         self.counts.opened += 1;
         out.note(note);
@@ -120,13 +120,14 @@
         key: &FlowKey,
         now: Millis,
     ) -> Option<(Incarnation, Note)> {
-        let warmup = self.warmup(service);
+        let bounds = self.bounds(service, key);
         let (mut evacuated, mut warming) = (false, false);
         let (mut entries, mut candidates): (Vec<&Entry>, Vec<Candidate>) = Default::default();
         for entry in self.catalog.targets(service) {
-            match self.closed(entry, warmup, now) {
+            match self.closed(entry, bounds, now) {
                 Some(Closed::Evacuated) => evacuated = true,
                 Some(Closed::Warming) => warming = true,
+                Some(Closed::Away) => {}
                 None => {
                     let Some(candidate) = self.candidate(entry, class, now) else { continue };
                     entries.push(entry);
@@ -162,17 +163,18 @@
     }
 
     /// Why no target of a service can take a flow.
-    fn excluded(&self, service: &ServiceName, now: Millis) -> Refusal {
+    fn excluded(&self, service: &ServiceName, key: &FlowKey, now: Millis) -> Refusal {
         let targets = self.catalog.targets(service).filter(|it| !it.target.leaving);
         let targets: Vec<&Entry> = targets.collect();
-        let warmup = self.warmup(service);
-        let closed = |it: &&Entry| it.is_listed().then(|| self.closed(it, warmup, now)).flatten();
+        let bounds = self.bounds(service, key);
+        let closed = |it: &&Entry| it.is_listed().then(|| self.closed(it, bounds, now)).flatten();
         if targets.iter().any(|entry| closed(entry).is_none() && self.is_full(entry)) {
             return Refusal::Full;
         }
         match targets.iter().find_map(closed) {
             Some(Closed::Warming) => Refusal::Warming,
             Some(Closed::Evacuated) => Refusal::Evacuated,
+            Some(Closed::Away) => Refusal::Away,
             None => Refusal::NoTarget,
         }
     }
@@ -225,7 +227,7 @@
         let (target, since, packet) = (flow.target, flow.since, packet.clone());
         let is_first = flow.looks == 0;
         flow.looks += 1;
-        if self.is_evacuated(target) {
+        if self.is_barred(&key, target) {
             return self.move_opening(key, target, now, out);
         }
         if self.refuse_place(target, since, now, out) {
--- a/marked/src/news.rs
+++ b/marked/src/news.rs
@@ -4,7 +4,7 @@
 use crate::{Incarnation, Start, delta::Delta};
 use medlarspur_lib::{
     bundle::Class,
-    ids::{DomainName, ServiceName, TargetName, Version},
+    ids::{DomainName, RegionName, ServiceName, TargetName, Version},
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
@@ -56,6 +56,8 @@
     /// The services that new flows are split over; never empty, and the sum
     /// of the weights is positive.
     pub shares: Vec<Share>,
+    /// The regions in which its requests must stay; empty if they may go anywhere.
+    pub regions: Vec<RegionName>,
 }
 
 /// A service's part of a route.
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -2,7 +2,7 @@
 
 use medlarspur_lib::{
     bundle::Class,
-    ids::{DomainName, ServiceName, TargetName, Version},
+    ids::{DomainName, RegionName, ServiceName, TargetName, Version},
     time::Millis,
 };
 use medlarspur_marked::{
@@ -50,7 +50,7 @@
 
 pub fn route(address: SocketAddrV4, class: Class, service: &str) -> Route {
     let share = Share { service: ServiceName::new(service), weight: 1 };
-    Route { address, class, goal: None, shares: vec![share] }
+    Route { address, class, goal: None, shares: vec![share], regions: Vec::new() }
 }
 
 /// What a config says of a service.
@@ -158,7 +158,11 @@
 
     /// The same with a seed for what is drawn.
     pub fn seeded(targets: &[Target], seed: u64) -> Instance {
-        let tuning = Tuning { domain: DomainName::new("north"), seed };
+        let places = [("north", "here"), ("centre", "here"), ("south", "there")];
+        let regions =
+            places.map(|(domain, region)| (DomainName::new(domain), RegionName::new(region)));
+        let regions = regions.into_iter().collect();
+        let tuning = Tuning { domain: DomainName::new("north"), regions, seed };
         let mut instance =
             Instance { forwarder: Forwarder::new(tuning), out: Decisions::default() };
         instance.learn(all(targets), 0);
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -13,5 +13,6 @@
 mod test_mark;
 mod test_openings;
 mod test_properties;
+mod test_regions;
 mod test_restarts;
 mod test_waiting;
