marked: use an evacuated domain's targets where it is cut off from all others

Openings that nobody has answered come over at once.

An opening that moved was looked at when its first target would have been late, so its new one got it twice and was doubted without having had time to answer: found here, with a test that was red before.

--- a/marked/src/fleet/readers.rs
+++ b/marked/src/fleet/readers.rs
@@ -29,6 +29,13 @@
 pub(super) const PULL_TIME: Millis = Millis(400);
 
 impl Fleet {
+    /// Whether nobody of this instance's domain hears from the store, as far as it knows. An
+    /// instance that hears from no reader reads by itself, so that this doesn't last where the
+    /// store can be reached.
+    pub fn is_cut_off(&self, now: Millis) -> bool {
+        self.confirmed().is_none_or(|at| now.since(at) > FRESH)
+    }
+
     /// The other readers of the domain that have heard from the store lately.
     pub(super) fn readers(&self, now: Millis) -> impl Iterator<Item = SocketAddrV4> {
         let is_reader = move |peer: &Peer| {
--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -43,6 +43,8 @@
     pub resent: bool,
     /// How often it was looked at while its opening was unanswered.
     pub looks: u8,
+    /// When it is looked at next, while its opening is unanswered.
+    pub look: Millis,
     /// Whether it waited here for so long that its caller may have gone.
     pub overdue: bool,
     /// Whether it is overdue and was not opened within the usual time. Then it counts as
@@ -105,6 +107,7 @@
             opened: false,
             resent: false,
             looks: 0,
+            look: Millis(0),
             overdue: false,
             abandoned: false,
             since: now,
--- a/marked/src/forwarder/closed.rs
+++ b/marked/src/forwarder/closed.rs
@@ -49,7 +49,7 @@
     /// Why a target is to get no new flows with these bounds, if anything says so.
     pub(super) fn closed(&self, entry: &Entry, bounds: Bounds<'_>, now: Millis) -> Option<Closed> {
         let domain = &entry.target.domain;
-        if self.catalog.is_evacuated(domain) {
+        if self.is_emptied(domain) {
             return Some(Closed::Evacuated);
         }
         if !self.is_within(domain, bounds.regions) {
@@ -80,7 +80,7 @@
         let Some(entry) = self.catalog.entry(target) else { return false };
         let domain = &entry.target.domain;
         let regions = self.bounds(&entry.target.service, flow).regions;
-        self.catalog.is_evacuated(domain) || !self.is_within(domain, regions)
+        self.is_emptied(domain) || !self.is_within(domain, regions)
     }
 
     /// What is written down of a failure domain that was emptied or is in use again.
--- a/marked/src/forwarder/full.rs
+++ b/marked/src/forwarder/full.rs
@@ -236,6 +236,6 @@
     fn may_have_room(&self, target: Incarnation) -> bool {
         let Some(entry) = self.catalog.entry(target) else { return false };
         let is_open = entry.is_listed() && !entry.target.leaving;
-        is_open && !self.catalog.is_evacuated(&entry.target.domain)
+        is_open && !self.is_emptied(&entry.target.domain)
     }
 }
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -26,6 +26,7 @@
 mod placing;
 mod reach;
 mod state;
+mod stranded;
 mod waiting;
 
 pub use counts::Counts;
@@ -83,6 +84,10 @@
     full: Vec<Incarnation>,
     /// What was learnt from answers.
     heard: Heard,
+    /// Whether nobody of this failure domain hears from the store.
+    cut_off: bool,
+    /// Whether this domain is evacuated and no target elsewhere can be reached.
+    stranded: bool,
     /// When any target showed life last.
     life: Millis,
     /// When a target was found silent first since.
@@ -108,6 +113,8 @@
             lost: Vec::new(),
             full: Vec::new(),
             heard: Heard::default(),
+            cut_off: false,
+            stranded: false,
             life: Millis(0),
             alone: None,
             swept: Millis(0),
@@ -318,8 +325,11 @@
 
     /// Does what is due by now.
     pub fn tick(&mut self, now: Millis, out: &mut impl Output) {
-        while let Some((_, key)) = self.openings.pop_front_if(|(due, _)| *due <= now) {
-            self.remind(key, now, out);
+        self.judge_stranding(now, out);
+        while let Some((due, key)) = self.openings.pop_front_if(|(due, _)| *due <= now) {
+            if self.is_awaited(&key, due) {
+                self.remind(key, now, out);
+            }
         }
         self.release(now, out);
         self.check_full(now, out);
@@ -329,8 +339,8 @@
 
     /// When [`tick`](Self::tick) has something to do next.
     pub fn deadline(&mut self) -> Option<Millis> {
-        while let Some((_, key)) = self.openings.front() {
-            if self.flows.get(key).is_some_and(Flow::is_opening) {
+        while let Some(&(due, key)) = self.openings.front() {
+            if self.is_awaited(&key, due) {
                 break;
             }
             self.openings.pop_front();
@@ -343,6 +353,14 @@
         opening.into_iter().chain(retries).chain(full).chain(self.patience()).min()
     }
 
+    /// Whether the opening that is looked at at that moment is still unanswered. It may have
+    /// moved to another target since, or its ports may belong to another flow; either has a
+    /// moment of its own, and looked at early it would be sent twice and have a target doubted
+    /// that had no time to answer.
+    fn is_awaited(&self, key: &FlowKey, due: Millis) -> bool {
+        self.flows.get(key).is_some_and(|flow| flow.is_opening() && flow.look == due)
+    }
+
     /// Drops records of flows that ended without a word.
     fn sweep(&mut self, now: Millis) {
         self.swept = now;
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -105,7 +105,16 @@
         let mut flow = Flow::open(target, class, packet, seq, now);
         flow.overdue = waited >= OVERDUE;
         self.keep(key, flow);
-        self.openings.push_back((now + self.opening_patience(), key));
+        self.look_later(key, now);
+    }
+
+    /// Has an unanswered opening looked at when it is late.
+    fn look_later(&mut self, key: FlowKey, now: Millis) {
+        let due = now + self.opening_patience();
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.look = due;
+            self.openings.push_back((due, key));
+        }
     }
 
     fn opening_patience(&self) -> Millis {
@@ -189,7 +198,9 @@
         if !state.vacancy.admits(class, state.opening) {
             return None;
         }
+        let near = entry.target.domain == self.tuning.domain;
         let is_doubted = state.doubted.is_some_and(|at| now.since(at) < DOUBT_TIME);
+        let is_doubted = is_doubted || self.stranded && !near;
         let tier = match entry.presence {
             Presence::Removed(since)
                 if state.health.life() <= since || now.since(since) > LAPSE_LIMIT =>
@@ -208,7 +219,7 @@
             opening: state.opening,
             feeds: state.feeds,
             cold: now < entry.cold,
-            near: entry.target.domain == self.tuning.domain,
+            near,
             kept: false,
         })
     }
@@ -218,7 +229,6 @@
     /// it has no room for, also if it answers questions; without the second look the flow
     /// would wait there until its caller gives up.
     pub(super) fn remind(&mut self, key: FlowKey, now: Millis, out: &mut impl Output) {
-        let patience = self.opening_patience();
         let Some(flow) = self.flows.get_mut(&key) else { return };
         let Phase::Opening { packet } = &flow.phase else { return };
         if flow.overdue {
@@ -241,7 +251,7 @@
             self.doubt_opening(target, key, since, now, out);
         }
         if now.since(since) < LAST_LOOK {
-            self.openings.push_back((now + patience, key));
+            self.look_later(key, now);
         }
     }
 
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -208,7 +208,7 @@
         for entry in self.catalog.targets(service) {
             let Some(state) = self.states.get(&entry.target.incarnation) else { continue };
             // What goes on in an evacuated domain takes no room from those that are used.
-            if self.catalog.is_evacuated(&entry.target.domain) {
+            if self.is_emptied(&entry.target.domain) {
                 continue;
             }
             work.all += state.working + state.opening;
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -139,6 +139,14 @@
         /// How many targets are listed there.
         targets: usize,
     },
+    /// This instance's failure domain is evacuated and cut off from all others: its targets
+    /// get new flows all the same.
+    Stranded {
+        /// How long ago a target elsewhere last showed life.
+        silent: Millis,
+    },
+    /// That is over.
+    Rejoined,
     /// A config is in force.
     Config {
         /// Its version.
@@ -183,7 +191,8 @@
     Doubted,
     /// [`Note::Lost`], [`Note::Regained`], [`Note::Full`] and [`Note::Vacant`].
     Reach,
-    /// [`Note::Entry`], [`Note::Config`], [`Note::Evacuated`] and [`Note::Restored`].
+    /// [`Note::Entry`], [`Note::Config`], [`Note::Evacuated`], [`Note::Restored`],
+    /// [`Note::Stranded`] and [`Note::Rejoined`].
     News,
 }
 
@@ -232,6 +241,7 @@
             Note::Full { .. } | Note::Vacant { .. } => NoteKind::Reach,
             Note::Entry { .. } | Note::Config { .. } => NoteKind::News,
             Note::Evacuated { .. } | Note::Restored { .. } => NoteKind::News,
+            Note::Stranded { .. } | Note::Rejoined => NoteKind::News,
         }
     }
 
@@ -251,6 +261,8 @@
             Note::Entry { .. } => "target entry",
             Note::Evacuated { .. } => "domain evacuated",
             Note::Restored { .. } => "domain restored",
+            Note::Stranded { .. } => "domain stranded",
+            Note::Rejoined => "domain rejoined",
             Note::Config { .. } => "config in force",
         }
     }
@@ -319,6 +331,8 @@
                 ("revision", revision.0.to_string()),
                 ("targets", targets.to_string()),
             ],
+            Note::Stranded { silent } => vec![("silent_ms", silent.to_string())],
+            Note::Rejoined => Vec::new(),
             Note::Config { version, revision, routes } => vec![
                 ("version", version.to_string()),
                 ("revision", revision.0.to_string()),
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -158,11 +158,20 @@
 
     /// The same with a seed for what is drawn.
     pub fn seeded(targets: &[Target], seed: u64) -> Instance {
+        Instance::placed("north", targets, seed)
+    }
+
+    /// The same in a failure domain.
+    pub fn in_domain(domain: &str, targets: &[Target]) -> Instance {
+        Instance::placed(domain, targets, 7)
+    }
+
+    fn placed(domain: &str, targets: &[Target], seed: u64) -> Instance {
         let places = [("north", "here"), ("centre", "here"), ("south", "there")];
         let regions =
             places.map(|(domain, region)| (DomainName::new(domain), RegionName::new(region)));
         let regions = regions.into_iter().collect();
-        let tuning = Tuning { domain: DomainName::new("north"), regions, seed };
+        let tuning = Tuning { domain: DomainName::new(domain), regions, seed };
         let mut instance =
             Instance { forwarder: Forwarder::new(tuning), out: Decisions::default() };
         instance.learn(all(targets), 0);
--- a/marked/tests/net.rs
+++ b/marked/tests/net.rs
@@ -236,6 +236,19 @@
         readers.map(|(at, _)| *at).collect()
     }
 
+    /// Has the store serve a domain, or not.
+    pub fn serve(&mut self, domain: u8, served: bool) {
+        let instances = self.instances.iter_mut().filter(|(at, _)| domain_of(**at) == domain);
+        instances.for_each(|(_, it)| it.served = served);
+    }
+
+    /// How many live instances of a domain take themselves for cut off from the store.
+    pub fn cut_off(&self, domain: u8) -> usize {
+        let instances = self.instances.iter();
+        let live = instances.filter(|(at, it)| domain_of(**at) == domain && it.up);
+        live.filter(|(_, it)| it.fleet.is_cut_off(self.time())).count()
+    }
+
     /// The live instances that don't know all changes.
     pub fn behind(&self) -> Vec<SocketAddrV4> {
         let revision = Revision(self.revision());
--- a/marked/tests/test_evacuation.rs
+++ b/marked/tests/test_evacuation.rs
@@ -368,3 +368,101 @@
         prop_assert_eq!(instance.forwarder.catalog().is_evacuated(&south()), is_evacuated);
     }
 }
+
+/// An instance of the emptied domain and one target in each of two domains.
+fn home() -> (Instance, Incarnation, Incarnation) {
+    let targets = [southern(2), target(1, "desk")];
+    let mut instance = Instance::in_domain("south", &targets);
+    instance.learn(evacuated(101), 10);
+    let [own, other] = targets.map(|it| it.incarnation);
+    (instance, own, other)
+}
+
+/// The network between failure domains breaks while this one is evacuated: the store can't be
+/// reached, and no target elsewhere answers. Callers of this domain reach nobody else, and
+/// its targets are well.
+fn cut_off() -> (Instance, Incarnation, Incarnation) {
+    let (mut instance, own, other) = home();
+    assert_eq!(instance.opened(flow(1, REQUEST), 1_000), other);
+    instance.forwarder.set_cut_off(true);
+    instance.tick(3_000);
+    (instance, own, other)
+}
+
+#[test]
+fn callers_of_an_evacuated_domain_that_is_cut_off_are_served_there() {
+    let (mut instance, own, _) = cut_off();
+
+    for number in 100..120 {
+        assert_eq!(instance.open(flow(number, REQUEST), 3_010), own);
+    }
+    let told = |note: &Note| matches!(note, Note::Stranded { .. });
+    assert_eq!(instance.out.notes.iter().filter(|it| told(it)).count(), 1);
+}
+
+/// The cut is over: somebody else answers, or the store does.
+#[test]
+fn an_evacuated_domain_is_left_alone_again_once_others_answer() {
+    let (mut by_life, _, other) = cut_off();
+    by_life.packet(middle(flow(1, REQUEST), other, 1001, 500, 100), 3_050);
+    by_life.packet(middle(flow(1, REQUEST), other, 1101, 700, 0), 3_100);
+    by_life.tick(3_100);
+    let (mut by_store, ..) = cut_off();
+    by_store.forwarder.set_cut_off(false);
+    by_store.tick(3_100);
+
+    assert_eq!(by_life.open(flow(200, REQUEST), 3_110), other);
+    assert_eq!(by_store.open(flow(200, REQUEST), 3_110), other);
+}
+
+/// The store is down and all else is well. What operators said last holds.
+#[test]
+fn a_store_that_is_away_opens_no_evacuated_domain() {
+    let (mut instance, _, other) = home();
+    instance.opened(flow(1, REQUEST), 2_900);
+    instance.forwarder.set_cut_off(true);
+    instance.tick(3_000);
+
+    assert_eq!(instance.open(flow(100, REQUEST), 3_010), other);
+}
+
+/// Nothing answers elsewhere, but the store does: operators can be heard, and have not taken
+/// it back.
+#[test]
+fn silence_elsewhere_alone_opens_no_evacuated_domain() {
+    let (mut instance, own, _) = home();
+    instance.opened(flow(1, REQUEST), 1_000);
+    instance.tick(3_000);
+
+    assert_ne!(instance.open(flow(100, REQUEST), 3_010), own);
+}
+
+/// All domains are evacuated and the store is away. No silence shows that this instance is cut
+/// off from anybody.
+#[test]
+fn a_domain_stays_evacuated_where_all_are() {
+    let mut instance = Instance::in_domain("south", &[southern(2)]);
+    instance.learn(evacuated(101), 10);
+    instance.forwarder.set_cut_off(true);
+    instance.tick(3_000);
+
+    instance.packet(segment(flow(1, REQUEST), Kind::Open), 3_010);
+
+    assert_eq!(instance.out.resets, [(flow(1, REQUEST), 0, Refusal::Evacuated)]);
+}
+
+/// Callers whose openings went to targets that can't be reached still wait. What they wait
+/// for comes over, before they give up.
+#[test]
+fn openings_that_nobody_answers_come_over_when_a_domain_is_cut_off() {
+    let (mut instance, own, other) = home();
+    instance.opened(flow(1, REQUEST), 1_000);
+    assert_eq!(instance.open(flow(50, REQUEST), 2_900), other);
+    instance.out.sent.clear();
+
+    instance.forwarder.set_cut_off(true);
+    instance.tick(3_000);
+
+    assert_eq!(instance.out.sent.len(), 1);
+    assert_eq!(instance.last(), own);
+}
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -1,12 +1,18 @@
 //! Who reads the store, and who hears of its news how soon.
 
 use super::net::{Net, address};
-use medlarspur_marked::message::{MessageError, decode, encode};
+use medlarspur_lib::ids::DomainName;
+use medlarspur_marked::{
+    Content,
+    message::{MessageError, decode, encode},
+};
 use proptest::{collection::vec, prelude::*};
 
 /// How long news may take to be in force, from the users' bound of 3 s with
 /// half a second for what the model leaves out.
 const BOUND: u64 = 2_500;
+/// How soon an evacuation should be in force everywhere; the users' bound is 5 s.
+const EVACUATION_AIM: u64 = 1_500;
 
 fn settled(domains: u8, count: u8) -> Net {
     let mut net = Net::new(domains, count);
@@ -47,6 +53,63 @@
 
 /// Two datagrams of a hundred get lost between instances. News must not be
 /// lost with them.
+/// Operators empty a failure domain and want nothing new there soon after.
+#[test]
+fn an_evacuation_is_in_force_everywhere_soon() {
+    for count in [18, 75] {
+        let mut net = settled(4, count);
+        for _ in 0..5 {
+            net.publish(Content::Evacuated(DomainName::new("domain-2")));
+            net.run(2_350);
+            net.publish(Content::Restored(DomainName::new("domain-2")));
+            net.run(2_750);
+        }
+
+        assert!(net.lag <= EVACUATION_AIM, "{} ms with {count} a domain", net.lag);
+        assert_eq!(net.behind(), []);
+    }
+}
+
+/// A domain is cut off, the store included. All its instances find that out soon, and that it
+/// is over as soon.
+#[test]
+fn a_domain_that_is_cut_off_knows_it() {
+    let mut net = settled(3, 12);
+    let cut_off = |net: &Net, domain| net.cut_off(domain);
+    assert_eq!((cut_off(&net, 1), cut_off(&net, 2)), (0, 0));
+
+    net.cut.insert(2);
+    net.serve(2, false);
+    net.run(3_500);
+    assert_eq!((cut_off(&net, 1), cut_off(&net, 2)), (0, 12));
+
+    net.cut.clear();
+    net.serve(2, true);
+    net.run(1_500);
+    assert_eq!((cut_off(&net, 1), cut_off(&net, 2)), (0, 0));
+}
+
+/// Readers are killed, again and again. The others take their places before they take
+/// themselves for cut off for longer than a moment.
+#[test]
+fn a_domain_whose_readers_die_is_not_cut_off_for_long() {
+    let mut net = settled(2, 12);
+    let mut longest = 0;
+    for _ in 0..4 {
+        for reader in net.readers(2) {
+            net.instances.get_mut(&reader).expect("it is there").up = false;
+        }
+        let mut span = 0;
+        for _ in 0..400 {
+            net.run(10);
+            span = if net.cut_off(2) > 0 { span + 10 } else { 0 };
+            longest = longest.max(span);
+        }
+    }
+
+    assert!(longest <= 400, "{longest} ms");
+}
+
 #[test]
 fn lost_datagrams_delay_news_but_do_not_lose_it() {
     let mut net = settled(4, 17);
--- a/marked/tests/test_openings.rs
+++ b/marked/tests/test_openings.rs
@@ -296,3 +296,21 @@
     assert!(first.len() < 10, "some are left out");
     assert!(requests >= 4, "requests go there");
 }
+
+/// A target is found lost while an opening there is unanswered, and the opening moves. The
+/// new target has as long to answer as any other: looked at when the first would have been
+/// late, it would get the opening twice and be asked for nothing.
+#[test]
+fn a_moved_opening_is_looked_at_anew() {
+    let mut instance = Instance::new(&[target(1, "desk"), target(2, "desk")]);
+    let first = instance.open(flow(1, REQUEST), 0);
+    instance.forwarder.answer(first, Finding::Gone, super::fixtures::millis(25), &mut instance.out);
+    instance.out.sent.clear();
+    instance.out.asked.clear();
+
+    instance.tick(35);
+    assert!(instance.out.sent.is_empty() && instance.out.asked.is_empty());
+    instance.tick(60);
+
+    assert_eq!(instance.out.sent.len(), 1, "it is sent again in its own time");
+}
