bundle: name failure domains that get nothing new

A bundle's field evacuated lists failure domains whose targets take no new flows and keep those that they have. A domain without targets is refused as misspelt, one that stands twice too; bundle check warns where no target of a service takes new flows any more. diff, show and the state of targets say it.

--- a/cli/src/commands/bundle_check.rs
+++ b/cli/src/commands/bundle_check.rs
@@ -48,6 +48,9 @@
         output::json(&Vec::<Fault>::new())?;
     } else {
         output::line(&summary(flags, &bundle));
+        for warning in bundle.warnings() {
+            output::line(&format!("{}: warning: {warning}", flags.file.display()));
+        }
     }
     Ok(Code::Done)
 }
--- a/cli/src/commands/bundle_show.rs
+++ b/cli/src/commands/bundle_show.rs
@@ -34,6 +34,10 @@
         or_dash(limits.patience.map(Span)),
         or_dash(limits.retries),
     ));
+    if !bundle.evacuated.is_empty() {
+        let domains: Vec<&str> = bundle.evacuated.iter().map(|it| it.as_str()).collect();
+        output::line(&format!("evacuated: {}", domains.join(", ")));
+    }
     for service in &bundle.services {
         print_service(service);
     }
--- a/cli/tests/test_bundle.rs
+++ b/cli/tests/test_bundle.rs
@@ -33,14 +33,14 @@
     expect![[r#"
         exit code 1
         bad.yaml:1: (top): the field `site` is missing; add `site:`
-        bad.yaml:2: sight: unknown field; remove it, or use one of version, site, seed, services, limits
+        bad.yaml:2: sight: unknown field; remove it, or use one of version, site, seed, services, limits, evacuated
         bad.yaml:7: services[0].ports[0].number: 0 is out of range; choose a value from 1 to 65535
         bad.yaml:13: services[1].ports[0].number: 0 is out of range; choose a value from 1 to 65535
     "#]]
     .assert_eq(&folder.run("bundle check bad.yaml"));
     expect![[r#"
         exit code 1
-        [{"line":1,"path":"(top)","fault":"the field `site` is missing","advice":"add `site:`"},{"line":2,"path":"sight","fault":"unknown field","advice":"remove it, or use one of version, site, seed, services, limits"},{"line":7,"path":"services[0].ports[0].number","fault":"0 is out of range","advice":"choose a value from 1 to 65535"},{"line":13,"path":"services[1].ports[0].number","fault":"0 is out of range","advice":"choose a value from 1 to 65535"}]
+        [{"line":1,"path":"(top)","fault":"the field `site` is missing","advice":"add `site:`"},{"line":2,"path":"sight","fault":"unknown field","advice":"remove it, or use one of version, site, seed, services, limits, evacuated"},{"line":7,"path":"services[0].ports[0].number","fault":"0 is out of range","advice":"choose a value from 1 to 65535"},{"line":13,"path":"services[1].ports[0].number","fault":"0 is out of range","advice":"choose a value from 1 to 65535"}]
     "#]].assert_eq(&folder.run("bundle check bad.yaml --json"));
 }
 
--- a/daemon/examples/bench/site.rs
+++ b/daemon/examples/bench/site.rs
@@ -49,7 +49,14 @@
 
 fn bundle(services: Vec<Arc<Service>>) -> Arc<Bundle> {
     let (version, site, seed) = (Version(1), SiteName::new("sofia"), Seed([7; 16]));
-    Arc::new(Bundle { version, site, seed, services, limits: Limits::default() })
+    Arc::new(Bundle {
+        version,
+        site,
+        seed,
+        services,
+        limits: Limits::default(),
+        evacuated: Vec::new(),
+    })
 }
 
 fn service(
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -269,7 +269,7 @@
             continue;
         }
         for (position, target) in service.spec.targets.iter().enumerate() {
-            if target.state != TargetState::Leaving {
+            if target.state == TargetState::Active {
                 continue;
             }
             let id = view.registry.named(&service.spec.name, &target.name);
--- a/daemon/tests/test_marked_soak.rs
+++ b/daemon/tests/test_marked_soak.rs
@@ -42,6 +42,13 @@
     soak(165);
 }
 
+/// The soak itself took an evacuation back only after it had found that callers of the domain
+/// are not served.
+#[test]
+fn seed_3012_is_sound() {
+    soak(3_012);
+}
+
 /// The first seed on which targets start again under their ids and are full.
 #[test]
 fn seed_1000_is_sound() {
--- a/lib/src/bundle/diff.rs
+++ b/lib/src/bundle/diff.rs
@@ -89,6 +89,7 @@
     changes.field("version", old.version, new.version);
     changes.field("site", &old.site, &new.site);
     changes.field("seed", old.seed, new.seed);
+    changes.field("evacuated", domains(old), domains(new));
     changes.limits(&old.limits, &new.limits);
     for service in &old.services {
         match find(new, &service.name) {
@@ -197,6 +198,11 @@
     }
 }
 
+fn domains(bundle: &Bundle) -> String {
+    let names: Vec<String> = bundle.evacuated.iter().map(ToString::to_string).collect();
+    if names.is_empty() { "none".to_owned() } else { names.join(" ") }
+}
+
 fn refusal(service: &Service) -> String {
     service.refusal.as_ref().map_or_else(|| "none".to_owned(), |text| format!("{text:?}"))
 }
--- a/lib/src/bundle/mod.rs
+++ b/lib/src/bundle/mod.rs
@@ -10,12 +10,14 @@
 mod parse;
 mod show;
 mod sign;
+mod warning;
 
 pub use self::{
     diff::{Change, Obstacle, diff, obstacles},
     key::{KeyError, KeyId, Keys, PublicKey, SecretKey},
     parse::MAX_TEXT,
     sign::{Refusal, Signed, content, sign},
+    warning::Warning,
 };
 
 use crate::{
@@ -41,6 +43,8 @@
         pub services: Vec<Arc<Service>>,
         /// The limits of the decisions under load.
         pub limits: Limits,
+        /// The failure domains whose targets take no new flows.
+        pub evacuated: Vec<DomainName>,
     }
 
     /// The limits of the decisions under load, alike for all services. What
@@ -152,5 +156,7 @@
         Active,
         /// Takes no new flows and keeps those that it has.
         Leaving,
+        /// The same, because its failure domain is evacuated.
+        Evacuated,
     }
 }
--- a/lib/src/bundle/parse.rs
+++ b/lib/src/bundle/parse.rs
@@ -33,7 +33,7 @@
 const SLOTS: u16 = 2;
 const CONNECTIONS: u32 = 2000;
 
-const BUNDLE_FIELDS: &[&str] = &["version", "site", "seed", "services", "limits"];
+const BUNDLE_FIELDS: &[&str] = &["version", "site", "seed", "services", "limits", "evacuated"];
 const LIMIT_FIELDS: &[&str] = &["reserve", "caller", "network", "booking", "patience", "retries"];
 const SERVICE_FIELDS: &[&str] =
     &["name", "address", "ports", "buckets", "keepalive", "refusal", "balance", "targets"];
@@ -69,15 +69,53 @@
     let seed = fields.required("seed").and_then(|node| seed(&node));
     let services = fields.required("services").and_then(|node| services(&node));
     let limits = fields.or("limits", Limits::default(), limits);
+    let known = services.as_deref().unwrap_or_default();
+    let evacuated = fields.or("evacuated", Vec::new(), |node| evacuated(node, known));
+    let evacuated = evacuated?;
+    let services = services?.into_iter().map(|service| evacuate(service, &evacuated));
     Some(Bundle {
         version: Version(version?),
         site: SiteName::new(site?),
         seed: seed?,
-        services: services?,
+        services: services.collect(),
         limits: limits?,
+        evacuated,
     })
 }
 
+/// The failure domains that get nothing new. A misspelt one would leave the right one in use.
+fn evacuated(node: &Node<'_>, services: &[Arc<Service>]) -> Option<Vec<DomainName>> {
+    let targets = || services.iter().flat_map(|service| &service.targets);
+    let mut found = Vec::<DomainName>::new();
+    for item in node.items()? {
+        let domain = DomainName::new(item.name()?);
+        if found.contains(&domain) {
+            let (found, other) = (domain.to_string(), node.path().clone());
+            return item.fault(Fault::Repeated { what: "the failure domain", found, other });
+        }
+        // With a fault among the services, their domains are not known.
+        if !services.is_empty() && targets().all(|target| target.domain != domain) {
+            return item.fault(Fault::NoTargets { found: domain.to_string() });
+        }
+        found.push(domain);
+    }
+    Some(found)
+}
+
+/// Has targets of evacuated domains take no new flows. Those that leave do so anyway.
+fn evacuate(service: Arc<Service>, evacuated: &[DomainName]) -> Arc<Service> {
+    let is_evacuated =
+        |target: &Target| target.state == TargetState::Active && evacuated.contains(&target.domain);
+    if !service.targets.iter().any(is_evacuated) {
+        return service;
+    }
+    let mut service = Arc::unwrap_or_clone(service);
+    for target in service.targets.iter_mut().filter(|it| is_evacuated(it)) {
+        target.state = TargetState::Evacuated;
+    }
+    Arc::new(service)
+}
+
 fn limits(node: &Node<'_>) -> Option<Limits> {
     let fields = node.fields(LIMIT_FIELDS)?;
     let reserve = fields.maybe("reserve", |node| node.small(0..=90));
--- a/lib/src/bundle/show.rs
+++ b/lib/src/bundle/show.rs
@@ -46,6 +46,7 @@
         f.pad(match self {
             TargetState::Active => "active",
             TargetState::Leaving => "leaving",
+            TargetState::Evacuated => "evacuated",
         })
     }
 }
--- /dev/null
+++ b/lib/src/bundle/warning.rs
@@ -0,0 +1,35 @@
+//! What holds in a bundle and may not be meant, for people who sign one off.
+
+use super::{Bundle, Service, TargetState};
+use crate::ids::ServiceName;
+use std::fmt;
+
+/// Something that instances take and operators may not have meant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Warning {
+    /// All callers of a service are refused: each of its targets leaves or is in an
+    /// evacuated failure domain.
+    Closed {
+        /// The service.
+        service: ServiceName,
+    },
+}
+
+impl fmt::Display for Warning {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Warning::Closed { service } = self;
+        write!(f, "no target of {service} takes new flows: all leave or are evacuated")
+    }
+}
+
+impl Bundle {
+    /// What may not be meant.
+    pub fn warnings(&self) -> Vec<Warning> {
+        let closed = self.services.iter().filter(|service| is_closed(service));
+        closed.map(|it| Warning::Closed { service: it.name.clone() }).collect()
+    }
+}
+
+fn is_closed(service: &Service) -> bool {
+    service.targets.iter().all(|target| target.state != TargetState::Active)
+}
--- a/lib/src/document/fault.rs
+++ b/lib/src/document/fault.rs
@@ -79,6 +79,12 @@
         /// Where it stood first.
         other: Path,
     },
+    /// A failure domain in which there is no target.
+    #[snafu(display("no target is in the failure domain `{found}`"))]
+    NoTargets {
+        /// Its name.
+        found: String,
+    },
     /// The number of buckets is no power of two.
     #[snafu(display("{found} buckets are not a power of two"))]
     NotPower {
@@ -115,6 +121,7 @@
             Fault::Range { least, most, .. } => format!("choose a value from {least} to {most}"),
             Fault::Empty => "add at least one item".into(),
             Fault::Repeated { other, .. } => format!("change or remove it here or at {other}"),
+            Fault::NoTargets { .. } => "remove it, or write it as targets name it".into(),
             Fault::NotPower { found } => {
                 format!("choose {}", found.checked_next_power_of_two().unwrap_or(1).clamp(8, 32768))
             }
--- a/lib/tests/edge/test_draft.rs
+++ b/lib/tests/edge/test_draft.rs
@@ -52,7 +52,14 @@
         vec![service("ajanvaraus", 1, state), service("todisteet", 2, TargetState::Active)];
     let (site, seed) = (SiteName::new("uusimaa"), Seed([1; 16]));
     let limits = Limits::default();
-    Arc::new(Bundle { version: Version(version), site, seed, services, limits })
+    Arc::new(Bundle {
+        version: Version(version),
+        site,
+        seed,
+        services,
+        limits,
+        evacuated: Vec::new(),
+    })
 }
 
 fn member(name: &str, state: MemberState, version: u64) -> Member {
--- a/lib/tests/product/test_bundle.rs
+++ b/lib/tests/product/test_bundle.rs
@@ -233,3 +233,25 @@
     assert!(report.to_string().ends_with(" more"));
     assert_eq!(report.to_string().lines().count(), 65);
 }
+
+/// Operators empty a failure domain. Its targets take nothing new and keep what they have;
+/// one that leaves anyway is said to leave.
+#[test]
+fn targets_of_an_evacuated_domain_take_no_new_flows() {
+    let text = bundle_text() + "evacuated: [lozenets, druzhba]\n";
+
+    let bundle = Bundle::parse(&text).expect("sound");
+
+    let states: Vec<_> = bundle.services[0].targets.iter().map(|it| it.state).collect();
+    assert_eq!(states, [TargetState::Evacuated, TargetState::Leaving]);
+    assert_eq!(bundle.services[1].targets[0].state, TargetState::Active);
+    let warnings: Vec<String> = bundle.warnings().iter().map(ToString::to_string).collect();
+    assert_eq!(warnings, ["no target of alertdesk takes new flows: all leave or are evacuated"]);
+}
+
+#[test]
+fn evacuated_domains_are_checked() {
+    let text = bundle_text() + "evacuated: [lozenets, lozenetz, lozenets]\n";
+    faults(&text, expect!["line 28: evacuated[1]: no target is in the failure domain `lozenetz`; remove it, or write it as targets name it"]);
+    faults(&(bundle_text() + "evacuated: lozenets\n"), expect!["line 28: evacuated: found text; write a list"]);
+}
--- a/lib/tests/product/test_diff.rs
+++ b/lib/tests/product/test_diff.rs
@@ -68,3 +68,13 @@
     assert_eq!(obstacles(&old, &later), []);
     assert_eq!(obstacles(&old, &other), [Obstacle::Version, Obstacle::Site, Obstacle::Seed]);
 }
+
+#[test]
+fn an_evacuation_is_a_difference_of_the_bundle_and_of_its_targets() {
+    let new = bundle(&[("seed: 00", "evacuated: [lozenets]\nseed: 00")]);
+
+    expect![[r#"
+        ~ evacuated: none -> lozenets
+        ~ alertdesk alert-1 state: active -> evacuated
+    "#]].assert_eq(&changes(&bundle(&[]), &new));
+}
--- a/load/src/placement.rs
+++ b/load/src/placement.rs
@@ -322,7 +322,7 @@
 /// most say the same at once.
 pub fn leaving(now: Millis, state: TargetState, seen: &Seen, believed: bool) -> bool {
     let draining = seen.told(now).is_some_and(|told| told.draining);
-    state == TargetState::Leaving || believed && draining
+    state != TargetState::Active || believed && draining
 }
 
 /// Whether targets that say they drain are believed: not when most do.
--- a/testutils/src/bundles.rs
+++ b/testutils/src/bundles.rs
@@ -84,6 +84,7 @@
         let first = ports(&[(7001, Class::Feed), (7002, Class::Request)]);
         let second = ports(&[(7003, Class::Upload)]);
         Arc::new(Bundle {
+            evacuated: Vec::new(),
             version: Version(self.version),
             site: SiteName::new("test"),
             seed: Seed([7; 16]),
