marked: have listeners remember each other

Cause: instances that only listen hear each other once, when all start, and 10 s later each knew only its readers: 3 of 12 in the model, since being told of somebody known did not count as hearing of it. So an instance took its part of the targets' slots for four times what it is (the least of the concurrency limit), and when the readers of a domain die while it is cut off from the seeds, all others read for as long as the cut lasts.

--- a/marked/src/fleet/mod.rs
+++ b/marked/src/fleet/mod.rs
@@ -207,8 +207,7 @@
 
     /// Does what is due by now.
     pub fn tick(&mut self, catalog: &Catalog, now: Millis) {
-        let limit = |peer: &Peer| if peer.indirect { INDIRECT } else { GONE };
-        self.peers.retain(|_, peer| now.since(peer.heard) < limit(peer));
+        self.forget(now);
         self.decide(catalog, now);
         let is_due = |at: Option<Millis>, pause| at.is_none_or(|at| now.since(at) >= pause);
         let revision = catalog.revision();
@@ -236,6 +235,17 @@
         self.next_question(now).into_iter().chain([self.next_step(now)]).min().unwrap_or(now)
     }
 
+    /// Forgets instances that were not heard of for long. One that listens hears no other
+    /// listener after the start, so it knows of them by its readers only.
+    fn forget(&mut self, now: Millis) {
+        let listens = !self.is_reading();
+        for peer in self.peers.values_mut() {
+            peer.indirect |= listens && now.since(peer.heard) >= GONE;
+        }
+        let limit = |peer: &Peer| if peer.indirect { INDIRECT } else { GONE };
+        self.peers.retain(|_, peer| now.since(peer.heard) < limit(peer));
+    }
+
     fn send(&mut self, to: SocketAddrV4, message: &Message) {
         match encode(message) {
             Ok(bytes) => self.outgoing.push(Outgoing { to, bytes }),
--- a/marked/src/fleet/presence.rs
+++ b/marked/src/fleet/presence.rs
@@ -56,8 +56,16 @@
 
     /// Takes in that another one has told of an instance in this one's domain.
     fn hear_of(&mut self, contact: SocketAddrV4, known: Revision, now: Millis) {
+        // Listeners hear each other at the start only. Forgotten after that, they would be
+        // missing where their number counts, and where the readers are gone.
+        if let Some(peer) = self.peers.get_mut(&contact) {
+            if !peer.is_reading(now) {
+                (peer.heard, peer.indirect) = (now, true);
+            }
+            return;
+        }
         let is_full = self.peers.len() >= MOST;
-        if contact == self.me || is_full || self.peers.contains_key(&contact) {
+        if contact == self.me || is_full {
             return;
         }
         let unknown = Peer {
--- a/marked/src/fleet/readers.rs
+++ b/marked/src/fleet/readers.rs
@@ -28,6 +28,13 @@
 /// store after all.
 pub(super) const PULL_TIME: Millis = Millis(400);
 
+impl Peer {
+    /// Whether it reads the store, which has answered it lately.
+    pub(super) fn is_reading(&self, now: Millis) -> bool {
+        self.role == Role::Reader && self.fresh.is_some_and(|at| now.since(at) <= FRESH)
+    }
+}
+
 impl Fleet {
     /// Whether nobody of this instance's domain hears from the store, as far as it knows. An
     /// instance that hears from no reader reads by itself, so that this doesn't last where the
@@ -38,11 +45,8 @@
 
     /// The other readers of the domain that have heard from the store lately.
     pub(super) fn readers(&self, now: Millis) -> impl Iterator<Item = SocketAddrV4> {
-        let is_reader = move |peer: &Peer| {
-            peer.role == Role::Reader && peer.fresh.is_some_and(|at| now.since(at) <= FRESH)
-        };
         let peers = self.peers.iter().filter(move |(_, peer)| peer.domain == self.domain);
-        peers.filter(move |(_, peer)| is_reader(peer)).map(|(address, _)| *address)
+        peers.filter(move |(_, peer)| peer.is_reading(now)).map(|(address, _)| *address)
     }
 
     /// Decides whether to read.
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -167,6 +167,36 @@
 
 /// Both readers of a domain are killed. The others hear nothing any more and
 /// must not go on with an old picture.
+/// Instances that only listen hear each other at the start and not again: they tell their
+/// readers that they are there. An instance that forgot the others took its part of the targets
+/// for far larger than it is.
+#[test]
+fn listeners_go_on_knowing_each_other() {
+    let mut net = settled(2, 12);
+
+    for _ in 0..20 {
+        net.run(1_000);
+        let known: Vec<usize> = net.instances.values().map(|it| it.fleet.near()).collect();
+        assert_eq!(known, [12; 24], "{} ms", net.now);
+    }
+}
+
+/// The readers of a domain die while it is cut off from the seeds. Whoever has forgotten the
+/// others takes itself for the only one and reads for as long as the cut lasts.
+#[test]
+fn two_read_again_when_the_readers_die_during_a_cut() {
+    let mut net = settled(2, 12);
+    net.run(6_000);
+    net.cut.insert(1);
+    for reader in net.readers(2) {
+        net.instances.get_mut(&reader).expect("it is there").up = false;
+    }
+
+    net.run(8_000);
+
+    assert_eq!(net.readers(2).len(), 2);
+}
+
 #[test]
 fn others_read_when_the_readers_are_gone() {
     let mut net = settled(3, 8);
