marked: give each slow target an owner that may open flows there

Cause: where a service bounds what its targets get after their start, they got nothing until they are warm. While most of a service is slow, after a release of everything or with a long slow start, all callers are refused.

Ways weighed (docs/design/evacuation.md): nothing to slow targets; an equal part for each instance (71 buckets of one are six times the bound in the first second); thinning by chance (needs the number of instances, which a cut hides); one owner among the instances of the target's domain by a seat that the domain's first reader tells (kept). A property test plays cuts, herds of starts, dying readers, lost messages and late news, and counts owners: at most four within a second, which stays within half as much again and five. It found ten of them before instances remembered each other, and before a reader had to have read for 8 s to give seats.

--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -483,6 +483,7 @@
         }
         self.forwarder.set_near(fleet.near());
         self.forwarder.set_cut_off(fleet.is_cut_off(now));
+        self.forwarder.set_seat(fleet.seat(now));
         let known = self.forwarder.revision();
         fleet.tick(self.forwarder.catalog(), now);
         if let Some(from) = fleet.pull(known, now) {
--- a/lib/tests/product/test_bundle.rs
+++ b/lib/tests/product/test_bundle.rs
@@ -252,6 +252,14 @@
 #[test]
 fn evacuated_domains_are_checked() {
     let text = bundle_text() + "evacuated: [lozenets, lozenetz, lozenets]\n";
-    faults(&text, expect!["line 28: evacuated[1]: no target is in the failure domain `lozenetz`; remove it, or write it as targets name it"]);
-    faults(&(bundle_text() + "evacuated: lozenets\n"), expect!["line 28: evacuated: found text; write a list"]);
+    faults(
+        &text,
+        expect![
+            "line 28: evacuated[1]: no target is in the failure domain `lozenetz`; remove it, or write it as targets name it"
+        ],
+    );
+    faults(
+        &(bundle_text() + "evacuated: lozenets\n"),
+        expect!["line 28: evacuated: found text; write a list"],
+    );
 }
--- a/lib/tests/product/test_diff.rs
+++ b/lib/tests/product/test_diff.rs
@@ -76,5 +76,6 @@
     expect![[r#"
         ~ evacuated: none -> lozenets
         ~ alertdesk alert-1 state: active -> evacuated
-    "#]].assert_eq(&changes(&bundle(&[]), &new));
+    "#]]
+    .assert_eq(&changes(&bundle(&[]), &new));
 }
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod shares;
 mod state;
 pub mod vacancy;
+pub mod warmup;
 
 pub use crate::{
     counts::Counts,
--- a/load/tests/runner.rs
+++ b/load/tests/runner.rs
@@ -15,3 +15,4 @@
 mod test_refusal;
 mod test_reserve;
 mod test_vacancy;
+mod test_warmup;
--- /dev/null
+++ b/load/tests/test_warmup.rs
@@ -0,0 +1,50 @@
+//! Who opens flows at targets that are slow after their start.
+
+use medlarspur_load::warmup::{OWNERS, Seat, pause};
+use proptest::prelude::*;
+
+/// What the users' pages allow a slow target in a second, of what it bears.
+fn allowed(rate: u32) -> u64 {
+    u64::from(rate) * 3 / 2 + 5
+}
+
+/// The most openings within any second of owners that each open whenever they may.
+fn most(rate: u32, phases: &[u64]) -> usize {
+    let pause = pause(rate).0;
+    let mut moments: Vec<u64> = phases
+        .iter()
+        .flat_map(|phase| (0..20).map(move |nth| phase % pause + nth * pause))
+        .collect();
+    moments.sort_unstable();
+    let within = |at: u64| moments.iter().filter(|it| (at..at + 1_000).contains(it)).count();
+    moments.iter().map(|at| within(*at)).max().unwrap_or_default()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Seats that agree on their number share the targets out: each has one owner.
+    #[test]
+    fn each_target_has_one_owner(count in 1..200u32, target in any::<u64>()) {
+        let seats = (0..count).map(|position| Seat { position, count });
+
+        prop_assert_eq!(seats.filter(|seat| seat.owns(target)).count(), 1);
+    }
+
+    /// Several instances take themselves for the owner of one target. What it gets from all of
+    /// them together stays within what it may get.
+    #[test]
+    fn owners_that_disagree_stay_within_the_bound(
+        rate in 1..100u32, phases in proptest::collection::vec(0..10_000u64, 1..=OWNERS as usize)
+    ) {
+        prop_assert!(most(rate, &phases) as u64 <= allowed(rate));
+    }
+}
+
+/// All targets of a service are slow at once. Each bears four requests a second, and its owner
+/// opens one; without owners all callers would be refused.
+#[test]
+fn an_owner_opens_its_part_of_what_a_target_bears() {
+    assert_eq!(most(4, &[0]), 1);
+    assert_eq!(most(40, &[0]), 10);
+}
--- a/marked/src/fleet/mod.rs
+++ b/marked/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod lack;
 mod presence;
 mod readers;
+mod seats;
 mod spread;
 
 use crate::{
@@ -32,6 +33,7 @@
 use medlarspur_load::random::Random;
 use presence::Purpose;
 use readers::START_PAUSE;
+use seats::Told;
 use std::{hash::Hasher, net::SocketAddrV4};
 
 /// How often an instance that does not read tells its readers that it is there.
@@ -95,6 +97,13 @@
     pulled: Option<Millis>,
     /// Who knows more, if it is known that anybody does.
     lacking: Option<Lacking>,
+    started: Millis,
+    /// Whether any service bounds what its slow targets get.
+    bounds_warmups: bool,
+    /// This instance's seat, as the first reader has told it last.
+    seat: Option<Told>,
+    /// When this instance told seats beside news last.
+    seats_told: Option<Millis>,
     random: Random,
     outgoing: Vec<Outgoing>,
 }
@@ -123,6 +132,10 @@
             seeded: None,
             pulled: None,
             lacking: None,
+            started: now,
+            bounds_warmups: false,
+            seat: None,
+            seats_told: None,
             random: Random::new(seed),
             outgoing: Vec::new(),
         }
@@ -173,8 +186,9 @@
     pub fn store_answered(&mut self, catalog: &Catalog, now: Millis) {
         self.fresh = Some(now);
         // News says as well that the store has answered.
-        if !self.pass_on(catalog, now) {
-            self.tell_domain(catalog.revision(), now);
+        match self.pass_on(catalog, now) {
+            true => self.tell_seats(catalog.revision(), now),
+            false => self.tell_domain(catalog.revision(), now),
         }
     }
 
@@ -209,6 +223,7 @@
     pub fn tick(&mut self, catalog: &Catalog, now: Millis) {
         self.forget(now);
         self.decide(catalog, now);
+        self.bounds_warmups = catalog.bounds_warmups();
         let is_due = |at: Option<Millis>, pause| at.is_none_or(|at| now.since(at) >= pause);
         let revision = catalog.revision();
         if self.readers(now).next().is_none() && is_due(self.sought, SEEK_PAUSE) {
--- a/marked/src/fleet/presence.rs
+++ b/marked/src/fleet/presence.rs
@@ -38,6 +38,9 @@
             indirect: false,
         };
         let is_new = self.peers.insert(from, peer).is_none();
+        if heartbeat.domain == self.domain {
+            self.take_seat(heartbeat.seat, from, now);
+        }
         for contact in &heartbeat.contacts {
             self.hear_of(*contact, known, now);
         }
@@ -129,7 +132,8 @@
         let role = if self.is_reading() { Role::Reader } else { Role::Listener };
         let contacts = self.contacts(to, purpose.contacts());
         let asks = purpose == Purpose::Ask;
-        let heartbeat = Heartbeat { domain: self.domain, role, fresh, revision, asks, contacts };
+        let (domain, seat) = (self.domain, self.seat_for(to, now));
+        let heartbeat = Heartbeat { domain, role, fresh, revision, asks, contacts, seat };
         self.send(to, &Message::Heartbeat(heartbeat));
     }
 
--- a/marked/src/fleet/readers.rs
+++ b/marked/src/fleet/readers.rs
@@ -10,7 +10,7 @@
 pub(super) const READERS: usize = 2;
 /// How old a reader's last answer from the store may be. A watch ends after
 /// 1.5 s; a slow store and a busy reader take some hundred milliseconds.
-const FRESH: Millis = Millis(2_400);
+pub(super) const FRESH: Millis = Millis(2_400);
 /// How long an instance waits at most before it becomes the second reader.
 const SECOND_PAUSE: Millis = Millis(1_500);
 /// How long it waits at most before it becomes the only one: enough that of a
--- /dev/null
+++ b/marked/src/fleet/seats.rs
@@ -0,0 +1,88 @@
+//! Giving the instances of a failure domain seats, by which they own slow targets.
+//!
+//! The first reader of a domain, by its address, knows all its instances and tells each its
+//! [`Seat`] with its heartbeats. It does so only where a service bounds what its slow targets
+//! get.
+
+use super::{Fleet, presence::Purpose, readers::FRESH};
+use crate::Revision;
+use medlarspur_lib::time::Millis;
+use medlarspur_load::warmup::Seat;
+use std::net::SocketAddrV4;
+
+/// How long an instance must have run to give seats. One that has just started knows some of
+/// the others only; where all start at once, each would take itself for the owner of all
+/// slow targets.
+const SETTLED: Millis = Millis::secs(6);
+/// How long it must have read the store to give seats. When the readers of a domain die, many
+/// others begin to read in the same moment, each with a picture of its own of the rest; some
+/// heartbeats later all but two have stopped.
+const TENURE: Millis = Millis::secs(8);
+/// How often seats are told while there is news, which takes the place of heartbeats.
+const SEATS_PAUSE: Millis = Millis(1_200);
+
+/// A seat as it was told.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Told {
+    seat: Seat,
+    /// By which reader.
+    by: SocketAddrV4,
+    at: Millis,
+}
+
+impl Fleet {
+    /// This instance's seat in its failure domain, if it is known now.
+    pub fn seat(&self, now: Millis) -> Option<Seat> {
+        if self.gives_seats(now) {
+            return self.seat_of(self.me);
+        }
+        let is_valid = |told: &Told| now.since(told.at) <= FRESH && self.is_first(told.by, now);
+        self.seat.filter(is_valid).map(|told| told.seat)
+    }
+
+    /// Takes in a seat that another instance tells.
+    pub(super) fn take_seat(&mut self, seat: Option<Seat>, by: SocketAddrV4, now: Millis) {
+        if let Some(seat) = seat.filter(|_| self.is_first(by, now)) {
+            self.seat = Some(Told { seat, by, at: now });
+        }
+    }
+
+    /// The seat that a heartbeat to another instance tells.
+    pub(super) fn seat_for(&self, to: SocketAddrV4, now: Millis) -> Option<Seat> {
+        self.gives_seats(now).then(|| self.seat_of(to)).flatten()
+    }
+
+    /// Tells seats beside news, if that is due.
+    pub(super) fn tell_seats(&mut self, revision: Revision, now: Millis) {
+        let is_due = self.seats_told.is_none_or(|at| now.since(at) >= SEATS_PAUSE);
+        if !is_due || !self.gives_seats(now) {
+            return;
+        }
+        self.seats_told = Some(now);
+        for to in self.domain_members() {
+            self.heartbeat(to, Purpose::Tell, revision, now);
+        }
+    }
+
+    /// The position of an instance among all of its domain, in the order of their addresses.
+    fn seat_of(&self, at: SocketAddrV4) -> Option<Seat> {
+        let mut seated = self.domain_members();
+        seated.push(self.me);
+        seated.sort_unstable();
+        let position = seated.binary_search(&at).ok()?;
+        Some(Seat { position: position as u32, count: seated.len() as u32 })
+    }
+
+    fn gives_seats(&self, now: Millis) -> bool {
+        let is_settled = now.since(self.started) >= SETTLED;
+        let is_reader = self.reading.is_some_and(|since| now.since(since) >= TENURE);
+        let reads = is_reader && self.fresh.is_some();
+        self.bounds_warmups && is_settled && reads && self.is_first(self.me, now)
+    }
+
+    /// Whether no fresh reader with a smaller address is known, this instance included.
+    fn is_first(&self, at: SocketAddrV4, now: Millis) -> bool {
+        let reads_before = self.is_reading() && self.fresh.is_some() && self.me < at;
+        !reads_before && self.readers(now).all(|it| it >= at)
+    }
+}
--- a/marked/src/forwarder/closed.rs
+++ b/marked/src/forwarder/closed.rs
@@ -2,10 +2,9 @@
 //!
 //! Operators have emptied their failure domain; or the route's requests must stay in other
 //! regions; or they are slow after their start and bear only so many requests a second from
-//! all instances together. No instance sees what the others open there, so a target whose
-//! service bounds that gets nothing until it is warm: a part of the bound for each instance
-//! would be passed wherever instances disagree on how many they are
-//! (`docs/design/evacuation.md`).
+//! all instances together. No instance sees what the others open there, so each such target
+//! has one owner until it is warm, by [`warmup`], and gets nothing from others. The options
+//! that were weighed are in `docs/design/evacuation.md`.
 
 use super::Forwarder;
 use crate::{Entry, FlowKey, Incarnation, Note, Warmup};
@@ -13,6 +12,7 @@
     ids::{DomainName, RegionName, ServiceName},
     time::Millis,
 };
+use medlarspur_load::warmup::{self, Seat};
 
 /// Why a target that is listed and answers gets no new flows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,8 +55,8 @@
         if !self.is_within(domain, bounds.regions) {
             return Some(Closed::Away);
         }
-        let is_warming = bounds.warmup.is_some_and(|it| self.is_warming(entry, it, now));
-        is_warming.then_some(Closed::Warming)
+        let warmup = bounds.warmup.filter(|it| self.is_slow(entry, *it, now))?;
+        (!self.may_warm(entry, warmup, now)).then_some(Closed::Warming)
     }
 
     /// Whether a failure domain is in one of these regions, or they are none. One whose region
@@ -66,7 +66,8 @@
         regions.is_empty() || region().is_some_and(|region| regions.contains(region))
     }
 
-    fn is_warming(&self, entry: &Entry, warmup: Warmup, now: Millis) -> bool {
+    /// Whether a target is slow after its start, as far as this instance knows.
+    fn is_slow(&self, entry: &Entry, warmup: Warmup, now: Millis) -> bool {
         // Targets that got nothing while their domain was evacuated may have become slow.
         // They say so some time after the evacuation has ended; until then they would get
         // all that is opened, being idle.
@@ -74,6 +75,30 @@
         now < entry.cold || restored.is_some_and(|at| now < at + warmup.span)
     }
 
+    /// Whether this instance owns a slow target and may open a flow there now.
+    fn may_warm(&self, entry: &Entry, warmup: Warmup, now: Millis) -> bool {
+        let target = entry.target.incarnation;
+        let is_own = entry.target.domain == self.tuning.domain
+            && self.seat.is_some_and(|seat| seat.owns(target.0));
+        let last = self.states.get(&target).and_then(|state| state.warmed);
+        is_own && last.is_none_or(|at| now.since(at) >= warmup::pause(warmup.rate))
+    }
+
+    /// Notes that a flow is opened at a target, which counts if that is slow.
+    pub(super) fn note_warmup(&mut self, target: Incarnation, now: Millis) {
+        let Some(entry) = self.catalog.entry(target) else { return };
+        let warmup = self.service_bounds(&entry.target.service).warmup;
+        let is_slow = warmup.is_some_and(|it| self.is_slow(entry, it, now));
+        if let Some(state) = self.states.get_mut(&target).filter(|_| is_slow) {
+            state.warmed = Some(now);
+        }
+    }
+
+    /// Tells this instance's seat in its failure domain.
+    pub fn set_seat(&mut self, seat: Option<Seat>) {
+        self.seat = seat;
+    }
+
     /// Whether operators have emptied the failure domain of a flow's target, or have said that
     /// requests of its route must stay in other regions.
     pub(super) fn is_barred(&self, flow: &FlowKey, target: Incarnation) -> bool {
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -42,7 +42,7 @@
     ids::{DomainName, RegionName},
     time::Millis,
 };
-use medlarspur_load::random::Random;
+use medlarspur_load::{random::Random, warmup::Seat};
 use placing::OPENING_LIMIT;
 use state::State;
 use std::collections::VecDeque;
@@ -84,6 +84,8 @@
     full: Vec<Incarnation>,
     /// What was learnt from answers.
     heard: Heard,
+    /// This instance's seat in its failure domain, while it is known.
+    seat: Option<Seat>,
     /// Whether nobody of this failure domain hears from the store.
     cut_off: bool,
     /// Whether this domain is evacuated and no target elsewhere can be reached.
@@ -113,6 +115,7 @@
             lost: Vec::new(),
             full: Vec::new(),
             heard: Heard::default(),
+            seat: None,
             cut_off: false,
             stranded: false,
             life: Millis(0),
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -100,6 +100,7 @@
             return self.refuse(&key, self.excluded(&service, &key, now), out);
         };
         self.counts.opened += 1;
+        self.note_warmup(target, now);
         out.note(note);
         self.send(target, &key, &packet, out);
         let mut flow = Flow::open(target, class, packet, seq, now);
--- a/marked/src/forwarder/state.rs
+++ b/marked/src/forwarder/state.rs
@@ -29,6 +29,8 @@
     pub(super) silent: bool,
     /// When to look whether its open flows are still unanswered.
     pub(super) check: Option<Millis>,
+    /// When this instance opened a flow there last while it was slow.
+    pub(super) warmed: Option<Millis>,
     pub(super) working: u32,
     pub(super) opening: u32,
     pub(super) feeds: u32,
@@ -48,6 +50,7 @@
             declined: false,
             silent: false,
             check: None,
+            warmed: None,
             working: 0,
             opening: 0,
             feeds: 0,
--- a/marked/src/message.rs
+++ b/marked/src/message.rs
@@ -1,6 +1,7 @@
 //! What instances tell each other, as datagrams and as whole pictures.
 
 use crate::{Change, News, Revision};
+use medlarspur_load::warmup::Seat;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 use std::net::SocketAddrV4;
@@ -41,6 +42,8 @@
     pub asks: bool,
     /// Control addresses of some others in the receiver's failure domain.
     pub contacts: Vec<SocketAddrV4>,
+    /// The receiver's seat, from the first reader of its failure domain.
+    pub seat: Option<Seat>,
 }
 
 /// A datagram between instances.
--- a/marked/tests/net.rs
+++ b/marked/tests/net.rs
@@ -3,7 +3,7 @@
 
 use super::fixtures::{all, change, millis, news, target};
 use medlarspur_lib::{ids::DomainName, time::Millis};
-use medlarspur_load::random::Random;
+use medlarspur_load::{random::Random, warmup::Seat};
 use medlarspur_marked::{
     Catalog, Change, Content, Fleet, Revision, Scope, Target,
     message::{Message, decode},
@@ -242,6 +242,12 @@
         instances.for_each(|(_, it)| it.served = served);
     }
 
+    /// The seats that live instances take themselves to have.
+    pub fn seats(&self) -> impl Iterator<Item = (SocketAddrV4, Seat)> {
+        let live = self.instances.iter().filter(|(_, it)| it.up);
+        live.filter_map(|(at, it)| Some((*at, it.fleet.seat(self.time())?)))
+    }
+
     /// How many live instances of a domain take themselves for cut off from the store.
     pub fn cut_off(&self, domain: u8) -> usize {
         let instances = self.instances.iter();
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -15,4 +15,5 @@
 mod test_properties;
 mod test_regions;
 mod test_restarts;
+mod test_seats;
 mod test_waiting;
--- a/marked/tests/test_evacuation.rs
+++ b/marked/tests/test_evacuation.rs
@@ -7,6 +7,7 @@
     ids::{DomainName, ServiceName},
     status::TargetUse,
 };
+use medlarspur_load::warmup::Seat;
 use medlarspur_marked::{
     Content, Finding, FlowKey, Incarnation, Kind, News, Note, Refusal, Scope, Service, Target,
     Warmup,
@@ -466,3 +467,38 @@
     assert_eq!(instance.out.sent.len(), 1);
     assert_eq!(instance.last(), own);
 }
+
+/// All targets of the service are slow after their start, and this instance owns them. Each
+/// gets what its owner may open, and no more.
+#[test]
+fn an_owner_opens_flows_at_slow_targets_one_after_the_other() {
+    let mut instance = Instance::in_domain("south", &[]);
+    warming(&mut instance);
+    let slow = Target { cold: millis(5_000), ..southern(2) };
+    instance.learn(one(102, Content::Target(slow.clone())), 0);
+    instance.forwarder.set_seat(Some(Seat { position: 0, count: 1 }));
+
+    for (number, now) in (0..).zip((100..3_100).step_by(100)) {
+        instance.packet(segment(flow(number, REQUEST), Kind::Open), now);
+        let at = slow.incarnation;
+        instance.packet(middle(flow(number, REQUEST), at, 1001, 500, 0), now + 5);
+    }
+
+    assert_eq!(instance.forwarder.counts().opened, 3, "one a second: a quarter of what it bears");
+    assert!(instance.out.resets.iter().all(|(.., why)| *why == Refusal::Warming));
+}
+
+/// Whoever owns a target is in its domain: with the domain cut off, others may take
+/// themselves for its owner too.
+#[test]
+fn slow_targets_of_other_domains_have_other_owners() {
+    let mut instance = Instance::new(&[]);
+    warming(&mut instance);
+    let slow = Target { cold: millis(5_000), ..southern(2) };
+    instance.learn(one(102, Content::Target(slow)), 0);
+    instance.forwarder.set_seat(Some(Seat { position: 0, count: 1 }));
+
+    instance.packet(segment(flow(1, REQUEST), Kind::Open), 100);
+
+    assert_eq!(instance.out.resets, [(flow(1, REQUEST), 0, Refusal::Warming)]);
+}
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -354,6 +354,7 @@
         revision,
         asks: false,
         contacts: Vec::new(),
+        seat: None,
     };
     let message = medlarspur_marked::message::Message::Heartbeat(beat);
     let now = super::fixtures::millis(2_000_000);
