--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -50,9 +50,9 @@
 /// How long before it would be killed a leaving instance ends by itself.
 const MARGIN: Millis = Millis::secs(1);
 
-/// How long after the start metrics begin to be served. Setting the server up
-/// takes 1 to 2 ms of processor time (schedstat, one run), which are 20 to 40 ms
-/// on a twentieth of a core; packets that wait at the start need them.
+/// How long after the start metrics begin to be served. Setting the server up takes some
+/// milliseconds of processor time, tens on a twentieth of a core; packets that wait at the
+/// start need them.
 const METRICS_DELAY: Millis = Millis::secs(3);
 
 /// Why an instance can't run.
--- a/load/src/backlog.rs
+++ b/load/src/backlog.rs
@@ -20,10 +20,8 @@
 
 /// How many times the goal of its request an opening waits at most. A crowd or a lost
 /// part of the targets is made up for within about a second, so most of those who
-/// wait that long are served, late; told after one goal, they came back at once as the
-/// newest, and on a day on which half of the targets were gone 9 of 1,000 requests were
-/// not served instead of 7. In a crowd of 2.4 times the usual, 78 instead of 83 of 100 requests
-/// were in time with one goal.
+/// wait that long are served, late; told after one goal, they would come back at once as the
+/// newest.
 const PATIENCE: u64 = 4;
 /// How long an opening waits at most, whatever its goal: callers give an opening up
 /// after 1.4 s, and should hear before that they were not served.
--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -10,35 +10,28 @@
 //! With work of 30–70 ms, what others say of their load is old on arrival, so
 //! only what is seen here counts. Without it, new flows would pile up at a slow
 //! or cold target as readily as at an idle one, and callers there would wait
-//! for each other: 91.6 instead of 97.1 % of the requests of 26 days of three
-//! sites were in time.
+//! for each other.
 
 use medlarspur_lib::bundle::Class;
 
 /// What an open feed without a request under way adds to a target's load, in
 /// requests. A feed asks about once a second for some 50 ms of work; twice that,
-/// because a feed stays where it is when others come. With 0 the same requests were in
-/// time on 26 days of three sites, and feeds less: 0.04 of all credit in a crowd.
+/// because a feed stays where it is when others come.
 const IDLE_FEED: f32 = 0.1;
-/// How much slower a target is after its start; callers see 1.6 times.
+/// How many times as long a target takes while it is slow after its start.
 const COLD: f32 = 1.6;
 /// What going to another failure domain costs a feed or request, in requests a
 /// slot: less than one request at a target of three slots, so new flows leave
 /// their domain as soon as each target there has one of this instance. When a
 /// domain is cut off, the flows of others to it are late by the time it takes
-/// to notice. Against 0.02, which decides between equals only, 3 to 39 % fewer
-/// requests were late outside of a total loss on nine of ten days with faults,
-/// and 5 % more on the one on which half of the targets were gone.
+/// to notice.
 const FAR: f32 = 0.35;
 /// What it costs an upload. Its bytes are what is dear, and its work is short:
 /// it leaves its failure domain only for a target that has two requests a slot less.
 const FAR_UPLOAD: f32 = 2.0;
 
 /// What going to a target that is [kept](crate::reserve) for requests costs a feed, in
-/// requests a slot: a little more than going to another failure domain. In a crowd of 2.4
-/// times the usual, 92, 93 and 97 % of the requests of three sites were in time with it,
-/// and 85, 75 and 93 % without (three runs each, and one); with 0.3 it was 90, 88 and 96 %.
-/// Of 100 feeds, two to six fewer were.
+/// requests a slot: a little more than going to another failure domain.
 const KEPT: f32 = 0.5;
 
 /// How willingly a target is taken; earlier ones go before later ones, whatever
--- a/load/src/limit.rs
+++ b/load/src/limit.rs
@@ -20,27 +20,22 @@
 
 use medlarspur_lib::{bundle::Class, time::Millis};
 
-/// From which part of their goal on answers count as slow. Without queues answers
-/// take 0.1 to 0.3 of their goals at the sites known, so beyond a half most of the
-/// time is waiting; the rest is left for what varies. Tried from 0.4 to 0.8 on a day on
-/// which half of the targets are gone: from 0.5 to 0.65 the same are in time, below more
-/// is refused, and at 0.8 the targets' queues are full before anything waits here.
+/// From which part of their goal on answers count as slow. Without queues they take far
+/// less, so beyond a half most of the time is waiting; the rest is left for what varies.
 const SLOW: f32 = 0.55;
 /// From how many times the calm answer time on answers count as slow, where that is more
 /// than [`SLOW`]: twice the time without a queue is half a queue. At a service whose work
 /// takes two thirds of its goal, answers are never below [`SLOW`], and without this the
-/// limit would stand at the least all day: 52.5 instead of 59.6 % in time at a load of 0.7.
+/// limit would stand at the least all day.
 const CALM: f32 = 2.0;
 /// The most of their goal that answers may take and still be calm. An instance that starts
-/// into an excess has heard nothing else: with a third of the usual slots it took 0.8 of the
-/// goal for calm, let everybody in, and 22 of 100 requests were in time where it is 30 with
-/// this. At 0.75 more is refused where the load is 0.9 and nothing is in excess (5 of 100
-/// feeds instead of 2), at 1.0 fewer are in time in an excess (28 of 100).
+/// into an excess has heard nothing else, and would take its queues for calm and let
+/// everybody in.
 const LATE: f32 = 0.9;
 /// From how many times the own part of the slots on the work under way shows queues. What
 /// is under way is what is asked a second times how long it takes (Little's law); at twice
-/// the slots each request waits for as long as it works. With [`LATE`] and without this, work
-/// of two thirds of its goal is limited again (54.6 % in time in place of 59.0).
+/// the slots each request waits for as long as it works. With [`LATE`] and without this,
+/// work of two thirds of its goal would be limited.
 const QUEUED: f32 = 2.0;
 /// The weight of a new count of the work under way in its mean: as fast as the mean of
 /// the answer times, since both must show the same crowd.
@@ -59,9 +54,7 @@
 /// How fast the calm time follows when answers get slower for good, as a time constant:
 /// several times as long as a loss of targets or a crowd lasts.
 const FORGETTING: Millis = Millis::secs(60);
-/// The weight of a new answer time in the mean: four answers take some 80 ms at an
-/// instance of today's sites, and one long request among them is no queue yet. An eighth
-/// does neither better nor worse in the scenes of `examples/overload.rs`.
+/// The weight of a new answer time in the mean: one long request among four is no queue yet.
 const WEIGHT: f32 = 0.25;
 /// How long after one reduction the next may follow: about the time that one request
 /// takes, so that each reduction can show an effect before the next.
@@ -71,21 +64,17 @@
 /// By how much an answer in good time raises the limit. One request in flight
 /// whose answer went by another instance would hold a place until it is forgotten;
 /// at this pace an instance that gets 50 answers a second makes up for 25 of them in a
-/// second. A slower raise, by one a round trip, brings no more in time in the
-/// scenes of `examples/overload.rs`.
+/// second.
 const GROWTH: f32 = 0.5;
 /// From how many times the work under way and the own part of the slots on a limit binds
 /// nobody and is dropped. Twice, so that it is not dropped and set anew with each swing of
-/// the work; chosen, other values were not tried.
+/// the work.
 const UNUSED: f32 = 2.0;
 /// The most that one answer counts. A request that waited for a lost packet or a
 /// frozen machine says nothing about queues.
 const MOST: f32 = 2.0;
-/// How many times the limit requests may use. Operators rank them first, and most of
-/// them can't be repeated; under the same limit as feeds they were late more often
-/// than without any, because feeds that are open go on all the while. On a day on which
-/// half of the targets are gone, two runs each: 4,462 instead of 4,368 of 4,743 requests
-/// in time, and 15,533 instead of 15,605 of 16,285 on feeds.
+/// How many times the limit requests may use. Operators rank them first, most of them can't
+/// be repeated, and feeds that are open go on whatever the limit says.
 const REQUESTS: f32 = 2.0;
 /// How long after the last answer the mean says nothing any more.
 const STALE: Millis = Millis::secs(1);
@@ -211,9 +200,7 @@
 
     /// Whether the same is true over a longer time. Then no feed is opened. A feed
     /// that is let in during a short pause stays when the pause is over, and each pause of a
-    /// crowd lets in some more, until what is open is a crowd by itself. In crowds of 2.4
-    /// times the usual, 87 and 85 of 100 requests were in time at two sites without this, and
-    /// 88 at both with it; in an excess that lasts, 27 in place of 30.
+    /// crowd lets in some more, until what is open is a crowd by itself.
     pub fn is_strained(&self, now: Millis) -> bool {
         self.exceeds(self.level, now)
     }
--- a/load/src/placement.rs
+++ b/load/src/placement.rs
@@ -64,12 +64,11 @@
 /// The same for a service, which sees many times as many.
 const SERVICE_SMOOTHING: f64 = 1.0 / 128.0;
 /// How much longer than the mean one hold time may count. A caller whose
-/// answer got lost stays a second longer; uncut, one such made a target seem
-/// three times as slow to an instance that sees one end a second, and goodput
-/// under a spraying fabric fell to half of the capacity.
+/// answer got lost stays a second longer; uncut, one such makes a target seem
+/// three times as slow to an instance that sees one end a second.
 const OUTLIER: f64 = 4.0;
-/// How far the mean of a target moves towards that of all in a second. At a
-/// tenth, a slow target was no longer noticed under a spraying fabric.
+/// How far the mean of a target moves towards that of all in a second; faster, a slow
+/// target would not be noticed.
 const RELAX: f64 = 0.05;
 /// How the least mean is forgotten with each hold time, so that work which
 /// has become longer for good is not taken for waiting for ever.
@@ -189,10 +188,8 @@
     /// still on their way elsewhere: they take tens of seconds, in which its
     /// callers would queue up at it. All of it, unless more than its own word
     /// speaks against it. Only for a target that says it is behind while the
-    /// others have room: used always, goodput at three times the load under a
-    /// hashing fabric fell from 97 to 93 %, as every target looks slow there
-    /// now and then, and targets that had a burst's longest queue were held
-    /// back for ten seconds after it.
+    /// others have room: under a hashing fabric every target looks slow now and then,
+    /// and those that had a burst's longest queue would be held back long after it.
     pub fn slowdown(&self) -> f64 {
         (self.factor / TOLD_FLOOR).min(1.0)
     }
--- a/load/src/reserve.rs
+++ b/load/src/reserve.rs
@@ -13,17 +13,14 @@
 use medlarspur_lib::{bundle::Class, time::Millis};
 
 /// How much larger the part of the targets is than that of the work: requests come in
-/// crowds too. Where requests have 0.27 of the work, 0.3 and 0.4 of the targets left the
-/// same part of them in time in a crowd, 0.5 fewer, and feeds lose with each more.
+/// crowds too, and feeds lose with each target more.
 const HEADROOM: f32 = 1.2;
 /// The weight of a new answer: the part is that of the last thousand or so answers, so
 /// that a crowd of seconds doesn't move feeds about.
 const WEIGHT: f32 = 0.001;
 /// What is taken for the part of requests before any answer, and how many answers that
 /// counts for. Most feeds open in the first seconds of an instance and stay, so what is
-/// learnt after a hundred answers comes too late: 77, 83 and 95 % of the requests of a
-/// crowd were in time at three sites in place of 86, 87 and 97. The part is that of today's sites; where it is
-/// another, the first thousand answers outweigh it.
+/// learnt after a hundred answers comes too late for them.
 const ASSUMED: f32 = 0.27;
 const ASSUMED_COUNT: u32 = 50;
 /// The work that an answer of the assumed ones took, in milliseconds.
--- a/load/src/settings.rs
+++ b/load/src/settings.rs
@@ -3,7 +3,7 @@
 use medlarspur_lib::time::Millis;
 
 /// What operators may set. The defaults admit up to the targets' slots and
-/// connections; `docs/design/load.md` gives the runs that chose them.
+/// connections.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
     /// Room kept for requests, in percent of slots and connections.
@@ -13,8 +13,7 @@
     /// What one caller network (a /24) may take of a busy service, in percent.
     pub network: u8,
     /// How many uploads are given to a target that has no requests, those that
-    /// wait in it included, in percent of its slots. At 150 slots idled
-    /// (goodput 82–91 % in the model), at 250 uploads waited longer for no more.
+    /// wait in it included, in percent of its slots.
     pub booking: u16,
     /// The longest that an opening is held.
     pub patience: Millis,
--- a/load/src/shares.rs
+++ b/load/src/shares.rs
@@ -93,14 +93,11 @@
 /// hundred ends at a few hundred a second, short enough to follow a change.
 const HALF_LIFE: f64 = 1_000.0;
 /// How many flows for each slot are let in while nothing is overloaded. A flow
-/// lasts longer than its work holds a slot, by its round trips. With 2 instead,
-/// a burst waited half as long, and callers were turned away by chance for 13 s
-/// after an overload instead of 4 s.
+/// lasts longer than its work holds a slot, by its round trips; with fewer, callers are
+/// turned away by chance for long after an overload.
 const FREE: f64 = 2.5;
 /// Work for each slot, work that waits included, that an overloaded target is
-/// kept at. Some must wait, or slots idle while reports are a second old. In
-/// the model at three times the load, 4 gave 90–95 % goodput, 7 gave 96–98 %
-/// and 10 gave 97–99 %, with p99 waits of half a second throughout.
+/// kept at. Some must wait, or slots idle while reports are a second old.
 pub(crate) const GOAL: f64 = 10.0;
 /// Below this, slots are about to idle.
 pub(crate) const IDLE: f64 = 3.0;
@@ -122,7 +119,7 @@
 /// is known here: an edge that sees no answers can't tell work from round
 /// trips, and under a spraying fabric an instance sees few ends of its own
 /// flows, so a limit on flows in progress follows a late and noisy estimate
-/// and swings (goodput 61–66 % at three times the load). But while targets are
+/// and swings. But while targets are
 /// saturated, ends come at their capacity, whoever opened the flows; and each
 /// instance sees its part of them under either fabric. That part is its share.
 #[derive(Debug, Clone, Default)]
--- a/load/src/state.rs
+++ b/load/src/state.rs
@@ -21,21 +21,18 @@
 const SLOWER: f64 = 2.0;
 /// The part of the room for uploads that is given away at once where requests
 /// share the slots. Instances that let in one upload too many block both slots
-/// of a target for seconds: with all of the room, 99.3–100 % of requests got
-/// through beside twice as many uploads as fit (16 runs), with half of it all,
-/// for a quarter less uploads.
+/// of a target for seconds, and requests there are lost.
 const CAUTION: f64 = 0.5;
 /// How many pieces of work an idle target is given at once by each instance,
 /// however long they are.
 const DEPTH: f64 = 2.0;
 /// The chance with which an upload gets in at a target that says *full*; one
 /// that always says so keeps getting some. Where requests share its slots it
-/// gets none: rather an idle slot than a request behind an upload. Not
-/// measured; a few openings in a hundred are enough to notice that it works.
+/// gets none: rather an idle slot than a request behind an upload. A few openings in a
+/// hundred are enough to notice that it works.
 const DOUBT: f64 = 0.02;
 /// How much more or less short work a target gets for each piece of work for
-/// a slot that it has less or more than the median. At twice this, goodput at
-/// three times the load was 87–92 % instead of 95–98 % (in the model).
+/// a slot that it has less or more than the median.
 const CATCH_UP: f64 = 0.03;
 /// The bounds of that. A target that always says *idle* gets a tenth more.
 const TRIM: (f64, f64) = (0.6, 1.1);
--- a/load/src/vacancy.rs
+++ b/load/src/vacancy.rs
@@ -33,9 +33,7 @@
 const TAKEN: u32 = 8;
 
 /// How many questions in a row a full target must answer before a request or a feed is
-/// tried there. With 25 connections a target where 36 would be used, 64 to 68 % of the
-/// requests were in time when feeds waited for two, and 71 % with six; feeds 92 % in
-/// either case. Six seconds in which there is room are no place that somebody just left.
+/// tried there. Six seconds in which there is room are no place that somebody just left.
 const ANSWERS_REQUEST: u32 = 1;
 const ANSWERS_FEED: u32 = 6;
 
--- a/marked/src/fleet/spread.rs
+++ b/marked/src/fleet/spread.rs
@@ -69,8 +69,8 @@
         if catalog.lacks(&news) {
             // Whoever passed it on may lack the same, and what it knows was never
             // told. The reader has it all. Without this question an instance stays
-            // behind for as long as news keeps coming, 10 s in a domain of 20 in one
-            // run, because a reader that has news to tell sends no heartbeats.
+            // behind for as long as news keeps coming, because a reader that has news to
+            // tell sends no heartbeats.
             self.lack(reader, news.revision, now + ON_ITS_WAY);
         }
         // What came from another reader need not be told again by this one.
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -23,9 +23,8 @@
 /// takes up to 12 ms where failure domains are 1.4 ms apart and callers 3 ms away.
 const LEAST_PATIENCE: Millis = Millis(30);
 /// The same, at most: callers repeat an opening after 200 ms, when some answers are late
-/// already. Between the two it is the longest handshake that is usual here; with 30 ms
-/// alone, each opening of callers who are 30 ms away was sent twice and had its target
-/// asked.
+/// already. Between the two it is the longest handshake that is usual here, so that openings
+/// of callers who are far aren't all sent twice.
 const MOST_PATIENCE: Millis = Millis(100);
 /// Until when an unanswered opening is looked at. After 200 ms its caller sends it again
 /// by itself, and each copy has the target asked if it is silent.
@@ -258,9 +257,8 @@
 
     /// Takes an overdue opening for one whose caller has gone. It is no work then, and
     /// says nothing of its target by itself. Taken for silence, the openings of a crowd that
-    /// has waited here make targets look full: on a day with a third of the usual slots one
-    /// instance found all 14 targets full within a second, and 2,155 callers were turned
-    /// away while some targets stood idle. The target is asked, though: where everybody
+    /// has waited here make all targets look full, and callers are turned away while targets
+    /// stand idle. The target is asked, though: where everybody
     /// waits, nothing else would show that it is silent or full, and having the least work
     /// it would get all that is opened. Should the caller be there after all, the end of its
     /// handshake finds the target by its mark.
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -8,10 +8,9 @@
 /// counts: three questions of 300 ms. Their number says nothing, since a link that
 /// is full makes all silent in the same moment.
 const ALONE_LIMIT: Millis = Millis(900);
-/// How long instances wait at most before they ask a target that is listed again. After
-/// 12 s in which a failure domain was cut off, 163 instances asked each of its 39 targets in
-/// the moment in which the news of its entry came, and the target reset nine of ten of their
-/// connections.
+/// How long instances wait at most before they ask a target that is listed again. After a
+/// cut of a failure domain the news of its entry comes to hundreds of instances in the same
+/// moment, and a target resets most of as many connections.
 const RELISTED_PAUSE: Millis = Millis(500);
 /// How long after a request to a target went unanswered others are preferred.
 pub(super) const DOUBT_TIME: Millis = Millis(300);
--- a/marked/src/forwarder/state.rs
+++ b/marked/src/forwarder/state.rs
@@ -6,8 +6,8 @@
 
 /// Within which time openings must be unanswered to speak together against a target. Where
 /// instances come and go, the ends of some handshakes go by others; at a large site, where
-/// an instance opens a flow at a target every few seconds, such openings added up, and 150
-/// pairs of instance and target looked full on a day on which none was.
+/// an instance opens a flow at a target every few seconds, such openings would add up, and
+/// targets look full that are not.
 const TOGETHER: Millis = Millis::secs(2);
 
 /// What is known of a target besides its entry.
