--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -3,6 +3,7 @@
 use medlarspur_lib::{
     bundle::Class,
     ids::{DomainName, RegionName, ServiceName, TargetName, Version},
+    status::TargetUse,
     time::Millis,
 };
 use medlarspur_marked::{
@@ -219,6 +220,13 @@
         self.forwarder.tick(millis(now), &mut self.out);
     }
 
+    /// Whether a target takes a flow that is opened now, and if not, why.
+    pub fn usage(&self, key: FlowKey, at: Incarnation, now: u64) -> TargetUse {
+        let explained = self.forwarder.explain(&key, None, millis(now));
+        let name = &self.forwarder.catalog().entry(at).expect("known").target.name;
+        explained.candidates.iter().find(|it| it.name == *name).expect("a candidate").usage
+    }
+
     /// Where the last packet went.
     pub fn last(&self) -> Incarnation {
         self.out.sent.last().expect("a packet was sent on").0
--- a/marked/tests/test_evacuation.rs
+++ b/marked/tests/test_evacuation.rs
@@ -45,9 +45,7 @@
 }
 
 fn usage(instance: &Instance, at: Incarnation, now: u64) -> TargetUse {
-    let explained = instance.forwarder.explain(&flow(9_999, FEED), None, millis(now));
-    let name = &instance.forwarder.catalog().entry(at).expect("known").target.name;
-    explained.candidates.iter().find(|it| it.name == *name).expect("a candidate").usage
+    instance.usage(flow(9_999, FEED), at, now)
 }
 
 /// Operators empty a failure domain before its power is worked on. A flow that is
--- a/marked/tests/test_full.rs
+++ b/marked/tests/test_full.rs
@@ -47,9 +47,7 @@
 }
 
 fn usage(instance: &Instance, at: Incarnation, now: u64) -> TargetUse {
-    let explained = instance.forwarder.explain(&flow(9_999, FEED), None, millis(now));
-    let name = &instance.forwarder.catalog().entry(at).expect("known").target.name;
-    explained.candidates.iter().find(|it| it.name == *name).expect("a candidate").usage
+    instance.usage(flow(9_999, FEED), at, now)
 }
 
 /// A target has as many connections as it takes. It answers neither openings nor
--- a/marked/tests/test_regions.rs
+++ b/marked/tests/test_regions.rs
@@ -121,11 +121,7 @@
 #[test]
 fn operators_see_which_targets_are_in_other_regions() {
     let (instance, [north, _, south]) = three("here");
-    let explained = instance.forwarder.explain(&flow(1, REQUEST), None, millis(10));
-    let usage = |at: Incarnation| {
-        let name = &instance.forwarder.catalog().entry(at).expect("known").target.name;
-        explained.candidates.iter().find(|it| it.name == *name).expect("a candidate").usage
-    };
+    let usage = |at| instance.usage(flow(1, REQUEST), at, 10);
 
     assert_eq!((usage(north), usage(south)), (TargetUse::Good, TargetUse::Away));
 }
