--- a/docs/measures/variations/vary.py
+++ b/docs/measures/variations/vary.py
@@ -12,6 +12,7 @@
 VARIATIONS = [
     ("as-is", "nothing", []),
     ("slots-1", "targets of one slot, three times as many", [(r"slots = \d+", "slots = 1"), (r"(servers = \[.*?\])", "TRIPLE")]),
+    ("slots-one", "targets of one slot, as many", [(r"slots = \d+", "slots = 1")]),
     ("slots-6", "targets of six slots, half as many", [(r"slots = \d+", "slots = 6"), (r"(servers = \[.*?\])", "HALF")]),
     ("queue-4", "targets queue four", [(r"queue = \d+", "queue = 4")]),
     ("queue-40", "targets queue forty", [(r"queue = \d+", "queue = 40")]),
@@ -25,6 +26,8 @@
     ("users-10", "three times as many callers, each of whom asks less", [(r"users = 3", "users = 10")]),
     ("users-1", "a third of the callers, each of whom asks more", [(r"users = 3", "users = 1")]),
     ("connections-40", "40 connections a target", [(r"conn_cap = \d+", "conn_cap = 40")]),
+    ("cold-4-a-second", "slow targets that bear 4 requests a second", [(r"cold_s = ([\d.]+),", r"cold_s = \1, cold_per_s = 4.0,")]),
+    ("cold-12", "the same, slow for 12 s", [(r"cold_s = [\d.]+,", "cold_s = 12.0, cold_per_s = 4.0,")]),
     ("cold-6", "targets that are slow for 6 s after their start", [(r"cold_s = [\d.]+, cold_x = [\d.]+", "cold_s = 6.0, cold_x = 3.0")]),
 ]
 
