--- a/daemon/tests/marked.rs
+++ b/daemon/tests/marked.rs
@@ -63,8 +63,13 @@
     site.tally()
 }
 
-/// How many requests ended in another way than answered.
+/// How many requests ended in another way than answered; says which, for whoever reads why a
+/// test failed.
 pub fn unanswered(tally: &Tally) -> usize {
+    let others = tally.finished.iter().filter(|it| it.outcome != Outcome::Answered);
+    for it in others {
+        eprintln!("{} ms: {:?} of {:?} after {} ms", it.at, it.outcome, it.class, it.span);
+    }
     tally.finished.iter().filter(|it| it.outcome != Outcome::Answered).count()
 }
 
