--- a/lib/src/status/marked.rs
+++ b/lib/src/status/marked.rs
@@ -126,7 +126,8 @@
         Full,
         /// Operators have emptied its failure domain: it takes none.
         Evacuated,
-        /// It is slow after its start, its service bounds what it gets meanwhile: none.
+        /// It is slow after its start and its service bounds what it gets meanwhile: none from
+        /// this instance now.
         Warming,
         /// It is outside of the regions in which the route's requests must stay.
         Away,
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -130,6 +130,7 @@
         now: Millis,
     ) -> Option<(Incarnation, Note)> {
         let bounds = self.bounds(service, key);
+        // Whether targets were left out, which operators are shown.
         let (mut evacuated, mut warming) = (false, false);
         let (mut entries, mut candidates): (Vec<&Entry>, Vec<Candidate>) = Default::default();
         for entry in self.catalog.targets(service) {
