--- a/docs/measures/variations/vary.py
+++ b/docs/measures/variations/vary.py
@@ -64,6 +64,10 @@
     text = pathlib.Path(options.site).read_text()
     site = re.search(r'^name = "([^"]+)"', text, re.M)[1]
     for name, _, edits in VARIATIONS:
+        missing = [pattern for pattern, _ in edits if not re.search(pattern, text)]
+        if missing:
+            print(f"{name}: left out, the site has no {missing[0]}")
+            continue
         copy = varied(text, edits).replace(f'name = "{site}"', f'name = "{site}-{name}"', 1)
         (pathlib.Path(options.folder) / f"{site}-{name}.toml").write_text(copy)
 
