marked: count a flow no more at a target that it is not at

What callers saw: targets that looked busy to an instance for good, and full ones that it never tried again, so that flows went elsewhere and waited for room that was there. Cause: follow() dropped the record of a flow whose packet carried the mark of another target, and left its opening or request counted at the target of the record. It happens when an opening moved and the first target answered after all, or when ports are used again. Evidence: found while the traces of the known red test were read (an opening that moved, acknowledged by the mark of the first target). Both tests were red before: 1 flow left at a target that has none. Why it works: the record is taken off the account whenever it is taken out, whatever becomes of it.

--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -227,14 +227,14 @@
         now: Millis,
         out: &mut impl Output,
     ) {
-        let known = self.flows.remove(&segment.key).filter(|flow| flow.target == target);
+        let known = self.flows.remove(&segment.key);
+        if let Some(flow) = &known {
+            self.account(flow, -1);
+        }
         let route = self.catalog.route(segment.key.service);
         let (class, goal) = (route.map(|route| route.class), route.and_then(waiting::goal));
-        let mut flow = match (known, class) {
-            (Some(flow), _) => {
-                self.account(&flow, -1);
-                flow
-            }
+        let mut flow = match (known.filter(|flow| flow.target == target), class) {
+            (Some(flow), _) => flow,
             (None, Some(class)) if segment.len > 0 => Flow::resume(target, class, segment, now),
             (None, _) => return,
         };
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -3,6 +3,7 @@
 mod fixtures;
 mod net;
 mod test_catalog;
+mod test_contested;
 mod test_delta;
 mod test_evacuation;
 mod test_fleet;
