marked: send a flow's data where the caller has acknowledged the opening

What callers saw: a request that is answered nowhere until its caller gives up after 4 s (the known red test, form "1 unanswered at the end"), and on a feed packets that reach a target which doesn't have the flow. Cause: a target that has no place leaves an opening unanswered. 30 ms later the opening is sent to it once more and it is asked; it ends the question's connection, counts as full, and the opening moves to another target within the same millisecond. Meanwhile a flow there has ended, so it takes the copy, and both targets answer. The caller acknowledges the answer that came first, and then puts the mark that came last into its packets, as the users' page says. Each packet went by its mark, so the request went to the target whose answer nobody had acknowledged, which ignores it. Evidence: the site's trace. Ruled out: a reset (none was written), a question that stays silent (it was declined), a lost packet (both answered). Why it works: the instance that sees the acknowledgement knows by its mark which target has the flow. It keeps that in its record, and later packets of the flow go there whatever their mark says, as long as their numbers go on from those that were seen: a later flow of the same ports has others, and goes by its mark. The same holds where a copy of the opening went through another instance. Five tests, four of them red before.

--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -11,6 +11,10 @@
 /// sixteen packets of 1,200 bytes. More new data shows that it did.
 const WINDOW: u32 = 16 * 1200;
 
+/// How far the numbers of a packet may be from those that were seen last, in bytes, for it to
+/// belong to the same flow. Either end has [`WINDOW`] bytes under way at most.
+const REACH: u32 = 2 * WINDOW;
+
 /// How long after new data a packet with older data counts as repeated. Callers
 /// repeat after 200 ms at the earliest; packets of one burst may overtake each
 /// other by a few milliseconds.
@@ -138,6 +142,16 @@
         self.repeated.then_some(self.sent_at)
     }
 
+    /// Whether a packet goes on with the flow that was opened here, and not with another one of
+    /// the same ports, whose numbers are others.
+    pub fn is_continued(&self, segment: &Segment) -> bool {
+        let is_near = |a: u32, b: u32| a.wrapping_sub(b).cast_signed().unsigned_abs() <= REACH;
+        self.opened
+            && !self.is_opening()
+            && is_near(segment.ack, self.acked)
+            && is_near(segment.seq, self.sent)
+    }
+
     /// Takes in a packet that is no opening one.
     pub fn see(&mut self, segment: &Segment, now: Millis) -> Seen {
         self.touched = now;
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -17,6 +17,7 @@
 //!   was being opened there goes to another one.
 
 mod closed;
+mod contested;
 mod counts;
 mod explain;
 mod full;
@@ -200,12 +201,12 @@
         self.send(target, &segment.key, bytes, out);
     }
 
-    /// Where a packet in mid-flow goes: where its mark says, and nowhere without
-    /// one that holds.
+    /// Where a packet in mid-flow goes: where its mark says, unless its flow is known to be
+    /// open at another target, and nowhere without a mark that holds.
     fn target(&mut self, segment: &Segment, out: &mut impl Output) -> Option<Incarnation> {
         let marked = segment.mark.and_then(|mark| self.catalog.marked(mark, &segment.key));
         if let Some(entry) = marked {
-            return Some(entry.target.incarnation);
+            return Some(self.acknowledged(segment).unwrap_or(entry.target.incarnation));
         }
         let reason = match segment.mark {
             Some(_) => Unroutable::UnknownMark,
@@ -227,13 +228,10 @@
         now: Millis,
         out: &mut impl Output,
     ) {
-        let known = self.flows.remove(&segment.key);
-        if let Some(flow) = &known {
-            self.account(flow, -1);
-        }
+        let known = self.take_record(target, &segment.key);
         let route = self.catalog.route(segment.key.service);
         let (class, goal) = (route.map(|route| route.class), route.and_then(waiting::goal));
-        let mut flow = match (known.filter(|flow| flow.target == target), class) {
+        let mut flow = match (known, class) {
             (Some(flow), _) => flow,
             (None, Some(class)) if segment.len > 0 => Flow::resume(target, class, segment, now),
             (None, _) => return,
--- a/marked/tests/test_contested.rs
+++ b/marked/tests/test_contested.rs
@@ -1,7 +1,7 @@
 //! Openings that two targets answer.
 
 use super::fixtures::{FEED, Instance, REQUEST, flow, middle, millis, target};
-use medlarspur_marked::{Finding, FlowKey, Incarnation};
+use medlarspur_marked::{Finding, FlowKey, Incarnation, Kind};
 
 /// Two targets, and a flow whose opening went to the first of them twice and then, as that
 /// seemed to be full, to the second.
@@ -31,6 +31,72 @@
     found.work
 }
 
+/// Guards against data sent to the target that answered second: the flow is open at the other
+/// one, and its caller would wait in vain.
+#[test]
+fn data_goes_to_the_target_whose_answer_the_caller_has_acknowledged() {
+    let Moved { mut instance, key, first, second } = moved();
+
+    instance.packet(middle(key, first, 1001, 500, 0), 1_033);
+    instance.packet(middle(key, second, 1001, 500, 900), 1_034);
+
+    assert_eq!(instance.last(), first);
+}
+
+/// Guards against the same where the answer to the earlier copy comes last.
+#[test]
+fn data_goes_on_to_the_second_target_when_the_first_answers_late() {
+    let Moved { mut instance, key, first, second } = moved();
+
+    instance.packet(middle(key, second, 1001, 500, 0), 1_033);
+    instance.packet(middle(key, first, 1001, 500, 900), 1_034);
+
+    assert_eq!(instance.last(), second);
+}
+
+/// Guards against a target that never hears that its flow has ended.
+#[test]
+fn the_end_of_a_flow_goes_where_its_data_went() {
+    for kind in [Kind::Close, Kind::Abort] {
+        let Moved { mut instance, key, first, second } = moved();
+        instance.packet(middle(key, first, 1001, 500, 0), 1_033);
+
+        let mut end = middle(key, second, 1901, 1_100, 0);
+        end.kind = kind;
+        instance.packet(end, 1_200);
+
+        assert_eq!(instance.last(), first);
+    }
+}
+
+/// Guards against the same where routers brought a copy of the opening to another instance.
+#[test]
+fn data_goes_to_the_target_that_another_instance_has_opened_the_flow_at() {
+    let mut instance = Instance::new(&[target(1, "desk"), target(2, "desk")]);
+    let key = flow(1, REQUEST);
+    let here = instance.open(key, 1_000);
+    let entries = instance.forwarder.catalog().entries();
+    let other = entries.map(|entry| entry.target.incarnation).find(|it| *it != here);
+    let other = other.expect("another target");
+
+    instance.packet(middle(key, other, 1001, 500, 0), 1_010);
+    instance.packet(middle(key, here, 1001, 500, 900), 1_011);
+
+    assert_eq!(instance.last(), other);
+}
+
+/// Guards against a record that outlives its flow: the ports are used again, and the new flow
+/// was opened by another instance.
+#[test]
+fn a_later_flow_of_the_same_ports_goes_by_its_mark() {
+    let Moved { mut instance, key, first, second } = moved();
+    instance.packet(middle(key, second, 1001, 500, 0), 1_033);
+
+    instance.packet(middle(key, first, 700_001, 900_000, 100), 3_000);
+
+    assert_eq!(instance.last(), first);
+}
+
 /// Guards against flows that count as work of a target for good: it would look busy to all
 /// that is opened later, and a full one would never be tried again.
 #[test]
