--- a/daemon/tests/test_marked_targets.rs
+++ b/daemon/tests/test_marked_targets.rs
@@ -2,7 +2,10 @@
 
 use crate::marked::{come, end, lines_with, site, unanswered, wait_for_answers, wait_until};
 use medlarspur_lib::bundle::Class;
-use medlarspur_standin::site::{DESK, INGEST};
+use medlarspur_standin::{
+    site::{DESK, INGEST},
+    target::Room,
+};
 
 /// A target is replaced in an orderly way: the new one starts, the old one says
 /// that it leaves, and goes. Nobody should notice.
@@ -109,3 +112,19 @@
     assert!(lines_with(&site, &["flow reset", "reason=target-lost"]).is_empty());
     assert_eq!(unanswered(&end(&site)), 0);
 }
+
+/// Guards against requests that nobody answers because two targets have taken their opening.
+#[test]
+fn a_target_whose_last_place_comes_and_goes_costs_no_request() {
+    let mut site = site(8, 2);
+    site.add_callers(Class::Feed, 16);
+    site.add_callers(Class::Request, 12);
+    wait_for_answers(&site, 80);
+
+    site.set_room(0, Room::Held);
+    wait_for_answers(&site, 400);
+    site.set_room(0, Room::Unbounded);
+    wait_for_answers(&site, 100);
+
+    assert_eq!(unanswered(&end(&site)), 0);
+}
