load: ask a full target less often while it has no room

Cause: the pause between two questions was doubled only where an opening was refused when a question was due, or after an answer. Evidence: a test that plays such questions was red: asked at 500, 1000, 1500, 2000, 2500, 3000 and 3500 ms, in place of 500, 1500, 2500 and 3500. Why it works: the question itself backs off if it was due.

--- a/load/src/vacancy.rs
+++ b/load/src/vacancy.rs
@@ -65,8 +65,7 @@
             return true;
         };
         if full.answers > 0 || full.retry <= now {
-            full.pause = LAST_PAUSE.min(full.pause + full.pause);
-            full.retry = now + full.pause;
+            full.back_off(now);
         }
         let Full { retry, pause, .. } = *full;
         self.0 = Some(Full { retry, pause, ..Full::new(now) });
@@ -103,7 +102,10 @@
 
     /// It is asked now, and need not be again before the pause is over once more.
     pub fn ask(&mut self, now: Millis) {
-        if let Some(full) = &mut self.0 {
+        let Some(full) = &mut self.0 else { return };
+        if full.retry <= now {
+            full.back_off(now);
+        } else {
             full.retry = now + full.pause;
         }
     }
@@ -135,6 +137,12 @@
         Full { retry: now + pause, pause, places: 0, short: 0, answers: 0, taken: 0 }
     }
 
+    /// Has the pause that begins now be twice as long as the last one.
+    fn back_off(&mut self, now: Millis) {
+        self.pause = LAST_PAUSE.min(self.pause + self.pause);
+        self.retry = now + self.pause;
+    }
+
     /// A flow of a class has taken a place.
     fn fill(&mut self, class: Class) {
         match class {
--- a/load/tests/test_vacancy.rs
+++ b/load/tests/test_vacancy.rs
@@ -30,6 +30,25 @@
     assert_eq!(pauses, [1_000, 1_000, 1_000]);
 }
 
+/// When a full target is asked in the first `span`, if it never has room.
+fn questions(span: Millis) -> Vec<u64> {
+    let mut vacancy = Vacancy::default();
+    vacancy.refuse(Millis(0));
+    let mut asked = Vec::new();
+    while let Some(now) = vacancy.retry().filter(|at| *at <= span) {
+        asked.push(now.0);
+        vacancy.ask(now);
+        vacancy.refuse(now + Millis(1));
+    }
+    asked
+}
+
+/// Guards against questions that a full target ends one after the other at the first pause.
+#[test]
+fn questions_that_find_no_room_become_rarer() {
+    assert_eq!(questions(Millis(3_500)), [500, 1_500, 2_500, 3_500]);
+}
+
 #[test]
 fn what_a_request_leaves_is_for_requests() {
     let mut vacancy = Vacancy::default();
