marked: open no flow that waits here once another instance has opened it

What callers would see: packets that reach a target which doesn't have their flow, as where an opening has moved. Routers change while all openings wait for room; a copy of an opening waits here, the first one was opened through another instance, and the flow's packets come here. The copy was opened later all the same, a second target answered, and the caller put that one's mark into its packets. Evidence: a test that plays it was red. Why it works: a packet in mid-flow shows that the flow is open, so its opening waits no longer.

--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -191,6 +191,8 @@
 
     fn middle(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
         let Some(target) = self.target(segment, out) else { return };
+        // A copy of its opening may wait here. Opened now, the flow would have a second target.
+        self.forget(&segment.key);
         let is_lost = self.states.get(&target).is_some_and(|state| state.health.is_lost());
         if is_lost {
             self.reset(&segment.key, segment.ack, target, now, out);
--- a/marked/tests/test_waiting.rs
+++ b/marked/tests/test_waiting.rs
@@ -219,6 +219,21 @@
 
 /// The route is dropped by a new config while a flow waits for it. Opening it then
 /// would serve what operators have ended.
+/// Guards against a second target that answers a flow which is open already: a copy of its
+/// opening came here and waits, and another instance has opened the flow.
+#[test]
+fn what_waits_is_not_opened_once_its_caller_has_an_answer() {
+    let mut instance = busy(140);
+    let held = fill(&mut instance, REQUEST, 500);
+    let other = target(1, "desk").incarnation;
+
+    instance.packet(middle(held, other, 1001, 500, 0), 520);
+    empty(&mut instance, held, 560);
+    instance.tick(560);
+
+    assert!(!opened(&instance).contains(&held));
+}
+
 #[test]
 fn a_flow_whose_route_is_dropped_while_it_waits_is_turned_away() {
     let mut instance = busy(140);
