load: have a large fleet share its questions to full targets

Cause: each of 87 instances asks each full target for itself. Every question takes a connection of the target, so that the place that one request leaves goes to questions, and a target that has a few places answers many instances in one moment, which all send it an opening. The lines of the first 19 s: 10,119 times an instance finds a target full, 919 times it takes one for free again. Why it works: eight instances ask a full target eight times a second in all, and so do hundreds: the longest pause of each grows with their number, which the forwarder estimates already. The first pause stays, so a target that was late for a moment is missed for no longer. Ends of own flows are still places at once. Both tests were red before. Fleets of up to eight instances ask as before. What is left: an instance still finds each full target with an opening of a caller.

--- a/load/src/vacancy.rs
+++ b/load/src/vacancy.rs
@@ -26,8 +26,12 @@
 /// The first pause: a few requests end meanwhile, and a target that was only late for a
 /// moment is missed for no longer.
 const FIRST_PAUSE: Millis = Millis(500);
-/// The longest pause. Of 25 feeds that stay for 17 s, one and a half end meanwhile.
+/// The longest pause of an instance of a small fleet. Of 25 feeds that stay for 17 s, one and
+/// a half end meanwhile.
 const LAST_PAUSE: Millis = Millis(1_000);
+/// How many instances may ask a full target at that pace. Each question takes one of its
+/// connections for a moment, so that hundreds of instances must share what a few ask.
+const SMALL_FLEET: u64 = 8;
 /// How many openings in a row must be taken before the target counts as free again: a
 /// few may be places that somebody has just left.
 const TAKEN: u32 = 8;
@@ -65,7 +69,7 @@
             return true;
         };
         if full.answers > 0 || full.retry <= now {
-            full.back_off(now);
+            full.back_off(now, LAST_PAUSE);
         }
         let Full { retry, pause, .. } = *full;
         self.0 = Some(Full { retry, pause, ..Full::new(now) });
@@ -100,11 +104,12 @@
         }
     }
 
-    /// It is asked now, and need not be again before the pause is over once more.
-    pub fn ask(&mut self, now: Millis) {
+    /// It is asked now, by one of so many instances, and need not be again before the pause
+    /// is over once more.
+    pub fn ask(&mut self, now: Millis, instances: usize) {
         let Some(full) = &mut self.0 else { return };
         if full.retry <= now {
-            full.back_off(now);
+            full.back_off(now, longest_pause(instances));
         } else {
             full.retry = now + full.pause;
         }
@@ -137,9 +142,9 @@
         Full { retry: now + pause, pause, places: 0, short: 0, answers: 0, taken: 0 }
     }
 
-    /// Has the pause that begins now be twice as long as the last one.
-    fn back_off(&mut self, now: Millis) {
-        self.pause = LAST_PAUSE.min(self.pause + self.pause);
+    /// Has the pause that begins now be twice as long as the last one, up to the longest.
+    fn back_off(&mut self, now: Millis, longest: Millis) {
+        self.pause = longest.min(self.pause + self.pause).max(self.pause);
         self.retry = now + self.pause;
     }
 
@@ -153,3 +158,8 @@
         }
     }
 }
+
+fn longest_pause(instances: usize) -> Millis {
+    let shares = (instances as u64).max(SMALL_FLEET);
+    Millis(LAST_PAUSE.0 * shares / SMALL_FLEET)
+}
--- a/load/tests/test_vacancy.rs
+++ b/load/tests/test_vacancy.rs
@@ -30,14 +30,14 @@
     assert_eq!(pauses, [1_000, 1_000, 1_000]);
 }
 
-/// When a full target is asked in the first `span`, if it never has room.
-fn questions(span: Millis) -> Vec<u64> {
+/// When one of so many instances asks a full target within `span`, if it never has room.
+fn questions(instances: usize, span: Millis) -> Vec<u64> {
     let mut vacancy = Vacancy::default();
     vacancy.refuse(Millis(0));
     let mut asked = Vec::new();
     while let Some(now) = vacancy.retry().filter(|at| *at <= span) {
         asked.push(now.0);
-        vacancy.ask(now);
+        vacancy.ask(now, instances);
         vacancy.refuse(now + Millis(1));
     }
     asked
@@ -46,7 +46,25 @@
 /// Guards against questions that a full target ends one after the other at the first pause.
 #[test]
 fn questions_that_find_no_room_become_rarer() {
-    assert_eq!(questions(Millis(3_500)), [500, 1_500, 2_500, 3_500]);
+    assert_eq!(questions(1, Millis(3_500)), [500, 1_500, 2_500, 3_500]);
+}
+
+/// Guards against a full target that hundreds of instances ask for room: their questions take
+/// the connections that callers wait for.
+#[test]
+fn a_large_fleet_asks_a_full_target_no_more_often_than_a_small_one() {
+    let is_late = |at: &u64| *at >= 60_000;
+    let in_second_minute = |instances| {
+        let asked = questions(instances, Millis::secs(120));
+        instances * asked.iter().copied().filter(is_late).count()
+    };
+
+    let small = in_second_minute(8);
+
+    for instances in [30, 87, 195, 1_000] {
+        let large = in_second_minute(instances);
+        assert!(large <= small + instances, "{instances}: {large}, {small}");
+    }
 }
 
 #[test]
@@ -147,7 +165,7 @@
         for vacancy in vacancies.iter_mut().flat_map(|it| it.iter_mut().enumerate()) {
             let (target, vacancy) = vacancy;
             if vacancy.retry().is_some_and(|at| at.0 <= now) {
-                vacancy.ask(Millis(now));
+                vacancy.ask(Millis(now), INSTANCES);
                 match used(&stays, target) < PLACES {
                     true => vacancy.answer(),
                     false => drop(vacancy.refuse(Millis(now))),
--- a/marked/src/forwarder/full.rs
+++ b/marked/src/forwarder/full.rs
@@ -220,6 +220,7 @@
     /// domain is evacuated takes none, and one that is not listed may be again, and is only
     /// asked then.
     pub(super) fn ask_full(&mut self, now: Millis, out: &mut impl Output) {
+        let instances = self.instances();
         let states = &self.states;
         self.full.retain(|it| states.contains_key(it));
         let is_due = |it: &&Incarnation| states[*it].vacancy.retry().is_some_and(|at| at <= now);
@@ -228,7 +229,7 @@
             if self.may_have_room(target) {
                 self.ask(target, now, out);
             } else if let Some(state) = self.states.get_mut(&target) {
-                state.vacancy.ask(now);
+                state.vacancy.ask(now, instances);
             }
         }
     }
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -157,9 +157,10 @@
         let Some(service) = self.catalog.service(&entry.target.service) else { return };
         out.ask(&entry.target, &service.health);
         self.counts.asked += 1;
+        let instances = self.instances();
         if let Some(state) = self.states.get_mut(&incarnation) {
             state.health.ask_again(now);
-            state.vacancy.ask(now);
+            state.vacancy.ask(now, instances);
         }
     }
 
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -59,6 +59,11 @@
         self.domains = domains.len().max(1);
     }
 
+    /// About how many instances there are.
+    pub(super) fn instances(&self) -> usize {
+        self.near * self.domains
+    }
+
     /// Drops what is known of services that have no targets any more.
     pub(super) fn forget_rooms(&mut self) {
         let catalog = &self.catalog;
@@ -217,7 +222,7 @@
                 slots += entry.target.slots;
             }
         }
-        Load { work, part: slots as f32 / (self.near * self.domains) as f32 }
+        Load { work, part: slots as f32 / self.instances() as f32 }
     }
 }
 
--- a/marked/tests/test_full.rs
+++ b/marked/tests/test_full.rs
@@ -494,3 +494,32 @@
     assert_eq!(goes(&instance, second), Some(at));
     assert!(instance.forwarder.explain(&feed, None, millis(4_070)).target.is_some());
 }
+
+/// How often one of so many instances asks a full target from the second half-minute on.
+fn questions(instances: usize) -> usize {
+    let (mut instance, _, at) = two();
+    instance.forwarder.set_near(instances);
+    open_at(&mut instance, at, 10..30, 1_000);
+    instance.tick(1_030);
+    instance.forwarder.answer(at, Finding::Declines, millis(1_031), &mut instance.out);
+    for now in (1_340..60_000).step_by(20) {
+        if now == 30_000 {
+            instance.out.asked.clear();
+        }
+        let before = instance.out.asked.len();
+        instance.tick(now);
+        if instance.out.asked.len() > before {
+            instance.forwarder.answer(at, Finding::Declines, millis(now + 1), &mut instance.out);
+        }
+    }
+    instance.out.asked.len()
+}
+
+/// Guards against a full target whose last places go to the questions of hundreds of instances.
+#[test]
+fn an_instance_of_a_large_fleet_asks_a_full_target_seldom() {
+    let alone = questions(1);
+
+    assert!((25..=31).contains(&alone), "once a second: {alone}");
+    assert!(questions(80) <= alone / 8, "{}", questions(80));
+}
