--- a/daemon/tests/test_marked_targets.rs
+++ b/daemon/tests/test_marked_targets.rs
@@ -7,8 +7,7 @@
     target::Room,
 };
 
-/// A target is replaced in an orderly way: the new one starts, the old one says
-/// that it leaves, and goes. Nobody should notice.
+/// Guards against flows that are cut while a target is replaced in an orderly way.
 #[test]
 fn a_released_target_cuts_no_flow() {
     let mut site = site(8, 3);
@@ -39,8 +38,7 @@
     assert_eq!(unanswered(&end(&site)), 0);
 }
 
-/// A target crashes and stays listed. Requests that ran there may be lost, but
-/// no caller keeps waiting for it: feeds are open again elsewhere.
+/// Guards against callers who go on waiting for a target that has crashed.
 #[test]
 fn a_crashed_target_is_left_by_all_its_flows() {
     let mut site = site(8, 3);
@@ -57,8 +55,7 @@
     assert_eq!(unanswered(&tally), 0, "feeds are asked for again and answered");
 }
 
-/// The address of a dead target is given to one of another service at once. No
-/// packet meant for the first may be taken by the second.
+/// Guards against packets for a dead target that reach the next one at its address.
 #[test]
 fn a_reused_address_takes_nothing_that_was_not_meant_for_it() {
     let mut site = site(8, 3);
@@ -74,8 +71,7 @@
     end(&site);
 }
 
-/// A target crashes and starts again at once, under its id and at its address. What it
-/// worked on is lost; callers go on with the new process, which knows none of their flows.
+/// Guards against a target that is left out of use after it has started again.
 #[test]
 fn a_target_that_starts_again_under_its_id_is_used_at_once() {
     let mut site = site(4, 2);
@@ -93,8 +89,7 @@
     assert_eq!(unanswered(&end(&site)), 0, "feeds are asked for again and answered");
 }
 
-/// A target has as many flows as it takes. It goes on with them, and nobody is reset for
-/// it; requests go elsewhere, and come back once it has room.
+/// Guards against flows of a full target that are reset, and requests that wait for it.
 #[test]
 fn a_full_target_keeps_its_flows_and_gets_no_others() {
     let mut site = site(8, 2);
--- a/load/tests/test_vacancy.rs
+++ b/load/tests/test_vacancy.rs
@@ -49,8 +49,7 @@
     assert_eq!(questions(1, Millis(3_500)), [500, 1_500, 2_500, 3_500]);
 }
 
-/// Guards against a full target that hundreds of instances ask for room: their questions take
-/// the connections that callers wait for.
+/// Guards against a full target whose last connections go to instances' questions.
 #[test]
 fn a_large_fleet_asks_a_full_target_no_more_often_than_a_small_one() {
     let is_late = |at: &u64| *at >= 60_000;
@@ -206,9 +205,7 @@
     tallies
 }
 
-/// Feeds would use more connections than all targets take. They stay for long, and a
-/// request that comes then finds every place taken by them. Without knowing which targets
-/// are full, callers are tried at one after the other.
+/// Guards against requests that find every place taken by feeds, which stay for long.
 #[test]
 fn requests_find_places_where_feeds_would_take_them_all() {
     for seed in 1..=3 {
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -1,7 +1,8 @@
 //! What happens to each packet of a caller.
 //!
 //! - A packet in mid-flow goes where its mark says, whatever became of that
-//!   target's entry: flows outlive entries.
+//!   target's entry: flows outlive entries. Where it was seen here which target the
+//!   caller has acknowledged, it goes there.
 //! - A packet whose mark means nothing here goes nowhere. Sent to another
 //!   target it would be answered by a reset, and a reset of our own would end a
 //!   flow that may be well; the caller sends it again while this instance
--- a/marked/tests/test_full.rs
+++ b/marked/tests/test_full.rs
@@ -50,10 +50,7 @@
     instance.usage(flow(9_999, FEED), at, now)
 }
 
-/// A target has as many connections as it takes. It answers neither openings nor
-/// questions. If it counted as dead, its feeds would be reset, come back as new flows
-/// and fill the next target: at 25 places for 22 flows a target, half of all requests
-/// failed.
+/// Guards against flows of a full target that are reset as if it were dead.
 #[test]
 fn a_target_that_answers_open_flows_and_no_openings_keeps_its_flows() {
     let (mut instance, feed, at) = two();
@@ -77,8 +74,7 @@
     assert!(instance.forwarder.explain(&opening, None, millis(1_400)).target.is_some());
 }
 
-/// Nothing is asked on its feeds for a while, so nothing shows that it lives, and nothing
-/// shows that it doesn't.
+/// Guards against flows that are reset though nothing is asked on them.
 #[test]
 fn quiet_flows_of_a_silent_target_are_left_alone() {
     let (mut instance, _, at) = two();
@@ -94,8 +90,7 @@
     assert!(instance.out.resets.is_empty());
 }
 
-/// A target has lost its power. What callers ask there is repeated and not answered, and
-/// they should be free to go elsewhere as soon as that can be known.
+/// Guards against callers who wait at a dead target that could be taken for full.
 #[test]
 fn a_dead_target_is_left_by_its_open_flows_at_once() {
     let (mut instance, feed, at) = two();
@@ -113,8 +108,7 @@
     assert_eq!(usage(&instance, at, 1_350), TargetUse::Lost);
 }
 
-/// The same, but its feeds were quiet when it was found silent. The first one that asks
-/// again gives it away, and the others need not find out by themselves.
+/// Guards against quiet feeds of a dead target that each have to find it out.
 #[test]
 fn the_first_unanswered_feed_of_a_silent_target_frees_all() {
     let (mut instance, feed, at) = two();
@@ -139,8 +133,7 @@
     assert_eq!(reset, [feed, other]);
 }
 
-/// An instance has just started into a crowd, and hears from a target a few times a
-/// second. It doesn't know yet how long answers take.
+/// Guards against flows reset by an instance that started into a crowd and hears little.
 #[test]
 fn without_knowing_how_long_answers_take_it_waits_longer() {
     let mut instance = Instance::new(&[target(1, "desk"), target(2, "desk")]);
@@ -172,8 +165,7 @@
     assert_eq!(instance.out.resets.iter().map(|it| it.0).collect::<Vec<_>>(), [feed]);
 }
 
-/// All targets of a service are full. The caller hears so at once, and it is true: none
-/// took the flow.
+/// Guards against callers who wait though all targets are known to be full.
 #[test]
 fn when_all_are_full_callers_are_refused_at_once() {
     let mut instance = Instance::new(&[target(1, "desk")]);
@@ -192,8 +184,7 @@
     assert_eq!(refused, [(opening, Refusal::Full), (flow(3, REQUEST), Refusal::Full)]);
 }
 
-/// Places become free one by one, and every instance sees it. One opening at a time
-/// goes there until some were taken; one that isn't sends it back to waiting, longer.
+/// Guards against a crowd of openings for the one place that became free.
 #[test]
 fn a_full_target_is_tried_by_one_opening_at_a_time() {
     let (mut instance, _, at) = two();
@@ -224,8 +215,7 @@
     assert!(instance.out.asked.contains(&at));
 }
 
-/// A feed ends at a full target. Its place can be taken at once; waiting for the next
-/// question would leave it empty for a second, while callers are refused.
+/// Guards against a place that stays empty until the next question.
 #[test]
 fn the_place_of_a_flow_that_ended_is_filled() {
     let (mut instance, feed, at) = two();
@@ -244,8 +234,7 @@
     }
 }
 
-/// Requests last a tenth of a second and feeds many. If feeds took what requests leave,
-/// requests would soon find no place at any target.
+/// Guards against feeds that take each place that a request leaves.
 #[test]
 fn what_a_request_leaves_is_kept_for_requests() {
     let (mut instance, _, at) = two();
@@ -284,8 +273,7 @@
     assert_eq!(instance.forwarder.count_full(), 0);
 }
 
-/// Its entry lapses while it is lost, and comes back. Nothing asked it any more then, and
-/// it stayed out of use.
+/// Guards against a lost target that stays out of use after its entry has come back.
 #[test]
 fn a_lost_target_that_is_listed_again_is_asked() {
     let mut instance = Instance::new(&[target(1, "desk")]);
@@ -304,9 +292,7 @@
     assert_eq!(instance.open(flow(5, FEED), 4_520), at);
 }
 
-/// A failure domain was cut off until the entries of its targets had lapsed, and the cut ends.
-/// All instances hear in the same moment that they are listed again. If all asked at once, a
-/// target would end most of the connections, and count as full.
+/// Guards against a target that all instances ask in the moment when a cut ends.
 #[test]
 fn instances_ask_a_target_that_is_listed_again_one_after_the_other() {
     let it = target(1, "desk");
@@ -334,8 +320,7 @@
     assert!(most <= 16, "{most} of 160 at once");
 }
 
-/// Callers are 30 ms away. Every opening would be sent twice and have its target asked,
-/// which takes one of its slots.
+/// Guards against openings of far callers that are all sent twice.
 #[test]
 fn openings_of_far_callers_are_given_the_time_that_they_take() {
     let mut instance = Instance::new(&[target(1, "desk"), target(2, "desk")]);
@@ -355,8 +340,7 @@
     assert_eq!(instance.out.asked.len(), 1, "not for ever");
 }
 
-/// It ends the connections that are too many. That is no dead target, and need not be
-/// waited for like a silent one.
+/// Guards against a wait for a silent target where it has said that it has no room.
 #[test]
 fn a_target_that_declines_questions_and_openings_is_full_at_once() {
     let (mut instance, _, at) = two();
@@ -382,8 +366,7 @@
     assert_eq!(usage(&instance, at, 1_600), TargetUse::Good);
 }
 
-/// A target stops listening just before it ends its last flows. It is asked then, since
-/// something got lost, and refuses; its flows end by themselves in a moment, with answers.
+/// Guards against the last flows of a leaving target, which stops listening before they end.
 #[test]
 fn a_leaving_target_that_refuses_questions_keeps_its_flows() {
     let (mut instance, feed, at) = two();
@@ -426,9 +409,7 @@
     }
 }
 
-/// An instance that is told to leave gets no ends of handshakes any more: they go by
-/// others. To open those flows elsewhere as well would give their callers the numbers of
-/// one target and the mark of another.
+/// Guards against openings moved by an instance that hears no ends of handshakes any more.
 #[test]
 fn openings_stay_where_they_are_while_no_later_one_is_answered() {
     let (mut instance, _, at) = two();
@@ -445,8 +426,7 @@
     assert_eq!(goes(&instance, first), Some(at));
 }
 
-/// A few openings of many are answered only when they are sent again. If those counted as
-/// long handshakes, all others would wait longer at targets that are full.
+/// Guards against longer waits at full targets because some handshakes took a second opening.
 #[test]
 fn openings_that_were_sent_twice_do_not_make_others_wait_longer() {
     let mut instance = Instance::new(&[target(1, "desk"), target(2, "desk")]);
@@ -468,9 +448,7 @@
     assert_eq!(instance.out.asked.len(), 1);
 }
 
-/// At a large site an instance opens a flow at a target every few seconds, and the ends of
-/// some handshakes go by other instances. Added up over a day, they would make every
-/// target look full.
+/// Guards against targets of a large site that look full by openings added up over a day.
 #[test]
 fn openings_that_are_unanswered_seconds_apart_say_nothing_together() {
     let (mut instance, feed, at) = two();
--- a/marked/tests/test_waiting.rs
+++ b/marked/tests/test_waiting.rs
@@ -89,8 +89,7 @@
     assert_eq!(instance.forwarder.counts().held, 0);
 }
 
-/// Half of the targets of a service are gone. The others' queues are full, and all
-/// answers would be late if still more were sent there.
+/// Guards against a service whose answers are all late because still more is sent there.
 #[test]
 fn a_new_feed_waits_while_answers_are_slow() {
     let mut instance = busy(140);
@@ -101,8 +100,7 @@
     assert!(instance.out.resets.is_empty());
 }
 
-/// A request waits here because its service has no room, and a failure domain is emptied
-/// meanwhile. It is opened by what holds then.
+/// Guards against a flow that waited and is opened in a domain that was emptied meanwhile.
 #[test]
 fn what_waits_is_not_opened_in_a_domain_that_was_evacuated_meanwhile() {
     let mut instance = busy(140);
@@ -134,8 +132,7 @@
     assert_eq!(opened(&instance), [new, held]);
 }
 
-/// The caller repeats its opening after 200 ms. Opened twice, the flow would have two
-/// targets.
+/// Guards against a flow that is opened twice because its caller repeats the opening.
 #[test]
 fn a_copy_of_an_opening_that_waits_changes_nothing() {
     let mut instance = busy(140);
@@ -150,8 +147,7 @@
     assert_eq!(opened(&instance).iter().filter(|it| **it == held).count(), 1);
 }
 
-/// A caller who can't be served hears so while it can still come back, and that is true:
-/// no packet of the flow went to a target.
+/// Guards against callers who wait here until they give up.
 #[test]
 fn what_has_waited_too_long_is_turned_away() {
     let mut instance = busy(140);
@@ -203,8 +199,7 @@
     assert_eq!(instance.out.sent.len(), 1);
 }
 
-/// The caller gives up while its opening waits. Opened after that, the flow would hold
-/// a place at a target for nobody.
+/// Guards against a place at a target that is taken for nobody.
 #[test]
 fn an_opening_that_its_caller_gives_up_is_forgotten() {
     let mut instance = busy(140);
@@ -217,10 +212,7 @@
     assert!(!opened(&instance).contains(&held));
 }
 
-/// The route is dropped by a new config while a flow waits for it. Opening it then
-/// would serve what operators have ended.
-/// Guards against a second target that answers a flow which is open already: a copy of its
-/// opening came here and waits, and another instance has opened the flow.
+/// Guards against a second target for a flow that another instance has opened.
 #[test]
 fn what_waits_is_not_opened_once_its_caller_has_an_answer() {
     let mut instance = busy(140);
@@ -234,6 +226,7 @@
     assert!(!opened(&instance).contains(&held));
 }
 
+/// Guards against a flow that is opened though its route has been dropped while it waited.
 #[test]
 fn a_flow_whose_route_is_dropped_while_it_waits_is_turned_away() {
     let mut instance = busy(140);
@@ -264,9 +257,7 @@
     (instance, target)
 }
 
-/// Callers who have gone leave openings unanswered, and their targets are well. Taken for
-/// silence of the targets, a crowd would make all of them look full, and callers would be
-/// turned away while targets stand idle.
+/// Guards against targets that look full because callers in a crowd have gone.
 #[test]
 fn callers_who_have_gone_say_nothing_of_their_target() {
     let (mut instance, target) = opened_for_nobody();
@@ -282,9 +273,7 @@
     assert_eq!(instance.out.sent.len(), sent);
 }
 
-/// A crowd lasts, everybody waits, and a target falls silent. It has the least work of all,
-/// so what is opened late goes there. If nothing of that spoke against it, it would swallow
-/// one caller after the other for as long as the crowd lasts.
+/// Guards against a silent target that gets all that is opened late.
 #[test]
 fn a_silent_target_is_asked_though_all_openings_have_waited() {
     let (mut instance, target) = opened_for_nobody();
@@ -306,8 +295,7 @@
     assert_eq!(instance.forwarder.count_full(), 1);
 }
 
-/// The same with one that is full and leaves the question unanswered, while it serves the
-/// feeds that it has. Left as it is, it would swallow all that is opened late.
+/// Guards against the same with a full target that leaves the question unanswered.
 #[test]
 fn a_full_target_that_stays_silent_is_noticed_though_all_openings_have_waited() {
     let (mut instance, target) = opened_for_nobody();
@@ -322,8 +310,7 @@
     assert_eq!(instance.forwarder.count_full(), 1);
 }
 
-/// What is opened for callers who have gone is no work. Counted as such until the record
-/// is dropped, it would keep others waiting for 1.6 s.
+/// Guards against callers who wait behind openings of those who have gone.
 #[test]
 fn an_opening_for_a_caller_who_has_gone_is_no_work() {
     let (mut instance, target) = opened_for_nobody();
@@ -390,8 +377,7 @@
     assert_eq!(usages, [TargetUse::Good, TargetUse::Leaving]);
 }
 
-/// A caller gives its opening up and opens another one from the same port. The end of the
-/// first wait must not turn the second away before its time.
+/// Guards against a caller who is turned away at the end of an earlier opening's wait.
 #[test]
 fn a_port_that_is_used_again_waits_anew() {
     let mut instance = busy(140);
