--- a/daemon/tests/test_marked_soak.rs
+++ b/daemon/tests/test_marked_soak.rs
@@ -22,28 +22,25 @@
     soak(7);
 }
 
-/// The soak itself told an instance something that had left already.
+/// Guards against a soak that tells an instance something after it has left.
 #[test]
 fn seed_120_is_sound() {
     soak(120);
 }
 
-/// A target began to leave while the store was down, so nobody could know. The
-/// check counted that as a late opening; the users' bound counts from a store
-/// that is stable.
+/// Guards against a check that counts openings at a leaving target while the store is down.
 #[test]
 fn seed_125_is_sound() {
     soak(125);
 }
 
-/// As seed 125, with an instance that froze meanwhile.
+/// Guards against the same with an instance that froze meanwhile.
 #[test]
 fn seed_165_is_sound() {
     soak(165);
 }
 
-/// The soak itself took an evacuation back only after it had found that callers of the domain
-/// are not served.
+/// Guards against a soak that asks for service while its own evacuations last.
 #[test]
 fn seed_3012_is_sound() {
     soak(3_012);
@@ -54,3 +51,9 @@
 fn seed_1000_is_sound() {
     soak(1_000);
 }
+
+/// Guards against targets that the end of an overlapping evacuation makes slow while in use.
+#[test]
+fn seed_6103_is_sound() {
+    soak(6_103);
+}
