--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -63,14 +63,14 @@
     pub cold: bool,
     /// Whether it is in this instance's failure domain.
     pub near: bool,
-    /// Whether feeds should leave it to requests, and requests use it like others of that kind.
+    /// Whether feeds should leave it to requests.
     pub kept: bool,
 }
 
 impl Candidate {
-    /// What the idle feeds there add to the load, in requests. Targets that are kept for
-    /// requests are alike to these: the own feeds say hardly anything of the queue where there
-    /// are many instances, and the few targets without any would get all requests.
+    /// What the idle feeds there add to the load, in requests. Requests ignore them at targets
+    /// that are kept for requests: of many instances each has few feeds, which say little of
+    /// the queue, and those targets where it has none would get all its requests.
     fn idle(&self, class: Class) -> f32 {
         match class {
             Class::Request if self.kept => 0.0,
--- a/load/src/vacancy.rs
+++ b/load/src/vacancy.rs
@@ -29,8 +29,8 @@
 /// The longest pause of an instance of a small fleet. Of 25 feeds that stay for 17 s, one and
 /// a half end meanwhile.
 const LAST_PAUSE: Millis = Millis(1_000);
-/// How many instances may ask a full target at that pace. Each question takes one of its
-/// connections for a moment, so that hundreds of instances must share what a few ask.
+/// How many instances may ask a full target at that pace. Each question takes a connection of
+/// the target for a moment, so the instances of a larger fleet ask less often.
 const SMALL_FLEET: u64 = 8;
 /// How many openings in a row must be taken before the target counts as free again: a
 /// few may be places that somebody has just left.
@@ -160,6 +160,6 @@
 }
 
 fn longest_pause(instances: usize) -> Millis {
-    let shares = (instances as u64).max(SMALL_FLEET);
-    Millis(LAST_PAUSE.0 * shares / SMALL_FLEET)
+    let instances = (instances as u64).max(SMALL_FLEET);
+    Millis(LAST_PAUSE.0 * instances / SMALL_FLEET)
 }
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -280,8 +280,8 @@
     }
 }
 
-/// Marks the targets that feeds should leave to requests, and requests use alike: in each failure domain the
-/// first ones by their numbers, which all instances rank alike.
+/// Marks the targets that feeds should leave to requests: in each failure domain the first ones
+/// by their numbers, which all instances rank alike.
 fn keep_for_requests(mix: Mix, entries: &[&Entry], candidates: &mut [Candidate]) {
     let mut domains: Map<&DomainName, Vec<(Incarnation, usize)>> = Map::default();
     for (at, entry) in entries.iter().enumerate() {
--- a/marked/tests/test_contested.rs
+++ b/marked/tests/test_contested.rs
@@ -23,6 +23,13 @@
     Moved { instance, key, first, second }
 }
 
+/// Another target than this one.
+fn other_than(instance: &Instance, target: Incarnation) -> Incarnation {
+    let entries = instance.forwarder.catalog().entries();
+    let mut others = entries.map(|entry| entry.target.incarnation).filter(|it| *it != target);
+    others.next().expect("there are two")
+}
+
 /// How many flows are being opened at a target, or worked on.
 fn busy(instance: &Instance, at: Incarnation) -> u32 {
     let name = &instance.forwarder.catalog().entry(at).expect("known").target.name;
@@ -75,9 +82,7 @@
     let mut instance = Instance::new(&[target(1, "desk"), target(2, "desk")]);
     let key = flow(1, REQUEST);
     let here = instance.open(key, 1_000);
-    let entries = instance.forwarder.catalog().entries();
-    let other = entries.map(|entry| entry.target.incarnation).find(|it| *it != here);
-    let other = other.expect("another target");
+    let other = other_than(&instance, here);
 
     instance.packet(middle(key, other, 1001, 500, 0), 1_010);
     instance.packet(middle(key, here, 1001, 500, 900), 1_011);
@@ -128,12 +133,10 @@
     let key = flow(1, REQUEST);
     let here = instance.opened(key, 1_000);
     instance.packet(middle(key, here, 1001, 500, 900), 1_010);
-    let entries = instance.forwarder.catalog().entries();
-    let other = entries.map(|entry| entry.target.incarnation).find(|it| *it != here);
+    let other = other_than(&instance, here);
     assert_eq!(busy(&instance, here), 1);
 
-    let later = middle(key, other.expect("another target"), 700_001, 900_000, 100);
-    instance.packet(later, 3_000);
+    instance.packet(middle(key, other, 700_001, 900_000, 100), 3_000);
 
     assert_eq!(busy(&instance, here), 0);
 }
