--- a/load/tests/test_many.rs
+++ b/load/tests/test_many.rs
@@ -62,8 +62,7 @@
     100 * timely / all
 }
 
-/// Guards against requests that crowd on the few targets without feeds: no instance sees the
-/// others' requests, and one feed of its own made all other targets look worse.
+/// Guards against requests that all go to the few targets at which an instance has no feed.
 #[test]
 fn requests_are_dealt_to_all_targets_that_are_kept_for_them() {
     for seed in 1..=3 {
--- a/marked/tests/test_contested.rs
+++ b/marked/tests/test_contested.rs
@@ -38,8 +38,7 @@
     found.work
 }
 
-/// Guards against data sent to the target that answered second: the flow is open at the other
-/// one, and its caller would wait in vain.
+/// Guards against data sent to the target that answered second, which doesn't have the flow.
 #[test]
 fn data_goes_to_the_target_whose_answer_the_caller_has_acknowledged() {
     let Moved { mut instance, key, first, second } = moved();
@@ -102,8 +101,7 @@
     assert_eq!(instance.open(key, 1_200), here);
 }
 
-/// Guards against a record that outlives its flow: the ports are used again, and the new flow
-/// was opened by another instance.
+/// Guards against a record that outlives its flow and takes a later one of the same ports.
 #[test]
 fn a_later_flow_of_the_same_ports_goes_by_its_mark() {
     let Moved { mut instance, key, first, second } = moved();
@@ -114,8 +112,7 @@
     assert_eq!(instance.last(), first);
 }
 
-/// Guards against flows that count as work of a target for good: it would look busy to all
-/// that is opened later, and a full one would never be tried again.
+/// Guards against openings that count for good as work of a target which they are not at.
 #[test]
 fn an_opening_that_another_target_took_is_no_work_of_the_second() {
     let Moved { mut instance, key, first, second } = moved();
--- a/peer/tests/test_connections.rs
+++ b/peer/tests/test_connections.rs
@@ -35,9 +35,7 @@
     assert_eq!(a.recv_timeout(WAIT), Some(heartbeat(2)));
 }
 
-/// Somebody with keys of another authority, or with none, speaks to an
-/// instance. If it were heard, anyone in the network could bring an instance
-/// to believe that its peers are dead.
+/// Guards against a stranger without a certificate of the site who is heard.
 #[test]
 fn strangers_are_not_heard_over_tls() {
     let authority = Authority::new();
@@ -54,8 +52,7 @@
     assert_eq!(b.try_recv(), None);
 }
 
-/// An instance of another site has an address of ours in its settings by
-/// mistake. Its bundle must not reach our callers.
+/// Guards against messages of another site that are taken for those of this one.
 #[test]
 fn another_site_is_refused_and_counted() {
     let (a, b) = (start("katsastusaikavirasto", None), start("gromovestnik", None));
@@ -93,8 +90,7 @@
     assert_eq!(b.try_recv(), None);
 }
 
-/// A broken peer sends more than any bundle takes. Read without a limit it
-/// would take the memory that flows need.
+/// Guards against a batch that takes the memory which flows need.
 #[test]
 fn oversize_batch_is_refused_and_counted() {
     let b = start("gromovestnik", None);
@@ -109,8 +105,7 @@
     assert_eq!(b.try_recv(), None);
 }
 
-/// Guards against a network thread that waits for a peer that is gone, while all others seem
-/// silent.
+/// Guards against a network thread that waits for one peer while all others seem silent.
 #[test]
 fn unreachable_peer_does_not_delay_others() {
     let (a, b) = (start("gromovestnik", None), start("gromovestnik", None));
