--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -63,6 +63,9 @@
     let confirmed = age.map_or("never confirmed".to_owned(), |age| format!("confirmed {age} ago"));
     line(&format!("config   version {}", or_dash(picture.version)));
     line(&format!("picture  up to revision {}, {confirmed}", picture.revision));
+    if picture.omitted > 0 {
+        line(&format!("routes   {} of the config can't be served", picture.omitted));
+    }
     for it in &picture.evacuated {
         line(&format!("domain   {} evacuated since revision {}", it.domain, it.revision));
     }
--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -80,6 +80,7 @@
         revision: 41,
         age: Some(Millis(350)),
         evacuated: vec![evacuated],
+        omitted: 2,
     }
 }
 
--- a/cli/tests/test_instances.rs
+++ b/cli/tests/test_instances.rs
@@ -162,6 +162,7 @@
         edge-1    127.0.0.1:  lozenets  yes    yes    1m1s    9       41        350ms  12     3
         config   version 9
         picture  up to revision 41, confirmed 350ms ago
+        routes   2 of the config can't be served
         domain   mladost evacuated since revision 40
 
         alertdesk: answers take 31 % of their goals, 0 flows wait
@@ -201,6 +202,7 @@
         class    feed
         config   version 9
         picture  up to revision 41, confirmed 350ms ago
+        routes   2 of the config can't be served
         domain   mladost evacuated since revision 40
         target   7f3a91c2 at 10.1.64.2:8080
         CANDIDATE  ADDRESS         DOMAIN   USE      WORK  FEEDS
--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -243,6 +243,7 @@
             reach: self.forwarder.reach(),
             full: self.forwarder.count_full(),
             evacuated: self.forwarder.catalog().evacuated().count(),
+            omitted: config.map_or(0, |config| config.omitted),
             clashes: self.forwarder.catalog().clashes(),
             ..self.numbers
         });
--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -46,6 +46,8 @@
     pub full: usize,
     /// Failure domains that operators have emptied.
     pub evacuated: usize,
+    /// Routes of the config in force that can't be served.
+    pub omitted: u32,
     /// Targets that were not taken because another one has their number.
     pub clashes: u64,
 }
@@ -110,7 +112,7 @@
 /// One gauge and where its value is found.
 type Level = (Gauge, fn(&Numbers) -> u64);
 
-const LEVELS: [Level; 10] = [
+const LEVELS: [Level; 11] = [
     (Gauge::Ready, |it| u64::from(it.ready)),
     (Gauge::FlowsHeld, |it| it.flows),
     (Gauge::MembersLive, |it| it.members + 1),
@@ -121,6 +123,7 @@
     (Gauge::TargetsLost, |it| it.reach.1 as u64),
     (Gauge::TargetsFull, |it| it.full as u64),
     (Gauge::DomainsEvacuated, |it| it.evacuated as u64),
+    (Gauge::RoutesOmitted, |it| u64::from(it.omitted)),
 ];
 
 /// Shows all numbers.
@@ -153,7 +156,9 @@
     let read = calls.clone();
     meters.observe(Family::Platform, "failed", move || read.failed.load(Relaxed));
     let read = calls.clone();
-    meters.observe(Family::Drops, "record", move || read.faults.load(Relaxed));
+    meters.observe(Family::Drops, "record", move || read.omitted.load(Relaxed));
+    let read = calls.clone();
+    meters.observe(Family::Platform, "assumed", move || read.assumed.load(Relaxed));
     if let Some(sink) = sink {
         meters.observe(Family::Rings, "log", move || sink.lost());
     }
--- a/daemon/src/marked/store.rs
+++ b/daemon/src/marked/store.rs
@@ -31,7 +31,9 @@
     /// Without one that could be used.
     pub failed: AtomicU64,
     /// Items, or parts of the config, that were not taken.
-    pub faults: AtomicU64,
+    pub omitted: AtomicU64,
+    /// Fields of the config for which another value was taken.
+    pub assumed: AtomicU64,
 }
 
 /// Tells the thread whether to read.
@@ -124,7 +126,9 @@
         let step = follower.step(rand::random());
         let counter = if step.error.is_none() { &calls.answered } else { &calls.failed };
         counter.fetch_add(1, Relaxed);
-        calls.faults.fetch_add(step.faults.len() as u64, Relaxed);
+        let assumed = step.faults.iter().filter(|it| it.is_assumed()).count();
+        calls.assumed.fetch_add(assumed as u64, Relaxed);
+        calls.omitted.fetch_add((step.faults.len() - assumed) as u64, Relaxed);
         if note(&step, &mut reachable) {
             current.reload();
         }
@@ -150,7 +154,8 @@
 /// whether it was lost just now.
 fn note(step: &Step, reachable: &mut Option<bool>) -> bool {
     for fault in step.faults.iter().take(MOST_FAULTS) {
-        log::warn!("store: not taken: {}", Report::from_error(fault));
+        let outcome = if fault.is_assumed() { "taken with a default" } else { "not taken" };
+        log::warn!("store: {outcome}: {}", Report::from_error(fault));
     }
     let others = step.faults.len().saturating_sub(MOST_FAULTS);
     if others > 0 {
--- a/lib/src/status/marked.rs
+++ b/lib/src/status/marked.rs
@@ -46,6 +46,9 @@
         /// The failure domains that operators have emptied.
         #[serde(default)]
         pub evacuated: Vec<EvacuatedDomain>,
+        /// How many published routes can't be served.
+        #[serde(default)]
+        pub omitted: u32,
     }
 
     /// A failure domain whose targets get no new flows.
--- a/marked/examples/slopes.rs
+++ b/marked/examples/slopes.rs
@@ -97,6 +97,7 @@
         routes: (0..routes).map(route).collect(),
         services: Vec::new(),
         idle: Millis::secs(15),
+        omitted: 0,
     };
     let mut changes = vec![Change { revision: Revision(1), content: Content::Config(config) }];
     changes.extend((0..targets).map(|number| Change {
--- a/marked/src/delta.rs
+++ b/marked/src/delta.rs
@@ -21,6 +21,7 @@
     pub base: Revision,
     version: Version,
     idle: Millis,
+    omitted: u32,
     routes: Vec<Route>,
     dropped: Vec<SocketAddrV4>,
     services: Vec<Service>,
@@ -46,6 +47,7 @@
             base,
             version: new.version,
             idle: new.idle,
+            omitted: new.omitted,
             routes: new.routes.iter().filter(is_new).cloned().collect(),
             dropped: addresses.filter(|it| !kept.contains(it)).collect(),
             services: new.services.iter().filter(is_other).cloned().collect(),
@@ -65,6 +67,7 @@
         Config {
             version: self.version,
             idle: self.idle,
+            omitted: self.omitted,
             routes: old.routes.iter().filter(stays).chain(&self.routes).cloned().collect(),
             services: old.services.iter().filter(remains).chain(&self.services).cloned().collect(),
         }
--- a/marked/src/forwarder/explain.rs
+++ b/marked/src/forwarder/explain.rs
@@ -63,7 +63,8 @@
         let mut evacuated: Vec<_> =
             self.catalog.evacuated().map(|it| self.shown_domain(it)).collect();
         evacuated.sort_by(|one, other| one.domain.cmp(&other.domain));
-        Picture { version, revision: self.revision().0, age, evacuated }
+        let omitted = self.catalog.config().map_or(0, |config| config.omitted);
+        Picture { version, revision: self.revision().0, age, evacuated, omitted }
     }
 
     fn shown_domain(&self, domain: &DomainName) -> EvacuatedDomain {
--- a/marked/src/message.rs
+++ b/marked/src/message.rs
@@ -8,7 +8,7 @@
 
 /// The version of these messages; instances of different versions ignore each
 /// other and read the store themselves.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 /// The most bytes of a datagram between instances, below an ordinary network's
 /// 1,500 with all headers.
 pub const MAX_DATAGRAM: usize = 1_200;
--- a/marked/src/news.rs
+++ b/marked/src/news.rs
@@ -80,6 +80,8 @@
     pub services: Vec<Service>,
     /// How long a flow may be silent before it may be forgotten.
     pub idle: Millis,
+    /// How many of the published routes can't be served and are not among these.
+    pub omitted: u32,
 }
 
 /// A service apart from its targets.
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -69,6 +69,7 @@
         ],
         services: vec![described("desk"), described("ingest")],
         idle: Millis::secs(15),
+        omitted: 0,
     }
 }
 
--- a/operator/src/meters/family.rs
+++ b/operator/src/meters/family.rs
@@ -126,11 +126,13 @@
     TargetsFull,
     /// Failure domains that operators have emptied.
     DomainsEvacuated,
+    /// Routes of the config in force that can't be served.
+    RoutesOmitted,
 }
 
 impl Gauge {
     /// Every gauge.
-    pub const ALL: [Gauge; 14] = [
+    pub const ALL: [Gauge; 15] = [
         Gauge::Ready,
         Gauge::FlowsHeld,
         Gauge::MembersLive,
@@ -145,6 +147,7 @@
         Gauge::TargetsLost,
         Gauge::TargetsFull,
         Gauge::DomainsEvacuated,
+        Gauge::RoutesOmitted,
     ];
 
     /// Its name in the metrics.
@@ -164,6 +167,7 @@
             Gauge::TargetsLost => "medlarspur_targets_lost",
             Gauge::TargetsFull => "medlarspur_targets_full",
             Gauge::DomainsEvacuated => "medlarspur_domains_evacuated",
+            Gauge::RoutesOmitted => "medlarspur_routes_omitted",
         }
     }
 
@@ -185,6 +189,7 @@
                 "Targets that take no openings and serve the flows that they have."
             }
             Gauge::DomainsEvacuated => "Failure domains that operators have emptied.",
+            Gauge::RoutesOmitted => "Routes of the config in force that can't be served.",
         }
     }
 }
