marked: ask all targets on one thread

On a machine with an eighth of a core each such thread costs as well.

Cause: a thread for each question to a target, up to 64 in an instance, each for 400 ms at a silent target. Evidence, threads by name twice a second: 3,719 on a calm stretch, 14,329 in the largest sample, 8,211 of them `ask` and 2,979 without a name yet. Ruled out: `pull` (225 at most) and all others (one of each in an instance).

Now one thread asks over connections that don't block; 64 questions are under way, others wait in order, each target once, where the 65th was left out before. How long a target may take is as it was. The test counts threads and connections at 100 and 600 silent targets: 1 thread at both. It can't be built on the old code, whose types were private; there up to 64 threads ran and all others went unasked, by its constant.

--- a/daemon/src/marked/inbox.rs
+++ b/daemon/src/marked/inbox.rs
@@ -1,4 +1,4 @@
-//! What other threads hand to the main thread, with a way to wake it.
+//! What threads hand to one that also waits for sockets, with a way to wake it.
 
 use medlarspur_lib::status::{MarkedExplanation, MarkedStatus};
 use medlarspur_marked::{Finding, FlowKey, Incarnation, News, Revision};
@@ -18,8 +18,8 @@
     },
 };
 
-/// How many values may wait. The main thread empties the inbox in each round;
-/// if it does not come to that, the news is read again.
+/// How many values may wait. Their receiver empties the inbox in each round; if it does not
+/// come to that, news is read again.
 const ROOM: usize = 256;
 
 /// A value for the main thread.
@@ -58,71 +58,92 @@
     Explain(FlowKey, SyncSender<MarkedExplanation>),
 }
 
-/// What became of a value for the main thread.
+/// What became of a value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Delivery {
     /// It waits in the inbox.
     Taken,
     /// The inbox has no room for it.
     Full,
-    /// The main thread has ended, and the process ends.
+    /// The receiver has ended, and the process ends.
     Ended,
 }
 
-/// The main thread's end.
+/// The receiver's end; the main thread's takes [`Event`]s.
 #[derive(Debug)]
-pub struct Inbox {
-    events: Receiver<Event>,
+pub struct Inbox<T = Event> {
+    events: Receiver<T>,
     wake: OwnedFd,
 }
 
 /// The other threads' end.
-#[derive(Debug, Clone)]
-pub struct Sender {
-    events: SyncSender<Event>,
+#[derive(Debug)]
+pub struct Sender<T = Event> {
+    events: SyncSender<T>,
     wake: Arc<OwnedFd>,
 }
 
 /// Makes both ends.
-pub fn channel() -> io::Result<(Sender, Inbox)> {
+pub fn channel<T>() -> io::Result<(Sender<T>, Inbox<T>)> {
     let (events, inbox) = sync_channel(ROOM);
+impl<T> Clone for Sender<T> {
+    fn clone(&self) -> Sender<T> {
+        Sender { events: self.events.clone(), wake: self.wake.clone() }
+    }
+}
+
     let (wake, waker) = pipe2(OFlag::O_NONBLOCK | OFlag::O_CLOEXEC)?;
     let sender = Sender { events, wake: Arc::new(waker) };
     Ok((sender, Inbox { events: inbox, wake }))
 }
 
-impl Inbox {
+impl<T> Inbox<T> {
     /// Becomes readable when something waits.
     pub fn waker(&self) -> BorrowedFd<'_> {
         self.wake.as_fd()
     }
 
     /// Takes what waits.
-    pub fn drain(&self) -> impl Iterator<Item = Event> {
-        let mut bytes = [0; 64];
-        while matches!(read(&self.wake, &mut bytes), Ok(count) if count == bytes.len()) {}
+    pub fn drain(&self) -> impl Iterator<Item = T> {
+        let _ = self.clear();
         self.events.try_iter()
     }
 }
 
-impl Sender {
+impl<T> Sender<T> {
+
+    /// Whether all senders are gone, so that nothing comes any more.
+    pub fn is_ended(&self) -> bool {
+        self.clear() == Ok(0)
+    }
+
+    /// Empties the pipe; answers how many bytes came last, which is none once it has ended.
+    fn clear(&self) -> nix::Result<usize> {
+        let mut bytes = [0; 64];
+        loop {
+            match read(&self.wake, &mut bytes) {
+                Ok(count) if count == bytes.len() => {}
+                result => return result,
+            }
+        }
+    }
     /// Hands a value over without waiting.
-    pub fn send(&self, event: Event) -> Delivery {
+    pub fn send(&self, event: T) -> Delivery {
         let sent = match self.events.try_send(event) {
             Ok(()) => Delivery::Taken,
             Err(TrySendError::Full(_)) => Delivery::Full,
             Err(TrySendError::Disconnected(_)) => Delivery::Ended,
         };
-        // A full pipe wakes the main thread as well as one more byte would.
+        // A full pipe wakes the receiver as well as one more byte would.
         if let Err(error) = write(&self.wake, &[0])
             && error != Errno::EAGAIN
         {
-            log::warn!("inbox: the main thread can't be woken: {error}");
+            log::warn!("inbox: the receiver can't be woken: {error}");
         }
         sent
     }
 
-    /// Wakes the main thread when one of these signals comes, which would
+    /// Wakes the receiver when one of these signals comes, which would
     /// otherwise be noticed with the next packet only.
     pub fn wake_on(&self, signals: &[i32]) -> io::Result<()> {
         for signal in signals {
--- a/daemon/src/marked/mod.rs
+++ b/daemon/src/marked/mod.rs
@@ -8,15 +8,15 @@
 //! | `pictures` | tells other instances all that is known here | another instance |
 //! | `pull` | asks another instance for what is lacking, then ends | that instance |
 //! | `ready` | tells routers whether the instance is ready | a router |
-//! | `ask` | asks one target whether it answers, then ends | that target |
+//! | `ask` | asks targets whether they answer, from the first question on | the targets |
 //!
 //! A thread `log` writes log lines, which go to it through a bounded ring
 //! ([`sink`](crate::sink)). The main thread alone has the flows. The others hand it values through the
 //! [`Inbox`](inbox::Inbox) and never wait for it.
 
-mod asker;
+pub mod asker;
 mod current;
-mod inbox;
+pub mod inbox;
 mod instance;
 pub mod lines;
 mod meters;
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_gate;
 mod test_limits;
 mod test_logs;
+mod test_marked_asker;
 mod test_marked_evacuation;
 mod test_marked_explained;
 mod test_marked_instances;
--- /dev/null
+++ b/daemon/tests/test_marked_asker.rs
@@ -0,0 +1,107 @@
+//! Asking many targets at once.
+
+use medlarspur_daemon::marked::{
+    asker::{Asker, MAX_QUESTIONS},
+    inbox::{self, Event},
+};
+use medlarspur_lib::{
+    ids::{DomainName, ServiceName, TargetName},
+    time::Millis,
+};
+use medlarspur_marked::{Finding, Incarnation, Start, Target};
+use nix::{
+    poll::{PollFd, PollFlags, PollTimeout, poll},
+    sys::socket::{
+        AddressFamily, Backlog, SockFlag, SockType, SockaddrIn, bind, connect, getsockname, listen,
+        socket,
+    },
+};
+use std::{
+    collections::BTreeSet,
+    fs,
+    net::SocketAddrV4,
+    os::fd::{AsRawFd, OwnedFd},
+};
+
+fn stream() -> OwnedFd {
+    let flags = SockFlag::SOCK_NONBLOCK | SockFlag::SOCK_CLOEXEC;
+    socket(AddressFamily::Inet, SockType::Stream, flags, None).expect("a socket")
+}
+
+/// An address that answers no connection: its queue of new ones is full.
+fn silent() -> (SocketAddrV4, Vec<OwnedFd>) {
+    let listener = stream();
+    let any = SockaddrIn::new(127, 0, 0, 1, 0);
+    bind(listener.as_raw_fd(), &any).expect("a port");
+    listen(&listener, Backlog::new(0).expect("a backlog")).expect("it listens");
+    let at: SockaddrIn = getsockname(listener.as_raw_fd()).expect("an address");
+    let mut kept = vec![listener];
+    for _ in 0..4 {
+        let filler = stream();
+        let _ = connect(filler.as_raw_fd(), &at);
+        kept.push(filler);
+    }
+    (SocketAddrV4::from(at), kept)
+}
+
+fn target(number: u64, address: SocketAddrV4) -> Target {
+    let (name, start) = (TargetName::new(&format!("i-{number:08x}")), Start(1));
+    Target {
+        incarnation: Incarnation::new(&name, start),
+        name,
+        start,
+        service: ServiceName::new("desk"),
+        address,
+        domain: DomainName::new("north"),
+        slots: 2,
+        leaving: false,
+        cold: Millis(0),
+    }
+}
+
+/// How many connections to an address are being opened on this machine.
+fn opening(address: SocketAddrV4) -> usize {
+    let remote = format!("{:08X}:{:04X}", u32::from(*address.ip()).swap_bytes(), address.port());
+    let sockets = fs::read_to_string("/proc/self/net/tcp").expect("the list of sockets");
+    let fields = sockets.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    fields.filter(|it| it.len() > 3 && it[2] == remote && it[3] == "02").count()
+}
+
+/// How many threads of this process ask.
+fn threads() -> usize {
+    let tasks = fs::read_dir("/proc/self/task").expect("the list of threads");
+    let names = tasks.filter_map(|task| fs::read_to_string(task.ok()?.path().join("comm")).ok());
+    names.filter(|name| name.trim() == "ask").count()
+}
+
+/// Guards against a thread for each question: a failure domain goes dark, every instance of a
+/// large fleet has hundreds of its targets in doubt, and the machine runs out of threads.
+#[test]
+fn threads_and_connections_do_not_grow_with_the_targets_that_are_silent() {
+    let (address, kept) = silent();
+    let (sender, inbox) = inbox::channel().expect("an inbox");
+    let mut asker = Asker::new(sender);
+    for count in [100, 600] {
+        let mut found = BTreeSet::new();
+        let (mut most_threads, mut most_opening) = (0, 0);
+        // As many orders at once as its inbox takes.
+        for numbers in (0..count).collect::<Vec<_>>().chunks(200) {
+            numbers.iter().for_each(|number| asker.ask(&target(*number, address), "/health"));
+            let known = found.len();
+            while found.len() < known + numbers.len() {
+                let mut fds = [PollFd::new(inbox.waker(), PollFlags::POLLIN)];
+                poll(&mut fds, PollTimeout::from(2_000_u16)).expect("it waits");
+                for event in inbox.drain() {
+                    let Event::Found(incarnation, finding) = event else { panic!("{event:?}") };
+                    assert_eq!(finding, Finding::Silent);
+                    found.insert(incarnation);
+                }
+                most_threads = most_threads.max(threads());
+                most_opening = most_opening.max(opening(address));
+            }
+        }
+
+        assert_eq!(most_threads, 1, "with {count} targets");
+        assert!(most_opening <= 2 * MAX_QUESTIONS + kept.len(), "{most_opening} connections");
+    }
+}
