marked: tell pictures to several at once, and have those that start ask many

Cause: `serve` took one connection at a time; whoever starts asked the instance that answered first.

Now one thread tells four at once and asks for what is lacking, by connections that don't block. One too many is turned away, and the asker goes on to the next instance that may have the picture: those that start draw one of all they have heard of. A connection that has said nothing makes room for the next. All who wait for the same picture share one copy.

--- a/daemon/src/marked/inbox.rs
+++ b/daemon/src/marked/inbox.rs
@@ -1,5 +1,6 @@
 //! What threads hand to one that also waits for sockets, with a way to wake it.
 
+use super::pictures::Order;
 use medlarspur_lib::status::{MarkedExplanation, MarkedStatus};
 use medlarspur_marked::{Finding, FlowKey, Incarnation, News, Revision};
 use nix::{
@@ -40,9 +41,11 @@
     Asked {
         /// What it knows.
         known: Revision,
-        /// Where the answer goes; it has room for it.
-        reply: SyncSender<News>,
+        /// Where the answer goes.
+        reply: Sender<Order>,
     },
+    /// An instance that was asked has told nothing.
+    NotTold(SocketAddrV4),
     /// What asking a target brought.
     Found(Incarnation, Finding),
     /// An operator asks.
@@ -83,15 +86,15 @@
     wake: Arc<OwnedFd>,
 }
 
-/// Makes both ends.
-pub fn channel<T>() -> io::Result<(Sender<T>, Inbox<T>)> {
-    let (events, inbox) = sync_channel(ROOM);
 impl<T> Clone for Sender<T> {
     fn clone(&self) -> Sender<T> {
         Sender { events: self.events.clone(), wake: self.wake.clone() }
     }
 }
 
+/// Makes both ends.
+pub fn channel<T>() -> io::Result<(Sender<T>, Inbox<T>)> {
+    let (events, inbox) = sync_channel(ROOM);
     let (wake, waker) = pipe2(OFlag::O_NONBLOCK | OFlag::O_CLOEXEC)?;
     let sender = Sender { events, wake: Arc::new(waker) };
     Ok((sender, Inbox { events: inbox, wake }))
@@ -108,9 +111,6 @@
         let _ = self.clear();
         self.events.try_iter()
     }
-}
-
-impl<T> Sender<T> {
 
     /// Whether all senders are gone, so that nothing comes any more.
     pub fn is_ended(&self) -> bool {
@@ -127,6 +127,9 @@
             }
         }
     }
+}
+
+impl<T> Sender<T> {
     /// Hands a value over without waiting.
     pub fn send(&self, event: T) -> Delivery {
         let sent = match self.events.try_send(event) {
--- a/daemon/src/marked/instance.rs
+++ b/daemon/src/marked/instance.rs
@@ -3,11 +3,12 @@
 use super::{
     asker::Asker,
     current::Current,
-    inbox::{self, Event, Inbox, Question, Sender},
+    inbox::{self, Delivery, Event, Inbox, Question, Sender},
     lines::Picture,
     meters::{self, Numbers, Published, Times},
     output::Datagrams,
-    peers::{self, ControlSocket},
+    peers::Peers,
+    pictures::Order,
     shown::Shown,
     store::Reading,
 };
@@ -98,9 +99,10 @@
     let reading = Reading::start(current.clone(), sender.clone(), settings.control.is_some());
     let reading = reading.context(system("follow the store"))?;
     let clock = Clock::start();
-    let fleet = settings.control.map(|control| join(control, settings, &sender, clock.now()));
+    let fleet =
+        settings.control.map(|control| Peers::join(control, settings, &sender, clock.now()));
     let fleet = fleet.transpose().context(system("talk to other instances"))?;
-    let control = fleet.as_ref().map(|(_, post)| post.local()).transpose();
+    let control = fleet.as_ref().map(|peers| peers.socket.local()).transpose();
     let control = control.context(system("talk to other instances"))?;
     log::info!(
         name = settings.name.as_str(), domain = settings.domain.as_str(),
@@ -116,7 +118,7 @@
         domain: settings.domain.clone(),
         forwarder: Forwarder::new(tuning),
         datagrams: Datagrams::new(Asker::new(sender.clone()), settings.callers, clock.now()),
-        fleet,
+        peers: fleet,
         reading,
         sender,
         batch: Batch::new(),
@@ -150,40 +152,13 @@
     Ok(())
 }
 
-/// How often a port is sought that is free for both UDP and TCP, where the
-/// settings leave the port to the system.
-const PORT_TRIES: usize = 20;
-
-/// Binds the control address for datagrams and for pictures.
-fn join(
-    control: SocketAddrV4,
-    settings: &MarkedSettings,
-    sender: &Sender,
-    now: Millis,
-) -> io::Result<(Fleet, ControlSocket)> {
-    let mut tries = 0;
-    loop {
-        let post = ControlSocket::bind(control)?;
-        let local = post.local()?;
-        match peers::serve(local, sender.clone()) {
-            Ok(()) => {
-                let seed = rand::random();
-                let fleet = Fleet::new(local, &settings.domain, &settings.peers, seed, now);
-                return Ok((fleet, post));
-            }
-            Err(error) if control.port() != 0 || tries == PORT_TRIES => return Err(error),
-            Err(_) => tries += 1,
-        }
-    }
-}
-
 struct Instance {
     name: InstanceName,
     domain: DomainName,
     forwarder: Forwarder,
     datagrams: Datagrams,
     /// The other instances, if the settings say where to talk to them.
-    fleet: Option<(Fleet, ControlSocket)>,
+    peers: Option<Peers>,
     reading: Reading,
     sender: Sender,
     batch: Batch,
@@ -228,7 +203,7 @@
         let confirmed = self.confirmed();
         let Some(metrics) = &mut self.metrics else { return };
         let now = self.clock.now();
-        let fleet = self.fleet.as_ref().map(|(fleet, _)| fleet);
+        let fleet = self.peers.as_ref().map(|peers| &peers.fleet);
         let config = self.forwarder.catalog().config();
         self.published.set(Numbers {
             counts: self.forwarder.counts(),
@@ -268,11 +243,11 @@
         self.take_messages();
         while !self.forwarder.catalog().is_usable() && !self.is_told() {
             let now = self.clock.now();
-            let due = self.fleet.as_ref().map(|(fleet, _)| fleet.deadline(now).since(now));
+            let due = self.peers.as_ref().map(|peers| peers.fleet.deadline(now).since(now));
             let limit = due.into_iter().chain([STALE]).min();
             let limit = limit.map(|span| Duration::from_millis(span.0));
-            match &self.fleet {
-                Some((_, post)) => wait([self.inbox.waker(), post.as_fd()], limit),
+            match &self.peers {
+                Some(peers) => wait([self.inbox.waker(), peers.socket.as_fd()], limit),
                 None => wait([self.inbox.waker()], limit),
             }
             .context(PacketsSnafu)?;
@@ -318,19 +293,19 @@
     /// first: what is due may depend on an answer that waits in the socket.
     fn round(&mut self, most: Option<Millis>) -> Result<(), RunError> {
         let now = self.clock.now();
-        let peers = self.fleet.as_ref().map(|(fleet, _)| fleet.deadline(now));
+        let peers = self.peers.as_ref().map(|peers| peers.fleet.deadline(now));
         let due = self.forwarder.deadline().into_iter().chain(peers).map(|due| due.since(now));
         let limit = due.chain(most).min().map(|span| Duration::from_millis(span.0));
         let (packets, inbox) = (self.socket.as_fd(), self.inbox.waker());
-        match &self.fleet {
-            Some((_, post)) => wait([packets, inbox, post.as_fd()], limit),
+        match &self.peers {
+            Some(peers) => wait([packets, inbox, peers.socket.as_fd()], limit),
             None => wait([packets, inbox], limit),
         }
         .context(PacketsSnafu)?;
         if self.changed.swap(false, Relaxed) {
             self.current.reload();
-            if let Some((fleet, _)) = &mut self.fleet {
-                fleet.set_seeds(&self.current.seeds());
+            if let Some(peers) = &mut self.peers {
+                peers.fleet.set_seeds(&self.current.seeds());
             }
         }
         self.begin();
@@ -356,7 +331,7 @@
 
     /// When the store or a reader confirmed the picture last.
     fn confirmed(&self) -> Option<Millis> {
-        self.read.max(self.fleet.as_ref().and_then(|(fleet, _)| fleet.confirmed()))
+        self.read.max(self.peers.as_ref().and_then(|peers| peers.fleet.confirmed()))
     }
 
     fn show_operator(&self, question: Question, now: Millis) {
@@ -373,7 +348,7 @@
     }
 
     fn status(&self, age: Option<Millis>, now: Millis) -> MarkedStatus {
-        let fleet = self.fleet.as_ref().map(|(fleet, _)| fleet);
+        let fleet = self.peers.as_ref().map(|peers| &peers.fleet);
         MarkedStatus {
             name: self.name.clone(),
             domain: self.domain.clone(),
@@ -439,10 +414,15 @@
                     self.learn(news, now);
                 }
                 Event::Asked { known, reply } => {
-                    if reply.try_send(self.forwarder.catalog().since(known, now)).is_err() {
-                        log::debug!("peers: whoever asked has gone");
+                    let news = self.forwarder.catalog().since(known, now);
+                    if reply.send(Order::Tell(known, news)) != Delivery::Taken {
+                        log::debug!("peers: whoever asked is not told");
                     }
                 }
+                Event::NotTold(from) => {
+                    let known = self.forwarder.revision();
+                    self.with_fleet(|fleet, _| fleet.pull_failed(from, known, now));
+                }
                 Event::Found(target, finding) => {
                     self.forwarder.answer(target, finding, now, &mut self.datagrams);
                 }
@@ -455,8 +435,8 @@
     /// others know already. The caller sends the packet again after 200 ms, and
     /// by then the target should be known.
     fn catch_up(&mut self) {
-        match &mut self.fleet {
-            Some((fleet, _)) if !fleet.is_reading() => fleet.suspect_lack(),
+        match &mut self.peers {
+            Some(peers) if !peers.fleet.is_reading() => peers.fleet.suspect_lack(),
             _ => self.reading.hurry(),
         }
     }
@@ -466,17 +446,17 @@
     }
 
     fn with_fleet(&mut self, act: impl FnOnce(&mut Fleet, &Forwarder)) {
-        if let Some((fleet, post)) = &mut self.fleet {
+        if let Some(Peers { fleet, socket, .. }) = &mut self.peers {
             act(fleet, &self.forwarder);
-            post.send(fleet);
+            socket.send(fleet);
         }
     }
 
     /// Takes other instances' messages, and does what is due among them.
     fn take_messages(&mut self) {
         let now = self.clock.now();
-        let Some((fleet, post)) = &mut self.fleet else { return };
-        while let Some((from, message)) = post.receive() {
+        let Some(Peers { fleet, socket, pictures }) = &mut self.peers else { return };
+        while let Some((from, message)) = socket.receive() {
             // Merged one by one: each may go on from the one before.
             if let Some(news) = fleet.receive(from, message, self.forwarder.catalog(), now) {
                 self.forwarder.learn(news, now, &mut self.datagrams);
@@ -488,12 +468,12 @@
         let known = self.forwarder.revision();
         fleet.tick(self.forwarder.catalog(), now);
         if let Some(from) = fleet.pull(known, now) {
-            peers::pull(from, known, &self.sender);
+            pictures.pull(from, known);
         }
         match fleet.is_reading() {
             true => self.reading.go_on(known),
             false => self.reading.pause(),
         }
-        post.send(fleet);
+        socket.send(fleet);
     }
 }
--- a/daemon/src/marked/mod.rs
+++ b/daemon/src/marked/mod.rs
@@ -5,8 +5,7 @@
 //! |---|---|---|
 //! | main | callers' packets and all decisions on them | packets, the inbox, the next thing due |
 //! | `store` | follows the store, while this instance is a reader | the store |
-//! | `pictures` | tells other instances all that is known here | another instance |
-//! | `pull` | asks another instance for what is lacking, then ends | that instance |
+//! | `pictures` | tells other instances all that is known here, asks them for what is lacking | other instances |
 //! | `ready` | tells routers whether the instance is ready | a router |
 //! | `ask` | asks targets whether they answer, from the first question on | the targets |
 //!
@@ -22,6 +21,7 @@
 mod meters;
 mod output;
 mod peers;
+pub mod pictures;
 mod shown;
 mod store;
 
--- a/daemon/src/marked/peers.rs
+++ b/daemon/src/marked/peers.rs
@@ -1,39 +1,59 @@
-//! Messages to and from other instances: datagrams by the main thread, whole
-//! pictures by threads of their own.
+//! Messages to and from other instances, as datagrams by the main thread.
 
-use super::inbox::{Delivery, Event, Sender};
+use super::{inbox::Sender, pictures::Pictures};
+use medlarspur_lib::{settings::MarkedSettings, time::Millis};
 use medlarspur_marked::{
-    Fleet, News, Outgoing, Revision,
-    message::{self, MAX_DATAGRAM, Message, MessageError},
+    Fleet, Outgoing,
+    message::{self, MAX_DATAGRAM, Message},
 };
-use snafu::{ResultExt, Snafu};
 use std::{
-    io::{self, ErrorKind, Read, Write},
-    net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket},
+    io::{self, ErrorKind},
+    net::{SocketAddr, SocketAddrV4, UdpSocket},
     os::fd::{AsFd, BorrowedFd},
-    sync::mpsc::sync_channel,
-    thread,
-    time::Duration,
 };
 
-/// How long each step of passing on a picture may take: half a megabyte over
-/// the narrowest link known, 10 Mbit/s.
-const STEP: Duration = Duration::from_millis(800);
-/// The largest picture that is taken, in bytes: some 60 bytes for each of
-/// 5,600 targets and 3,400 routes, with much room.
-const MAX_PICTURE: u32 = 8 << 20;
-/// The threads hold no more than a picture's buffer, which is not on the stack.
-const STACK: usize = 64 << 10;
+/// How often a port is sought that is free for both UDP and TCP, where the
+/// settings leave the port to the system.
+const PORT_TRIES: usize = 20;
 
-/// Why a picture was not passed on.
-#[derive(Debug, Snafu)]
-enum PictureError {
-    #[snafu(display("the connection failed"))]
-    Connection { source: io::Error },
-    #[snafu(display("it has {size} bytes, more than {MAX_PICTURE}"))]
-    Oversize { size: u32 },
-    #[snafu(display("it can't be understood"))]
-    Message { source: MessageError },
+/// The other instances, with the ways to talk to them.
+#[derive(Debug)]
+pub struct Peers {
+    /// What is believed of them.
+    pub fleet: Fleet,
+    /// For datagrams.
+    pub socket: ControlSocket,
+    /// For what is too large for one.
+    pub pictures: Pictures,
+}
+
+impl Peers {
+    /// Binds the control address for datagrams and for pictures.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound or the system gives no thread.
+    pub fn join(
+        control: SocketAddrV4,
+        settings: &MarkedSettings,
+        sender: &Sender,
+        now: Millis,
+    ) -> io::Result<Peers> {
+        let mut tries = 0;
+        loop {
+            let socket = ControlSocket::bind(control)?;
+            let local = socket.local()?;
+            match Pictures::start(local, sender.clone()) {
+                Ok(pictures) => {
+                    let seed = rand::random();
+                    let fleet = Fleet::new(local, &settings.domain, &settings.peers, seed, now);
+                    return Ok(Peers { fleet, socket, pictures });
+                }
+                Err(error) if control.port() != 0 || tries == PORT_TRIES => return Err(error),
+                Err(_) => tries += 1,
+            }
+        }
+    }
 }
 
 /// The socket for datagrams.
@@ -94,69 +114,3 @@
         }
     }
 }
-
-/// Serves pictures to other instances on a thread of its own.
-pub fn serve(address: SocketAddrV4, sender: Sender) -> io::Result<()> {
-    let listener = TcpListener::bind(address)?;
-    let run = move || {
-        for stream in listener.incoming() {
-            let told = stream.context(ConnectionSnafu).and_then(|stream| tell(stream, &sender));
-            if let Err(error) = told {
-                log::debug!("peers: a picture was not told: {error}");
-            }
-        }
-    };
-    thread::Builder::new().name("pictures".to_owned()).stack_size(STACK).spawn(run)?;
-    Ok(())
-}
-
-fn tell(mut stream: TcpStream, sender: &Sender) -> Result<(), PictureError> {
-    limit(&stream).context(ConnectionSnafu)?;
-    let mut known = [0; 8];
-    stream.read_exact(&mut known).context(ConnectionSnafu)?;
-    let (reply, picture) = sync_channel(1);
-    sender.send(Event::Asked { known: Revision(u64::from_be_bytes(known)), reply });
-    let news: News = match picture.recv_timeout(STEP) {
-        Ok(news) => news,
-        Err(_) => return Err(io::Error::from(ErrorKind::TimedOut)).context(ConnectionSnafu),
-    };
-    let bytes = message::encode_news(&news).context(MessageSnafu)?;
-    stream.write_all(&(bytes.len() as u32).to_be_bytes()).context(ConnectionSnafu)?;
-    stream.write_all(&bytes).context(ConnectionSnafu)
-}
-
-/// Asks another instance for what has changed since `known`, without waiting.
-pub fn pull(from: SocketAddrV4, known: Revision, sender: &Sender) {
-    let sender = sender.clone();
-    let run = move || match ask(from, known) {
-        Ok(news) => {
-            if sender.send(Event::Told { from, news }) == Delivery::Full {
-                log::warn!("peers: the picture of {from} is lost, the inbox is full");
-            }
-        }
-        Err(error) => log::debug!("peers: no picture from {from}: {error}"),
-    };
-    let thread = thread::Builder::new().name("pull".to_owned()).stack_size(STACK);
-    if let Err(error) = thread.spawn(run) {
-        log::warn!("peers: {from} is not asked: {error}");
-    }
-}
-
-fn ask(from: SocketAddrV4, known: Revision) -> Result<News, PictureError> {
-    let stream = TcpStream::connect_timeout(&from.into(), STEP);
-    let mut stream = stream.context(ConnectionSnafu)?;
-    limit(&stream).context(ConnectionSnafu)?;
-    stream.write_all(&known.0.to_be_bytes()).context(ConnectionSnafu)?;
-    let mut size = [0; 4];
-    stream.read_exact(&mut size).context(ConnectionSnafu)?;
-    let size = u32::from_be_bytes(size);
-    snafu::ensure!(size <= MAX_PICTURE, OversizeSnafu { size });
-    let mut bytes = vec![0; size as usize];
-    stream.read_exact(&mut bytes).context(ConnectionSnafu)?;
-    message::decode_news(&bytes).context(MessageSnafu)
-}
-
-fn limit(stream: &TcpStream) -> io::Result<()> {
-    stream.set_read_timeout(Some(STEP))?;
-    stream.set_write_timeout(Some(STEP))
-}
--- a/marked/src/fleet/lack.rs
+++ b/marked/src/fleet/lack.rs
@@ -39,12 +39,46 @@
         }
         self.lacking = None;
         self.pulled = Some(now);
+        self.sources.retain(|it| *it != from);
         if known == Revision::default() && !self.is_reading() {
             self.due = Some((0, now + PULL_TIME));
         }
         Some(from)
     }
 
+    /// An instance that was asked has told nothing: it has no picture itself, tells others, or
+    /// is gone. The next one that may have it is asked at once.
+    pub fn pull_failed(&mut self, from: SocketAddrV4, known: Revision, now: Millis) {
+        self.sources.retain(|it| *it != from);
+        if known > Revision::default() {
+            return;
+        }
+        if let Some(next) = self.draw_source() {
+            self.pulled = None;
+            self.lacking = Some(Lacking { from: next, revision: Revision(1), due: now });
+        }
+    }
+
+    /// An instance that starts has heard who may have the picture. It asks one of all these:
+    /// if all that start asked whoever answers them first, a few seeds would tell hundreds.
+    pub(super) fn lack_all(&mut self, from: SocketAddrV4, contacts: &[SocketAddrV4], now: Millis) {
+        for source in contacts.iter().chain([&from]) {
+            if *source != self.me && !self.sources.contains(source) {
+                self.sources.push(*source);
+            }
+        }
+        if self.lacking.is_none()
+            && let Some(source) = self.draw_source()
+        {
+            self.lack(source, Revision(1), now);
+        }
+    }
+
+    fn draw_source(&mut self) -> Option<SocketAddrV4> {
+        let count = self.sources.len() as u64;
+        (count > 0).then(|| self.sources[(self.random.draw() % count) as usize])
+    }
+
     /// Something shows that this instance lacks news; asks whoever knows most.
     pub fn suspect_lack(&mut self) {
         let best = self.peers.iter().max_by_key(|(_, peer)| (peer.fresh, peer.revision));
--- a/marked/src/fleet/mod.rs
+++ b/marked/src/fleet/mod.rs
@@ -97,6 +97,8 @@
     pulled: Option<Millis>,
     /// Who knows more, if it is known that anybody does.
     lacking: Option<Lacking>,
+    /// While this instance knows nothing, who may have the picture.
+    sources: Vec<SocketAddrV4>,
     started: Millis,
     /// Whether any service bounds what its slow targets get.
     bounds_warmups: bool,
@@ -128,6 +130,7 @@
             fresh: None,
             told: Revision::default(),
             heartbeat_at: None,
+            sources: Vec::new(),
             sought: None,
             seeded: None,
             pulled: None,
--- a/marked/src/fleet/presence.rs
+++ b/marked/src/fleet/presence.rs
@@ -51,9 +51,13 @@
         // starts, or can't reach the store, takes it from anywhere.
         let starts = known == Revision::default();
         let is_cut = self.is_reading() && self.fresh.is_none();
-        if heartbeat.revision > known && (heartbeat.domain == self.domain || starts || is_cut) {
-            let wait = if starts { Millis(0) } else { ON_ITS_WAY };
-            self.lack(from, heartbeat.revision, now + wait);
+        if heartbeat.revision <= known {
+            return;
+        }
+        if starts {
+            self.lack_all(from, &heartbeat.contacts, now);
+        } else if heartbeat.domain == self.domain || is_cut {
+            self.lack(from, heartbeat.revision, now + ON_ITS_WAY);
         }
     }
 
--- a/marked/tests/net.rs
+++ b/marked/tests/net.rs
@@ -46,12 +46,18 @@
     pub sent: BTreeMap<SocketAddrV4, u64>,
     /// Questions for what was lacking.
     pub asked: u64,
+    /// Whole pictures that each instance has told.
+    pub told: BTreeMap<SocketAddrV4, u64>,
+    /// How long it takes to tell one, and to how many at once an instance does.
+    pub telling: (u64, usize),
     /// Of a thousand datagrams, how many get lost.
     pub loss: u64,
     /// Domains that are cut off from the others.
     pub cut: BTreeSet<u8>,
     flying: Vec<(u64, SocketAddrV4, SocketAddrV4, Vec<u8>)>,
     pulls: Vec<(u64, SocketAddrV4, SocketAddrV4, Revision)>,
+    /// Who is told by whom, and until when.
+    tellings: Vec<(u64, SocketAddrV4, SocketAddrV4, Revision)>,
     random: Random,
 }
 
@@ -77,10 +83,13 @@
             datagrams: 0,
             sent: BTreeMap::new(),
             asked: 0,
+            told: BTreeMap::new(),
+            telling: (0, usize::MAX),
             loss: 0,
             cut: BTreeSet::new(),
             flying: Vec::new(),
             pulls: Vec::new(),
+            tellings: Vec::new(),
             random: Random::new(11),
         };
         for domain in 1..=domains {
@@ -163,12 +172,23 @@
         let now = self.now;
         let due: Vec<_> = self.pulls.extract_if(.., |(at, ..)| *at <= now).collect();
         for (_, asker, asked, known) in due {
-            if !self.reaches(asker, asked) {
-                continue;
+            let (span, most) = self.telling;
+            let told = self.instances.get(&asked).filter(|it| it.up);
+            let has_any = told.is_some_and(|it| it.catalog.revision() > Revision::default());
+            let busy = self.tellings.iter().filter(|(_, _, by, _)| *by == asked).count();
+            if has_any && busy < most && self.reaches(asker, asked) {
+                self.tellings.push((now + span, asker, asked, known));
+            } else if let Some(it) = self.instances.get_mut(&asker).filter(|it| it.up) {
+                let known = it.catalog.revision();
+                it.fleet.pull_failed(asked, known, millis(1_000_000 + now));
             }
+        }
+        let done: Vec<_> = self.tellings.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, asker, asked, known) in done {
             let time = self.time();
             let Some(told) = self.instances.get(&asked).filter(|it| it.up) else { continue };
             let news = told.catalog.since(known, time);
+            *self.told.entry(asked).or_default() += u64::from(known == Revision::default());
             let asker = self.instances.get_mut(&asker).expect("it is there");
             asker.catalog.merge(news, time);
         }
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -368,6 +368,37 @@
     assert!(it.fleet.deadline(now) > now);
 }
 
+/// Guards against a few instances telling everybody, and against waiting for them: most lose their
+/// power together while the store is silent. How long it takes until all know all, and what one
+/// instance tells, must not grow with the fleet.
+#[test]
+fn pictures_are_told_by_all_who_have_them() {
+    let returned = |count: u8| {
+        let mut net = settled(6, count);
+        net.telling = (120, 4);
+        (1..=6).for_each(|domain| net.serve(domain, false));
+        let lost = (1..=6).flat_map(|domain| (1..=count / 2 + 1).map(move |nth| (domain, nth)));
+        for (domain, nth) in lost.clone() {
+            net.instances.get_mut(&address(domain, nth)).expect("it is there").up = false;
+        }
+        net.run(2_000);
+        for (domain, nth) in lost {
+            net.start(address(domain, nth));
+            net.instances.get_mut(&address(domain, nth)).expect("it is there").served = false;
+        }
+        net.told.clear();
+        let start = net.now;
+        while !net.behind().is_empty() && net.now < start + 10_000 {
+            net.run(50);
+        }
+        (net.now - start, net.told.values().copied().max().expect("somebody tells"))
+    };
+
+    let (small, large) = (returned(10), returned(80));
+
+    assert!(large.0 <= 2 * small.0 && large.1 <= 2 * small.1, "{small:?}, then {large:?}");
+}
+
 /// Each call is priced. With a watch on every instance, calls would grow with
 /// the fleet.
 #[test]
