marked: leave room in datagrams for the addresses that news is passed on to

Nothing was seen to break yet; found by counting ahead of the size. A datagram of news names those to whom its receiver passes it on, a fifth of the domain, and 250 bytes were left for them and the head whatever their number. From some 175 instances in a domain on, no full datagram fits, and a message that doesn't fit is not sent: the branch gets the news only by asking for it.

Now the room follows the number of addresses, and a branch has 80 at most, so that a larger domain has more branches.

--- a/marked/src/fleet/spread.rs
+++ b/marked/src/fleet/spread.rs
@@ -8,13 +8,16 @@
 use medlarspur_lib::time::Millis;
 use std::net::SocketAddrV4;
 
-/// To how many others an instance passes news on. Four levels reach a hundred
-/// instances of a domain twice over.
+/// To how many others an instance passes news on, unless [`MAX_BRANCH`] makes them more. Four
+/// levels reach a hundred instances of a domain twice over.
 const FANOUT: usize = 5;
-/// How many bytes of changes go into one datagram. An entry of a target takes some 90
-/// bytes; beside them stand the head and addresses to pass it on to, of 6 bytes, of which
-/// a domain of a hundred has twenty a branch. [`MAX_DATAGRAM`] is 1,200.
-const PIECE: usize = MAX_DATAGRAM - 250;
+/// To how many others each of these passes news on at most. Their addresses stand in the
+/// datagram, and must leave room for the news.
+const MAX_BRANCH: usize = 80;
+/// How many bytes of a datagram hold neither changes nor addresses.
+const HEAD: usize = 60;
+/// How many bytes an address takes in a datagram at most.
+const ADDRESS: usize = 7;
 
 impl Fleet {
     /// Tells the domain what is new since the last time; answers whether anything
@@ -40,12 +43,12 @@
     /// on to.
     fn spread(&mut self, reader: SocketAddrV4, news: &News, mut others: Vec<SocketAddrV4>) {
         others.sort_unstable();
-        let part = others.len().div_ceil(FANOUT).max(1);
-        let pieces = pieces(news);
-        for part in others.chunks(part) {
+        let part = others.len().div_ceil(FANOUT).clamp(1, MAX_BRANCH);
+        let pieces = pieces(news, MAX_DATAGRAM - HEAD - ADDRESS * part);
+        for branch in others.chunks(part) {
             for news in &pieces {
-                let to = part[1..].to_vec();
-                self.send(part[0], &Message::News { reader, news: news.clone(), to });
+                let to = branch[1..].to_vec();
+                self.send(branch[0], &Message::News { reader, news: news.clone(), to });
             }
         }
     }
@@ -81,15 +84,15 @@
     }
 }
 
-/// Cuts news into parts that fit into datagrams. In the order of revisions each
+/// Cuts news into parts that fit into `room` bytes of a datagram. In the order of revisions each
 /// part is complete from one revision to another, so a lost one is noticed like
 /// any lost news.
-fn pieces(news: &News) -> Vec<News> {
+fn pieces(news: &News, room: usize) -> Vec<News> {
     let Scope::Since(mut known) = news.scope else { return vec![news.clone()] };
     let mut changes = news.changes.clone();
     changes.sort_by_key(|change| change.revision);
     let mut pieces: Vec<News> = Vec::new();
-    for changes in packed(changes) {
+    for changes in packed(changes, room) {
         let revision = changes[changes.len() - 1].revision;
         pieces.push(News { revision, scope: Scope::Since(known), changes });
         known = revision;
@@ -101,9 +104,9 @@
     pieces
 }
 
-/// Groups changes, in their order, so that each group has [`PIECE`] bytes at most, or
+/// Groups changes, in their order, so that each group has `most` bytes at most, or
 /// one change.
-fn packed(changes: Vec<Change>) -> Vec<Vec<Change>> {
+fn packed(changes: Vec<Change>, most: usize) -> Vec<Vec<Change>> {
     let mut groups: Vec<Vec<Change>> = Vec::new();
     let mut room = 0;
     for change in changes {
@@ -112,7 +115,7 @@
             Some(group) if size <= room => group.push(change),
             _ => {
                 groups.push(vec![change]);
-                room = PIECE;
+                room = most;
             }
         }
         room = room.saturating_sub(size);
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -399,6 +399,24 @@
     assert!(large.0 <= 2 * small.0 && large.1 <= 2 * small.1, "{small:?}, then {large:?}");
 }
 
+/// Guards against news that no longer fits into a datagram: the addresses to pass it on to take
+/// the more of it the larger the domain is.
+#[test]
+fn news_fits_into_datagrams_whatever_the_size_of_the_domain() {
+    for count in [100, 250] {
+        let mut net = settled(1, count);
+        net.run(4_000);
+        net.asked = 0;
+
+        for number in (10..130).step_by(30) {
+            (number..number + 30).for_each(|number| drop(net.list(number)));
+            net.run(1_200);
+        }
+
+        assert_eq!((net.behind(), net.asked), (vec![], 0), "{count} in a domain");
+    }
+}
+
 /// Each call is priced. With a watch on every instance, calls would grow with
 /// the fleet.
 #[test]
