marked: answer whoever starts, also when no more instances can be remembered

Nothing was seen to break yet; found by counting ahead of the size. An instance remembers 1,000 others. A seed of the target size has 1,040 that ask it, and answered none of those beyond the thousandth: they heard of nobody and read the store by themselves. In its own domain it also left them out of the news.

Now it answers all that ask, and forgets the stranger that was silent for longest when one of its own domain comes.

The test asks a seed that knows 1,200 and 1,300 others, from another domain and from its own: no answer before, one after.

--- a/marked/src/fleet/presence.rs
+++ b/marked/src/fleet/presence.rs
@@ -3,7 +3,7 @@
 use super::{Fleet, Peer, lack::ON_ITS_WAY, readers::READERS};
 use crate::{
     Revision,
-    message::{Heartbeat, Message, Role},
+    message::{DomainId, Heartbeat, Message, Role},
 };
 use medlarspur_lib::time::Millis;
 use std::net::SocketAddrV4;
@@ -25,8 +25,14 @@
         now: Millis,
     ) {
         let fresh = heartbeat.fresh.map(|age| now.since(Millis(age.into())));
-        if self.peers.len() >= MOST && !self.peers.contains_key(&from) {
-            log::debug!("peers: {from} is one too many");
+        let answer = Purpose::Answer(heartbeat.domain);
+        let is_full = self.peers.len() >= MOST && !self.peers.contains_key(&from);
+        if is_full && !(heartbeat.domain == self.domain && self.forget_stranger()) {
+            // Whoever starts must hear of others from any seed, also from one that can't
+            // remember it.
+            if heartbeat.asks {
+                self.heartbeat(from, answer, known, now);
+            }
             return;
         }
         let peer = Peer {
@@ -45,7 +51,7 @@
             self.hear_of(*contact, known, now);
         }
         if heartbeat.asks || is_new && heartbeat.domain == self.domain {
-            self.heartbeat(from, Purpose::Answer, known, now);
+            self.heartbeat(from, answer, known, now);
         }
         // Within a domain all that readers know is passed on. An instance that
         // starts, or can't reach the store, takes it from anywhere.
@@ -61,6 +67,14 @@
         }
     }
 
+    /// Forgets an instance of another domain, the one that was not heard for longest: whoever
+    /// is in this domain needs its news from here. Answers whether there was any.
+    fn forget_stranger(&mut self) -> bool {
+        let strangers = self.peers.iter().filter(|(_, peer)| peer.domain != self.domain);
+        let oldest = strangers.min_by_key(|(_, peer)| peer.heard).map(|(address, _)| *address);
+        oldest.is_some_and(|address| self.peers.remove(&address).is_some())
+    }
+
     /// Takes in that another one has told of an instance in this one's domain.
     fn hear_of(&mut self, contact: SocketAddrV4, known: Revision, now: Millis) {
         // Listeners hear each other at the start only. Forgotten after that, they would be
@@ -134,7 +148,12 @@
     ) {
         let fresh = self.fresh.map(|at| now.since(at).0).and_then(|age| u16::try_from(age).ok());
         let role = if self.is_reading() { Role::Reader } else { Role::Listener };
-        let contacts = self.contacts(to, purpose.contacts());
+        let its_domain = match purpose {
+            Purpose::Answer(domain) => Some(domain),
+            Purpose::Tell | Purpose::Ask => self.peers.get(&to).map(|peer| peer.domain),
+        };
+        let contacts = its_domain.map(|it| self.contacts(to, it, purpose.contacts()));
+        let contacts = contacts.unwrap_or_default();
         let asks = purpose == Purpose::Ask;
         let (domain, seat) = (self.domain, self.seat_for(to, now));
         let heartbeat = Heartbeat { domain, role, fresh, revision, asks, contacts, seat };
@@ -143,10 +162,7 @@
 
     /// Some instances of the receiver's domain, readers first, the others drawn
     /// anew each time.
-    fn contacts(&mut self, to: SocketAddrV4, most: usize) -> Vec<SocketAddrV4> {
-        let Some(domain) = self.peers.get(&to).map(|peer| peer.domain) else {
-            return Vec::new();
-        };
+    fn contacts(&mut self, to: SocketAddrV4, domain: DomainId, most: usize) -> Vec<SocketAddrV4> {
         let others = self.peers.iter().filter(|(it, peer)| **it != to && peer.domain == domain);
         let others = others.map(|(address, peer)| (peer.role == Role::Listener, *address));
         let mut others: Vec<(bool, SocketAddrV4)> = others.collect();
@@ -168,8 +184,8 @@
     Tell,
     /// To learn who else is there.
     Ask,
-    /// To tell who else is there.
-    Answer,
+    /// To tell an instance of that domain who else is there.
+    Answer(DomainId),
 }
 
 impl Purpose {
@@ -177,7 +193,7 @@
         match self {
             Purpose::Tell => TOLD,
             Purpose::Ask => 0,
-            Purpose::Answer => TOLD_ASKED,
+            Purpose::Answer(_) => TOLD_ASKED,
         }
     }
 }
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -417,6 +417,45 @@
     }
 }
 
+/// Guards against turning away whoever starts in a fleet of more instances than are remembered.
+#[test]
+fn a_seed_answers_whoever_asks_however_many_it_knows() {
+    let mut net = settled(2, 12);
+    let now = super::fixtures::millis(2_000_000);
+    let stranger = |nth: u16, domain| {
+        let [high, low] = nth.to_be_bytes();
+        let at = std::net::SocketAddrV4::new([10, 9, high, low].into(), 8166);
+        let heartbeat = medlarspur_marked::message::Heartbeat {
+            domain,
+            role: medlarspur_marked::message::Role::Listener,
+            fresh: None,
+            revision: medlarspur_marked::Revision(0),
+            asks: true,
+            contacts: Vec::new(),
+            seat: None,
+        };
+        (at, medlarspur_marked::message::Message::Heartbeat(heartbeat))
+    };
+    let seed = net.instances.get_mut(&address(1, 1)).expect("it is there");
+    let (own, other) = (seed.fleet.domain(), medlarspur_marked::message::DomainId(7));
+
+    for (count, domain) in [(1_200, other), (1_300, own)] {
+        let (at, message) = stranger(count, domain);
+        (0..count).for_each(|nth| {
+            let (at, message) = stranger(nth, other);
+            seed.fleet.receive(at, message, &seed.catalog, now);
+        });
+        seed.fleet.take_outgoing();
+        let known = seed.fleet.near();
+
+        seed.fleet.receive(at, message, &seed.catalog, now);
+
+        let answered = seed.fleet.take_outgoing().iter().any(|it| it.to == at);
+        assert!(answered, "{count} others");
+        assert_eq!(seed.fleet.near() - known, usize::from(domain == own));
+    }
+}
+
 /// Each call is priced. With a watch on every instance, calls would grow with
 /// the fleet.
 #[test]
