marked: ask about entries that went where flows are

Cause: the answer tells whether flows there go on or are reset, but was asked for whether there were any or not.

Now an instance asks where it has flows, and 16 others in a second so that new flows find targets whose entries lapsed. A flow that comes by another instance has the target asked then.

--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -48,6 +48,7 @@
 use placing::OPENING_LIMIT;
 use state::State;
 use std::collections::VecDeque;
+use reach::Lapses;
 use waiting::{NewFlow, Rooms};
 
 /// How long a request may wait for its answer and still count as work of its
@@ -84,6 +85,7 @@
     lost: Vec<Incarnation>,
     /// Targets that take no openings.
     full: Vec<Incarnation>,
+    lapses: Lapses,
     /// What was learnt from answers.
     heard: Heard,
     /// This instance's seat in its failure domain, while it is known.
@@ -119,6 +121,7 @@
             heard: Heard::default(),
             seat: None,
             cut_off: false,
+            lapses: Lapses::default(),
             stranded: false,
             life: Millis(0),
             alone: None,
@@ -240,6 +243,7 @@
             (None, _) => return,
         };
         let class = flow.class;
+        let is_resumed = known.is_none();
         let seen = flow.see(segment, now);
         self.account(&flow, 1);
         self.measure(&flow, seen, now, out);
@@ -252,6 +256,9 @@
         }
         if seen.life {
             self.see_life(target, now, out);
+        if is_resumed {
+            self.ask_unasked(target, now, out);
+        }
         }
         if let Some(sent) = seen.repeats {
             self.counts.repeated += 1;
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -12,9 +12,29 @@
 /// cut of a failure domain the news of its entry comes to hundreds of instances in the same
 /// moment, and a target resets most of as many connections.
 const RELISTED_PAUSE: Millis = Millis(500);
+/// How many targets whose entries went are asked in a second though no flow is there.
+const MAX_LAPSES: u32 = 16;
 /// How long after a request to a target went unanswered others are preferred.
 pub(super) const DOUBT_TIME: Millis = Millis(300);
 
+/// Questions to targets whose entries went and at which no flow is, in this second.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct Lapses {
+    since: Millis,
+    count: u32,
+}
+
+impl Lapses {
+    /// Whether one more may be asked.
+    fn take(&mut self, now: Millis) -> bool {
+        if now.since(self.since) >= Millis::secs(1) {
+            *self = Lapses { since: now, count: 0 };
+        }
+        self.count += 1;
+        self.count <= MAX_LAPSES
+    }
+}
+
 impl Forwarder {
     /// How many listed targets answer, and how many don't.
     pub fn reach(&self) -> (usize, usize) {
@@ -36,13 +56,34 @@
         out.note(Note::Entry { target, name: name.clone(), start, state, revision });
         match state {
             EntryState::Listed => self.await_relisted(target, now),
-            // It died, or its entry lapsed: asking tells which.
-            EntryState::Removed if !leaving => self.ask(target, now, out),
+            EntryState::Removed if !leaving => self.learn_removed(target, now, out),
             EntryState::Replaced => self.learn_replaced(target, &name, now, out),
             _ => {}
         }
     }
 
+    /// The entry of a target that did not leave has gone: it died, or the entry lapsed. Asking
+    /// tells which, and matters where flows are there. The entries of a failure domain may
+    /// all lapse in one moment; if every instance asked all of its targets, they would get
+    /// targets times instances questions. A few are asked all the same, for new flows.
+    fn learn_removed(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
+        let Some(state) = self.states.get_mut(&target) else { return };
+        state.unasked = state.flows == 0 && !self.lapses.take(now);
+        if !state.unasked {
+            self.ask(target, now, out);
+        }
+    }
+
+    /// A flow that others opened goes to a target. Asks that if its entry went and nobody here
+    /// has asked it since.
+    pub(super) fn ask_unasked(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
+        let state = self.states.get_mut(&target).filter(|state| state.unasked);
+        if let Some(state) = state {
+            state.unasked = false;
+            self.ask(target, now, out);
+        }
+    }
+
     /// A target that was lost is listed again: its entry had lapsed, and nothing asks it any
     /// more. Without a question it would stay out of use until it starts again. Each instance
     /// asks at a moment of its own, since all hear the news in the same one.
--- a/marked/src/forwarder/state.rs
+++ b/marked/src/forwarder/state.rs
@@ -36,6 +36,10 @@
     pub(super) feeds: u32,
     /// Of `working` and `opening`, flows of requests.
     pub(super) requests: u32,
+    /// All flows there.
+    pub(super) flows: u32,
+    /// Whether its entry went and it was not asked since.
+    pub(super) unasked: bool,
 }
 
 impl State {
@@ -55,6 +59,8 @@
             opening: 0,
             feeds: 0,
             requests: 0,
+            flows: 0,
+            unasked: false,
         }
     }
 
@@ -81,6 +87,7 @@
         if flow.abandoned {
             return;
         }
+        self.flows = self.flows.saturating_add_signed(sign);
         let is_work = flow.is_opening() || flow.is_waiting();
         if is_work && flow.class == Class::Request {
             self.requests = self.requests.saturating_add_signed(sign);
