load: deal the targets of a failure domain out among its instances

What users measure: imbalance.

Cause: 584 instances open some three flows a second each at 4,800 targets. An instance sees only its own work, which is at few targets, so each choice is a draw among thousands: balls into bins. It holds only while an instance has more flows than there are targets.

Now each instance has a part of its domain's targets, by the seat that the first reader tells (the one that owns slow targets by). It sees all the work there, and takes others as soon as its own have as much as a request. Seats come with news and heartbeats in any case now, and cost no datagram of their own. Targets are dealt in layers, so that each part has as many of those that are kept for requests. Where nothing closes any target, only the own part is looked at, so the work for a flow doesn't grow with the targets.

Targets looked at for a flow, before 80 and 1,600 targets: 80 and 1,600 before, 8 and 8 after.

--- a/load/examples/choice.rs
+++ b/load/examples/choice.rs
@@ -177,6 +177,7 @@
             cold: false,
             near: true,
             kept: false,
+            shared: false,
         }
     }
 
--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -34,6 +34,11 @@
 /// requests a slot: a little more than going to another failure domain.
 const KEPT: f32 = 0.5;
 
+/// What going to a target costs that other instances of the failure domain have, in requests a
+/// slot: three idle feeds at a target of two slots, and less than one request, so that nobody
+/// waits for one's own while another is idle.
+const SHARED: f32 = 0.15;
+
 /// How willingly a target is taken; earlier ones go before later ones, whatever
 /// their load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -65,6 +70,9 @@
     pub near: bool,
     /// Whether feeds should leave it to requests.
     pub kept: bool,
+    /// Whether other instances of the failure domain [have](crate::dealing) it, and this one
+    /// others.
+    pub shared: bool,
 }
 
 impl Candidate {
@@ -89,7 +97,14 @@
         };
         let kept = if self.kept && class == Class::Feed { KEPT } else { 0.0 };
         let far = if self.near { 0.0 } else { far };
-        load + far + kept
+        let shared = if self.shared { SHARED } else { 0.0 };
+        load + far + kept + shared
+    }
+
+    /// Whether no target of the same size that others have can cost less.
+    pub fn is_first(&self, class: Class) -> bool {
+        let idle = 1.0 / self.slots.max(1) as f32;
+        self.tier == Tier::Good && !self.shared && self.cost(class) <= idle + SHARED
     }
 }
 
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod callers;
 pub mod choice;
 mod counts;
+pub mod dealing;
 pub mod estimate;
 mod gate;
 pub mod limit;
--- a/load/tests/runner.rs
+++ b/load/tests/runner.rs
@@ -4,6 +4,7 @@
 mod model;
 mod overload;
 mod test_choice;
+mod test_dealing;
 mod test_estimate;
 mod test_gate;
 mod test_limit;
--- a/load/tests/test_choice.rs
+++ b/load/tests/test_choice.rs
@@ -16,6 +16,7 @@
         cold: false,
         near: true,
         kept: false,
+        shared: false,
     }
 }
 
--- /dev/null
+++ b/load/tests/test_dealing.rs
@@ -0,0 +1,68 @@
+//! Targets are dealt out among the instances of a failure domain.
+
+use medlarspur_load::{dealing::deal, warmup::Seat};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+fn targets(count: u64) -> Vec<u64> {
+    let mut targets: Vec<u64> =
+        (1..=count).map(|it| it.wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect();
+    targets.sort_unstable();
+    targets
+}
+
+fn all(count: u32, targets: &[u64]) -> Vec<Vec<u64>> {
+    (0..count).map(|position| deal(Seat { position, count }, targets)).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against targets that nobody takes first, and against parts of unlike size.
+    #[test]
+    fn each_target_is_dealt_and_parts_are_alike(count in 1..120u32, number in 0..1_000u64) {
+        let targets = targets(number);
+
+        let parts = all(count, &targets);
+
+        let dealt: BTreeSet<u64> = parts.iter().flatten().copied().collect();
+        prop_assert_eq!(dealt.len(), targets.len());
+        let sizes = parts.iter().map(Vec::len);
+        let (least, most) = (sizes.clone().min().unwrap_or(0), sizes.max().unwrap_or(0));
+        prop_assert!(most - least <= 4, "{least} to {most}");
+    }
+
+    /// Guards against instances whose targets are all kept for requests.
+    #[test]
+    fn each_part_has_some_of_the_first_and_of_the_last(count in 1..100u32) {
+        let targets = targets(8 * u64::from(count));
+        let middle = targets[targets.len() / 2];
+
+        for part in all(count, &targets) {
+            let first = part.iter().filter(|it| **it < middle).count();
+            prop_assert!(first >= 2 && part.len() - first >= 2, "{first} of {}", part.len());
+        }
+    }
+
+    /// Guards against dealing everything anew whenever a target comes or goes.
+    #[test]
+    fn most_targets_stay_when_one_goes(position in 0..100u32, gone in 0..800usize) {
+        let before = targets(800);
+        let mut after = before.clone();
+        after.remove(gone);
+        let seat = Seat { position, count: 100 };
+
+        let (old, new) = (deal(seat, &before), deal(seat, &after));
+
+        let stay = old.iter().filter(|it| new.contains(it)).count();
+        prop_assert!(2 * stay >= old.len(), "{stay} of {} stay", old.len());
+    }
+
+    /// A seat that was damaged on the way must not end a thread.
+    #[test]
+    fn any_seat_has_some_of_the_targets(position: u32, count: u32, number in 1..500u64) {
+        let dealt = deal(Seat { position, count }, &targets(number));
+
+        prop_assert!(!dealt.is_empty());
+    }
+}
--- a/load/tests/test_many.rs
+++ b/load/tests/test_many.rs
@@ -49,6 +49,7 @@
                 cold: false,
                 near: true,
                 kept: target < KEPT,
+                shared: false,
             }
         };
         let candidates: Vec<Candidate> = (0..TARGETS).map(candidate).collect();
--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -155,11 +155,6 @@
         entries.filter(move |entry| entry.target.service == *service)
     }
 
-    /// Whether any service bounds what its slow targets get.
-    pub fn bounds_warmups(&self) -> bool {
-        self.config().is_some_and(|it| it.services.iter().any(|it| it.warmup.is_some()))
-    }
-
     /// What the config says of a service.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.config()?.services.iter().find(|it| it.name == *name)
--- a/marked/src/fleet/mod.rs
+++ b/marked/src/fleet/mod.rs
@@ -100,12 +100,8 @@
     /// While this instance knows nothing, who may have the picture.
     sources: Vec<SocketAddrV4>,
     started: Millis,
-    /// Whether any service bounds what its slow targets get.
-    bounds_warmups: bool,
     /// This instance's seat, as the first reader has told it last.
     seat: Option<Told>,
-    /// When this instance told seats beside news last.
-    seats_told: Option<Millis>,
     random: Random,
     outgoing: Vec<Outgoing>,
 }
@@ -130,15 +126,13 @@
             fresh: None,
             told: Revision::default(),
             heartbeat_at: None,
-            sources: Vec::new(),
             sought: None,
             seeded: None,
             pulled: None,
             lacking: None,
+            sources: Vec::new(),
             started: now,
-            bounds_warmups: false,
             seat: None,
-            seats_told: None,
             random: Random::new(seed),
             outgoing: Vec::new(),
         }
@@ -189,9 +183,8 @@
     pub fn store_answered(&mut self, catalog: &Catalog, now: Millis) {
         self.fresh = Some(now);
         // News says as well that the store has answered.
-        match self.pass_on(catalog, now) {
-            true => self.tell_seats(catalog.revision(), now),
-            false => self.tell_domain(catalog.revision(), now),
+        if !self.pass_on(catalog, now) {
+            self.tell_domain(catalog.revision(), now);
         }
     }
 
@@ -215,9 +208,9 @@
                 self.receive_heartbeat(from, &heartbeat, catalog.revision(), now);
                 None
             }
-            Message::News { reader, news, to } => {
+            Message::News { reader, news, to, seat } => {
                 self.confirm(reader, news.revision, now);
-                self.receive_news(reader, news, to, catalog, now)
+                self.receive_news(reader, news, to, seat, catalog, now)
             }
         }
     }
@@ -226,7 +219,6 @@
     pub fn tick(&mut self, catalog: &Catalog, now: Millis) {
         self.forget(now);
         self.decide(catalog, now);
-        self.bounds_warmups = catalog.bounds_warmups();
         let is_due = |at: Option<Millis>, pause| at.is_none_or(|at| now.since(at) >= pause);
         let revision = catalog.revision();
         if self.readers(now).next().is_none() && is_due(self.sought, SEEK_PAUSE) {
--- a/marked/src/fleet/seats.rs
+++ b/marked/src/fleet/seats.rs
@@ -1,11 +1,10 @@
-//! Giving the instances of a failure domain seats, by which they own slow targets.
+//! Giving the instances of a failure domain seats, by which targets are
+//! [dealt](medlarspur_load::dealing) and slow ones [owned](medlarspur_load::warmup).
 //!
 //! The first reader of a domain, by its address, knows all its instances and tells each its
-//! [`Seat`] with its heartbeats. It does so only where a service bounds what its slow targets
-//! get.
+//! [`Seat`] with its heartbeats, and with its news, which takes their place.
 
-use super::{Fleet, presence::Purpose, readers::FRESH};
-use crate::Revision;
+use super::{Fleet, readers::FRESH};
 use medlarspur_lib::time::Millis;
 use medlarspur_load::warmup::Seat;
 use std::net::SocketAddrV4;
@@ -18,8 +17,6 @@
 /// others begin to read in the same moment, each with a picture of its own of the rest; some
 /// heartbeats later all but two have stopped.
 const TENURE: Millis = Millis::secs(8);
-/// How often seats are told while there is news, which takes the place of heartbeats.
-const SEATS_PAUSE: Millis = Millis(1_200);
 
 /// A seat as it was told.
 #[derive(Debug, Clone, Copy)]
@@ -52,18 +49,6 @@
         self.gives_seats(now).then(|| self.seat_of(to)).flatten()
     }
 
-    /// Tells seats beside news, if that is due.
-    pub(super) fn tell_seats(&mut self, revision: Revision, now: Millis) {
-        let is_due = self.seats_told.is_none_or(|at| now.since(at) >= SEATS_PAUSE);
-        if !is_due || !self.gives_seats(now) {
-            return;
-        }
-        self.seats_told = Some(now);
-        for to in self.domain_members() {
-            self.heartbeat(to, Purpose::Tell, revision, now);
-        }
-    }
-
     /// The position of an instance among all of its domain, in the order of their addresses.
     fn seat_of(&self, at: SocketAddrV4) -> Option<Seat> {
         let mut seated = self.domain_members();
@@ -73,11 +58,11 @@
         Some(Seat { position: position as u32, count: seated.len() as u32 })
     }
 
-    fn gives_seats(&self, now: Millis) -> bool {
+    pub(super) fn gives_seats(&self, now: Millis) -> bool {
         let is_settled = now.since(self.started) >= SETTLED;
         let is_reader = self.reading.is_some_and(|since| now.since(since) >= TENURE);
         let reads = is_reader && self.fresh.is_some();
-        self.bounds_warmups && is_settled && reads && self.is_first(self.me, now)
+        is_settled && reads && self.is_first(self.me, now)
     }
 
     /// Whether no fresh reader with a smaller address is known, this instance included.
--- a/marked/src/fleet/spread.rs
+++ b/marked/src/fleet/spread.rs
@@ -6,6 +6,7 @@
     message::{MAX_DATAGRAM, Message, size},
 };
 use medlarspur_lib::time::Millis;
+use medlarspur_load::warmup::Seat;
 use std::net::SocketAddrV4;
 
 /// To how many others an instance passes news on, unless [`MAX_BRANCH`] makes them more. Four
@@ -35,20 +36,34 @@
             return false;
         }
         let domain = self.domain_members();
-        self.spread(self.me, &news, domain);
+        let seats = self.gives_seats(now).then(|| domain.len() as u32 + 1);
+        let first = seats.map(|count| Seat { position: 0, count });
+        self.spread(self.me, &news, domain, first);
         true
     }
 
     /// Sends news to a few instances, each with a part of the others to pass it
-    /// on to.
-    fn spread(&mut self, reader: SocketAddrV4, news: &News, mut others: Vec<SocketAddrV4>) {
+    /// on to. The first of all of them gets the seat `first`, the others follow.
+    fn spread(
+        &mut self,
+        reader: SocketAddrV4,
+        news: &News,
+        mut others: Vec<SocketAddrV4>,
+        first: Option<Seat>,
+    ) {
         others.sort_unstable();
         let part = others.len().div_ceil(FANOUT).clamp(1, MAX_BRANCH);
         let pieces = pieces(news, MAX_DATAGRAM - HEAD - ADDRESS * part);
-        for branch in others.chunks(part) {
+        for (nth, branch) in others.chunks(part).enumerate() {
+            let seat = first.map(|seat| {
+                // The reader has a seat among them, and is not in the list.
+                let is_behind = reader >= self.me && branch[0] > reader;
+                let position = seat.position + (nth * part) as u32 + u32::from(is_behind);
+                Seat { position, ..seat }
+            });
             for news in &pieces {
                 let to = branch[1..].to_vec();
-                self.send(branch[0], &Message::News { reader, news: news.clone(), to });
+                self.send(branch[0], &Message::News { reader, news: news.clone(), to, seat });
             }
         }
     }
@@ -59,13 +74,16 @@
         reader: SocketAddrV4,
         news: News,
         mut others: Vec<SocketAddrV4>,
+        seat: Option<Seat>,
         catalog: &Catalog,
         now: Millis,
     ) -> Option<News> {
+        self.take_seat(seat, reader, now);
         // Passed on also if it is known here already: the others may not know it.
         others.retain(|it| *it != self.me);
         others.truncate(MOST);
-        self.spread(reader, &news, others);
+        let next = seat.map(|seat| Seat { position: seat.position + 1, ..seat });
+        self.spread(reader, &news, others, next);
         if news.revision <= catalog.revision() {
             return None;
         }
--- a/marked/src/forwarder/closed.rs
+++ b/marked/src/forwarder/closed.rs
@@ -33,6 +33,13 @@
     regions: &'a [RegionName],
 }
 
+impl Bounds<'_> {
+    /// Whether they close no target.
+    pub(super) fn is_empty(&self) -> bool {
+        self.warmup.is_none() && self.regions.is_empty()
+    }
+}
+
 impl Forwarder {
     /// What closes targets of a service whatever the route is.
     pub(super) fn service_bounds(&self, service: &ServiceName) -> Bounds<'_> {
@@ -96,7 +103,10 @@
 
     /// Tells this instance's seat in its failure domain.
     pub fn set_seat(&mut self, seat: Option<Seat>) {
-        self.seat = seat;
+        if self.seat != seat {
+            self.seat = seat;
+            self.forget_dealt();
+        }
     }
 
     /// Whether operators have emptied the failure domain of a flow's target, or have said that
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -20,6 +20,7 @@
 mod closed;
 mod contested;
 mod counts;
+mod dealt;
 mod explain;
 mod full;
 mod heard;
@@ -38,17 +39,18 @@
     Catalog, Config, Flow, FlowKey, Incarnation, Kind, Mark, News, Note, Revision, Segment,
     flow::Seen,
 };
+use dealt::Dealt;
 use heard::Heard;
 use medlarspur_lib::{
     collections::{Map, SeededMap},
-    ids::{DomainName, RegionName},
+    ids::{DomainName, RegionName, ServiceName},
     time::Millis,
 };
 use medlarspur_load::{random::Random, warmup::Seat};
 use placing::OPENING_LIMIT;
+use reach::Lapses;
 use state::State;
 use std::collections::VecDeque;
-use reach::Lapses;
 use waiting::{NewFlow, Rooms};
 
 /// How long a request may wait for its answer and still count as work of its
@@ -83,13 +85,15 @@
     near: usize,
     domains: usize,
     lost: Vec<Incarnation>,
+    lapses: Lapses,
     /// Targets that take no openings.
     full: Vec<Incarnation>,
-    lapses: Lapses,
     /// What was learnt from answers.
     heard: Heard,
     /// This instance's seat in its failure domain, while it is known.
     seat: Option<Seat>,
+    /// This instance's part of the targets of its domain, by service.
+    dealt: Map<ServiceName, Dealt>,
     /// Whether nobody of this failure domain hears from the store.
     cut_off: bool,
     /// Whether this domain is evacuated and no target elsewhere can be reached.
@@ -117,11 +121,12 @@
             near: 1,
             domains: 1,
             lost: Vec::new(),
+            lapses: Lapses::default(),
             full: Vec::new(),
             heard: Heard::default(),
             seat: None,
+            dealt: Map::default(),
             cut_off: false,
-            lapses: Lapses::default(),
             stranded: false,
             life: Millis(0),
             alone: None,
@@ -165,6 +170,9 @@
             let note = self.domain_note(domain);
             out.note(note);
         }
+        if !changed.targets.is_empty() {
+            self.forget_dealt();
+        }
         for incarnation in changed.targets {
             self.states.entry(incarnation).or_insert_with(|| State::new(now));
             self.learn_entry(incarnation, now, out);
@@ -235,6 +243,7 @@
         out: &mut impl Output,
     ) {
         let known = self.take_record(target, &segment.key);
+        let is_resumed = known.is_none();
         let route = self.catalog.route(segment.key.service);
         let (class, goal) = (route.map(|route| route.class), route.and_then(waiting::goal));
         let mut flow = match (known, class) {
@@ -243,11 +252,13 @@
             (None, _) => return,
         };
         let class = flow.class;
-        let is_resumed = known.is_none();
         let seen = flow.see(segment, now);
         self.account(&flow, 1);
         self.measure(&flow, seen, now, out);
         self.flows.insert(segment.key, flow);
+        if is_resumed {
+            self.ask_unasked(target, now, out);
+        }
         if seen.opened {
             self.see_taken(target, class, now, out);
         }
@@ -256,9 +267,6 @@
         }
         if seen.life {
             self.see_life(target, now, out);
-        if is_resumed {
-            self.ask_unasked(target, now, out);
-        }
         }
         if let Some(sent) = seen.repeats {
             self.counts.repeated += 1;
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -3,6 +3,7 @@
 use super::{
     Forwarder, Output, Refusal,
     closed::Closed,
+    dealt::Dealt,
     reach::DOUBT_TIME,
     waiting::{self, NewFlow},
 };
@@ -42,6 +43,17 @@
 /// an entry that lapsed without need is back within some two seconds.
 const LAPSE_LIMIT: Millis = Millis::secs(3);
 
+/// Targets that could take a flow.
+#[derive(Default)]
+struct Options {
+    targets: Vec<Incarnation>,
+    /// The same as candidates, in the same order.
+    candidates: Vec<Candidate>,
+    /// Whether targets were left out, which operators are shown.
+    evacuated: bool,
+    warming: bool,
+}
+
 impl Forwarder {
     pub(super) fn open(
         &mut self,
@@ -129,30 +141,85 @@
         key: &FlowKey,
         now: Millis,
     ) -> Option<(Incarnation, Note)> {
+        let dealt = self.dealt(service);
+        let first =
+            dealt.as_ref().and_then(|dealt| self.choose_own(service, dealt, class, key, now));
+        let options =
+            first.unwrap_or_else(|| self.options(service, dealt.as_ref(), class, key, now));
+        self.choose_among(options, class, key)
+    }
+
+    /// The targets of this instance's own part, if nothing closes any of the service's and one
+    /// of them costs no more than any other could. Few flows go on to look at all targets, so
+    /// that the work for one doesn't grow with their number.
+    fn choose_own(
+        &self,
+        service: &ServiceName,
+        dealt: &Dealt,
+        class: Class,
+        key: &FlowKey,
+        now: Millis,
+    ) -> Option<Options> {
+        let bounds = self.bounds(service, key);
+        if !bounds.is_empty() || self.catalog.evacuated().next().is_some() {
+            return None;
+        }
+        let mix = self.heard.mix(service);
+        let mut options = Options::default();
+        for entry in dealt.own.iter().filter_map(|it| self.catalog.entry(*it)) {
+            let Some(mut candidate) = self.candidate(entry, class, now) else { continue };
+            candidate.kept = class != Class::Upload && dealt.is_kept(entry.target.incarnation, mix);
+            options.targets.push(entry.target.incarnation);
+            options.candidates.push(candidate);
+        }
+        options.candidates.iter().any(|it| it.is_first(class)).then_some(options)
+    }
+
+    /// All targets that could take a flow.
+    fn options(
+        &self,
+        service: &ServiceName,
+        dealt: Option<&Dealt>,
+        class: Class,
+        key: &FlowKey,
+        now: Millis,
+    ) -> Options {
         let bounds = self.bounds(service, key);
-        // Whether targets were left out, which operators are shown.
-        let (mut evacuated, mut warming) = (false, false);
-        let (mut entries, mut candidates): (Vec<&Entry>, Vec<Candidate>) = Default::default();
+        let (mut options, mut entries) = (Options::default(), Vec::new());
         for entry in self.catalog.targets(service) {
             match self.closed(entry, bounds, now) {
-                Some(Closed::Evacuated) => evacuated = true,
-                Some(Closed::Warming) => warming = true,
+                Some(Closed::Evacuated) => options.evacuated = true,
+                Some(Closed::Warming) => options.warming = true,
                 Some(Closed::Away) => {}
                 None => {
-                    let Some(candidate) = self.candidate(entry, class, now) else { continue };
+                    let Some(mut candidate) = self.candidate(entry, class, now) else { continue };
+                    let is_own = |dealt: &Dealt| dealt.owns(entry.target.incarnation);
+                    candidate.shared = candidate.near && dealt.is_some_and(|it| !is_own(it));
                     entries.push(entry);
-                    candidates.push(candidate);
+                    options.candidates.push(candidate);
                 }
             }
         }
         if class != Class::Upload {
-            keep_for_requests(self.heard.mix(service), &entries, &mut candidates);
+            let mix = self.heard.mix(service);
+            keep_for_requests(mix, &entries, &mut options.candidates);
         }
+        options.targets = entries.iter().map(|entry| entry.target.incarnation).collect();
+        options
+    }
+
+    fn choose_among(
+        &mut self,
+        options: Options,
+        class: Class,
+        key: &FlowKey,
+    ) -> Option<(Incarnation, Note)> {
+        let Options { mut targets, mut candidates, evacuated, warming } = options;
         loop {
             let position = choice::choose(&candidates, class, self.random.draw())?;
             let count = candidates.len();
             let chosen = candidates.swap_remove(position);
-            let target = entries.swap_remove(position).target.incarnation;
+            let target = targets.swap_remove(position);
             // Another target may have the same mark for this flow, and packets
             // in mid-flow would go there.
             let meant = self.catalog.marked(Mark::new(target, key), key);
@@ -222,6 +289,7 @@
             cold: now < entry.cold,
             near,
             kept: false,
+            shared: false,
         })
     }
 
--- a/marked/src/message.rs
+++ b/marked/src/message.rs
@@ -60,6 +60,8 @@
         news: News,
         /// Control addresses of those to pass it on to.
         to: Vec<SocketAddrV4>,
+        /// The receiver's seat, if the reader gives any; the seats of those in `to` follow.
+        seat: Option<Seat>,
     },
 }
 
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -156,7 +156,8 @@
         scope: medlarspur_marked::Scope::Since(medlarspur_marked::Revision(known.0 + 1)),
         changes: Vec::new(),
     };
-    let message = medlarspur_marked::message::Message::News { reader, news, to: Vec::new() };
+    let message =
+        medlarspur_marked::message::Message::News { reader, news, to: Vec::new(), seat: None };
     let now = super::fixtures::millis(2_000_000);
 
     it.fleet.receive(unknown, message, &it.catalog, now);
--- a/marked/tests/test_scale.rs
+++ b/marked/tests/test_scale.rs
@@ -1,7 +1,9 @@
 //! What an instance does for one flow or one piece of news, before few targets and many.
 
-use super::fixtures::{FEED, Instance, change, flow, middle, news, target};
-use medlarspur_marked::{Content, Incarnation, Revision, Scope, Target};
+use super::fixtures::{FEED, Instance, REQUEST, change, flow, middle, news, target};
+use medlarspur_load::warmup::Seat;
+use medlarspur_marked::{Content, Incarnation, Note, Revision, Scope, Target};
+use std::collections::BTreeMap;
 
 fn targets(count: u64) -> Vec<Target> {
     (1..=count).map(|number| target(number, "desk")).collect()
@@ -51,3 +53,73 @@
 
     assert_eq!(instance.out.asked, [unasked]);
 }
+
+/// Guards against work for one flow that grows with the targets.
+#[test]
+fn few_targets_are_looked_at_for_a_flow_however_many_there_are() {
+    let looked_at = |count: u64, instances: u32| {
+        let mut instance = Instance::new(&targets(count));
+        instance.forwarder.set_seat(Some(Seat { position: instances / 2, count: instances }));
+        for nth in 0..6 {
+            instance.opened(flow(1_000 + nth, FEED), 0);
+            instance.opened(flow(2_000 + nth, REQUEST), 0);
+        }
+        let looked = instance.out.notes.iter().filter_map(|note| match note {
+            Note::Opened { candidates, .. } => Some(*candidates),
+            _ => None,
+        });
+        looked.max().expect("flows were opened")
+    };
+
+    assert_eq!((looked_at(80, 10), looked_at(1_600, 200)), (8, 8));
+}
+
+/// How many times the mean the busiest target has, where `count` instances open eight feeds for
+/// each of their targets' slots.
+fn imbalance(count: u32, is_seated: bool) -> f64 {
+    let targets = targets(u64::from(count) * 8);
+    let mut feeds: BTreeMap<Incarnation, u32> = BTreeMap::new();
+    let mut opened = 0;
+    for position in 0..count {
+        let mut instance = Instance::seeded(&targets, u64::from(position) * 77);
+        if is_seated {
+            instance.forwarder.set_seat(Some(Seat { position, count }));
+        }
+        for nth in 0..7 {
+            let at = instance.opened(flow(1_000 + nth, FEED), u64::from(nth) * 100);
+            *feeds.entry(at).or_default() += 1;
+            opened += 1;
+        }
+    }
+    let most = feeds.values().copied().max().expect("flows");
+    f64::from(most) / (f64::from(opened) / targets.len() as f64)
+}
+
+/// Guards against feeds that pile up at some of many targets, since no instance sees where the
+/// others' are.
+#[test]
+fn feeds_spread_evenly_over_targets_that_are_dealt() {
+    let (small, large) = (imbalance(8, true), imbalance(60, true));
+
+    assert!(small <= 2.4 && large <= 2.4, "{small} and {large} times the mean");
+    assert!(imbalance(60, false) > 3.0, "what is guarded against shows without it");
+}
+
+/// Guards against idle targets while callers wait: an instance whose part has work takes others.
+#[test]
+fn an_instance_goes_beyond_its_part_before_anybody_waits() {
+    let mut instance = Instance::new(&targets(8));
+    instance.forwarder.set_seat(Some(Seat { position: 0, count: 4 }));
+
+    let mut used: Vec<Incarnation> = Vec::new();
+    for nth in 0..8 {
+        let key = flow(1_000 + nth, REQUEST);
+        let at = instance.opened(key, 0);
+        instance.packet(middle(key, at, 1001, 500, 100), 0);
+        used.push(at);
+    }
+
+    used.sort_unstable();
+    used.dedup();
+    assert_eq!(used.len(), 8);
+}
