load: give each target as many instances that take it first as another

Cause: where a domain has fewer targets of a service than instances, layers of a quarter are of unlike size, and the last one held a single target that every instance had.

Layers are dealt only where each has a target for each instance, and are cut evenly. The test counts owners: before up to all instances for one target, now the mean, rounded up.

--- a/load/src/dealing.rs
+++ b/load/src/dealing.rs
@@ -13,9 +13,10 @@
 use crate::{random::mix, warmup::Seat};
 use std::ops::Range;
 
-/// Into how many layers targets are cut, by their numbers, before they are dealt. The first by
-/// number are [kept](crate::reserve) for requests, so every instance must have as many of them
-/// as others, or its feeds pile up at the few others that it has.
+/// Into how many layers targets are cut, by their numbers, before they are dealt, if there are
+/// enough for each instance to have one of each layer. The first by number are
+/// [kept](crate::reserve) for requests, so every instance must have as many of them as others,
+/// or its feeds pile up at the few others that it has.
 const LAYERS: usize = 4;
 
 /// The targets that an instance has, of all of its failure domain, which are given by their
@@ -23,9 +24,11 @@
 /// does, targets move to its neighbours. Where there are more instances than targets, several have the
 /// same one.
 pub fn deal(seat: Seat, targets: &[u64]) -> Vec<u64> {
+    let layers = if targets.len() / LAYERS >= seat.count as usize { LAYERS } else { 1 };
     let mut own = Vec::new();
-    for (nth, layer) in targets.chunks(targets.len().div_ceil(LAYERS).max(1)).enumerate() {
-        let mut layer = layer.to_vec();
+    for nth in 0..layers {
+        let bound = |nth: usize| nth * targets.len() / layers;
+        let mut layer = targets[bound(nth)..bound(nth + 1)].to_vec();
         layer.sort_unstable_by_key(|target| mix(*target));
         own.extend(&layer[part(turned(seat, nth), layer.len())]);
     }
--- a/load/tests/test_dealing.rs
+++ b/load/tests/test_dealing.rs
@@ -32,6 +32,21 @@
         prop_assert!(most - least <= 4, "{least} to {most}");
     }
 
+    /// Guards against a target that most instances take first, where there are fewer targets than
+    /// instances.
+    #[test]
+    fn as_many_instances_have_one_target_as_another(count in 1..120u32, number in 1..400u64) {
+        let targets = targets(number);
+
+        let parts = all(count, &targets);
+
+        let owners = |target: &u64| parts.iter().filter(|part| part.contains(target)).count();
+        let owners: Vec<usize> = targets.iter().map(owners).collect();
+        let (least, most) = (owners.iter().min(), owners.iter().max());
+        let mean = f64::from(count) / number as f64;
+        prop_assert!(most.copied().unwrap_or(0) as f64 <= mean.max(1.0).ceil(), "{least:?} to {most:?}");
+    }
+
     /// Guards against instances whose targets are all kept for requests.
     #[test]
     fn each_part_has_some_of_the_first_and_of_the_last(count in 1..100u32) {
