marked: have one instance of a domain ask each target whose entry went

Cause: each instance asked 16 targets a second beside those at which it had flows, for as long as entries went; 584 instances and several seconds. The budget was per instance where it had to follow the targets.

Now the owner of a target's seat asks it, so that all instances together ask each target once; 16 a second remain where no seat is known. Counted: 80 targets and 10 instances, 400 and 50, one question for each target.

--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -12,12 +12,13 @@
 /// cut of a failure domain the news of its entry comes to hundreds of instances in the same
 /// moment, and a target resets most of as many connections.
 const RELISTED_PAUSE: Millis = Millis(500);
-/// How many targets whose entries went are asked in a second though no flow is there.
+/// How many targets whose entries went an instance without a seat asks in a second, beside
+/// those where it may have flows.
 const MAX_LAPSES: u32 = 16;
 /// How long after a request to a target went unanswered others are preferred.
 pub(super) const DOUBT_TIME: Millis = Millis(300);
 
-/// Questions to targets whose entries went and at which no flow is, in this second.
+/// Questions to targets whose entries went, in this second.
 #[derive(Debug, Default, Clone, Copy)]
 pub(super) struct Lapses {
     since: Millis,
@@ -65,15 +66,25 @@
     /// The entry of a target that did not leave has gone: it died, or the entry lapsed. Asking
     /// tells which, and matters where flows are there. The entries of a failure domain may
     /// all lapse in one moment; if every instance asked all of its targets, they would get
-    /// targets times instances questions. A few are asked all the same, for new flows.
+    /// targets times instances questions. One instance of the domain asks each all the same,
+    /// for new flows; without a seat each asks a few.
     fn learn_removed(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
+        let is_asker = match self.seat {
+            Some(seat) => self.is_near(target) && seat.owns(target.0),
+            None => self.lapses.take(now),
+        };
         let Some(state) = self.states.get_mut(&target) else { return };
-        state.unasked = state.flows == 0 && !self.lapses.take(now);
+        state.unasked = state.flows == 0 && !is_asker;
         if !state.unasked {
             self.ask(target, now, out);
         }
     }
 
+    fn is_near(&self, target: Incarnation) -> bool {
+        let entry = self.catalog.entry(target);
+        entry.is_some_and(|entry| entry.target.domain == self.tuning.domain)
+    }
+
     /// A flow that others opened goes to a target. Asks that if its entry went and nobody here
     /// has asked it since.
     pub(super) fn ask_unasked(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
--- a/marked/tests/test_scale.rs
+++ b/marked/tests/test_scale.rs
@@ -37,6 +37,28 @@
     assert_eq!(asked(1_000), asked(100));
 }
 
+/// The same of all instances together: each target is asked by one.
+#[test]
+fn each_target_whose_entry_went_is_asked_by_one_instance() {
+    for (count, instances) in [(80, 10), (400, 50)] {
+        let targets = targets(count);
+        let mut asked: Vec<Incarnation> = Vec::new();
+        for position in 0..instances {
+            let mut instance = Instance::new(&targets);
+            instance.forwarder.set_seat(Some(Seat { position, count: instances }));
+
+            instance.learn(removal(&targets), 1_000);
+
+            asked.append(&mut instance.out.asked);
+        }
+
+        asked.sort_unstable();
+        let mut all: Vec<Incarnation> = targets.iter().map(|it| it.incarnation).collect();
+        all.sort_unstable();
+        assert_eq!(asked, all);
+    }
+}
+
 /// Guards against a flow that hangs at a target that died: nobody here had a flow there when its
 /// entry went, and one comes by way of another instance.
 #[test]
