marked: use the field's words for the constants of the fleet, and split the main thread by its jobs

No change of behaviour. TOLD, MOST, GONE and FRESH said little (CONTACTS, MAX_PEERS, PEER_TIMEOUT, READER_TIMEOUT now), and their comments told how they were chosen. What operators are shown of an instance has a module beside its packets and news.

--- a/daemon/src/marked/instance/mod.rs
+++ b/daemon/src/marked/instance/mod.rs
@@ -1,15 +1,16 @@
 //! The main thread of an instance: packets, news and what is due.
 
+mod report;
+
 use super::{
     asker::Asker,
     current::Current,
-    inbox::{self, Delivery, Event, Inbox, Question, Sender},
+    inbox::{self, Delivery, Event, Inbox, Sender},
     lines::Picture,
-    meters::{self, Numbers, Published, Times},
+    meters::{Numbers, Published},
     output::Datagrams,
     peers::Peers,
     pictures::Order,
-    shown::Shown,
     store::Reading,
 };
 use crate::{clock::Clock, sink::Sink};
@@ -17,17 +18,16 @@
 use medlarspur_lib::{
     ids::{DomainName, InstanceName},
     settings::MarkedSettings,
-    status::MarkedStatus,
     time::Millis,
 };
 use medlarspur_marked::{Fleet, Forwarder, News, Tuning};
-use medlarspur_operator::{Meters, MetersError, Operator};
+use medlarspur_operator::MetersError;
 use medlarspur_platform::site::{packet, ready};
+use report::Metrics;
 use signal_hook::consts::{SIGHUP, SIGTERM};
-use snafu::{Report, ResultExt, Snafu};
+use snafu::{ResultExt, Snafu};
 use std::{
     io,
-    net::SocketAddrV4,
     os::fd::AsFd,
     path::Path,
     sync::{
@@ -51,11 +51,6 @@
 /// How long before it would be killed a leaving instance ends by itself.
 const MARGIN: Millis = Millis::secs(1);
 
-/// How long after the start metrics begin to be served. Setting the server up takes some
-/// milliseconds of processor time, tens on a twentieth of a core; packets that wait at the
-/// start need them.
-const METRICS_DELAY: Millis = Millis::secs(3);
-
 /// Why an instance can't run.
 #[derive(Debug, Snafu)]
 pub enum RunError {
@@ -99,10 +94,10 @@
     let reading = Reading::start(current.clone(), sender.clone(), settings.control.is_some());
     let reading = reading.context(system("follow the store"))?;
     let clock = Clock::start();
-    let fleet =
+    let peers =
         settings.control.map(|control| Peers::join(control, settings, &sender, clock.now()));
-    let fleet = fleet.transpose().context(system("talk to other instances"))?;
-    let control = fleet.as_ref().map(|peers| peers.socket.local()).transpose();
+    let peers = peers.transpose().context(system("talk to other instances"))?;
+    let control = peers.as_ref().map(|peers| peers.socket.local()).transpose();
     let control = control.context(system("talk to other instances"))?;
     log::info!(
         name = settings.name.as_str(), domain = settings.domain.as_str(),
@@ -118,7 +113,7 @@
         domain: settings.domain.clone(),
         forwarder: Forwarder::new(tuning),
         datagrams: Datagrams::new(Asker::new(sender.clone()), settings.callers, clock.now()),
-        peers: fleet,
+        peers,
         reading,
         sender,
         batch: Batch::new(),
@@ -179,62 +174,7 @@
     ready: Arc<AtomicBool>,
 }
 
-/// Metrics that are not served yet, or are.
-struct Metrics {
-    address: SocketAddrV4,
-    meters: Meters,
-    due: Millis,
-    server: Option<Operator>,
-}
-
 impl Instance {
-    /// Sets metrics up. They are served only [`METRICS_DELAY`] later.
-    fn show(&mut self, address: SocketAddrV4, sink: Option<Sink>) -> Result<(), RunError> {
-        let meters = Meters::new().context(MetricsSnafu)?;
-        meters::register(&meters, &self.published, &self.reading.calls(), sink, self.clock);
-        self.datagrams.measure_into(Times::new(meters.clone()));
-        let due = self.clock.now() + METRICS_DELAY;
-        self.metrics = Some(Metrics { address, meters, due, server: None });
-        Ok(())
-    }
-
-    /// Publishes what was counted, and begins to serve metrics when that is due.
-    fn publish(&mut self) {
-        let confirmed = self.confirmed();
-        let Some(metrics) = &mut self.metrics else { return };
-        let now = self.clock.now();
-        let fleet = self.peers.as_ref().map(|peers| &peers.fleet);
-        let config = self.forwarder.catalog().config();
-        self.published.set(Numbers {
-            counts: self.forwarder.counts(),
-            wire: self.socket.counts(),
-            flows: self.forwarder.len() as u64,
-            members: fleet.map_or(0, |fleet| fleet.len() as u64),
-            ready: self.ready.load(Relaxed),
-            reading: fleet.is_none_or(Fleet::is_reading),
-            confirmed,
-            revision: self.forwarder.revision(),
-            version: config.map_or(0, |config| config.version.0),
-            reach: self.forwarder.reach(),
-            full: self.forwarder.count_full(),
-            evacuated: self.forwarder.catalog().evacuated().count(),
-            omitted: config.map_or(0, |config| config.omitted),
-            clashes: self.forwarder.catalog().clashes(),
-            ..self.numbers
-        });
-        if metrics.server.is_none() && metrics.due <= now {
-            metrics.due = now + METRICS_DELAY;
-            let source = Arc::new(Shown::new(self.sender.clone()));
-            match Operator::start_marked(metrics.address, source, metrics.meters.clone()) {
-                Ok(server) => {
-                    log::info!(address:% = server.address(); "operators: served");
-                    metrics.server = Some(server);
-                }
-                Err(error) => log::warn!("metrics: not served: {}", Report::from_error(error)),
-            }
-        }
-    }
-
     /// Waits until there are routes and targets. Packets wait in the socket
     /// meanwhile: a caller whose packet is dropped repeats it only after 200 ms,
     /// and the first answer of the store takes some ten.
@@ -329,39 +269,6 @@
         self.datagrams.begin(Picture { revision: self.forwarder.revision(), age }, now);
     }
 
-    /// When the store or a reader confirmed the picture last.
-    fn confirmed(&self) -> Option<Millis> {
-        self.read.max(self.peers.as_ref().and_then(|peers| peers.fleet.confirmed()))
-    }
-
-    fn show_operator(&self, question: Question, now: Millis) {
-        let age = self.confirmed().map(|at| now.since(at));
-        let is_heard = match question {
-            Question::Status(reply) => reply.try_send(self.status(age, now)).is_ok(),
-            Question::Explain(flow, reply) => {
-                reply.try_send(self.forwarder.explain(&flow, age, now)).is_ok()
-            }
-        };
-        if !is_heard {
-            log::debug!("operator: whoever asked has gone");
-        }
-    }
-
-    fn status(&self, age: Option<Millis>, now: Millis) -> MarkedStatus {
-        let fleet = self.peers.as_ref().map(|peers| &peers.fleet);
-        MarkedStatus {
-            name: self.name.clone(),
-            domain: self.domain.clone(),
-            uptime: self.clock.uptime(),
-            ready: self.ready.load(Relaxed),
-            reading: fleet.is_none_or(Fleet::is_reading),
-            members: fleet.map_or(0, |fleet| fleet.len() as u64) + 1,
-            flows: self.forwarder.len() as u64,
-            picture: self.forwarder.picture(age),
-            services: self.forwarder.services(now),
-        }
-    }
-
     fn take_packets(&mut self) -> Result<(), RunError> {
         for _ in 0..ROUND {
             let count = self.receive()?;
--- a/marked/src/fleet/lack.rs
+++ b/marked/src/fleet/lack.rs
@@ -9,7 +9,7 @@
 const PULL_PAUSE: Millis = Millis(400);
 /// How long news may be on its way after a heartbeat that tells its revision. The heartbeat
 /// comes straight from the reader, the news by way of others.
-pub(super) const ON_ITS_WAY: Millis = Millis(250);
+pub(super) const NEWS_DELAY: Millis = Millis(250);
 
 /// News that this instance lacks.
 #[derive(Debug, Clone, Copy)]
--- a/marked/src/fleet/mod.rs
+++ b/marked/src/fleet/mod.rs
@@ -33,18 +33,17 @@
 use medlarspur_load::random::Random;
 use presence::Purpose;
 use readers::START_PAUSE;
-use seats::Told;
+use seats::ToldSeat;
 use std::{hash::Hasher, net::SocketAddrV4};
 
 /// How often an instance that does not read tells its readers that it is there.
 const HEARTBEAT_PAUSE: Millis = Millis::secs(4);
-/// How long after its last message an instance is taken for gone: two heartbeats of
-/// one that does not read, with room.
-const GONE: Millis = Millis::secs(10);
+/// How long after its last message an instance is taken for gone: two heartbeats, with room.
+const PEER_TIMEOUT: Millis = Millis::secs(10);
 /// How long after others told of it an instance that was never heard is
 /// forgotten. Listeners are heard by readers only; when those go, whoever takes
 /// over should know the domain.
-const INDIRECT: Millis = Millis::secs(60);
+const HEARSAY_TIMEOUT: Millis = Millis::secs(60);
 /// How long an instance without readers waits between two questions to seeds.
 const SEEK_PAUSE: Millis = Millis(1_000);
 /// How often a reader tells the seeds that it is one, so that they can tell
@@ -101,7 +100,7 @@
     sources: Vec<SocketAddrV4>,
     started: Millis,
     /// This instance's seat, as the first reader has told it last.
-    seat: Option<Told>,
+    seat: Option<ToldSeat>,
     random: Random,
     outgoing: Vec<Outgoing>,
 }
@@ -250,9 +249,9 @@
     fn forget(&mut self, now: Millis) {
         let listens = !self.is_reading();
         for peer in self.peers.values_mut() {
-            peer.indirect |= listens && now.since(peer.heard) >= GONE;
+            peer.indirect |= listens && now.since(peer.heard) >= PEER_TIMEOUT;
         }
-        let limit = |peer: &Peer| if peer.indirect { INDIRECT } else { GONE };
+        let limit = |peer: &Peer| if peer.indirect { HEARSAY_TIMEOUT } else { PEER_TIMEOUT };
         self.peers.retain(|_, peer| now.since(peer.heard) < limit(peer));
     }
 
--- a/marked/src/fleet/presence.rs
+++ b/marked/src/fleet/presence.rs
@@ -1,6 +1,6 @@
 //! Heartbeats: who is there, and who tells whom of it.
 
-use super::{Fleet, Peer, lack::ON_ITS_WAY, readers::READERS};
+use super::{Fleet, Peer, lack::NEWS_DELAY, readers::READERS};
 use crate::{
     Revision,
     message::{DomainId, Heartbeat, Message, Role},
@@ -8,13 +8,12 @@
 use medlarspur_lib::time::Millis;
 use std::net::SocketAddrV4;
 
-/// How many others a heartbeat tells of: at most three, for a reader of a hundred
-/// instances to stay within 8 KB a second.
-const TOLD: usize = 3;
-/// How many others whoever asks is told of.
-const TOLD_ASKED: usize = 12;
-/// How many others are remembered at most; ten times a large domain.
-pub(super) const MOST: usize = 1_000;
+/// How many others a heartbeat names; bounds what a reader sends to its domain.
+const CONTACTS: usize = 3;
+/// How many others the answer to a question names.
+const ANSWER_CONTACTS: usize = 12;
+/// How many others are remembered at most.
+pub(super) const MAX_PEERS: usize = 1_000;
 
 impl Fleet {
     pub(super) fn receive_heartbeat(
@@ -26,7 +25,7 @@
     ) {
         let fresh = heartbeat.fresh.map(|age| now.since(Millis(age.into())));
         let answer = Purpose::Answer(heartbeat.domain);
-        let is_full = self.peers.len() >= MOST && !self.peers.contains_key(&from);
+        let is_full = self.peers.len() >= MAX_PEERS && !self.peers.contains_key(&from);
         if is_full && !(heartbeat.domain == self.domain && self.forget_stranger()) {
             // Whoever starts must hear of others from any seed, also from one that can't
             // remember it.
@@ -63,7 +62,7 @@
         if starts {
             self.lack_all(from, &heartbeat.contacts, now);
         } else if heartbeat.domain == self.domain || is_cut {
-            self.lack(from, heartbeat.revision, now + ON_ITS_WAY);
+            self.lack(from, heartbeat.revision, now + NEWS_DELAY);
         }
     }
 
@@ -85,7 +84,7 @@
             }
             return;
         }
-        let is_full = self.peers.len() >= MOST;
+        let is_full = self.peers.len() >= MAX_PEERS;
         if contact == self.me || is_full {
             return;
         }
@@ -191,9 +190,9 @@
 impl Purpose {
     fn contacts(self) -> usize {
         match self {
-            Purpose::Tell => TOLD,
+            Purpose::Tell => CONTACTS,
             Purpose::Ask => 0,
-            Purpose::Answer(_) => TOLD_ASKED,
+            Purpose::Answer(_) => ANSWER_CONTACTS,
         }
     }
 }
--- a/marked/src/fleet/readers.rs
+++ b/marked/src/fleet/readers.rs
@@ -8,21 +8,20 @@
 /// How many instances of a failure domain read the store: one may fail, be cut
 /// off or be turned away, and the other still does.
 pub(super) const READERS: usize = 2;
-/// How old a reader's last answer from the store may be. A watch ends after
-/// 1.5 s; a slow store and a busy reader take some hundred milliseconds.
-pub(super) const FRESH: Millis = Millis(2_400);
+/// How old a reader's last answer from the store may be: longer than a watch takes, with a
+/// slow store and a busy reader.
+pub(super) const READER_TIMEOUT: Millis = Millis(2_400);
 /// How long an instance waits at most before it becomes the second reader.
 const SECOND_PAUSE: Millis = Millis(1_500);
-/// How long it waits at most before it becomes the only one: enough that of a
-/// hundred instances that lose their readers at once a few go first.
+/// How long it waits at most before it becomes the only one, so that of many that lose their
+/// readers at once a few go first.
 const FIRST_PAUSE: Millis = Millis(150);
 /// How long a reader reads at least. Roles that change with each lost datagram
 /// would cost more calls than they save.
-const LEAST_READING: Millis = Millis::secs(3);
-/// How long an instance that starts waits for others that have the picture before
-/// it reads the store: an answer of a seed takes some 5 ms. A picture of 5,600
-/// targets takes 2 MB and 80 ms of processor time from the store, and a tenth of
-/// both from another instance; and a crowd that starts reads the store at once.
+const MIN_READING: Millis = Millis::secs(3);
+/// How long an instance that starts waits for others that have the picture before it reads the
+/// store: longer than a seed takes to answer. The store serves a picture dearly, and a crowd
+/// that starts reads it at once.
 pub(super) const START_PAUSE: Millis = Millis(12);
 /// How long it waits for a picture that it has asked for before it reads the
 /// store after all.
@@ -31,7 +30,7 @@
 impl Peer {
     /// Whether it reads the store, which has answered it lately.
     pub(super) fn is_reading(&self, now: Millis) -> bool {
-        self.role == Role::Reader && self.fresh.is_some_and(|at| now.since(at) <= FRESH)
+        self.role == Role::Reader && self.fresh.is_some_and(|at| now.since(at) <= READER_TIMEOUT)
     }
 }
 
@@ -40,7 +39,7 @@
     /// instance that hears from no reader reads by itself, so that this doesn't last where the
     /// store can be reached.
     pub fn is_cut_off(&self, now: Millis) -> bool {
-        self.confirmed().is_none_or(|at| now.since(at) > FRESH)
+        self.confirmed().is_none_or(|at| now.since(at) > READER_TIMEOUT)
     }
 
     /// The other readers of the domain that have heard from the store lately.
@@ -52,7 +51,7 @@
     /// Decides whether to read.
     pub(super) fn decide(&mut self, catalog: &Catalog, now: Millis) {
         if let Some(since) = self.reading {
-            let is_long = now.since(since) >= LEAST_READING;
+            let is_long = now.since(since) >= MIN_READING;
             if is_long && self.is_spare(now) {
                 log::info!("readers: this instance stops reading, others do");
                 self.reading = None;
@@ -75,7 +74,7 @@
             log::info!("readers: this instance reads the store, {count} others do");
             self.due = None;
             // What was read for the start only may stop at once.
-            self.reading = Some(if is_known { now } else { now - LEAST_READING });
+            self.reading = Some(if is_known { now } else { now - MIN_READING });
             self.told = catalog.revision();
         }
     }
@@ -100,6 +99,6 @@
         }
         // The moment from which the first of its readers is too old.
         let fresh = self.readers(now).filter_map(|it| self.peers[&it].fresh).min();
-        fresh.map_or(now, |at| at + FRESH + Millis(1))
+        fresh.map_or(now, |at| at + READER_TIMEOUT + Millis(1))
     }
 }
--- a/marked/src/fleet/seats.rs
+++ b/marked/src/fleet/seats.rs
@@ -4,23 +4,21 @@
 //! The first reader of a domain, by its address, knows all its instances and tells each its
 //! [`Seat`] with its heartbeats, and with its news, which takes their place.
 
-use super::{Fleet, readers::FRESH};
+use super::{Fleet, readers::READER_TIMEOUT};
 use medlarspur_lib::time::Millis;
 use medlarspur_load::warmup::Seat;
 use std::net::SocketAddrV4;
 
 /// How long an instance must have run to give seats. One that has just started knows some of
-/// the others only; where all start at once, each would take itself for the owner of all
-/// slow targets.
-const SETTLED: Millis = Millis::secs(6);
+/// the others only, and would take itself for the owner of all slow targets.
+const MIN_UPTIME: Millis = Millis::secs(6);
 /// How long it must have read the store to give seats. When the readers of a domain die, many
-/// others begin to read in the same moment, each with a picture of its own of the rest; some
-/// heartbeats later all but two have stopped.
-const TENURE: Millis = Millis::secs(8);
+/// others begin to read, each knowing some of the rest, until all but two have stopped.
+const MIN_TENURE: Millis = Millis::secs(8);
 
 /// A seat as it was told.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Told {
+pub(super) struct ToldSeat {
     seat: Seat,
     /// By which reader.
     by: SocketAddrV4,
@@ -33,14 +31,15 @@
         if self.gives_seats(now) {
             return self.seat_of(self.me);
         }
-        let is_valid = |told: &Told| now.since(told.at) <= FRESH && self.is_first(told.by, now);
+        let is_valid =
+            |told: &ToldSeat| now.since(told.at) <= READER_TIMEOUT && self.is_first(told.by, now);
         self.seat.filter(is_valid).map(|told| told.seat)
     }
 
     /// Takes in a seat that another instance tells.
     pub(super) fn take_seat(&mut self, seat: Option<Seat>, by: SocketAddrV4, now: Millis) {
         if let Some(seat) = seat.filter(|_| self.is_first(by, now)) {
-            self.seat = Some(Told { seat, by, at: now });
+            self.seat = Some(ToldSeat { seat, by, at: now });
         }
     }
 
@@ -59,8 +58,8 @@
     }
 
     pub(super) fn gives_seats(&self, now: Millis) -> bool {
-        let is_settled = now.since(self.started) >= SETTLED;
-        let is_reader = self.reading.is_some_and(|since| now.since(since) >= TENURE);
+        let is_settled = now.since(self.started) >= MIN_UPTIME;
+        let is_reader = self.reading.is_some_and(|since| now.since(since) >= MIN_TENURE);
         let reads = is_reader && self.fresh.is_some();
         is_settled && reads && self.is_first(self.me, now)
     }
--- a/marked/src/fleet/spread.rs
+++ b/marked/src/fleet/spread.rs
@@ -1,6 +1,6 @@
 //! Passing news on through a failure domain, as a tree.
 
-use super::{Fleet, lack::ON_ITS_WAY, presence::MOST};
+use super::{Fleet, lack::NEWS_DELAY, presence::MAX_PEERS};
 use crate::{
     Catalog, Change, News, Revision, Scope,
     message::{MAX_DATAGRAM, Message, size},
@@ -81,7 +81,7 @@
         self.take_seat(seat, reader, now);
         // Passed on also if it is known here already: the others may not know it.
         others.retain(|it| *it != self.me);
-        others.truncate(MOST);
+        others.truncate(MAX_PEERS);
         let next = seat.map(|seat| Seat { position: seat.position + 1, ..seat });
         self.spread(reader, &news, others, next);
         if news.revision <= catalog.revision() {
@@ -92,7 +92,7 @@
             // told. The reader has it all. Without this question an instance stays
             // behind for as long as news keeps coming, because a reader that has news to
             // tell sends no heartbeats.
-            self.lack(reader, news.revision, now + ON_ITS_WAY);
+            self.lack(reader, news.revision, now + NEWS_DELAY);
         }
         // What came from another reader need not be told again by this one.
         if matches!(news.scope, Scope::Since(known) if known <= self.told) {
