marked: name targets that went in the pictures for those that start

What callers saw: feeds that hung until their request's time was over, 4 s, after instances and targets were lost together.

Cause: an instance that starts is told what is listed. A feed whose target went before that carries a mark that means nothing to it, and its packets are dropped, since a reset might hit the flow of a target too new to be known. Ruled out: an old picture (167 ms).

Now whole pictures name targets that went in the last 90 s, with how long ago. They get no new flows; the first packet of a flow there has the target asked, and the flow is reset if nothing answers.

--- a/marked/src/catalog.rs
+++ b/marked/src/catalog.rs
@@ -13,8 +13,8 @@
 //! A target that is removed stays known for [`KEPT`], since flows to it go on.
 
 use crate::{
-    Change, Config, Content, Entry, FlowKey, Incarnation, Mark, News, Presence, Revision, Route,
-    Scope, Service, Start, Target, delta::Delta, evacuation::Evacuations, mark::Index,
+    Change, Config, Content, Entry, FlowKey, Former, Incarnation, Mark, News, Presence, Revision,
+    Route, Scope, Service, Start, Target, delta::Delta, evacuation::Evacuations, mark::Index,
 };
 use medlarspur_lib::{
     collections::{Map, Set},
@@ -54,6 +54,8 @@
 pub struct Changed {
     /// Targets whose entries are others now.
     pub targets: Vec<Incarnation>,
+    /// Targets that were listed once, and are heard of for the first time.
+    pub formers: Vec<Incarnation>,
     /// Failure domains that operators have emptied, or have taken back.
     pub domains: Vec<DomainName>,
 }
@@ -171,6 +173,7 @@
     pub fn merge(&mut self, news: News, now: Millis) -> Changed {
         let mut changed = Vec::new();
         let mut domains = Vec::new();
+        let mut formers = Vec::new();
         let mut listed = Set::default();
         let mut evacuated = Set::default();
         let mut is_whole = true;
@@ -191,6 +194,9 @@
                     self.withdraw(&name, withdrawal, &mut changed);
                     listed.insert(name);
                 }
+                Content::Former(former) => {
+                    formers.extend(self.merge_former(change.revision, former, now));
+                }
                 Content::Evacuated(domain) => {
                     let is_new = self.evacuations.set(&domain, change.revision, None);
                     domains.extend(is_new.then(|| domain.clone()));
@@ -214,7 +220,7 @@
             self.revision = self.revision.max(news.revision);
         }
         self.forget(now);
-        Changed { targets: changed, domains }
+        Changed { targets: changed, formers, domains }
     }
 
     /// Whether there are changes before that news which are not known here.
@@ -233,7 +239,9 @@
         let withdrawn = self.names.iter().filter_map(|(name, it)| it.change(name));
         let others = targets.chain(withdrawn).chain(self.evacuations.changes());
         let others = others.filter(|change| is_told(change.revision));
-        let changes = config.into_iter().chain(others).collect();
+        let former = self.targets.values().filter(|_| is_old).filter_map(|it| it.former(now));
+        // Last, so that what is listed under their names is known before them.
+        let changes = config.into_iter().chain(others).chain(former).collect();
         let scope = if is_old { Scope::All } else { Scope::Since(known) };
         News { revision: self.revision, scope, changes }
     }
@@ -331,17 +339,51 @@
         listing.current = Some(incarnation);
         let cold = now + target.cold;
         let fresh = Entry { target, revision, presence: Presence::Listed, cold };
-        match self.targets.get_mut(&incarnation) {
-            Some(known) if known.revision >= revision => return,
-            Some(_) => {}
-            None => self.indexes.entry(Index::of(incarnation)).or_default().push(incarnation),
+        if self.targets.get(&incarnation).is_some_and(|known| known.revision >= revision) {
+            return;
+        }
+        self.insert(fresh);
+        changed.push(incarnation);
+    }
+
+    /// Takes in a target that is not listed any more; answers it if it is new here.
+    fn merge_former(
+        &mut self,
+        revision: Revision,
+        former: Former,
+        now: Millis,
+    ) -> Option<Incarnation> {
+        let Former { target, age } = former;
+        let incarnation = target.incarnation;
+        if age >= KEPT || self.targets.contains_key(&incarnation) {
+            return None;
+        }
+        let listing = self.names.entry(target.name.clone()).or_default();
+        let ended = Millis(now.0.saturating_sub(age.0));
+        let presence = match (listing.current, listing.withdrawn.map(|it| it.presence)) {
+            (Some(_), _) => Presence::Replaced(ended),
+            (None, Some(Presence::Unusable(_))) => Presence::Unusable(ended),
+            (None, _) => Presence::Removed(ended),
+        };
+        if listing.current.is_none() {
+            listing.start = listing.start.max(target.start);
+            listing.current = Some(incarnation);
+            listing.withdrawn.get_or_insert(Withdrawal::new(revision, presence));
         }
-        let service = self.services.entry(fresh.target.service.clone()).or_default();
+        self.insert(Entry { target, revision, presence, cold: now });
+        Some(incarnation)
+    }
+
+    fn insert(&mut self, entry: Entry) {
+        let incarnation = entry.target.incarnation;
+        if !self.targets.contains_key(&incarnation) {
+            self.indexes.entry(Index::of(incarnation)).or_default().push(incarnation);
+        }
+        let service = self.services.entry(entry.target.service.clone()).or_default();
         if !service.contains(&incarnation) {
             service.push(incarnation);
         }
-        self.targets.insert(incarnation, fresh);
-        changed.push(incarnation);
+        self.targets.insert(incarnation, entry);
     }
 
     /// Whether another target has the same number. Packets in mid-flow would go to
--- a/marked/src/entry.rs
+++ b/marked/src/entry.rs
@@ -1,6 +1,6 @@
 //! A target with what is known of its entry.
 
-use crate::{Change, Content, Revision, Target};
+use crate::{Change, Content, Former, Revision, Target};
 use medlarspur_lib::time::Millis;
 
 /// Whether the source lists a target.
@@ -58,4 +58,10 @@
         };
         Some(Change { revision: self.revision, content })
     }
+
+    /// The entry for whoever knows nothing yet, if it is not listed.
+    pub(crate) fn former(&self, now: Millis) -> Option<Change> {
+        let former = Former { target: self.target.clone(), age: now.since(self.presence.ended()?) };
+        Some(Change { revision: self.revision, content: Content::Former(former) })
+    }
 }
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -173,6 +173,10 @@
         if !changed.targets.is_empty() {
             self.forget_dealt();
         }
+        for incarnation in changed.formers {
+            let state = State { unasked: true, ..State::new(now) };
+            self.states.entry(incarnation).or_insert(state);
+        }
         for incarnation in changed.targets {
             self.states.entry(incarnation).or_insert_with(|| State::new(now));
             self.learn_entry(incarnation, now, out);
--- a/marked/src/news.rs
+++ b/marked/src/news.rs
@@ -105,6 +105,15 @@
     pub rate: u32,
 }
 
+/// A target as it was listed last.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Former {
+    /// The target.
+    pub target: Target,
+    /// For how long it has not been listed.
+    pub age: Millis,
+}
+
 /// What has changed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Content {
@@ -120,6 +129,9 @@
     /// The entry of that name is there and names no target that could be used:
     /// another writer changed it. Flows at the target that it named go on.
     Unusable(TargetName),
+    /// A target that is not listed any more, or has started again since. Flows at it go on, and
+    /// whoever starts must know its mark.
+    Former(Former),
     /// Operators want the targets of a failure domain to get no new flows.
     Evacuated(DomainName),
     /// They don't any more.
@@ -166,7 +178,7 @@
                 services && config.routes.iter().all(Route::is_sound)
             }
             Content::Delta(delta) => delta.is_sound(),
-            Content::Target(target) => target.is_sound(),
+            Content::Target(target) | Content::Former(Former { target, .. }) => target.is_sound(),
             Content::Removed(_) | Content::Unusable(_) => true,
             Content::Evacuated(_) | Content::Restored(_) => true,
         })
--- a/marked/tests/test_restarts.rs
+++ b/marked/tests/test_restarts.rs
@@ -1,7 +1,9 @@
 //! Targets that start again under the name that they had.
 
 use super::fixtures::{FEED, Instance, flow, middle, millis, name, one, segment, started, target};
-use medlarspur_marked::{Catalog, Content, EntryState, Finding, Incarnation, Kind, Note, Presence};
+use medlarspur_marked::{
+    Catalog, Content, EntryState, Finding, Incarnation, Kind, Note, Presence, Refusal, Revision,
+};
 
 const FIRST: u64 = 1_700_000_000_000;
 const SECOND: u64 = FIRST + 9_000;
@@ -215,3 +217,46 @@
     instance.learn(one(201, Content::Target(started(1, "desk", FIRST))), 2_000);
     assert_eq!(instance.open(flow(2, FEED), 2_100), incarnation(FIRST));
 }
+
+/// The picture of an instance that knew target 1 until its entry went, as it was `later`.
+fn picture_without_one(later: u64) -> medlarspur_marked::News {
+    let mut old = Instance::new(&[target(1, "desk"), target(2, "desk")]);
+    old.learn(one(200, Content::Removed(name(1))), 1_000);
+    old.forwarder.catalog().since(Revision(0), millis(1_000 + later))
+}
+
+/// Guards against feeds that hang until their callers' time is over: their target has died, and
+/// the instance that gets their packets has started since and knows no such mark.
+#[test]
+fn an_instance_that_starts_frees_the_flows_of_targets_that_went_before() {
+    let mut started = Instance::new(&[]);
+    let gone = target(1, "desk").incarnation;
+    let key = flow(1, FEED);
+
+    started.learn(picture_without_one(500), 0);
+    started.packet(middle(key, gone, 1001, 500, 100), 100);
+    assert_eq!((started.last(), &started.out.asked[..]), (gone, &[gone][..]));
+    started.forwarder.answer(gone, Finding::Gone, millis(110), &mut started.out);
+    started.packet(middle(key, gone, 1001, 500, 100), 300);
+
+    // At once, and again for what the caller still sends.
+    assert_eq!(started.out.resets, [(key, 500, Refusal::TargetLost); 2]);
+    assert_eq!(started.forwarder.counts().unknown, 0);
+}
+
+/// Guards against new flows to a target that is known for its old ones only, and against
+/// remembering it for as long as instances start.
+#[test]
+fn a_target_that_went_before_gets_no_new_flow_and_is_forgotten() {
+    let mut started = Instance::new(&[]);
+    let (gone, other) = (target(1, "desk").incarnation, target(2, "desk").incarnation);
+
+    started.learn(picture_without_one(80_000), 1_000_000);
+    for number in 0..10 {
+        assert_eq!(started.open(flow(number, FEED), 1_000_010), other);
+    }
+    assert!(started.forwarder.catalog().entry(gone).is_some());
+    started.learn(one(300, Content::Target(target(3, "desk"))), 1_010_500);
+
+    assert!(started.forwarder.catalog().entry(gone).is_none());
+}
