--- a/daemon/examples/bench/slopes.rs
+++ b/daemon/examples/bench/slopes.rs
@@ -1,4 +1,4 @@
-//! Costs of an instance's duties against one size each, for `docs/CAPACITY.md`.
+//! Costs of an instance's duties against one size each, for `docs/measures/roles.md`.
 //!
 //! Each call measures one point in a process of its own, because memory that an
 //! earlier point gave back would hide what the next one takes.
--- a/testutils/src/bin/capacity/main.rs
+++ b/testutils/src/bin/capacity/main.rs
@@ -1,6 +1,6 @@
 //! Works out what each role costs at the size of letter 1 from measured slopes.
 //!
-//! It reads `docs/measures/slopes.yaml`, prints the table of `docs/CAPACITY.md`
+//! It reads `docs/measures/slopes.yaml`, prints the table of `docs/measures/roles.md`
 //! and draws the slopes beside it, so that both can be made again after the
 //! slopes were measured again:
 //!
