marked: open nothing at a target that went before this instance started

What was seen: nothing yet; found by reading. An instance that starts is told targets that went in the last 90 s. One that went less than 3 s ago counted as an entry that has lapsed and answers, though nothing was heard of it, and got new flows where all listed targets are closed. Now it gets them once it has answered. The test opens a flow where only such a target is left: before, it goes there; after, nowhere.

A seat that was damaged on the way can't overflow any more, and a connection for a picture makes room for another one only after 20 ms of silence: before, those of a crowd pushed each other out.

--- a/daemon/src/marked/pictures.rs
+++ b/daemon/src/marked/pictures.rs
@@ -41,6 +41,8 @@
 /// How long a connection may stand still after that: half a megabyte over the narrowest link
 /// known, 10 Mbit/s, beside others.
 const STALL: Duration = Duration::from_millis(800);
+/// How long a connection may take to say what it knows before it makes room for another one.
+const GREETING: Duration = Duration::from_millis(20);
 /// The largest picture that is taken, in bytes: some 60 bytes for each of
 /// 5,600 targets and 3,400 routes, with much room.
 const MAX_PICTURE: u32 = 8 << 20;
@@ -155,8 +157,8 @@
         poll(&mut fds, limit).map(drop)
     }
 
-    /// Takes new connections. One that has not said yet what it knows makes room, so that
-    /// nobody who says nothing keeps others out; else one too many is ended.
+    /// Takes new connections. One that has not said for a while what it knows makes room, so
+    /// that nobody who says nothing keeps others out; else one too many is ended.
     fn accept(&mut self, now: Instant) {
         loop {
             let stream = match self.listener.accept() {
@@ -165,7 +167,9 @@
                 Err(error) => return log::debug!("pictures: a connection is not taken: {error}"),
             };
             if self.tellings.len() >= MAX_TOLD {
-                let silent = |it: &Telling| matches!(it.stage, Stage::Asked { .. });
+                let silent = |it: &Telling| {
+                    matches!(it.stage, Stage::Asked { .. }) && it.due <= now + (STALL - GREETING)
+                };
                 match self.tellings.iter().position(silent) {
                     Some(position) => drop(self.tellings.remove(position)),
                     None => continue,
--- a/load/src/dealing.rs
+++ b/load/src/dealing.rs
@@ -21,8 +21,8 @@
 
 /// The targets that an instance has, of all of its failure domain, which are given by their
 /// numbers in ascending order. When a target comes or goes, few others move; when an instance
-/// does, targets move to its neighbours. Where there are more instances than targets, several have the
-/// same one.
+/// does, targets move to its neighbours. Where there are more instances than targets, several
+/// have the same one.
 pub fn deal(seat: Seat, targets: &[u64]) -> Vec<u64> {
     let layers = if targets.len() / LAYERS >= seat.count as usize { LAYERS } else { 1 };
     let mut own = Vec::new();
--- a/marked/src/fleet/spread.rs
+++ b/marked/src/fleet/spread.rs
@@ -58,8 +58,8 @@
             let seat = first.map(|seat| {
                 // The reader has a seat among them, and is not in the list.
                 let is_behind = reader >= self.me && branch[0] > reader;
-                let position = seat.position + (nth * part) as u32 + u32::from(is_behind);
-                Seat { position, ..seat }
+                let before = (nth * part) as u32 + u32::from(is_behind);
+                Seat { position: seat.position.saturating_add(before), ..seat }
             });
             for news in &pieces {
                 let to = branch[1..].to_vec();
@@ -82,7 +82,7 @@
         // Passed on also if it is known here already: the others may not know it.
         others.retain(|it| *it != self.me);
         others.truncate(MAX_PEERS);
-        let next = seat.map(|seat| Seat { position: seat.position + 1, ..seat });
+        let next = seat.map(|seat| Seat { position: seat.position.saturating_add(1), ..seat });
         self.spread(reader, &news, others, next);
         if news.revision <= catalog.revision() {
             return None;
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -36,7 +36,7 @@
 pub use output::{Output, Refusal, Span, Unroutable};
 
 use crate::{
-    Catalog, Config, Flow, FlowKey, Incarnation, Kind, Mark, News, Note, Revision, Segment,
+    Catalog, Config, Flow, FlowKey, Health, Incarnation, Kind, Mark, News, Note, Revision, Segment,
     flow::Seen,
 };
 use dealt::Dealt;
@@ -174,7 +174,9 @@
             self.forget_dealt();
         }
         for incarnation in changed.formers {
-            let state = State { unasked: true, ..State::new(now) };
+            // Nothing was heard of it here, so it gets new flows only once it has answered.
+            let health = Health::new(Millis(0));
+            let state = State { unasked: true, health, ..State::new(now) };
             self.states.entry(incarnation).or_insert(state);
         }
         for incarnation in changed.targets {
--- a/marked/tests/test_restarts.rs
+++ b/marked/tests/test_restarts.rs
@@ -260,3 +260,20 @@
 
     assert!(started.forwarder.catalog().entry(gone).is_none());
 }
+
+/// Guards against new flows to a target of which nothing was heard here, because its entry went
+/// a moment before this instance started and all others are closed.
+#[test]
+fn a_target_that_went_just_before_gets_no_new_flow_either() {
+    let mut started = Instance::new(&[]);
+    let mut picture = picture_without_one(500);
+    let other = target(2, "desk").incarnation;
+    picture
+        .changes
+        .retain(|it| !matches!(&it.content, Content::Target(it) if it.incarnation == other));
+
+    started.learn(picture, 1_000_000);
+    started.packet(segment(flow(1, FEED), Kind::Open), 1_000_010);
+
+    assert!(started.out.sent.is_empty());
+}
