daemon: test that callers of a route of any type are served

Guards against refusing them for a type that this version doesn't know. A site of stand-ins publishes its routes as downloads and as a type that nobody knows; feeds and uploads are answered.

--- a/daemon/tests/test_marked_store.rs
+++ b/daemon/tests/test_marked_store.rs
@@ -3,7 +3,12 @@
 use crate::marked::{
     PATIENCE, come, end, lines_with, site, unanswered, wait_for_answers, wait_until,
 };
-use medlarspur_standin::store::{Fault, Store};
+use medlarspur_lib::bundle::Class;
+use medlarspur_standin::{
+    caller::Outcome,
+    site::{DESK, INGEST, service},
+    store::{Fault, Store},
+};
 use nix::sys::signal::Signal;
 
 /// The store is away for a while. What was known goes on to be served.
@@ -26,6 +31,31 @@
     assert_eq!(unanswered(&end(&site)), 0);
 }
 
+/// Guards against refusing the callers of a route whose type this version doesn't know.
+#[test]
+fn callers_of_a_route_of_any_type_are_served() {
+    for kind in ["download", "a type to come"] {
+        let mut site = site(8, 2);
+        let routes = [
+            (service(Class::Feed), kind, DESK.to_owned()),
+            (service(Class::Request), "non_idempotent", DESK.to_owned()),
+            (service(Class::Upload), kind, INGEST.to_owned()),
+        ];
+        site.store.put_config(1_000, &routes);
+        wait_until("it is in force", || {
+            lines_with(&site, &["config in force version=1000"]).len() == 2
+        });
+
+        come(&mut site);
+        wait_for_answers(&site, 60);
+
+        let tally = end(&site);
+        let answered = |class| tally.count(class, Outcome::Answered);
+        assert!(answered(Class::Feed) > 0 && answered(Class::Upload) > 0, "{kind}");
+        assert_eq!(unanswered(&tally), 0, "{kind}");
+    }
+}
+
 /// An instance starts while the store is away. Others still know all.
 #[test]
 fn an_instance_that_starts_without_the_store_learns_from_others() {
