tests: say in one line which failure each guards against

Comments only, no assertion is touched. Two comments of the fleet's tests had come to stand before other tests; they are back at theirs. The module of questions to targets says what it does and no longer what was before it.

--- a/daemon/src/marked/asker.rs
+++ b/daemon/src/marked/asker.rs
@@ -1,9 +1,8 @@
 //! Asks targets whether they answer, all of them on one thread.
 //!
 //! When a failure domain is cut off or goes dark, many of its targets are in doubt in the same
-//! moment, and each question waits for its whole time. With a thread a question, their number
-//! grew with the targets that are silent, times the instances of a machine. Here a fixed number
-//! of questions is under way, the others wait in the order in which they came, each target once.
+//! moment, and each question waits for its whole time. A fixed number of questions is under way,
+//! the others wait in the order in which they came, each target once.
 
 use super::inbox::{self, Delivery, Event, Inbox, Sender};
 use medlarspur_lib::{collections::Set, ids::TargetName};
--- a/daemon/tests/test_marked_asker.rs
+++ b/daemon/tests/test_marked_asker.rs
@@ -74,8 +74,7 @@
     names.filter(|name| name.trim() == "ask").count()
 }
 
-/// Guards against a thread for each question: a failure domain goes dark, every instance of a
-/// large fleet has hundreds of its targets in doubt, and the machine runs out of threads.
+/// Guards against a thread for each of the targets that a dark failure domain puts in doubt.
 #[test]
 fn threads_and_connections_do_not_grow_with_the_targets_that_are_silent() {
     let (address, kept) = silent();
--- a/load/tests/test_dealing.rs
+++ b/load/tests/test_dealing.rs
@@ -32,8 +32,7 @@
         prop_assert!(most - least <= 4, "{least} to {most}");
     }
 
-    /// Guards against a target that most instances take first, where there are fewer targets than
-    /// instances.
+    /// Guards against one target that most instances take first, where targets are few.
     #[test]
     fn as_many_instances_have_one_target_as_another(count in 1..120u32, number in 1..400u64) {
         let targets = targets(number);
@@ -73,7 +72,7 @@
         prop_assert!(2 * stay >= old.len(), "{stay} of {} stay", old.len());
     }
 
-    /// A seat that was damaged on the way must not end a thread.
+    /// Guards against a damaged seat that ends a thread.
     #[test]
     fn any_seat_has_some_of_the_targets(position: u32, count: u32, number in 1..500u64) {
         let dealt = deal(Seat { position, count }, &targets(number));
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -51,8 +51,6 @@
     assert_eq!(net.behind(), []);
 }
 
-/// Two datagrams of a hundred get lost between instances. News must not be
-/// lost with them.
 /// Operators empty a failure domain and want nothing new there soon after.
 #[test]
 fn an_evacuation_is_in_force_everywhere_soon() {
@@ -110,6 +108,8 @@
     assert!(longest <= 400, "{longest} ms");
 }
 
+/// Two datagrams of a hundred get lost between instances. News must not be
+/// lost with them.
 #[test]
 fn lost_datagrams_delay_news_but_do_not_lose_it() {
     let mut net = settled(4, 17);
@@ -166,8 +166,6 @@
     assert_eq!(it.fleet.pull(known, later), Some(reader));
 }
 
-/// Both readers of a domain are killed. The others hear nothing any more and
-/// must not go on with an old picture.
 /// Instances that only listen hear each other at the start and not again: they tell their
 /// readers that they are there. An instance that forgot the others took its part of the targets
 /// for far larger than it is.
@@ -198,6 +196,8 @@
     assert_eq!(net.readers(2).len(), 2);
 }
 
+/// Both readers of a domain are killed. The others hear nothing any more and
+/// must not go on with an old picture.
 #[test]
 fn others_read_when_the_readers_are_gone() {
     let mut net = settled(3, 8);
@@ -369,9 +369,7 @@
     assert!(it.fleet.deadline(now) > now);
 }
 
-/// Guards against a few instances telling everybody, and against waiting for them: most lose their
-/// power together while the store is silent. How long it takes until all know all, and what one
-/// instance tells, must not grow with the fleet.
+/// Guards against a few instances that tell all who return together while the store is silent.
 #[test]
 fn pictures_are_told_by_all_who_have_them() {
     let returned = |count: u8| {
@@ -400,8 +398,7 @@
     assert!(large.0 <= 2 * small.0 && large.1 <= 2 * small.1, "{small:?}, then {large:?}");
 }
 
-/// Guards against news that no longer fits into a datagram: the addresses to pass it on to take
-/// the more of it the larger the domain is.
+/// Guards against news that a large domain's addresses leave no room for in a datagram.
 #[test]
 fn news_fits_into_datagrams_whatever_the_size_of_the_domain() {
     for count in [100, 250] {
--- a/marked/tests/test_restarts.rs
+++ b/marked/tests/test_restarts.rs
@@ -225,8 +225,7 @@
     old.forwarder.catalog().since(Revision(0), millis(1_000 + later))
 }
 
-/// Guards against feeds that hang until their callers' time is over: their target has died, and
-/// the instance that gets their packets has started since and knows no such mark.
+/// Guards against feeds that hang since an instance that started later doesn't know their mark.
 #[test]
 fn an_instance_that_starts_frees_the_flows_of_targets_that_went_before() {
     let mut started = Instance::new(&[]);
@@ -244,8 +243,7 @@
     assert_eq!(started.forwarder.counts().unknown, 0);
 }
 
-/// Guards against new flows to a target that is known for its old ones only, and against
-/// remembering it for as long as instances start.
+/// Guards against new flows to a target that is known for its old ones, and for how long.
 #[test]
 fn a_target_that_went_before_gets_no_new_flow_and_is_forgotten() {
     let mut started = Instance::new(&[]);
@@ -261,8 +259,7 @@
     assert!(started.forwarder.catalog().entry(gone).is_none());
 }
 
-/// Guards against new flows to a target of which nothing was heard here, because its entry went
-/// a moment before this instance started and all others are closed.
+/// Guards against new flows to a target that nobody has heard since it went.
 #[test]
 fn a_target_that_went_just_before_gets_no_new_flow_either() {
     let mut started = Instance::new(&[]);
--- a/marked/tests/test_scale.rs
+++ b/marked/tests/test_scale.rs
@@ -17,8 +17,7 @@
     news(300_000, Scope::Since(Revision(100)), changes)
 }
 
-/// Guards against instances times targets questions when the entries of a failure domain go in
-/// one moment.
+/// Guards against instances times targets questions when a domain's entries go in one moment.
 #[test]
 fn questions_about_entries_that_went_do_not_grow_with_the_targets() {
     let asked = |count: u64| {
@@ -37,7 +36,7 @@
     assert_eq!(asked(1_000), asked(100));
 }
 
-/// The same of all instances together: each target is asked by one.
+/// Guards against the same, of all instances together.
 #[test]
 fn each_target_whose_entry_went_is_asked_by_one_instance() {
     for (count, instances) in [(80, 10), (400, 50)] {
@@ -59,8 +58,7 @@
     }
 }
 
-/// Guards against a flow that hangs at a target that died: nobody here had a flow there when its
-/// entry went, and one comes by way of another instance.
+/// Guards against a flow from another instance that hangs at a target that nobody here has asked.
 #[test]
 fn a_target_whose_entry_went_is_asked_once_a_flow_comes() {
     let targets = targets(100);
@@ -96,8 +94,8 @@
     assert_eq!((looked_at(80, 10), looked_at(1_600, 200)), (8, 8));
 }
 
-/// How many times the mean the busiest target has, where `count` instances open eight feeds for
-/// each of their targets' slots.
+/// How many times the mean the busiest target has, where `count` instances open seven feeds each
+/// before eight targets each.
 fn imbalance(count: u32, is_seated: bool) -> f64 {
     let targets = targets(u64::from(count) * 8);
     let mut feeds: BTreeMap<Incarnation, u32> = BTreeMap::new();
@@ -117,8 +115,7 @@
     f64::from(most) / (f64::from(opened) / targets.len() as f64)
 }
 
-/// Guards against feeds that pile up at some of many targets, since no instance sees where the
-/// others' are.
+/// Guards against feeds that pile up at some of many targets.
 #[test]
 fn feeds_spread_evenly_over_targets_that_are_dealt() {
     let (small, large) = (imbalance(8, true), imbalance(60, true));
@@ -127,7 +124,7 @@
     assert!(imbalance(60, false) > 3.0, "what is guarded against shows without it");
 }
 
-/// Guards against idle targets while callers wait: an instance whose part has work takes others.
+/// Guards against callers who wait at an instance's part while other targets idle.
 #[test]
 fn an_instance_goes_beyond_its_part_before_anybody_waits() {
     let mut instance = Instance::new(&targets(8));
