fabric: open and await connections without blocking in one place

Questions to targets and pictures each opened their own connections and reckoned the wait from the earliest deadline, three times over. fabric::stream has it once.

--- a/daemon/src/marked/asker.rs
+++ b/daemon/src/marked/asker.rs
@@ -5,13 +5,11 @@
 //! the others wait in the order in which they came, each target once.
 
 use super::inbox::{self, Delivery, Event, Inbox, Sender};
+use medlarspur_fabric::stream::poll_until;
 use medlarspur_lib::{collections::Set, ids::TargetName};
 use medlarspur_marked::{Finding, Incarnation, Target};
 use medlarspur_platform::site::health::Question;
-use nix::{
-    errno::Errno,
-    poll::{PollFd, PollFlags, PollTimeout, poll},
-};
+use nix::poll::{PollFd, PollFlags};
 use std::{collections::VecDeque, io, net::SocketAddrV4, thread, time::Instant};
 
 /// How many targets are asked at once. Each holds up to two of the process's files.
@@ -120,22 +118,13 @@
 
     /// Waits for an order, an answer, or until a question is due; tells which questions have
     /// a socket that is ready.
-    fn wait(&self) -> nix::Result<Vec<bool>> {
+    fn wait(&self) -> io::Result<Vec<bool>> {
         let due = self.questions.iter().map(|(_, question)| question.due()).min();
-        let limit = due.map(|due| due.saturating_duration_since(Instant::now()));
-        let limit = limit.map_or(PollTimeout::NONE, |limit| {
-            // Rounded up, so that it is due when the wait is over.
-            let millis = limit.as_micros().div_ceil(1_000);
-            PollTimeout::try_from(millis).unwrap_or(PollTimeout::MAX)
-        });
         let sockets = self.questions.iter().enumerate();
         let sockets = sockets.flat_map(|(at, (_, it))| it.sockets().map(move |fd| (at, fd)));
         let (positions, mut fds): (Vec<usize>, Vec<PollFd<'_>>) = sockets.unzip();
         fds.push(PollFd::new(self.inbox.waker(), PollFlags::POLLIN));
-        match poll(&mut fds, limit) {
-            Ok(_) | Err(Errno::EINTR) => {}
-            Err(error) => return Err(error),
-        }
+        poll_until(&mut fds, due)?;
         let mut ready = vec![false; self.questions.len()];
         for (position, fd) in positions.into_iter().zip(&fds) {
             ready[position] |= fd.any() == Some(true);
--- a/daemon/src/marked/pictures.rs
+++ b/daemon/src/marked/pictures.rs
@@ -11,20 +11,17 @@
 //! the news. Numbers are big-endian.
 
 use super::inbox::{self, Delivery, Event, Inbox, Sender};
+use medlarspur_fabric::stream::{connect, is_decided, poll_until};
 use medlarspur_marked::{
     News, Revision,
     message::{self, MessageError},
 };
-use nix::{
-    errno::Errno,
-    poll::{PollFd, PollFlags, PollTimeout, poll},
-    sys::socket::{AddressFamily, SockFlag, SockType, SockaddrIn, socket},
-};
+use nix::poll::{PollFd, PollFlags};
 use snafu::{ResultExt, Snafu, ensure};
 use std::{
     io::{self, ErrorKind, Read, Write},
     net::{SocketAddrV4, TcpListener, TcpStream},
-    os::fd::{AsFd, AsRawFd},
+    os::fd::AsFd,
     sync::Arc,
     thread,
     time::{Duration, Instant},
@@ -125,9 +122,8 @@
 impl Exchange {
     fn run(mut self) {
         loop {
-            match self.wait() {
-                Ok(()) | Err(Errno::EINTR) => {}
-                Err(error) => return log::error!("pictures: none is told any more: {error}"),
+            if let Err(error) = self.wait() {
+                return log::error!("pictures: none is told any more: {error}");
             }
             let now = Instant::now();
             for order in self.inbox.drain().collect::<Vec<_>>() {
@@ -143,18 +139,14 @@
         }
     }
 
-    fn wait(&self) -> nix::Result<()> {
+    fn wait(&self) -> io::Result<()> {
         let dues = self.tellings.iter().map(|it| it.due).chain(self.pulls.iter().map(|it| it.due));
-        let limit = dues.min().map(|due| due.saturating_duration_since(Instant::now()));
-        let limit = limit.map_or(PollTimeout::NONE, |limit| {
-            PollTimeout::try_from(limit.as_millis() + 1).unwrap_or(PollTimeout::MAX)
-        });
         let own = [self.inbox.waker(), self.listener.as_fd()];
         let own = own.map(|fd| PollFd::new(fd, PollFlags::POLLIN));
         let tellings = self.tellings.iter().map(|it| PollFd::new(it.stream.as_fd(), it.awaits()));
         let pulls = self.pulls.iter().map(|it| PollFd::new(it.stream.as_fd(), it.awaits()));
         let mut fds: Vec<PollFd<'_>> = own.into_iter().chain(tellings).chain(pulls).collect();
-        poll(&mut fds, limit).map(drop)
+        poll_until(&mut fds, dues.min())
     }
 
     /// Takes new connections. One that has not said for a while what it knows makes room, so
@@ -348,14 +340,8 @@
 
 impl Pull {
     fn begin(from: SocketAddrV4, known: Revision, now: Instant) -> io::Result<Pull> {
-        let flags = SockFlag::SOCK_NONBLOCK | SockFlag::SOCK_CLOEXEC;
-        let socket = socket(AddressFamily::Inet, SockType::Stream, flags, None)?;
-        match nix::sys::socket::connect(socket.as_raw_fd(), &SockaddrIn::from(from)) {
-            Ok(()) | Err(Errno::EINPROGRESS) => {}
-            Err(error) => return Err(error.into()),
-        }
         let known = Some(known.0.to_be_bytes());
-        let stream = TcpStream::from(socket);
+        let stream = connect(from)?;
         let answer = Answer::Size { bytes: [0; 4], filled: 0 };
         Ok(Pull { from, stream, known, answer, due: now + CONNECT })
     }
@@ -409,12 +395,6 @@
     }
 }
 
-/// Whether a connection is established or refused by now.
-fn is_decided(stream: &TcpStream) -> bool {
-    let mut fds = [PollFd::new(stream.as_fd(), PollFlags::POLLOUT)];
-    poll(&mut fds, PollTimeout::ZERO).is_ok_and(|count| count > 0)
-}
-
 /// How many bytes were moved; none if that would have blocked.
 fn step(result: io::Result<usize>) -> Result<usize, PictureError> {
     match result {
--- a/fabric/src/lib.rs
+++ b/fabric/src/lib.rs
@@ -13,6 +13,7 @@
 mod outbox;
 mod ready;
 mod socket;
+pub mod stream;
 mod wire;
 
 pub use batch::{BATCH, Batch, MAX_DATAGRAM, Received};
--- /dev/null
+++ b/fabric/src/stream.rs
@@ -0,0 +1,52 @@
+//! Connections that are opened and waited for without blocking.
+
+use nix::{
+    errno::Errno,
+    poll::{PollFd, PollFlags, PollTimeout, poll},
+    sys::socket::{AddressFamily, SockFlag, SockType, SockaddrIn, socket},
+};
+use std::{
+    io,
+    net::{SocketAddrV4, TcpStream},
+    os::fd::{AsFd, AsRawFd},
+    time::Instant,
+};
+
+/// Begins to open a connection; [`is_decided`] tells when it is open or refused.
+///
+/// # Errors
+///
+/// Fails if the system gives no socket or refuses at once.
+pub fn connect(address: SocketAddrV4) -> io::Result<TcpStream> {
+    let flags = SockFlag::SOCK_NONBLOCK | SockFlag::SOCK_CLOEXEC;
+    let socket = socket(AddressFamily::Inet, SockType::Stream, flags, None)?;
+    match nix::sys::socket::connect(socket.as_raw_fd(), &SockaddrIn::from(address)) {
+        Ok(()) | Err(Errno::EINPROGRESS) => Ok(TcpStream::from(socket)),
+        Err(error) => Err(error.into()),
+    }
+}
+
+/// Whether a connection is established or refused by now; its
+/// [error](TcpStream::take_error) tells which.
+pub fn is_decided(stream: &TcpStream) -> bool {
+    let mut fds = [PollFd::new(stream.as_fd(), PollFlags::POLLOUT)];
+    poll(&mut fds, PollTimeout::ZERO).is_ok_and(|count| count > 0)
+}
+
+/// Waits for any of the descriptors until `due`, or without a limit; an interruption ends
+/// the wait early.
+///
+/// # Errors
+///
+/// Fails if the system refuses to wait for them.
+pub fn poll_until(fds: &mut [PollFd<'_>], due: Option<Instant>) -> io::Result<()> {
+    let limit = due.map(|due| due.saturating_duration_since(Instant::now()));
+    let limit = limit.map_or(PollTimeout::NONE, |limit| {
+        // Rounded up, so that it is due when the wait is over.
+        PollTimeout::try_from(limit.as_micros().div_ceil(1_000)).unwrap_or(PollTimeout::MAX)
+    });
+    match poll(fds, limit) {
+        Ok(_) | Err(Errno::EINTR) => Ok(()),
+        Err(error) => Err(error.into()),
+    }
+}
