--- a/marked/src/forwarder/closed.rs
+++ b/marked/src/forwarder/closed.rs
@@ -84,11 +84,14 @@
 
     /// Whether this instance owns a slow target and may open a flow there now.
     fn may_warm(&self, entry: &Entry, warmup: Warmup, now: Millis) -> bool {
-        let target = entry.target.incarnation;
-        let is_own = entry.target.domain == self.tuning.domain
-            && self.seat.is_some_and(|seat| seat.owns(target.0));
-        let last = self.states.get(&target).and_then(|state| state.warmed);
-        is_own && last.is_none_or(|at| now.since(at) >= warmup::pause(warmup.rate))
+        let last = self.states.get(&entry.target.incarnation).and_then(|state| state.warmed);
+        self.owns(entry) && last.is_none_or(|at| now.since(at) >= warmup::pause(warmup.rate))
+    }
+
+    /// Whether this instance's seat owns a target of its failure domain.
+    pub(super) fn owns(&self, entry: &Entry) -> bool {
+        let is_near = entry.target.domain == self.tuning.domain;
+        is_near && self.seat.is_some_and(|seat| seat.owns(entry.target.incarnation.0))
     }
 
     /// Notes that a flow is opened at a target, which counts if that is slow.
--- a/marked/src/forwarder/reach.rs
+++ b/marked/src/forwarder/reach.rs
@@ -70,7 +70,7 @@
     /// for new flows; without a seat each asks a few.
     fn learn_removed(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
         let is_asker = match self.seat {
-            Some(seat) => self.is_near(target) && seat.owns(target.0),
+            Some(_) => self.catalog.entry(target).is_some_and(|entry| self.owns(entry)),
             None => self.lapses.take(now),
         };
         let Some(state) = self.states.get_mut(&target) else { return };
@@ -80,11 +80,6 @@
         }
     }
 
-    fn is_near(&self, target: Incarnation) -> bool {
-        let entry = self.catalog.entry(target);
-        entry.is_some_and(|entry| entry.target.domain == self.tuning.domain)
-    }
-
     /// A flow that others opened goes to a target. Asks that if its entry went and nobody here
     /// has asked it since.
     pub(super) fn ask_unasked(&mut self, target: Incarnation, now: Millis, out: &mut impl Output) {
