--- a/daemon/tests/test_marked_store.rs
+++ b/daemon/tests/test_marked_store.rs
@@ -6,7 +6,7 @@
 use medlarspur_lib::bundle::Class;
 use medlarspur_standin::{
     caller::Outcome,
-    site::{DESK, INGEST, service},
+    site::{DESK, DOMAINS, INGEST, Site, service},
     store::{Fault, Store},
 };
 use nix::sys::signal::Signal;
@@ -84,6 +84,50 @@
     assert_eq!(unanswered(&end(&site)), 0);
 }
 
+/// Waits until two instances of each failure domain read the store and the others don't.
+fn settle(site: &Site) {
+    wait_until("two of each domain read", || {
+        let begun = lines_with(site, &["this instance reads the store"]).len();
+        begun - lines_with(site, &["this instance stops reading"]).len() == 2 * DOMAINS.len()
+    });
+}
+
+/// Takes the store back to a copy that lacks two configs, which were in force everywhere.
+fn lose_two_configs(site: &mut Site) {
+    site.store.copy();
+    site.publish();
+    site.publish();
+    let revision = format!("revision={}", site.store.revision());
+    wait_until("they are in force", || {
+        lines_with(site, &["config in force", &revision]).len() == site.instances.len()
+    });
+    site.store.restore();
+}
+
+/// Guards against dropping a config whose revision was given out before.
+#[test]
+fn a_config_is_in_force_after_the_store_came_back_from_a_copy() {
+    let mut site = site(8, 2);
+    lose_two_configs(&mut site);
+
+    site.publish();
+
+    let version = format!("config in force version={} ", site.version());
+    wait_until("it is in force", || lines_with(&site, &[&version]).len() == 2);
+}
+
+/// Guards against not telling others of an entry whose revision was given out before.
+#[test]
+fn listeners_hear_that_a_target_leaves_after_the_store_came_back_from_a_copy() {
+    let mut site = site(8, 6);
+    settle(&site);
+    lose_two_configs(&mut site);
+
+    site.drain(0);
+
+    wait_until("all know it", || lines_with(&site, &["target entry", "state=leaving"]).len() == 6);
+}
+
 /// Operators move the store, rewrite the settings and tell the instance. A
 /// restart would not be needed.
 #[test]
