marked: order news by era and revision

What callers saw: after the store had come back from a copy, a route that a config had dropped was served 3 s and more after it was acknowledged, and a target that had said it leaves got new flows for as long.

Cause: a revision was a plain number, and the larger one won everywhere. A store that comes back from a copy gives numbers out again. Until its count had passed what an instance knew, configs were dropped (merge_config), entries merged on readers only by chance (their last revision was small) and were told to nobody (pass_on), news and questions for it were answered with nothing (receive_news, since).

Ruled out: history that was dropped (the changes were read, and their numbers would be larger), news lost within a domain (no reader has the config in force either).

Why this works: a revision is now an era and a count, in this order, and the era comes from the store with all its answers. A follower that hears of another era reads all. What that reading says against what is known may be of the copy and waits for 3 s, by when operators and targets have written again; a config never goes back, since the larger version wins; a target that leaves stays so. Listeners are told the difference. docs/design/eras.md has the options.

Messages between instances change their version, so that instances of two versions ignore each other while they are replaced, and read the store themselves.

--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -77,6 +77,7 @@
     let evacuated = EvacuatedDomain { domain: DomainName::new("mladost"), revision: 40 };
     Picture {
         version: version.map(Version),
+        era: 0,
         revision: 41,
         age: Some(Millis(350)),
         evacuated: vec![evacuated],
--- a/daemon/examples/bench/lines.rs
+++ b/daemon/examples/bench/lines.rs
@@ -73,5 +73,5 @@
 }
 
 fn picture() -> Picture {
-    Picture { revision: Revision(577), age: Some(Millis(64)) }
+    Picture { revision: Revision::new(0, 577), age: Some(Millis(64)) }
 }
--- a/daemon/src/marked/instance/mod.rs
+++ b/daemon/src/marked/instance/mod.rs
@@ -135,7 +135,7 @@
     }
     instance.learn_first()?;
     log::info!(
-        revision = instance.forwarder.revision().0, after_ms = instance.clock.uptime().0;
+        revision:% = instance.forwarder.revision(), after_ms = instance.clock.uptime().0;
         "ready"
     );
     instance.serve()?;
@@ -375,7 +375,7 @@
         let known = self.forwarder.revision();
         fleet.tick(self.forwarder.catalog(), now);
         if let Some(from) = fleet.pull(known, now) {
-            pictures.pull(from, known);
+            pictures.pull(from, self.forwarder.catalog().basis());
         }
         match fleet.is_reading() {
             true => self.reading.go_on(known),
--- a/daemon/src/marked/lines.rs
+++ b/daemon/src/marked/lines.rs
@@ -49,7 +49,7 @@
             self.names.get(&target).map_or_else(|| target.to_string(), TargetName::to_string)
         };
         let mut fields = note.fields(name);
-        fields.push(("known", picture.revision.0.to_string()));
+        fields.push(("known", picture.revision.to_string()));
         fields.extend(picture.age.map(|age| ("age_ms", age.to_string())));
         log(note.event(), &fields);
     }
--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -74,7 +74,7 @@
 /// One series and where its value is found.
 type Series = (Family, &'static str, fn(&Numbers) -> u64);
 
-const SERIES: [Series; 32] = [
+const SERIES: [Series; 33] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -102,6 +102,7 @@
     (Family::Drops, "send-unreachable", |it| it.wire.unreachable),
     (Family::Drops, "send-mtu", |it| it.wire.mtu),
     (Family::Drops, "send-failed", |it| it.wire.failed),
+    (Family::Platform, "restored", |it| it.counts.restores),
     (Family::Probes, "asked", |it| it.counts.asked),
     (Family::Probes, "answers", |it| it.counts.found[Finding::Answers as usize]),
     (Family::Probes, "declines", |it| it.counts.found[Finding::Declines as usize]),
@@ -112,13 +113,14 @@
 /// One gauge and where its value is found.
 type Level = (Gauge, fn(&Numbers) -> u64);
 
-const LEVELS: [Level; 11] = [
+const LEVELS: [Level; 12] = [
     (Gauge::Ready, |it| u64::from(it.ready)),
     (Gauge::FlowsHeld, |it| it.flows),
     (Gauge::MembersLive, |it| it.members + 1),
     (Gauge::BundleVersion, |it| it.version),
     (Gauge::Reading, |it| u64::from(it.reading)),
-    (Gauge::PictureRevision, |it| it.revision.0),
+    (Gauge::PictureRevision, |it| it.revision.count),
+    (Gauge::PictureEra, |it| it.revision.era.into()),
     (Gauge::TargetsLive, |it| it.reach.0 as u64),
     (Gauge::TargetsLost, |it| it.reach.1 as u64),
     (Gauge::TargetsFull, |it| it.full as u64),
--- a/daemon/src/marked/pictures.rs
+++ b/daemon/src/marked/pictures.rs
@@ -7,8 +7,8 @@
 //! ([`Fleet::pull_failed`](medlarspur_marked::Fleet::pull_failed)). All who wait for the same
 //! picture share one copy of it.
 //!
-//! Whoever asks sends the revision that it knows, 8 bytes; the answer is its size, 4 bytes, and
-//! the news. Numbers are big-endian.
+//! Whoever asks sends the revision that it knows, 4 bytes of its era and 8 of its count; the
+//! answer is its size, 4 bytes, and the news. Numbers are big-endian.
 
 use super::inbox::{self, Delivery, Event, Inbox, Sender};
 use medlarspur_fabric::stream::{connect, is_decided, poll_until};
@@ -46,6 +46,9 @@
 /// Pictures are not on the stack.
 const STACK: usize = 64 << 10;
 
+/// How many bytes say what is known.
+const KNOWN: usize = 12;
+
 /// Why a picture was not passed on.
 #[derive(Debug, Snafu)]
 enum PictureError {
@@ -171,7 +174,7 @@
                 log::debug!("pictures: a connection is not taken: {error}");
                 continue;
             }
-            let stage = Stage::Asked { known: [0; 8], filled: 0 };
+            let stage = Stage::Asked { known: [0; KNOWN], filled: 0 };
             self.tellings.push(Telling { stream, stage, due: now + STALL });
         }
     }
@@ -267,7 +270,7 @@
 /// How far it has come.
 enum Stage {
     /// The other one says what it knows.
-    Asked { known: [u8; 8], filled: usize },
+    Asked { known: [u8; KNOWN], filled: usize },
     /// The main thread is asked for the picture.
     Waits { known: Revision },
     /// It is told.
@@ -290,7 +293,7 @@
                 let count = step(self.stream.read(&mut known[*filled..]))?;
                 *filled += count;
                 if *filled == known.len() {
-                    let known = Revision(u64::from_be_bytes(*known));
+                    let known = decode_known(*known);
                     self.stage = Stage::Waits { known };
                 }
                 count
@@ -327,7 +330,7 @@
     from: SocketAddrV4,
     stream: TcpStream,
     /// What is still to be said of what is known here.
-    known: Option<[u8; 8]>,
+    known: Option<[u8; KNOWN]>,
     answer: Answer,
     due: Instant,
 }
@@ -340,7 +343,7 @@
 
 impl Pull {
     fn begin(from: SocketAddrV4, known: Revision, now: Instant) -> io::Result<Pull> {
-        let known = Some(known.0.to_be_bytes());
+        let known = Some(encode_known(known));
         let stream = connect(from)?;
         let answer = Answer::Size { bytes: [0; 4], filled: 0 };
         Ok(Pull { from, stream, known, answer, due: now + CONNECT })
@@ -395,6 +398,18 @@
     }
 }
 
+fn encode_known(known: Revision) -> [u8; KNOWN] {
+    let mut bytes = [0; KNOWN];
+    bytes[..4].copy_from_slice(&known.era.to_be_bytes());
+    bytes[4..].copy_from_slice(&known.count.to_be_bytes());
+    bytes
+}
+
+fn decode_known(bytes: [u8; KNOWN]) -> Revision {
+    let [a, b, c, d, count @ ..] = bytes;
+    Revision::new(u32::from_be_bytes([a, b, c, d]), u64::from_be_bytes(count))
+}
+
 /// How many bytes were moved; none if that would have blocked.
 fn step(result: io::Result<usize>) -> Result<usize, PictureError> {
     match result {
--- a/daemon/src/marked/store.rs
+++ b/daemon/src/marked/store.rs
@@ -161,7 +161,8 @@
     if others > 0 {
         log::warn!("store: {others} more faults, not listed");
     }
-    let is_reachable = matches!(step.error, None | Some(StoreError::Compacted));
+    let is_reachable =
+        matches!(step.error, None | Some(StoreError::Compacted | StoreError::Restored));
     if *reachable == Some(is_reachable) {
         return false;
     }
--- a/daemon/tests/test_marked_asker.rs
+++ b/daemon/tests/test_marked_asker.rs
@@ -56,6 +56,7 @@
         slots: 2,
         leaving: false,
         cold: Millis(0),
+        writes: 1,
     }
 }
 
--- a/daemon/tests/test_marked_pictures.rs
+++ b/daemon/tests/test_marked_pictures.rs
@@ -40,7 +40,7 @@
 }
 
 fn news(revision: u64) -> News {
-    News { revision: Revision(revision), scope: Scope::All, changes: Vec::new() }
+    News { revision: Revision::new(0, revision), scope: Scope::All, changes: Vec::new() }
 }
 
 /// Answers what the main thread is asked, with the picture of that revision.
@@ -65,12 +65,12 @@
 
     let (_, asking, answers) = start();
     let (mut told, mut asked) = (0, 0);
-    (0..MAX_TOLD).for_each(|_| asking.pull(address, Revision(0)));
+    (0..MAX_TOLD).for_each(|_| asking.pull(address, Revision::new(0, 0)));
     while told < 300 {
         for event in events(&answers) {
             match event {
                 Event::Told { from, news } => {
-                    assert_eq!((from, news.revision), (address, Revision(7)));
+                    assert_eq!((from, news.revision), (address, Revision::new(0, 7)));
                     told += 1;
                 }
                 // Too many at once: whoever returns asks again, or another one.
@@ -78,7 +78,7 @@
                 other => panic!("{other:?}"),
             }
             asked += 1;
-            asking.pull(address, Revision(0));
+            asking.pull(address, Revision::new(0, 0));
         }
         assert!(asked < 2_000, "{told} of 300 told after {asked} questions");
     }
@@ -93,8 +93,8 @@
     let nobody = free();
     let (_, asking, answers) = start();
 
-    asking.pull(address, Revision(0));
-    asking.pull(nobody, Revision(0));
+    asking.pull(address, Revision::new(0, 0));
+    asking.pull(nobody, Revision::new(0, 0));
 
     let mut silent = BTreeSet::new();
     while silent.len() < 2 {
--- a/lib/src/status/marked.rs
+++ b/lib/src/status/marked.rs
@@ -39,6 +39,9 @@
     pub struct Picture {
         /// The version of the config in force, if there is one.
         pub version: Option<Version>,
+        /// How often the platform had come back from a copy when it gave that revision.
+        #[serde(default)]
+        pub era: u32,
         /// The revision up to which all changes are known.
         pub revision: u64,
         /// Milliseconds since the store or a reader confirmed that, if either has.
--- a/marked/examples/slopes.rs
+++ b/marked/examples/slopes.rs
@@ -75,6 +75,7 @@
         slots: 2,
         leaving: false,
         cold: Millis(0),
+        writes: 1,
     }
 }
 
@@ -99,12 +100,13 @@
         idle: Millis::secs(15),
         omitted: 0,
     };
-    let mut changes = vec![Change { revision: Revision(1), content: Content::Config(config) }];
+    let mut changes =
+        vec![Change { revision: Revision::new(0, 1), content: Content::Config(config) }];
     changes.extend((0..targets).map(|number| Change {
-        revision: Revision(number as u64 + 2),
+        revision: Revision::new(0, number as u64 + 2),
         content: Content::Target(target(number, number % services)),
     }));
-    News { revision: Revision(targets as u64 + 2), scope: Scope::All, changes }
+    News { revision: Revision::new(0, targets as u64 + 2), scope: Scope::All, changes }
 }
 
 /// The resident memory of this process in bytes.
@@ -125,10 +127,10 @@
     row("whole picture, merged", targets, start.elapsed().as_secs_f64() * 1e6, "us");
     row("whole picture, resident", targets, (resident() - before) / 1024.0, "KiB");
     let change = |nth: u32| News {
-        revision: Revision(1_000_000 + u64::from(nth)),
-        scope: Scope::Since(Revision(0)),
+        revision: Revision::new(0, 1_000_000 + u64::from(nth)),
+        scope: Scope::Since(Revision::new(0, 0)),
         changes: vec![Change {
-            revision: Revision(1_000_000 + u64::from(nth)),
+            revision: Revision::new(0, 1_000_000 + u64::from(nth)),
             content: Content::Target(target(nth as usize % targets, 0)),
         }],
     };
@@ -139,7 +141,7 @@
     row("one change, merged", targets, start.elapsed().as_secs_f64() * 1e3, "us");
     let start = Instant::now();
     for nth in 0..100 {
-        black_box(catalog.since(Revision(1_000_990 + nth % 5), Millis(0)));
+        black_box(catalog.since(Revision::new(0, 1_000_990 + nth % 5), Millis(0)));
     }
     row("the last changes, gathered", targets, start.elapsed().as_secs_f64() * 1e4, "us");
     std::mem::forget(catalog);
--- a/marked/src/delta.rs
+++ b/marked/src/delta.rs
@@ -5,7 +5,7 @@
 //! whole to a hundred instances of a failure domain, each change would take a
 //! reader's share of traffic for minutes; the difference fits into a datagram.
 
-use crate::{Config, Revision, Route, Service};
+use crate::{Config, Route, Service};
 use medlarspur_lib::{
     collections::{Map, Set},
     ids::{ServiceName, Version},
@@ -17,9 +17,10 @@
 /// What makes one config of another one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
-    /// The revision of the config that it changes.
-    pub base: Revision,
-    version: Version,
+    /// The version of the config that it changes.
+    pub base: Version,
+    /// That of the config that it makes.
+    pub(crate) version: Version,
     idle: Millis,
     omitted: u32,
     routes: Vec<Route>,
@@ -33,8 +34,8 @@
         self.routes.iter().all(Route::is_sound) && self.services.iter().all(Service::is_sound)
     }
 
-    /// The difference from `old`, which has revision `base`, to `new`.
-    pub fn between(base: Revision, old: &Config, new: &Config) -> Delta {
+    /// The difference from `old` to `new`.
+    pub fn between(old: &Config, new: &Config) -> Delta {
         let known: Map<_, _> = old.routes.iter().map(|it| (it.address, it)).collect();
         let kept: Set<_> = new.routes.iter().map(|it| it.address).collect();
         let before: Map<_, _> = old.services.iter().map(|it| (&it.name, it)).collect();
@@ -44,7 +45,7 @@
         let ended = old.services.iter().map(|it| &it.name).filter(|it| !named.contains(it));
         let addresses = old.routes.iter().map(|it| it.address);
         Delta {
-            base,
+            base: old.version,
             version: new.version,
             idle: new.idle,
             omitted: new.omitted,
--- a/marked/src/evacuation.rs
+++ b/marked/src/evacuation.rs
@@ -9,11 +9,7 @@
 //! The options that were weighed are in `docs/design/evacuation.md`.
 
 use crate::{Change, Content, Revision};
-use medlarspur_lib::{
-    collections::{Map, Set},
-    ids::DomainName,
-    time::Millis,
-};
+use medlarspur_lib::{collections::Map, ids::DomainName, time::Millis};
 
 /// Whether operators want a failure domain to be empty, and since which revision.
 #[derive(Debug, Clone, Copy)]
@@ -68,19 +64,6 @@
         held != ended.is_none()
     }
 
-    /// All evacuations up to a revision were listed: others have ended, also those whose
-    /// end is in a part of the history that is lost. Answers which.
-    pub(crate) fn end_others(
-        &mut self,
-        revision: Revision,
-        listed: &Set<DomainName>,
-        now: Millis,
-    ) -> Vec<DomainName> {
-        let others = self.evacuated().filter(|it| !listed.contains(*it));
-        let others: Vec<DomainName> = others.cloned().collect();
-        others.into_iter().filter(|it| self.set(it, revision, Some(now))).collect()
-    }
-
     /// What is known, as news.
     pub(crate) fn changes(&self) -> impl Iterator<Item = Change> {
         self.domains.iter().map(|(domain, it)| {
--- a/marked/src/fleet/lack.rs
+++ b/marked/src/fleet/lack.rs
@@ -11,6 +11,9 @@
 /// comes straight from the reader, the news by way of others.
 pub(super) const NEWS_DELAY: Millis = Millis(250);
 
+/// The least that an instance knows which has the picture.
+const ANY: Revision = Revision { era: 0, count: 1 };
+
 /// News that this instance lacks.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Lacking {
@@ -55,7 +58,7 @@
         }
         if let Some(next) = self.draw_source() {
             self.pulled = None;
-            self.lacking = Some(Lacking { from: next, revision: Revision(1), due: now });
+            self.lacking = Some(Lacking { from: next, revision: ANY, due: now });
         }
     }
 
@@ -70,7 +73,7 @@
         if self.lacking.is_none()
             && let Some(source) = self.draw_source()
         {
-            self.lack(source, Revision(1), now);
+            self.lack(source, ANY, now);
         }
     }
 
--- a/marked/src/fleet/spread.rs
+++ b/marked/src/fleet/spread.rs
@@ -3,7 +3,7 @@
 use super::{Fleet, lack::NEWS_DELAY, presence::MAX_PEERS};
 use crate::{
     Catalog, Change, News, Revision, Scope,
-    message::{MAX_DATAGRAM, Message, size},
+    message::{self, MAX_DATAGRAM, Message, size},
 };
 use medlarspur_lib::time::Millis;
 use medlarspur_load::warmup::Seat;
@@ -36,6 +36,10 @@
             return false;
         }
         let domain = self.domain_members();
+        if !news.is_divisible() && message::news_size(&news) > room(branch_size(domain.len())) {
+            // Heartbeats tell the revision, and whoever lacks it asks.
+            return false;
+        }
         let seats = self.gives_seats(now).then(|| domain.len() as u32 + 1);
         let first = seats.map(|count| Seat { position: 0, count });
         self.spread(self.me, &news, domain, first);
@@ -52,8 +56,8 @@
         first: Option<Seat>,
     ) {
         others.sort_unstable();
-        let part = others.len().div_ceil(FANOUT).clamp(1, MAX_BRANCH);
-        let pieces = pieces(news, MAX_DATAGRAM - HEAD - ADDRESS * part);
+        let part = branch_size(others.len());
+        let pieces = pieces(news, room(part));
         for (nth, branch) in others.chunks(part).enumerate() {
             let seat = first.map(|seat| {
                 // The reader has a seat among them, and is not in the list.
@@ -95,13 +99,28 @@
             self.lack(reader, news.revision, now + NEWS_DELAY);
         }
         // What came from another reader need not be told again by this one.
-        if matches!(news.scope, Scope::Since(known) if known <= self.told) {
+        let is_told = match news.scope {
+            Scope::Since(known) => known <= self.told,
+            Scope::Across { since, until } => since <= self.told && self.told <= until,
+            Scope::All => false,
+        };
+        if is_told {
             self.told = self.told.max(news.revision);
         }
         Some(news)
     }
 }
 
+/// To how many of `count` others each of the first ones passes news on, itself included.
+fn branch_size(count: usize) -> usize {
+    count.div_ceil(FANOUT).clamp(1, MAX_BRANCH)
+}
+
+/// How many bytes a datagram has for changes beside a branch's addresses.
+fn room(branch: usize) -> usize {
+    MAX_DATAGRAM - HEAD - ADDRESS * branch
+}
+
 /// Cuts news into parts that fit into `room` bytes of a datagram. In the order of revisions each
 /// part is complete from one revision to another, so a lost one is noticed like
 /// any lost news.
--- a/marked/src/forwarder/counts.rs
+++ b/marked/src/forwarder/counts.rs
@@ -44,6 +44,8 @@
     pub busy: u64,
     /// Flows reset because their target is lost.
     pub lost: u64,
+    /// How often the source came back from a copy.
+    pub restores: u64,
     /// Targets that were asked whether they answer.
     pub asked: u64,
     /// Targets that did, or did not.
--- a/marked/src/forwarder/explain.rs
+++ b/marked/src/forwarder/explain.rs
@@ -4,7 +4,7 @@
     Forwarder,
     closed::{Bounds, Closed},
 };
-use crate::{Entry, FlowKey, Presence};
+use crate::{Entry, FlowKey, Presence, Revision};
 use medlarspur_lib::{
     bundle::{Class, Protocol},
     collections::Set,
@@ -64,12 +64,13 @@
             self.catalog.evacuated().map(|it| self.shown_domain(it)).collect();
         evacuated.sort_by(|one, other| one.domain.cmp(&other.domain));
         let omitted = self.catalog.config().map_or(0, |config| config.omitted);
-        Picture { version, revision: self.revision().0, age, evacuated, omitted }
+        let Revision { era, count } = self.revision();
+        Picture { version, era, revision: count, age, evacuated, omitted }
     }
 
     fn shown_domain(&self, domain: &DomainName) -> EvacuatedDomain {
         let revision = self.catalog.evacuation(domain).unwrap_or_default();
-        EvacuatedDomain { domain: domain.clone(), revision: revision.0 }
+        EvacuatedDomain { domain: domain.clone(), revision: revision.count }
     }
 
     /// All services that have targets.
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -25,6 +25,7 @@
 mod full;
 mod heard;
 mod leaving;
+mod news;
 mod output;
 mod placing;
 mod reach;
@@ -36,8 +37,7 @@
 pub use output::{Output, Refusal, Span, Unroutable};
 
 use crate::{
-    Catalog, Config, Flow, FlowKey, Health, Incarnation, Kind, Mark, News, Note, Revision, Segment,
-    flow::Seen,
+    Catalog, Config, Flow, FlowKey, Incarnation, Kind, Mark, Note, Revision, Segment, flow::Seen,
 };
 use dealt::Dealt;
 use heard::Heard;
@@ -162,39 +162,6 @@
         self.catalog.revision()
     }
 
-    /// Takes in news of targets and routes.
-    pub fn learn(&mut self, news: News, now: Millis, out: &mut impl Output) {
-        let version = self.catalog.config().map(|config| config.version);
-        let changed = self.catalog.merge(news, now);
-        for domain in changed.domains {
-            let note = self.domain_note(domain);
-            out.note(note);
-        }
-        if !changed.targets.is_empty() {
-            self.forget_dealt();
-        }
-        for incarnation in changed.formers {
-            // Nothing was heard of it here, so it gets new flows only once it has answered.
-            let health = Health::new(Millis(0));
-            let state = State { unasked: true, health, ..State::new(now) };
-            self.states.entry(incarnation).or_insert(state);
-        }
-        for incarnation in changed.targets {
-            self.states.entry(incarnation).or_insert_with(|| State::new(now));
-            self.learn_entry(incarnation, now, out);
-        }
-        if let Some((revision, config)) = self.catalog.config_at()
-            && Some(config.version) != version
-        {
-            let routes = config.routes.len();
-            out.note(Note::Config { version: config.version, revision, routes });
-        }
-        self.count_domains();
-        self.forget_rooms();
-        let catalog = &self.catalog;
-        self.states.retain(|incarnation, _| catalog.entry(*incarnation).is_some());
-    }
-
     /// Decides on one packet.
     pub fn packet(&mut self, segment: &Segment, bytes: &[u8], now: Millis, out: &mut impl Output) {
         if now.since(self.swept) >= SWEEP_PAUSE {
@@ -350,6 +317,7 @@
 
     /// Does what is due by now.
     pub fn tick(&mut self, now: Millis, out: &mut impl Output) {
+        self.confirm(now, out);
         self.judge_stranding(now, out);
         while let Some((due, key)) = self.openings.pop_front_if(|(due, _)| *due <= now) {
             if self.is_awaited(&key, due) {
@@ -375,7 +343,8 @@
         let retries = self.lost.iter().filter_map(|it| states.get(it)?.health.retry());
         let full = self.full.iter().filter_map(|it| states.get(it));
         let full = full.flat_map(|state| state.check.into_iter().chain(state.vacancy.retry()));
-        opening.into_iter().chain(retries).chain(full).chain(self.patience()).min()
+        let others = retries.chain(full).chain(self.patience()).chain(self.catalog.deadline());
+        opening.into_iter().chain(others).min()
     }
 
     /// Whether the opening that is looked at at that moment is still unanswered. It may have
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -25,7 +25,7 @@
 mod note;
 mod segment;
 
-pub use catalog::{Catalog, Changed};
+pub use catalog::{Catalog, Changed, Restored};
 pub use delta::Delta;
 pub use entry::{Entry, Presence};
 pub use fleet::{Fleet, Outgoing};
--- a/marked/src/message.rs
+++ b/marked/src/message.rs
@@ -8,7 +8,7 @@
 
 /// The version of these messages; instances of different versions ignore each
 /// other and read the store themselves.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 /// The most bytes of a datagram between instances, below an ordinary network's
 /// 1,500 with all headers.
 pub const MAX_DATAGRAM: usize = 1_200;
@@ -144,6 +144,11 @@
     postcard::to_stdvec(change).map_or(usize::MAX, |bytes| bytes.len())
 }
 
+/// The same of the changes of a piece of news.
+pub(crate) fn news_size(news: &News) -> usize {
+    news.changes.iter().map(size).fold(0, usize::saturating_add)
+}
+
 fn body(bytes: &[u8]) -> Result<&[u8], MessageError> {
     match bytes {
         [VERSION, body @ ..] => Ok(body),
--- a/marked/src/news.rs
+++ b/marked/src/news.rs
@@ -8,17 +8,41 @@
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
-use std::{cmp::Ordering, net::SocketAddrV4};
+use std::{cmp::Ordering, fmt, net::SocketAddrV4};
 
 /// The most slots that a target may claim. Those of today have 2 or 3; a number
 /// beyond this is a mistake, and would draw all new flows to that target.
 pub const MOST_SLOTS: u32 = 10_000;
 
-/// The source's count of its changes.
+/// The source's count of its changes, in the order in which it made them.
+///
+/// A source that comes back from a copy gives the same counts out again, in a later era
+/// (`docs/design/eras.md`).
 #[derive(
     Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct Revision(pub u64);
+pub struct Revision {
+    /// How often the source had come back from a copy; 0 if it doesn't say.
+    pub era: u32,
+    /// Its count of changes.
+    pub count: u64,
+}
+
+impl Revision {
+    /// A count of an era.
+    pub fn new(era: u32, count: u64) -> Revision {
+        Revision { era, count }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.era {
+            0 => write!(f, "{}", self.count),
+            era => write!(f, "{era}.{}", self.count),
+        }
+    }
+}
 
 /// One target, as it describes itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,6 +66,17 @@
     /// How much longer it is slow after its start, counted from the moment
     /// when the entry was written.
     pub cold: Millis,
+    /// How often it had written its entry since its start. Where the source has come back
+    /// from a copy, the larger one of two entries is the later.
+    pub writes: u64,
+}
+
+impl Target {
+    /// Whether another entry says the same, but for when it was written.
+    pub(crate) fn says(&self, other: &Target) -> bool {
+        let at = |it: &Target| Target { cold: Millis(0), writes: 0, ..it.clone() };
+        at(self) == at(other)
+    }
 }
 
 /// Where new flows to an address and port go.
@@ -136,6 +171,9 @@
     Evacuated(DomainName),
     /// They don't any more.
     Restored(DomainName),
+    /// The source came back from a copy that says so, against what was known. It holds once
+    /// there was time to write again what the copy lacks.
+    Unconfirmed(Box<Content>),
 }
 
 /// One item at its revision.
@@ -152,6 +190,14 @@
 pub enum Scope {
     /// All changes since a revision.
     Since(Revision),
+    /// All changes since a revision of an earlier era, for whoever knows nothing beyond
+    /// `until` in that era.
+    Across {
+        /// What the receiver must know.
+        since: Revision,
+        /// What it may know of that era at most.
+        until: Revision,
+    },
     /// All targets and evacuated failure domains: one that is not there is not any more.
     All,
 }
@@ -168,11 +214,22 @@
 }
 
 impl News {
+    /// Whether parts of it say by themselves what they cover.
+    pub(crate) fn is_divisible(&self) -> bool {
+        matches!(self.scope, Scope::Since(_))
+    }
+
     /// Whether all values are in their ranges. What comes from the platform is;
     /// a message between instances may be damaged, and one target with no slots or
     /// one route without a service would end the thread that forwards packets.
     pub fn is_sound(&self) -> bool {
-        self.changes.iter().all(|change| match &change.content {
+        self.changes.iter().all(|change| change.content.is_sound())
+    }
+}
+
+impl Content {
+    fn is_sound(&self) -> bool {
+        match self {
             Content::Config(config) => {
                 let services = config.services.iter().all(Service::is_sound);
                 services && config.routes.iter().all(Route::is_sound)
@@ -181,7 +238,32 @@
             Content::Target(target) | Content::Former(Former { target, .. }) => target.is_sound(),
             Content::Removed(_) | Content::Unusable(_) => true,
             Content::Evacuated(_) | Content::Restored(_) => true,
-        })
+            Content::Unconfirmed(content) => Subject::of(content).is_some() && content.is_sound(),
+        }
+    }
+}
+
+/// What a change is about, apart from configs.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) enum Subject {
+    /// The entries under a name.
+    Target(TargetName),
+    /// The evacuation of a failure domain.
+    Domain(DomainName),
+}
+
+impl Subject {
+    /// What may be unconfirmed; none for the rest.
+    pub(crate) fn of(content: &Content) -> Option<Subject> {
+        match content {
+            Content::Target(target) => Some(Subject::Target(target.name.clone())),
+            Content::Removed(name) | Content::Unusable(name) => Some(Subject::Target(name.clone())),
+            Content::Evacuated(domain) | Content::Restored(domain) => {
+                Some(Subject::Domain(domain.clone()))
+            }
+            Content::Config(_) | Content::Delta(_) => None,
+            Content::Former(_) | Content::Unconfirmed(_) => None,
+        }
     }
 }
 
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -1,6 +1,6 @@
 //! What was decided or is believed anew, for whoever explains it afterwards.
 
-use crate::{Finding, FlowKey, Incarnation, Mark, Refusal, Revision, Start, Unroutable};
+use crate::{Finding, FlowKey, Incarnation, Mark, Refusal, Restored, Revision, Start, Unroutable};
 use medlarspur_lib::{
     bundle::Class,
     ids::{DomainName, TargetName, Version},
@@ -147,6 +147,8 @@
     },
     /// That is over.
     Rejoined,
+    /// The source came back from a copy.
+    Era(Restored),
     /// A config is in force.
     Config {
         /// Its version.
@@ -192,7 +194,7 @@
     /// [`Note::Lost`], [`Note::Regained`], [`Note::Full`] and [`Note::Vacant`].
     Reach,
     /// [`Note::Entry`], [`Note::Config`], [`Note::Evacuated`], [`Note::Restored`],
-    /// [`Note::Stranded`] and [`Note::Rejoined`].
+    /// [`Note::Stranded`], [`Note::Rejoined`] and [`Note::Era`].
     News,
 }
 
@@ -241,7 +243,7 @@
             Note::Full { .. } | Note::Vacant { .. } => NoteKind::Reach,
             Note::Entry { .. } | Note::Config { .. } => NoteKind::News,
             Note::Evacuated { .. } | Note::Restored { .. } => NoteKind::News,
-            Note::Stranded { .. } | Note::Rejoined => NoteKind::News,
+            Note::Stranded { .. } | Note::Rejoined | Note::Era(_) => NoteKind::News,
         }
     }
 
@@ -263,6 +265,7 @@
             Note::Restored { .. } => "domain restored",
             Note::Stranded { .. } => "domain stranded",
             Note::Rejoined => "domain rejoined",
+            Note::Era(_) => "platform restored",
             Note::Config { .. } => "config in force",
         }
     }
@@ -323,19 +326,25 @@
                 ("target", name(*target)),
                 ("start", start.0.to_string()),
                 ("state", lower(state)),
-                ("revision", revision.0.to_string()),
+                ("revision", revision.to_string()),
             ],
             Note::Evacuated { domain, revision, targets }
             | Note::Restored { domain, revision, targets } => vec![
                 ("domain", domain.to_string()),
-                ("revision", revision.0.to_string()),
+                ("revision", revision.to_string()),
                 ("targets", targets.to_string()),
             ],
             Note::Stranded { silent } => vec![("silent_ms", silent.to_string())],
             Note::Rejoined => Vec::new(),
+            Note::Era(it) => vec![
+                ("from", it.from.to_string()),
+                ("to", it.to.to_string()),
+                ("changed", it.changed.to_string()),
+                ("unconfirmed", it.unconfirmed.to_string()),
+            ],
             Note::Config { version, revision, routes } => vec![
                 ("version", version.to_string()),
-                ("revision", revision.0.to_string()),
+                ("revision", revision.to_string()),
                 ("routes", routes.to_string()),
             ],
         }
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -46,6 +46,7 @@
         slots: 2,
         leaving: false,
         cold: Millis(0),
+        writes: 1,
     }
 }
 
@@ -74,11 +75,11 @@
 }
 
 pub fn change(revision: u64, content: Content) -> Change {
-    Change { revision: Revision(revision), content }
+    Change { revision: Revision::new(0, revision), content }
 }
 
 pub fn news(revision: u64, scope: Scope, changes: Vec<Change>) -> News {
-    News { revision: Revision(revision), scope, changes }
+    News { revision: Revision::new(0, revision), scope, changes }
 }
 
 /// All there is: the config at revision 1, the targets from 2 on.
@@ -91,7 +92,7 @@
 
 /// Change of one item.
 pub fn one(revision: u64, content: Content) -> News {
-    news(revision, Scope::Since(Revision(revision - 1)), vec![change(revision, content)])
+    news(revision, Scope::Since(Revision::new(0, revision - 1)), vec![change(revision, content)])
 }
 
 /// The flow of caller `number` to a service's address.
--- a/marked/tests/net.rs
+++ b/marked/tests/net.rs
@@ -116,7 +116,7 @@
     }
 
     fn revision(&self) -> u64 {
-        self.history.last().expect("a change").revision.0
+        self.history.last().expect("a change").revision.count
     }
 
     /// Changes something in the store.
@@ -149,7 +149,7 @@
     /// How long the live instance that is furthest behind has lacked a change.
     fn present_lag(&self) -> u64 {
         let live = self.instances.values().filter(|it| it.up);
-        let known = live.map(|it| it.catalog.revision().0).min().unwrap_or_default();
+        let known = live.map(|it| it.catalog.revision().count).min().unwrap_or_default();
         let lacking = self.published.range(known + 1..).next();
         lacking.map_or(0, |(_, at)| self.now - at)
     }
@@ -202,23 +202,23 @@
             it.call = now;
         } else if it.call <= now {
             let known = it.watching.unwrap_or(it.catalog.revision());
-            let has_news = revision > known.0;
+            let has_news = revision > known.count;
             self.calls += 1;
             if it.served {
                 let changes = self.history.iter().filter(|change| change.revision > known);
                 let scope = match known {
-                    Revision(0) => Scope::All,
+                    Revision { count: 0, .. } => Scope::All,
                     known => Scope::Since(known),
                 };
                 it.catalog.merge(news(revision, scope, changes.cloned().collect()), time);
                 it.fleet.store_answered(&it.catalog, time);
-                it.watching = Some(Revision(revision));
+                it.watching = Some(Revision::new(0, revision));
                 it.call = now + if has_news { GATHER } else { WATCH };
             } else {
                 it.fleet.store_failed(&it.catalog, time);
                 it.call = now + 700;
             }
-        } else if it.watching.is_some_and(|known| revision > known.0) && it.served {
+        } else if it.watching.is_some_and(|known| revision > known.count) && it.served {
             // A watch ends with the first news, but not before the gathering.
             it.call = it.call.min(now.next_multiple_of(GATHER));
         }
@@ -277,7 +277,7 @@
 
     /// The live instances that don't know all changes.
     pub fn behind(&self) -> Vec<SocketAddrV4> {
-        let revision = Revision(self.revision());
+        let revision = Revision::new(0, self.revision());
         let instances = self.instances.iter();
         let behind = instances.filter(|(_, it)| it.up && it.catalog.revision() < revision);
         behind.map(|(at, _)| *at).collect()
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_properties;
 mod test_regions;
 mod test_restarts;
+mod test_restore;
 mod test_scale;
 mod test_seats;
 mod test_waiting;
--- a/marked/tests/test_catalog.rs
+++ b/marked/tests/test_catalog.rs
@@ -186,7 +186,7 @@
     asked.merge(one(1, Content::Target(kept.clone())), millis(0));
     asked.merge(one(2, Content::Target(gone.clone())), millis(0));
     let mut away = Catalog::default();
-    away.merge(asked.since(Revision(0), millis(0)), millis(0));
+    away.merge(asked.since(Revision::new(0, 0), millis(0)), millis(0));
     asked.merge(one(3, Content::Removed(gone.name.clone())), millis(10));
     asked.merge(one(4, Content::Config(config(1))), millis(100_000));
 
@@ -204,10 +204,10 @@
 fn lost_news_is_noticed() {
     let mut catalog = Catalog::default();
     catalog.merge(news(10, Scope::All, vec![]), millis(0));
-    let later = news(14, Scope::Since(Revision(12)), vec![]);
+    let later = news(14, Scope::Since(Revision::new(0, 12)), vec![]);
 
     assert!(catalog.lacks(&later));
     catalog.merge(later, millis(1));
 
-    assert_eq!(catalog.revision(), Revision(10));
+    assert_eq!(catalog.revision(), Revision::new(0, 10));
 }
--- a/marked/tests/test_delta.rs
+++ b/marked/tests/test_delta.rs
@@ -40,7 +40,7 @@
     ) {
         let (old, new) = (drawn(1, &old), drawn(2, &new));
 
-        let delta = Delta::between(Revision(1), &old, &new);
+        let delta = Delta::between(&old, &new);
 
         prop_assert_eq!(sorted(delta.apply(&old)), sorted(new));
     }
@@ -74,13 +74,13 @@
 fn a_difference_from_an_unknown_config_is_not_taken() {
     let mut catalog = Catalog::default();
     catalog.merge(one(1, Content::Config(config(1))), millis(0));
-    let delta = Delta::between(Revision(5), &config(5), &config(6));
-    let scope = Scope::Since(Revision(1));
+    let delta = Delta::between(&config(5), &config(6));
+    let scope = Scope::Since(Revision::new(0, 1));
 
     catalog.merge(news(6, scope, vec![change(6, Content::Delta(delta))]), millis(1));
 
     assert_eq!(catalog.config().expect("a config").version.0, 1);
-    assert_eq!(catalog.revision(), Revision(1));
+    assert_eq!(catalog.revision(), Revision::new(0, 1));
 }
 
 /// One route of thousands changes. What goes from instance to instance must not
@@ -100,7 +100,7 @@
         let mut catalog = Catalog::default();
         catalog.merge(one(1, Content::Config(old)), millis(0));
         catalog.merge(one(2, Content::Config(new)), millis(0));
-        let told = catalog.since(Revision(1), millis(0));
+        let told = catalog.since(Revision::new(0, 1), millis(0));
         medlarspur_marked::message::encode_news(&told).expect("sound").len()
     };
 
--- a/marked/tests/test_evacuation.rs
+++ b/marked/tests/test_evacuation.rs
@@ -229,7 +229,7 @@
     instance.learn(evacuated(101), 10);
 
     let picture = all(&[target(1, "desk"), southern(2)]);
-    instance.learn(News { revision: medlarspur_marked::Revision(150), ..picture }, 20);
+    instance.learn(News { revision: medlarspur_marked::Revision::new(0, 150), ..picture }, 20);
 
     open_at(&mut instance, south, 30);
 }
@@ -269,7 +269,8 @@
     let changes =
         vec![change(90, Content::Config(config(1))), change(91, Content::Target(southern(2)))];
 
-    catalog.merge(news(91, Scope::Since(medlarspur_marked::Revision(89)), changes), millis(0));
+    catalog
+        .merge(news(91, Scope::Since(medlarspur_marked::Revision::new(0, 89)), changes), millis(0));
 
     assert!(!catalog.is_usable());
 }
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -152,8 +152,11 @@
     let it = net.instances.get_mut(&listener).expect("it is there");
     let known = it.catalog.revision();
     let news = medlarspur_marked::News {
-        revision: medlarspur_marked::Revision(known.0 + 2),
-        scope: medlarspur_marked::Scope::Since(medlarspur_marked::Revision(known.0 + 1)),
+        revision: medlarspur_marked::Revision::new(0, known.count + 2),
+        scope: medlarspur_marked::Scope::Since(medlarspur_marked::Revision::new(
+            0,
+            known.count + 1,
+        )),
         changes: Vec::new(),
     };
     let message =
@@ -346,7 +349,7 @@
     let mut net = settled(1, 5);
     let listener = address(1, 5);
     let reader = address(1, 1);
-    let revision = medlarspur_marked::Revision(1_000);
+    let revision = medlarspur_marked::Revision::new(0, 1_000);
     let it = net.instances.get_mut(&listener).expect("it is there");
     let beat = medlarspur_marked::message::Heartbeat {
         domain: it.fleet.domain(),
@@ -427,7 +430,7 @@
             domain,
             role: medlarspur_marked::message::Role::Listener,
             fresh: None,
-            revision: medlarspur_marked::Revision(0),
+            revision: medlarspur_marked::Revision::new(0, 0),
             asks: true,
             contacts: Vec::new(),
             seat: None,
--- a/marked/tests/test_restarts.rs
+++ b/marked/tests/test_restarts.rs
@@ -222,7 +222,7 @@
 fn picture_without_one(later: u64) -> medlarspur_marked::News {
     let mut old = Instance::new(&[target(1, "desk"), target(2, "desk")]);
     old.learn(one(200, Content::Removed(name(1))), 1_000);
-    old.forwarder.catalog().since(Revision(0), millis(1_000 + later))
+    old.forwarder.catalog().since(Revision::new(0, 0), millis(1_000 + later))
 }
 
 /// Guards against feeds that hang since an instance that started later doesn't know their mark.
--- a/marked/tests/test_scale.rs
+++ b/marked/tests/test_scale.rs
@@ -14,7 +14,7 @@
     let changes = targets.iter().zip(200_000..);
     let changes =
         changes.map(|(it, revision)| change(revision, Content::Removed(it.name.clone()))).collect();
-    news(300_000, Scope::Since(Revision(100)), changes)
+    news(300_000, Scope::Since(Revision::new(0, 100)), changes)
 }
 
 /// Guards against instances times targets questions when a domain's entries go in one moment.
--- a/marked/tests/test_waiting.rs
+++ b/marked/tests/test_waiting.rs
@@ -234,7 +234,7 @@
     let mut without = config(3);
     without.routes.retain(|route| route.address != REQUEST);
     let change = change(300, Content::Config(without));
-    instance.learn(news(300, Scope::Since(Revision(200)), vec![change]), 520);
+    instance.learn(news(300, Scope::Since(Revision::new(0, 200)), vec![change]), 520);
     instance.out.notes.clear();
 
     empty(&mut instance, held, 560);
--- a/operator/src/meters/family.rs
+++ b/operator/src/meters/family.rs
@@ -118,6 +118,8 @@
     PictureAge,
     /// The revision up to which all changes of targets and routes are known.
     PictureRevision,
+    /// How often the platform had come back from a copy when it gave that revision.
+    PictureEra,
     /// Targets that are known and answer.
     TargetsLive,
     /// Targets that are listed and don't answer.
@@ -132,7 +134,7 @@
 
 impl Gauge {
     /// Every gauge.
-    pub const ALL: [Gauge; 15] = [
+    pub const ALL: [Gauge; 16] = [
         Gauge::Ready,
         Gauge::FlowsHeld,
         Gauge::MembersLive,
@@ -143,6 +145,7 @@
         Gauge::Reading,
         Gauge::PictureAge,
         Gauge::PictureRevision,
+        Gauge::PictureEra,
         Gauge::TargetsLive,
         Gauge::TargetsLost,
         Gauge::TargetsFull,
@@ -163,6 +166,7 @@
             Gauge::Reading => "medlarspur_reading",
             Gauge::PictureAge => "medlarspur_picture_age_milliseconds",
             Gauge::PictureRevision => "medlarspur_picture_revision",
+            Gauge::PictureEra => "medlarspur_picture_era",
             Gauge::TargetsLive => "medlarspur_targets_live",
             Gauge::TargetsLost => "medlarspur_targets_lost",
             Gauge::TargetsFull => "medlarspur_targets_full",
@@ -183,6 +187,7 @@
             Gauge::Reading => "1 while the instance reads the platform for others.",
             Gauge::PictureAge => "Time since the targets and routes were confirmed.",
             Gauge::PictureRevision => "Revision up to which all changes are known.",
+            Gauge::PictureEra => "How often the platform had come back from a copy by then.",
             Gauge::TargetsLive => "Targets that are known and answer.",
             Gauge::TargetsLost => "Targets that are listed and don't answer.",
             Gauge::TargetsFull => {
