marked: have whoever lists something else than a reader ask for all

What callers see: an instance that is a little behind goes on sending new flows to a target that has gone, until it finds out by itself, and keeps it in its list for good.

Cause: a catalog that has read all, at a start or after its history was dropped, knows nothing of what ended before. Asked for all changes since an earlier revision it told those that it knew, as if they were all. The same where the source came back from a copy, with `until` as a guard that did not hold for whoever had heard of the later era from a third one.

Evidence: a property test of four catalogs that read a source, tell each other, start again and miss things while the source comes back from copies; its smallest case on the code before is one target that is listed, read by one, removed, and read whole by another. As a plain test: a_reader_that_read_all_does_not_hide_earlier_removals, which fails there with Listed in place of Removed.

Why this works: who has read all since tells the difference with a digest of what it lists, and whoever lists something else then asks for all, once. What a later era lists as it was known gets that era's revision without being told anew. Two whole readings of one era no longer cancel what waits without telling it.

--- a/marked/src/catalog/merge.rs
+++ b/marked/src/catalog/merge.rs
@@ -29,34 +29,43 @@
         if revision.era < before.era {
             return changed;
         }
+        let is_later = revision.era > before.era && before > Revision::default();
         let mut is_whole = !self.lacks(&News { revision, scope, changes: Vec::new() });
-        let is_restored = is_whole && revision.era > before.era && before > Revision::default();
-        if is_restored {
-            self.restore.enter(before, now);
-        }
-        let is_copy = scope == Scope::All && self.restore.is_open(now);
-        let mut listed = Listed::default();
-        for change in changes {
-            listed.add(&change.content);
-            if let Content::Unconfirmed(content) = change.content {
-                if is_whole {
-                    self.restore.doubt(Change { content: *content, ..change }, now);
+        let mut unconfirmed = Vec::new();
+        if scope == Scope::All {
+            unconfirmed = self.take_all(revision, changes, is_later, now, &mut changed);
+        } else {
+            for Change { revision, content } in changes {
+                match content {
+                    Content::Unconfirmed(it) => unconfirmed.push(Change { revision, content: *it }),
+                    content => {
+                        is_whole &= self.take(Change { revision, content }, now, &mut changed);
+                    }
                 }
-                continue;
-            }
-            match if scope == Scope::All { self.judge(&change, is_copy) } else { Verdict::Take } {
-                Verdict::Take => is_whole &= self.take(change, now, &mut changed),
-                Verdict::Skip => {}
-                Verdict::Doubt => self.restore.doubt(change, now),
             }
         }
-        if scope == Scope::All {
-            self.astray = false;
-            self.end_others(revision, &listed, is_copy, now, &mut changed);
+        if let Scope::Across { listed, .. } = scope
+            && is_whole
+            && listed != self.listed()
+        {
+            self.astray = true;
+            is_whole = false;
+        }
+        let is_restored = is_whole && is_later;
+        if is_restored {
+            self.restore.enter(now);
         }
         if is_whole {
+            if !matches!(scope, Scope::Since(_)) {
+                self.read = self.read.max(revision);
+                self.restore.replace(unconfirmed, now);
+            }
+            if is_restored && scope != Scope::All {
+                self.list_all_again(revision.era);
+            }
             self.revision = self.revision.max(revision);
         }
+        self.drop_superseded();
         if is_restored {
             changed.restore = Some(Restored {
                 from: before,
@@ -69,6 +78,44 @@
         changed
     }
 
+    /// Takes in a whole reading; answers what waits.
+    fn take_all(
+        &mut self,
+        revision: Revision,
+        changes: Vec<Change>,
+        is_later: bool,
+        now: Millis,
+        changed: &mut Changed,
+    ) -> Vec<Change> {
+        self.astray = false;
+        let is_copy = is_later || self.restore.is_open(now);
+        let mut unconfirmed = Vec::new();
+        let mut listed = Listed::default();
+        for Change { revision, content } in changes {
+            listed.add(&content);
+            if let Content::Unconfirmed(content) = content {
+                unconfirmed.push(Change { revision, content: *content });
+                continue;
+            }
+            let change = Change { revision, content };
+            match self.judge(&change, is_copy) {
+                Verdict::Take => drop(self.take(change, now, changed)),
+                Verdict::Skip => {}
+                Verdict::Same => self.list_again(&change),
+                Verdict::Doubt => unconfirmed.push(change),
+            }
+        }
+        for (known, content) in self.missing(revision, &listed) {
+            let change = Change { revision, content };
+            if is_copy && known.era < revision.era {
+                unconfirmed.push(change);
+            } else {
+                self.take(change, now, changed);
+            }
+        }
+        unconfirmed
+    }
+
     /// Takes in what a copy said, once there was time to write it again.
     pub fn confirm(&mut self, now: Millis) -> Changed {
         let mut changed = Changed::default();
@@ -132,7 +179,6 @@
         let positions = config.routes.iter().enumerate();
         self.routes = positions.map(|(position, route)| (route.address, position)).collect();
         self.config = Some((revision, config));
-        self.astray = false;
     }
 
     /// Answers whether the config that it changes is the one in force, or is
@@ -190,7 +236,7 @@
         }
         listing.current = Some(incarnation);
         let cold = now + target.cold;
-        let fresh = Entry { target, revision, presence: Presence::Listed, cold };
+        let fresh = Entry { target, revision, since: revision, presence: Presence::Listed, cold };
         if self.targets.get(&incarnation).is_some_and(|known| known.revision >= revision) {
             return;
         }
@@ -222,7 +268,7 @@
             listing.current = Some(incarnation);
             listing.withdrawn.get_or_insert(Withdrawal::new(revision, presence));
         }
-        self.insert(Entry { target, revision, presence, cold: now });
+        self.insert(Entry { target, revision, since: revision, presence, cold: now });
         Some(incarnation)
     }
 
@@ -260,7 +306,7 @@
         if known.revision >= revision {
             return;
         }
-        known.revision = revision;
+        (known.revision, known.since) = (revision, revision);
         // An entry that named no target and then goes says nothing more of the target.
         let is_news = match presence {
             Presence::Unusable(_) => !matches!(known.presence, Presence::Unusable(_)),
@@ -272,33 +318,25 @@
         }
     }
 
-    /// Ends all that a whole reading doesn't list. What the copy of a restored source lacks
-    /// may have come after it was made.
-    fn end_others(
-        &mut self,
-        revision: Revision,
-        listed: &Listed,
-        is_copy: bool,
-        now: Millis,
-        changed: &mut Changed,
-    ) {
+    /// The end of all that a whole reading doesn't list, and since when each is known.
+    fn missing(&self, revision: Revision, listed: &Listed) -> Vec<(Revision, Content)> {
+        let end = |known: &Content| match known {
+            Content::Target(target) if !listed.targets.contains(&target.name) => {
+                Some(Content::Removed(target.name.clone()))
+            }
+            Content::Evacuated(domain) if !listed.domains.contains(domain) => {
+                Some(Content::Restored(domain.clone()))
+            }
+            _ => None,
+        };
         let known = self.targets.values().filter(|entry| entry.is_listed());
         let gone = known.filter(|entry| !listed.targets.contains(&entry.target.name));
         let gone = gone.map(|it| (it.revision, Content::Removed(it.target.name.clone())));
-        let ended = self.evacuations.changes().filter_map(|it| match it.content {
-            Content::Evacuated(domain) if !listed.domains.contains(&domain) => {
-                Some((it.revision, Content::Restored(domain)))
-            }
-            _ => None,
-        });
-        for (known, content) in gone.chain(ended).collect::<Vec<_>>() {
-            let change = Change { revision, content };
-            if is_copy && known.era < revision.era {
-                self.restore.doubt(change, now);
-            } else {
-                self.take(change, now, changed);
-            }
-        }
+        let evacuations = self.evacuations.changes();
+        let ended = evacuations.filter_map(|it| Some((it.revision, end(&it.content)?)));
+        let waiting = self.restore.waiting().filter(|it| it.revision.era == revision.era);
+        let waiting = waiting.filter_map(|it| Some((it.revision, end(&it.content)?)));
+        gone.chain(ended).chain(waiting).collect()
     }
 }
 
@@ -308,8 +346,10 @@
             Content::Target(target) => drop(self.targets.insert(target.name.clone())),
             Content::Unusable(name) => drop(self.targets.insert(name.clone())),
             Content::Evacuated(domain) => drop(self.domains.insert(domain.clone())),
+            // It may be there, and is not missing.
+            Content::Unconfirmed(content) => self.add(content),
             Content::Config(_) | Content::Delta(_) | Content::Removed(_) => {}
-            Content::Former(_) | Content::Restored(_) | Content::Unconfirmed(_) => {}
+            Content::Former(_) | Content::Restored(_) => {}
         }
     }
 }
--- a/marked/src/catalog/mod.rs
+++ b/marked/src/catalog/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     Change, Config, Content, Entry, FlowKey, Incarnation, Mark, News, Presence, Revision, Route,
-    Scope, Service, Start, delta::Delta, evacuation::Evacuations, mark::Index,
+    Scope, Service, Start, Target, delta::Delta, evacuation::Evacuations, mark::Index,
 };
 use medlarspur_lib::{
     collections::Map,
@@ -30,7 +30,12 @@
     time::Millis,
 };
 use restore::Restore;
-use std::{collections::VecDeque, net::SocketAddrV4};
+use siphasher::sip::SipHasher13;
+use std::{
+    collections::VecDeque,
+    hash::{Hash, Hasher},
+    net::SocketAddrV4,
+};
 
 /// How long a removed target is remembered. Longer than the longest life of a
 /// flow on the platforms known (60 s) and than any delay of news.
@@ -91,7 +96,7 @@
     config: Option<(Revision, Config)>,
     /// How the config came from earlier ones, the latest last.
     deltas: VecDeque<Step>,
-    /// Whether there was a difference from another config than the one in force.
+    /// Whether what was told did not fit what is known here.
     astray: bool,
     routes: Map<SocketAddrV4, usize>,
     targets: Map<Incarnation, Entry>,
@@ -102,6 +107,9 @@
     names: Map<TargetName, Listing>,
     evacuations: Evacuations,
     restore: Restore,
+    /// Up to where all was read whole last, here or by whoever told it: what ended before is
+    /// known in part only.
+    read: Revision,
     /// Targets that were not taken because another one has their number.
     clashes: u64,
 }
@@ -121,8 +129,7 @@
         self.revision
     }
 
-    /// From which revision on to ask for changes: all, if the config can't be made of
-    /// differences any more.
+    /// From which revision on to ask for changes: all, if differences don't fit any more.
     pub fn basis(&self) -> Revision {
         if self.astray { Revision::default() } else { self.revision }
     }
@@ -215,22 +222,20 @@
     pub fn lacks(&self, news: &News) -> bool {
         match news.scope {
             Scope::All => false,
-            Scope::Since(known) => known > self.revision,
-            Scope::Across { since, until } => {
-                let is_beyond = || self.latest_before(news.revision.era) > until;
-                since > self.revision || self.revision.era < news.revision.era && is_beyond()
-            }
+            Scope::Since(known) | Scope::Across { since: known, .. } => known > self.revision,
         }
     }
 
-    /// The latest revision of anything that is known of the eras before one.
-    fn latest_before(&self, era: u32) -> Revision {
-        let entries = self.targets.values().map(|it| it.revision);
-        let withdrawn = self.names.values().filter_map(|it| Some(it.withdrawn?.revision));
-        let config = self.config.iter().map(|(revision, _)| *revision);
-        let evacuations = self.evacuations.changes().map(|it| it.revision);
-        let all = entries.chain(withdrawn).chain(config).chain(evacuations).chain([self.revision]);
-        all.filter(|it| it.era < era).max().unwrap_or_default()
+    /// A digest of what is listed, in any order.
+    fn listed(&self) -> u64 {
+        let targets = self.targets.values().filter(|it| it.is_listed());
+        let targets = targets.map(|it| {
+            let Target { incarnation, address, slots, leaving, service, .. } = &it.target;
+            digest(&(incarnation, address, slots, leaving, service.as_str()))
+        });
+        let domains = self.evacuated().map(|name| digest(&name.as_str()));
+        let version = digest(&self.config().map(|it| it.version));
+        targets.chain(domains).fold(version, u64::wrapping_add)
     }
 
     /// What has changed since a revision, to be told to another instance. One
@@ -241,10 +246,11 @@
         let is_old = scope == Scope::All;
         let is_told = |revision: Revision| is_old || revision > known;
         let config = self.config_since(if is_old { Revision::default() } else { known });
-        let targets = self.targets.values().filter_map(|entry| entry.change(now));
+        let targets = self.targets.values().filter(|it| is_told(it.since));
+        let targets = targets.filter_map(|entry| entry.change(now));
         let withdrawn = self.names.iter().filter_map(|(name, it)| it.change(name));
-        let others = targets.chain(withdrawn).chain(self.evacuations.changes());
-        let others = others.filter(|change| is_told(change.revision));
+        let others = withdrawn.chain(self.evacuations.changes());
+        let others = targets.chain(others.filter(|change| is_told(change.revision)));
         // Whoever knows this era has judged by itself what the copy says.
         let unconfirmed = self.restore.changes();
         let unconfirmed = unconfirmed.filter(|_| !matches!(scope, Scope::Since(_)));
@@ -259,12 +265,9 @@
         if known == Revision::default() || known < self.forgotten {
             return Scope::All;
         }
-        if known.era >= self.revision.era {
-            return Scope::Since(known);
-        }
-        match self.restore.left(known) {
-            Some(until) => Scope::Across { since: known, until },
-            None => Scope::All,
+        match known < self.read {
+            true => Scope::Across { since: known, listed: self.listed() },
+            false => Scope::Since(known),
         }
     }
 
@@ -322,6 +325,13 @@
     }
 }
 
+/// The same on all instances.
+fn digest(value: &impl Hash) -> u64 {
+    let mut hasher = SipHasher13::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Withdrawal {
     fn new(revision: Revision, presence: Presence) -> Withdrawal {
         Withdrawal { revision, presence }
--- a/marked/src/catalog/restore.rs
+++ b/marked/src/catalog/restore.rs
@@ -3,22 +3,17 @@
 
 use super::Catalog;
 use crate::{Change, Content, Revision, Target, news::Subject};
-use medlarspur_lib::{collections::Map, time::Millis};
-use std::collections::VecDeque;
+use medlarspur_lib::{collections::Map, ids::TargetName, time::Millis};
 
 /// How long operators and targets have to write again what a copy lacks: they do within some
 /// two seconds, and an entry that lapsed has as long.
 const REWRITE_TIME: Millis = Millis::secs(3);
-/// How many eras are remembered. Who left an earlier one is told all.
-const MAX_ERAS: usize = 8;
 
-/// The eras of the source, and what its copy says against what is known.
+/// What a copy of the source says against what is known.
 #[derive(Debug, Default)]
 pub(super) struct Restore {
     /// Until when a whole reading may show what the copy has.
     until: Option<Millis>,
-    /// Up to which revision all was known of each earlier era, the latest last.
-    left: VecDeque<Revision>,
     unconfirmed: Map<Subject, Unconfirmed>,
 }
 
@@ -34,21 +29,18 @@
 pub(super) enum Verdict {
     /// Its revision decides.
     Take,
-    /// It says nothing new.
+    /// It says what is known, in a later era.
+    Same,
+    /// What is known is later, whatever the revisions.
     Skip,
     /// It may be of the copy, and waits.
     Doubt,
 }
 
 impl Restore {
-    /// A later era begins; up to `left` all was known of the one before. What a copy said
-    /// before is void, since all is read anew.
-    pub(super) fn enter(&mut self, left: Revision, now: Millis) {
+    /// A later era begins. What a copy said before is void, since all is read anew.
+    pub(super) fn enter(&mut self, now: Millis) {
         self.until = Some(now + REWRITE_TIME);
-        self.left.push_back(left);
-        if self.left.len() > MAX_ERAS {
-            self.left.pop_front();
-        }
         self.unconfirmed.clear();
     }
 
@@ -57,21 +49,13 @@
         self.until.is_some_and(|until| now < until)
     }
 
-    /// Up to which revision all was known of the era of `known`, if nothing beyond it was
-    /// missed between that and now.
-    pub(super) fn left(&self, known: Revision) -> Option<Revision> {
-        let left = self.left.iter().find(|it| it.era >= known.era)?;
-        (left.era == known.era && *left >= known).then_some(*left)
-    }
-
-    /// Keeps a change until there was time to write it again.
-    pub(super) fn doubt(&mut self, change: Change, now: Millis) {
-        let Some(subject) = Subject::of(&change.content) else { return };
-        let due = now + REWRITE_TIME;
-        let known = self.unconfirmed.entry(subject);
-        let known = known.or_insert_with(|| Unconfirmed { change: change.clone(), due });
-        if known.change.revision < change.revision {
-            known.change = change;
+    /// Has these changes wait in place of those before; what waits already goes on to.
+    pub(super) fn replace(&mut self, changes: Vec<Change>, now: Millis) {
+        let earlier = std::mem::take(&mut self.unconfirmed);
+        for change in changes {
+            let Some(subject) = Subject::of(&change.content) else { continue };
+            let due = earlier.get(&subject).map_or(now + REWRITE_TIME, |it| it.due);
+            self.unconfirmed.insert(subject, Unconfirmed { change, due });
         }
     }
 
@@ -91,16 +75,65 @@
         self.unconfirmed.len()
     }
 
-    /// What waits, as news.
+    /// What waits.
+    pub(super) fn waiting(&self) -> impl Iterator<Item = &Change> {
+        self.unconfirmed.values().map(|it| &it.change)
+    }
+
+    /// The same as news.
     pub(super) fn changes(&self) -> impl Iterator<Item = Change> {
-        self.unconfirmed.values().map(|it| Change {
-            revision: it.change.revision,
-            content: Content::Unconfirmed(Box::new(it.change.content.clone())),
+        self.waiting().map(|it| Change {
+            revision: it.revision,
+            content: Content::Unconfirmed(Box::new(it.content.clone())),
         })
     }
+
+    /// Whether something waits that concerns a target.
+    pub(super) fn is_doubted(&self, name: &TargetName) -> bool {
+        !self.unconfirmed.is_empty()
+            && self.unconfirmed.contains_key(&Subject::Target(name.clone()))
+    }
 }
 
 impl Catalog {
+    /// Notes that a later era lists a target as it is known, which is no news for others.
+    pub(super) fn list_again(&mut self, change: &Change) {
+        let Content::Target(Target { incarnation, writes, .. }) = &change.content else { return };
+        if let Some(known) = self.targets.get_mut(incarnation) {
+            known.revision = change.revision;
+            known.target.writes = known.target.writes.max(*writes);
+        }
+    }
+
+    /// The same of all targets that are listed and not in doubt.
+    pub(super) fn list_all_again(&mut self, era: u32) {
+        let (restore, start) = (&self.restore, Revision::new(era, 0));
+        for entry in self.targets.values_mut().filter(|it| it.is_listed()) {
+            if !restore.is_doubted(&entry.target.name) {
+                entry.revision = entry.revision.max(start);
+            }
+        }
+    }
+
+    /// Drops what waits where something later is known by now.
+    pub(super) fn drop_superseded(&mut self) {
+        let mut unconfirmed = std::mem::take(&mut self.restore.unconfirmed);
+        unconfirmed.retain(|subject, it| self.known_since(subject) < it.change.revision);
+        self.restore.unconfirmed = unconfirmed;
+    }
+
+    fn known_since(&self, subject: &Subject) -> Revision {
+        let known = match subject {
+            Subject::Domain(domain) => self.evacuation(domain),
+            Subject::Target(name) => {
+                let withdrawn = self.names.get(name).and_then(|it| it.withdrawn);
+                let withdrawn = withdrawn.map(|it| it.revision);
+                withdrawn.max(self.latest(name).map(|it| it.revision))
+            }
+        };
+        known.unwrap_or_default()
+    }
+
     /// Judges an item of a whole reading, which may be of a copy if `is_copy`.
     pub(super) fn judge(&self, change: &Change, is_copy: bool) -> Verdict {
         let is_earlier = |known: Revision| known.era < change.revision.era;
@@ -134,7 +167,9 @@
             return Verdict::Take;
         }
         if known.is_listed() && target.says(&known.target) {
-            return Verdict::Skip;
+            // What waits says that it is gone; its revision tells others that it is not.
+            let is_doubted = self.restore.is_doubted(&target.name);
+            return if is_doubted { Verdict::Take } else { Verdict::Same };
         }
         if !is_copy || target.writes > known.target.writes {
             return Verdict::Take;
--- a/marked/src/entry.rs
+++ b/marked/src/entry.rs
@@ -33,6 +33,8 @@
     pub target: Target,
     /// The revision of this picture.
     pub revision: Revision,
+    /// The one at which it began to say this, if the source has listed it again in a later era.
+    pub since: Revision,
     /// Whether it is listed.
     pub presence: Presence,
     /// Until when it is slow after its start.
--- a/marked/src/fleet/spread.rs
+++ b/marked/src/fleet/spread.rs
@@ -100,8 +100,7 @@
         }
         // What came from another reader need not be told again by this one.
         let is_told = match news.scope {
-            Scope::Since(known) => known <= self.told,
-            Scope::Across { since, until } => since <= self.told && self.told <= until,
+            Scope::Since(known) | Scope::Across { since: known, .. } => known <= self.told,
             Scope::All => false,
         };
         if is_told {
--- a/marked/src/news.rs
+++ b/marked/src/news.rs
@@ -190,13 +190,14 @@
 pub enum Scope {
     /// All changes since a revision.
     Since(Revision),
-    /// All changes since a revision of an earlier era, for whoever knows nothing beyond
-    /// `until` in that era.
+    /// All changes since a revision, but for what ended before the teller read all anew.
+    /// Whoever lists something else by then has to ask for all.
     Across {
         /// What the receiver must know.
         since: Revision,
-        /// What it may know of that era at most.
-        until: Revision,
+        /// A digest of the targets, the evacuated failure domains and the version of the config
+        /// that the teller lists.
+        listed: u64,
     },
     /// All targets and evacuated failure domains: one that is not there is not any more.
     All,
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -4,6 +4,7 @@
 mod net;
 mod test_catalog;
 mod test_contested;
+mod test_convergence;
 mod test_delta;
 mod test_evacuation;
 mod test_fleet;
--- a/marked/tests/test_catalog.rs
+++ b/marked/tests/test_catalog.rs
@@ -211,3 +211,25 @@
 
     assert_eq!(catalog.revision(), Revision::new(0, 10));
 }
+
+/// Guards against a reader that has just started and tells nothing of what was removed before: a
+/// listener that is a little behind would list a target for good that has gone.
+#[test]
+fn a_reader_that_read_all_does_not_hide_earlier_removals() {
+    let gone = target(1, "desk");
+    let mut listener = Catalog::default();
+    listener.merge(one(1, Content::Target(gone.clone())), millis(0));
+    let mut reader = Catalog::default();
+    let kept = change(2, Content::Target(target(2, "desk")));
+    reader.merge(news(3, Scope::All, vec![kept]), millis(10));
+
+    for _ in 0..2 {
+        listener.merge(reader.since(listener.basis(), millis(20)), millis(20));
+    }
+
+    assert_eq!(listener.revision(), reader.revision());
+    assert_eq!(
+        listener.entry(gone.incarnation).expect("known").presence,
+        Presence::Removed(millis(20))
+    );
+}
--- /dev/null
+++ b/marked/tests/test_convergence.rs
@@ -0,0 +1,260 @@
+//! Instances that read a source, hear of it from each other and miss some of it, while it comes
+//! back from copies.
+
+use super::fixtures::{config, millis, name, started};
+use medlarspur_lib::{ids::DomainName, time::Millis};
+use medlarspur_marked::{Catalog, Change, Content, News, Revision, Scope, Target};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+/// The time by which all is written again, and with it what the copy says holds.
+const REWRITTEN: Millis = Millis(3_000);
+
+fn at(era: u32, count: u64, content: Content) -> Change {
+    Change { revision: Revision::new(era, count), content }
+}
+
+fn whole(era: u32, count: u64, changes: Vec<Change>) -> News {
+    News { revision: Revision::new(era, count), scope: Scope::All, changes }
+}
+
+/// What the source holds: targets by number, the version of the config, evacuated domains.
+#[derive(Debug, Default, Clone)]
+struct Items {
+    targets: BTreeMap<u64, (u64, Target)>,
+    domains: BTreeMap<&'static str, u64>,
+    config: (u64, u64),
+    count: u64,
+}
+
+/// A source with the writers that know what it should hold.
+#[derive(Debug, Default)]
+struct Source {
+    items: Items,
+    wanted: Items,
+    saved: Items,
+    era: u32,
+    history: Vec<Change>,
+    starts: u64,
+}
+
+const DOMAINS: [&str; 2] = ["north", "south"];
+
+impl Source {
+    fn push(&mut self, content: Content) -> u64 {
+        self.items.count += 1;
+        self.history.push(at(self.era, self.items.count, content));
+        self.items.count
+    }
+
+    /// A target starts, or writes its entry again, which changes if it says something else.
+    /// One that leaves doesn't stay after all.
+    fn write(&mut self, number: u64, leaving: bool) {
+        let target = match self.wanted.targets.get(&number) {
+            Some((_, it)) => {
+                Target { writes: it.writes + 1, leaving: it.leaving || leaving, ..it.clone() }
+            }
+            None => {
+                self.starts += 1;
+                Target { leaving, ..started(number, "desk", self.starts) }
+            }
+        };
+        self.wanted.targets.insert(number, (0, target.clone()));
+        let known = self.items.targets.get(&number);
+        if known.is_none_or(|(_, it)| (it.leaving, it.start) != (target.leaving, target.start)) {
+            let count = self.push(Content::Target(target.clone()));
+            self.items.targets.insert(number, (count, target));
+        }
+    }
+
+    /// A target goes.
+    fn remove(&mut self, number: u64) {
+        self.wanted.targets.remove(&number);
+        self.lapse(number);
+    }
+
+    /// An entry goes, maybe while its target lives.
+    fn lapse(&mut self, number: u64) {
+        if self.items.targets.remove(&number).is_some() {
+            self.push(Content::Removed(name(number)));
+        }
+    }
+
+    fn evacuate(&mut self, domain: &'static str, holds: bool) {
+        let content = DomainName::new(domain);
+        if holds {
+            self.wanted.domains.insert(domain, 0);
+            if !self.items.domains.contains_key(domain) {
+                let count = self.push(Content::Evacuated(content));
+                self.items.domains.insert(domain, count);
+            }
+        } else {
+            self.wanted.domains.remove(domain);
+            if self.items.domains.remove(domain).is_some() {
+                self.push(Content::Restored(content));
+            }
+        }
+    }
+
+    fn publish(&mut self, version: u64) {
+        self.wanted.config = (0, version);
+        if self.items.config.1 != version {
+            let count = self.push(Content::Config(config(version)));
+            self.items.config = (count, version);
+        }
+    }
+
+    fn restore(&mut self) {
+        self.items = self.saved.clone();
+        self.era += 1;
+        self.history.clear();
+    }
+
+    /// All writers write again what the copy lacks, and what has gone lapses.
+    fn rewrite(&mut self) {
+        for number in self.items.targets.keys().copied().collect::<Vec<_>>() {
+            if !self.wanted.targets.contains_key(&number) {
+                self.remove(number);
+            }
+        }
+        for (number, (_, target)) in self.wanted.targets.clone() {
+            self.write(number, target.leaving);
+        }
+        for domain in DOMAINS {
+            self.evacuate(domain, self.wanted.domains.contains_key(domain));
+        }
+        self.publish(self.wanted.config.1);
+    }
+
+    fn whole(&self) -> News {
+        let targets = self.items.targets.values();
+        let targets = targets.map(|(count, it)| at(self.era, *count, Content::Target(it.clone())));
+        let domains = self.items.domains.iter();
+        let domains = domains
+            .map(|(name, count)| at(self.era, *count, Content::Evacuated(DomainName::new(name))));
+        let (count, version) = self.items.config;
+        let config = at(self.era, count, Content::Config(config(version)));
+        whole(self.era, self.items.count, targets.chain(domains).chain([config]).collect())
+    }
+
+    /// What a reader is told that has read up to there.
+    fn read(&self, known: Revision) -> News {
+        if known.era != self.era || known.count < self.saved.count {
+            return self.whole();
+        }
+        let changes = self.history.iter().filter(|it| it.revision > known).cloned().collect();
+        News {
+            revision: Revision::new(self.era, self.items.count),
+            scope: Scope::Since(known),
+            changes,
+        }
+    }
+}
+
+/// One step of what happens.
+#[derive(Debug, Clone)]
+enum Step {
+    Write { number: u64, leaving: bool },
+    Remove { number: u64 },
+    Lapse { number: u64 },
+    Evacuate { domain: usize, holds: bool },
+    Publish,
+    Save,
+    Restore,
+    Read { by: usize },
+    Tell { by: usize, to: usize },
+    Start { nth: usize },
+    Wait { millis: u64 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (1..5u64, any::<bool>()).prop_map(|(number, leaving)| Step::Write { number, leaving }),
+        2 => (1..5u64).prop_map(|number| Step::Remove { number }),
+        1 => (1..5u64).prop_map(|number| Step::Lapse { number }),
+        1 => (0..2usize, any::<bool>()).prop_map(|(domain, holds)| Step::Evacuate { domain, holds }),
+        1 => Just(Step::Publish),
+        1 => Just(Step::Save),
+        1 => Just(Step::Restore),
+        6 => (0..4usize).prop_map(|by| Step::Read { by }),
+        6 => (0..4usize, 0..4usize).prop_map(|(by, to)| Step::Tell { by, to }),
+        1 => (0..4usize).prop_map(|nth| Step::Start { nth }),
+        2 => (0..2_000u64).prop_map(|millis| Step::Wait { millis }),
+    ];
+    proptest::collection::vec(step, 1..80)
+}
+
+/// What an instance would act on.
+fn picture(catalog: &Catalog) -> (Vec<(u64, bool)>, Vec<bool>, u64) {
+    let listed = |number| catalog.latest(&name(number)).filter(|it| it.is_listed());
+    let targets = (1..5).filter_map(|it| Some((it, listed(it)?.target.leaving))).collect();
+    let domains = DOMAINS.iter().map(|it| catalog.is_evacuated(&DomainName::new(it))).collect();
+    (targets, domains, catalog.config().map_or(0, |it| it.version.0))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against instances that go on with different pictures after restores, whatever each
+    /// of them has read, heard and lost.
+    #[test]
+    fn all_end_with_the_picture_of_the_source(steps in steps()) {
+        let mut source = Source::default();
+        let mut instances: [(Catalog, Revision); 4] = Default::default();
+        let (mut now, mut version) = (millis(1), 1);
+        source.publish(version);
+        for step in steps {
+            match step {
+                Step::Write { number, leaving } => source.write(number, leaving),
+                Step::Remove { number } => source.remove(number),
+                Step::Lapse { number } => source.lapse(number),
+                Step::Evacuate { domain, holds } => source.evacuate(DOMAINS[domain], holds),
+                Step::Publish => { version += 1; source.publish(version) }
+                Step::Save => source.saved = source.items.clone(),
+                Step::Restore => source.restore(),
+                Step::Read { by } => {
+                    let (catalog, known) = &mut instances[by];
+                    let news = source.read(*known);
+                    *known = news.revision;
+                    let before = catalog.config().map_or(0, |it| it.version.0);
+                    catalog.merge(news, now);
+                    prop_assert!(catalog.config().map_or(0, |it| it.version.0) >= before);
+                }
+                Step::Tell { by, to } => {
+                    let news = instances[by].0.since(instances[to].0.basis(), now);
+                    if news.revision > instances[to].0.revision() {
+                        instances[to].0.merge(news, now);
+                    }
+                }
+                Step::Start { nth } => instances[nth] = Default::default(),
+                Step::Wait { millis } => {
+                    now = now + Millis(millis);
+                    for (catalog, _) in &mut instances {
+                        catalog.confirm(now);
+                    }
+                }
+            }
+        }
+
+        source.rewrite();
+        let news = source.read(instances[0].1);
+        instances[0].0.merge(news, now);
+        for nth in 1..4 {
+            for _ in 0..2 {
+                let news = instances[0].0.since(instances[nth].0.basis(), now);
+                instances[nth].0.merge(news, now);
+            }
+        }
+        now = now + REWRITTEN;
+        let wanted = picture(&{
+            let mut fresh = Catalog::default();
+            fresh.merge(source.whole(), now);
+            fresh
+        });
+        for (nth, (catalog, _)) in instances.iter_mut().enumerate() {
+            catalog.confirm(now);
+            prop_assert_eq!(&picture(catalog), &wanted, "instance {}", nth);
+            prop_assert_eq!(catalog.revision(), Revision::new(source.era, source.items.count));
+        }
+    }
+}
