marked: bound the harm of an era that is wrong

An era orders all news, so that one wrong header or message would put an instance, and all whom it tells, beyond the reach of the store for good.

- A follower believes an era that can't come next, an earlier one or one more than 64 ahead, only once eight answers in a row have said it, some ten seconds; until then the calls count as failed and others take over.
- If the store is in an earlier era after all, whatever it lists next wins over what is known, but for the version of the config.
- Whoever the store answers takes the era from there only.
Others take a later one from readers that the store answers, by 64 at most at once.
- A reader that stays in an earlier era for 6 s counts for none, so that an instance which was told a wrong one reads the store by itself.

So an instance that was told a wrong era is back within some 20 s, as long as it reaches the store: a_liar_about_the_era_is_outlived, for an era that is one ahead, two, 50 and 4,000,000,000.

--- a/daemon/src/marked/inbox.rs
+++ b/daemon/src/marked/inbox.rs
@@ -27,7 +27,12 @@
 #[derive(Debug)]
 pub enum Event {
     /// News that was read from the store, maybe without any change.
-    Read(News),
+    Read {
+        /// The news.
+        news: News,
+        /// Whether the store is in an earlier era than was believed.
+        fell_back: bool,
+    },
     /// The store could not be read.
     Unread,
     /// What another instance has told when it was asked.
--- a/daemon/src/marked/instance/mod.rs
+++ b/daemon/src/marked/instance/mod.rs
@@ -306,8 +306,12 @@
         let events: Vec<Event> = self.inbox.drain().collect();
         for event in events {
             match event {
-                Event::Read(news) => {
+                Event::Read { news, fell_back } => {
                     self.read = Some(now);
+                    if fell_back {
+                        log::warn!(known:% = self.forwarder.revision(), read:% = news.revision; "store: in an earlier era than was believed");
+                        self.forwarder.fall_back();
+                    }
                     self.learn(news, now);
                     self.with_fleet(|fleet, forwarder| {
                         fleet.store_answered(forwarder.catalog(), now);
@@ -317,8 +321,12 @@
                     fleet.store_failed(forwarder.catalog(), now);
                 }),
                 Event::Told { from, news } => {
-                    log::debug!("peers: {from} has told {:?}", news.revision);
-                    self.learn(news, now);
+                    log::debug!("peers: {from} has told {}", news.revision);
+                    let known = self.forwarder.revision();
+                    let fleet = self.peers.as_ref().map(|peers| &peers.fleet);
+                    if fleet.is_none_or(|fleet| fleet.is_credible(news.revision, known)) {
+                        self.learn(news, now);
+                    }
                 }
                 Event::Asked { known, reply } => {
                     let news = self.forwarder.catalog().since(known, now);
--- a/daemon/src/marked/store.rs
+++ b/daemon/src/marked/store.rs
@@ -133,7 +133,7 @@
             current.reload();
         }
         let event = match step.news {
-            Some(news) => Event::Read(news),
+            Some(news) => Event::Read { news, fell_back: step.fell_back },
             None => Event::Unread,
         };
         match sender.send(event) {
--- a/marked/src/catalog/restore.rs
+++ b/marked/src/catalog/restore.rs
@@ -96,6 +96,23 @@
 }
 
 impl Catalog {
+    /// The source is in an earlier era than was believed: whatever it lists next wins over what
+    /// is known, but for the version of the config.
+    pub fn fall_back(&mut self) {
+        let start = Revision::default();
+        (self.revision, self.read, self.forgotten) = (start, start, start);
+        self.restore = Restore::default();
+        self.deltas.clear();
+        if let Some((revision, _)) = &mut self.config {
+            *revision = start;
+        }
+        self.targets.values_mut().for_each(|it| (it.revision, it.since) = (start, start));
+        for withdrawal in self.names.values_mut().filter_map(|it| it.withdrawn.as_mut()) {
+            withdrawal.revision = start;
+        }
+        self.evacuations.fall_back();
+    }
+
     /// Notes that a later era lists a target as it is known, which is no news for others.
     pub(super) fn list_again(&mut self, change: &Change) {
         let Content::Target(Target { incarnation, writes, .. }) = &change.content else { return };
--- a/marked/src/evacuation.rs
+++ b/marked/src/evacuation.rs
@@ -64,6 +64,11 @@
         held != ended.is_none()
     }
 
+    /// Whatever the source says next wins over what is known.
+    pub(crate) fn fall_back(&mut self) {
+        self.domains.values_mut().for_each(|it| it.revision = Revision::default());
+    }
+
     /// What is known, as news.
     pub(crate) fn changes(&self) -> impl Iterator<Item = Change> {
         self.domains.iter().map(|(domain, it)| {
--- a/marked/src/fleet/lack.rs
+++ b/marked/src/fleet/lack.rs
@@ -1,7 +1,7 @@
 //! Asking for news that an instance lacks.
 
 use super::{Fleet, readers::PULL_TIME};
-use crate::Revision;
+use crate::{MAX_LEAP, Revision};
 use medlarspur_lib::time::Millis;
 use std::net::SocketAddrV4;
 
@@ -82,6 +82,14 @@
         (count > 0).then(|| self.sources[(self.random.draw() % count) as usize])
     }
 
+    /// Whether another instance's word for an era is taken. An instance that the store answers
+    /// takes the era from there, and nobody is led so far ahead that the store can't follow.
+    pub fn is_credible(&self, told: Revision, known: Revision) -> bool {
+        let is_answered = self.is_reading() && self.fresh.is_some();
+        let leap = if is_answered { 0 } else { MAX_LEAP };
+        known == Revision::default() || told.era <= known.era.saturating_add(leap)
+    }
+
     /// Something shows that this instance lacks news; asks whoever knows most.
     pub fn suspect_lack(&mut self) {
         let best = self.peers.iter().max_by_key(|(_, peer)| (peer.fresh, peer.revision));
--- a/marked/src/fleet/mod.rs
+++ b/marked/src/fleet/mod.rs
@@ -89,6 +89,8 @@
     fresh: Option<Millis>,
     /// Up to which revision it has passed news on.
     told: Revision,
+    /// The era of what this instance knows, and since when.
+    era: (u32, Millis),
     heartbeat_at: Option<Millis>,
     sought: Option<Millis>,
     /// When it has told the seeds that it reads.
@@ -124,6 +126,7 @@
             due: Some((0, now + START_PAUSE)),
             fresh: None,
             told: Revision::default(),
+            era: (0, now),
             heartbeat_at: None,
             sought: None,
             seeded: None,
@@ -216,6 +219,7 @@
 
     /// Does what is due by now.
     pub fn tick(&mut self, catalog: &Catalog, now: Millis) {
+        self.note_era(catalog.revision().era, now);
         self.forget(now);
         self.decide(catalog, now);
         let is_due = |at: Option<Millis>, pause| at.is_none_or(|at| now.since(at) >= pause);
--- a/marked/src/fleet/presence.rs
+++ b/marked/src/fleet/presence.rs
@@ -56,7 +56,14 @@
         // starts, or can't reach the store, takes it from anywhere.
         let starts = known == Revision::default();
         let is_cut = self.is_reading() && self.fresh.is_none();
-        if heartbeat.revision <= known {
+        if heartbeat.revision <= known || !self.is_credible(heartbeat.revision, known) {
+            return;
+        }
+        // A later era is news only from whom the store answers: whoever was told a wrong one by
+        // mistake would pass it on to all who listen.
+        let is_answered = heartbeat.role == Role::Reader && heartbeat.fresh.is_some();
+        let is_later = heartbeat.revision.era > known.era;
+        if is_later && !(starts || is_cut || is_answered) {
             return;
         }
         if starts {
--- a/marked/src/fleet/readers.rs
+++ b/marked/src/fleet/readers.rs
@@ -11,6 +11,9 @@
 /// How old a reader's last answer from the store may be: longer than a watch takes, with a
 /// slow store and a busy reader.
 pub(super) const READER_TIMEOUT: Millis = Millis(2_400);
+/// How long a reader may take to hear of a later era: some calls, and the time until others
+/// have heard of it.
+const ERA_TIMEOUT: Millis = Millis::secs(6);
 /// How long an instance waits at most before it becomes the second reader.
 const SECOND_PAUSE: Millis = Millis(1_500);
 /// How long it waits at most before it becomes the only one, so that of many that lose their
@@ -42,10 +45,22 @@
         self.confirmed().is_none_or(|at| now.since(at) > READER_TIMEOUT)
     }
 
-    /// The other readers of the domain that have heard from the store lately.
+    /// The other readers of the domain that have heard from the store lately. One that stays in
+    /// an earlier era is none: either it or this instance is wrong about the store.
     pub(super) fn readers(&self, now: Millis) -> impl Iterator<Item = SocketAddrV4> {
+        let (era, since) = self.era;
+        let is_behind =
+            move |peer: &Peer| peer.revision.era < era && now.since(since) > ERA_TIMEOUT;
         let peers = self.peers.iter().filter(move |(_, peer)| peer.domain == self.domain);
-        peers.filter(move |(_, peer)| peer.is_reading(now)).map(|(address, _)| *address)
+        let peers = peers.filter(move |(_, peer)| peer.is_reading(now) && !is_behind(peer));
+        peers.map(|(address, _)| *address)
+    }
+
+    /// Notes since when this instance knows of the era.
+    pub(super) fn note_era(&mut self, era: u32, now: Millis) {
+        if self.era.0 != era {
+            self.era = (era, now);
+        }
     }
 
     /// Decides whether to read.
--- a/marked/src/fleet/spread.rs
+++ b/marked/src/fleet/spread.rs
@@ -25,6 +25,9 @@
     /// is.
     pub(super) fn pass_on(&mut self, catalog: &Catalog, now: Millis) -> bool {
         let revision = catalog.revision();
+        if revision.era < self.told.era {
+            self.told = revision;
+        }
         if revision <= self.told {
             return false;
         }
@@ -88,7 +91,8 @@
         others.truncate(MAX_PEERS);
         let next = seat.map(|seat| Seat { position: seat.position.saturating_add(1), ..seat });
         self.spread(reader, &news, others, next);
-        if news.revision <= catalog.revision() {
+        let known = catalog.revision();
+        if news.revision <= known || !self.is_credible(news.revision, known) {
             return None;
         }
         if catalog.lacks(&news) {
--- a/marked/src/forwarder/news.rs
+++ b/marked/src/forwarder/news.rs
@@ -57,6 +57,11 @@
         self.states.retain(|incarnation, _| catalog.entry(*incarnation).is_some());
     }
 
+    /// The source is in an earlier era than was believed.
+    pub fn fall_back(&mut self) {
+        self.catalog.fall_back();
+    }
+
     /// Takes in what the source said after it came back from a copy, once that is due.
     pub(super) fn confirm(&mut self, now: Millis, out: &mut impl Output) {
         if self.catalog.deadline().is_some_and(|due| due <= now) {
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -35,8 +35,8 @@
 pub use incarnation::{Incarnation, Start};
 pub use mark::Mark;
 pub use news::{
-    Change, Config, Content, Former, MOST_SLOTS, News, Revision, Route, Scope, Service, Share,
-    Target, Warmup,
+    Change, Config, Content, Former, MAX_LEAP, MOST_SLOTS, News, Revision, Route, Scope, Service,
+    Share, Target, Warmup,
 };
 pub use note::{EntryState, Fields, Note, NoteKind};
 pub use segment::{FlowKey, Kind, Segment};
--- a/marked/src/news.rs
+++ b/marked/src/news.rs
@@ -14,6 +14,10 @@
 /// beyond this is a mistake, and would draw all new flows to that target.
 pub const MOST_SLOTS: u32 = 10_000;
 
+/// How many eras the source may be ahead of what is known. Each restore takes seconds at least;
+/// a larger step is a mistake or a lie, and would put what it names beyond the reach of the source.
+pub const MAX_LEAP: u32 = 64;
+
 /// The source's count of its changes, in the order in which it made them.
 ///
 /// A source that comes back from a copy gives the same counts out again, in a later era
--- a/marked/tests/net.rs
+++ b/marked/tests/net.rs
@@ -1,12 +1,12 @@
 //! A fleet in virtual time: instances with their catalogs, datagrams that take
 //! a millisecond or get lost, and a store that some instances may not reach.
 
-use super::fixtures::{all, change, millis, news, target};
+use super::fixtures::{all, change, millis, target};
 use medlarspur_lib::{ids::DomainName, time::Millis};
 use medlarspur_load::{random::Random, warmup::Seat};
 use medlarspur_marked::{
-    Catalog, Change, Content, Fleet, Revision, Scope, Target,
-    message::{Message, decode},
+    Catalog, Change, Content, Fleet, News, Revision, Scope, Target,
+    message::{Message, decode, encode_news},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -17,6 +17,8 @@
 const WATCH: u64 = 1_500;
 /// How long a reader waits after news.
 const GATHER: u64 = 600;
+/// How many answers in a row must say an earlier era before the follower believes it.
+const DOUBTS: u32 = 8;
 /// How long a step of virtual time is.
 const STEP: u64 = 10;
 
@@ -29,6 +31,8 @@
     /// When its next call to the store is answered or made.
     call: u64,
     watching: Option<Revision>,
+    /// How many answers have said an earlier era than this instance knows.
+    doubted: u32,
 }
 
 /// All instances, by their addresses.
@@ -36,6 +40,12 @@
     pub now: u64,
     pub instances: BTreeMap<SocketAddrV4, Instance>,
     pub history: Vec<Change>,
+    /// How often the store has come back from a copy.
+    pub era: u32,
+    /// Whole readings of the store.
+    pub readings: u64,
+    /// What was told in answers to questions, in bytes.
+    pub told_bytes: u64,
     /// When each change after the first picture was published, by its revision.
     published: BTreeMap<u64, u64>,
     /// The longest time for which a live instance did not know a change.
@@ -77,6 +87,9 @@
             now: 0,
             instances: BTreeMap::new(),
             history: all(&[target(1, "desk"), target(2, "ingest")]).changes,
+            era: 0,
+            readings: 0,
+            told_bytes: 0,
             published: BTreeMap::new(),
             lag: 0,
             calls: 0,
@@ -106,11 +119,12 @@
         let fleet = Fleet::new(at, &domain, &seeds, self.random.draw(), self.time());
         let call = self.now + self.random.draw() % 40;
         let catalog = Catalog::default();
-        let instance = Instance { fleet, catalog, up: true, served: true, call, watching: None };
+        let instance =
+            Instance { fleet, catalog, up: true, served: true, call, watching: None, doubted: 0 };
         self.instances.insert(at, instance);
     }
 
-    fn time(&self) -> Millis {
+    pub fn time(&self) -> Millis {
         // The daemon's clock does not start at zero either.
         millis(1_000_000 + self.now)
     }
@@ -126,6 +140,15 @@
         self.published.insert(revision, self.now);
     }
 
+    /// The store comes back from a copy that lacks the last `lost` changes.
+    pub fn restore(&mut self, lost: usize) -> Vec<Content> {
+        let kept = self.history.len() - lost;
+        let lost = self.history.split_off(kept);
+        self.era += 1;
+        self.published.split_off(&(self.revision() + 1));
+        lost.into_iter().map(|it| it.content).collect()
+    }
+
     pub fn list(&mut self, number: u64) -> Target {
         let it = target(number, "desk");
         self.publish(Content::Target(it.clone()));
@@ -149,7 +172,9 @@
     /// How long the live instance that is furthest behind has lacked a change.
     fn present_lag(&self) -> u64 {
         let live = self.instances.values().filter(|it| it.up);
-        let known = live.map(|it| it.catalog.revision().count).min().unwrap_or_default();
+        let era = self.era;
+        let known = live.map(|it| it.catalog.revision()).min().unwrap_or_default();
+        let known = if known.era < era { 0 } else { known.count };
         let lacking = self.published.range(known + 1..).next();
         lacking.map_or(0, |(_, at)| self.now - at)
     }
@@ -189,6 +214,7 @@
             let Some(told) = self.instances.get(&asked).filter(|it| it.up) else { continue };
             let news = told.catalog.since(known, time);
             *self.told.entry(asked).or_default() += u64::from(known == Revision::default());
+            self.told_bytes += encode_news(&news).expect("sound news").len() as u64;
             let asker = self.instances.get_mut(&asker).expect("it is there");
             asker.catalog.merge(news, time);
         }
@@ -202,26 +228,38 @@
             it.call = now;
         } else if it.call <= now {
             let known = it.watching.unwrap_or(it.catalog.revision());
-            let has_news = revision > known.count;
+            let is_here = known.era == self.era && known.count > 0;
+            let has_news = !is_here || revision > known.count;
             self.calls += 1;
-            if it.served {
-                let changes = self.history.iter().filter(|change| change.revision > known);
-                let scope = match known {
-                    Revision { count: 0, .. } => Scope::All,
-                    known => Scope::Since(known),
-                };
-                it.catalog.merge(news(revision, scope, changes.cloned().collect()), time);
+            let is_ahead = it.catalog.revision().era > self.era;
+            it.doubted = if is_ahead { it.doubted + 1 } else { 0 };
+            if it.doubted == DOUBTS {
+                it.catalog.fall_back();
+            }
+            if it.served && (!is_ahead || it.doubted == DOUBTS) {
+                let scope = if is_here { Scope::Since(known) } else { Scope::All };
+                self.readings += u64::from(!is_here);
+                let is_new = |it: &&Change| !is_here || it.revision.count > known.count;
+                let changes = self.history.iter().filter(is_new).map(|it| Change {
+                    revision: Revision::new(self.era, it.revision.count),
+                    content: it.content.clone(),
+                });
+                let changes = changes.collect();
+                let read = Revision::new(self.era, revision);
+                it.catalog.merge(News { revision: read, scope, changes }, time);
                 it.fleet.store_answered(&it.catalog, time);
-                it.watching = Some(Revision::new(0, revision));
+                it.watching = Some(read);
                 it.call = now + if has_news { GATHER } else { WATCH };
             } else {
                 it.fleet.store_failed(&it.catalog, time);
                 it.call = now + 700;
             }
-        } else if it.watching.is_some_and(|known| revision > known.count) && it.served {
+        } else if it.watching.is_some_and(|at| at < Revision::new(self.era, revision)) && it.served
+        {
             // A watch ends with the first news, but not before the gathering.
             it.call = it.call.min(now.next_multiple_of(GATHER));
         }
+        it.catalog.confirm(time);
         it.fleet.tick(&it.catalog, time);
         let known = it.catalog.revision();
         if let Some(from) = it.fleet.pull(known, time) {
@@ -277,7 +315,7 @@
 
     /// The live instances that don't know all changes.
     pub fn behind(&self) -> Vec<SocketAddrV4> {
-        let revision = Revision::new(0, self.revision());
+        let revision = Revision::new(self.era, self.revision());
         let instances = self.instances.iter();
         let behind = instances.filter(|(_, it)| it.up && it.catalog.revision() < revision);
         behind.map(|(at, _)| *at).collect()
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -473,6 +473,122 @@
     assert_eq!(calls(60), calls(6));
 }
 
+/// A domain and more of targets, of which the last ones came in the seconds that get lost.
+fn with_targets(net: &mut Net, count: u64) {
+    (100..100 + count).for_each(|number| drop(net.list(number)));
+    net.run(4_000);
+}
+
+/// Guards against news that is lost or late since its revision was given out before.
+#[test]
+fn news_after_a_restore_reaches_all_within_the_bound() {
+    let mut net = settled(4, 17);
+    with_targets(&mut net, 10);
+
+    for _ in 0..3 {
+        let lost = net.restore(4);
+        lost.into_iter().for_each(|it| net.publish(it));
+        net.run(BOUND);
+        assert_eq!(net.behind(), []);
+        net.list(300 + u64::from(net.era));
+        net.run(BOUND);
+        assert_eq!(net.behind(), []);
+    }
+}
+
+/// Guards against instances of a domain that is cut off while the store comes back twice.
+#[test]
+fn a_domain_that_was_cut_off_during_two_restores_catches_up() {
+    let mut net = settled(3, 6);
+    with_targets(&mut net, 10);
+    net.cut.insert(3);
+    net.serve(3, false);
+    net.run(2_000);
+
+    for _ in 0..2 {
+        net.restore(2);
+        net.list(300 + u64::from(net.era));
+        net.run(1_500);
+    }
+    assert_eq!(net.behind().len(), 6);
+    net.cut.clear();
+    net.serve(3, true);
+    net.run(BOUND + 500);
+
+    assert_eq!(net.behind(), []);
+    let known = |net: &Net| {
+        let listed = |it: &super::net::Instance| {
+            let entries = it.catalog.entries().filter(|it| it.is_listed());
+            entries.map(|it| it.target.incarnation).collect::<std::collections::BTreeSet<_>>()
+        };
+        net.instances.values().map(listed).collect::<std::collections::BTreeSet<_>>()
+    };
+    net.run(4_000);
+    assert_eq!(known(&net).len(), 1);
+}
+
+/// Guards against a restore that each instance of a domain pays for with a whole reading or a
+/// whole picture.
+#[test]
+fn a_restore_costs_a_whole_reading_for_each_reader_only() {
+    let cost = |count: u8, targets: u64| {
+        let mut net = settled(3, count);
+        with_targets(&mut net, targets);
+        (net.readings, net.calls, net.told_bytes) = (0, 0, 0);
+        net.sent.clear();
+
+        let lost = net.restore(3);
+        lost.into_iter().for_each(|it| net.publish(it));
+        net.run(5_000);
+
+        assert_eq!(net.behind(), []);
+        let sent: u64 = net.sent.values().sum();
+        (net.readings, net.calls, net.told_bytes / u64::from(count), sent / u64::from(count))
+    };
+
+    let (small, large) = (cost(10, 60), cost(80, 240));
+    eprintln!("readings, calls, bytes told and sent an instance: {small:?}, then {large:?}");
+
+    assert_eq!((small.0, large.0), (6, 6));
+    assert!(large.1 <= small.1 + 6, "calls {} and {}", small.1, large.1);
+    assert!(large.2 <= small.2 + 200, "{} and {} bytes told", small.2, large.2);
+    assert!(large.3 < small.3 * 2, "{} and {} bytes sent", small.3, large.3);
+}
+
+/// Guards against a message of a far era that puts an instance beyond the reach of honest news.
+#[test]
+fn a_liar_about_the_era_is_outlived() {
+    for era in [1, 2, 50, 4_000_000_000] {
+        let mut net = settled(2, 6);
+        let (liar, listener) = (address(1, 77), address(1, 6));
+        let now = net.time();
+        let it = net.instances.get_mut(&listener).expect("it is there");
+        let known = it.catalog.revision();
+        let news = medlarspur_marked::News {
+            revision: medlarspur_marked::Revision::new(era, 1_000_000),
+            scope: medlarspur_marked::Scope::Since(known),
+            changes: Vec::new(),
+        };
+        let message = medlarspur_marked::message::Message::News {
+            reader: liar,
+            news,
+            to: vec![],
+            seat: None,
+        };
+        if let Some(news) = it.fleet.receive(liar, message, &it.catalog, now) {
+            it.catalog.merge(news, now);
+        }
+
+        net.run(30_000);
+        net.list(300);
+        net.run(BOUND);
+
+        let revision = net.instances[&listener].catalog.revision();
+        assert_eq!(net.behind(), [], "era {era}");
+        assert_eq!(revision.era, 0, "era {era}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
