--- a/daemon/tests/test_marked_soak.rs
+++ b/daemon/tests/test_marked_soak.rs
@@ -52,6 +52,12 @@
     soak(1_000);
 }
 
+/// The first seed on which the store comes back from copies.
+#[test]
+fn seed_9000_is_sound() {
+    soak(9_000);
+}
+
 /// Guards against targets that the end of an overlapping evacuation makes slow while in use.
 #[test]
 fn seed_6103_is_sound() {
--- a/daemon/tests/test_marked_store.rs
+++ b/daemon/tests/test_marked_store.rs
@@ -128,6 +128,38 @@
     wait_until("all know it", || lines_with(&site, &["target entry", "state=leaving"]).len() == 6);
 }
 
+/// Guards against callers who notice that the store lost what was written: a target that came, one
+/// that leaves, an evacuation and a config, twice in a row, with a reader replaced in between.
+#[test]
+fn callers_notice_nothing_when_the_store_comes_back_from_copies() {
+    let mut site = site(8, 4);
+    come(&mut site);
+    wait_for_answers(&site, 30);
+
+    for leaving in [0, 1] {
+        site.store.copy();
+        site.add_target(DESK).expect("a host");
+        site.evacuate(DOMAINS[1]);
+        site.drain(leaving);
+        site.publish();
+        let known = format!("version={} ", site.version());
+        wait_until("it is in force", || {
+            lines_with(&site, &["config in force", &known]).len() == site.instances.len()
+        });
+        site.store.restore();
+        site.drop_instance(0);
+        site.add_instance().expect("an instance");
+        wait_for_answers(&site, 30);
+        site.write_again();
+        site.restore(DOMAINS[1]);
+        let known = format!("to={}.", leaving + 1);
+        wait_until("it is told", || lines_with(&site, &["platform restored", &known]).len() >= 3);
+        wait_for_answers(&site, 60);
+    }
+
+    assert_eq!(unanswered(&end(&site)), 0);
+}
+
 /// Operators move the store, rewrite the settings and tell the instance. A
 /// restart would not be needed.
 #[test]
