daemon: tell the follower that it reads an earlier era than is known

What callers see: after operators have moved the store to one that came back from copies less often, no config and no target is taken from it.

Cause: the new follower has no era to compare with and reads as if all were well, and the catalog drops what is of an earlier era.

Why this works: the follower goes on from what is known, doubts the store's era, and believes it once it has been said often enough.

--- a/daemon/src/marked/instance/mod.rs
+++ b/daemon/src/marked/instance/mod.rs
@@ -312,7 +312,12 @@
                         log::warn!(known:% = self.forwarder.revision(), read:% = news.revision; "store: in an earlier era than was believed");
                         self.forwarder.fall_back();
                     }
+                    let era = news.revision.era;
                     self.learn(news, now);
+                    let known = self.forwarder.revision();
+                    if era < known.era {
+                        self.reading.resume(known);
+                    }
                     self.with_fleet(|fleet, forwarder| {
                         fleet.store_answered(forwarder.catalog(), now);
                     });
--- a/daemon/src/marked/store.rs
+++ b/daemon/src/marked/store.rs
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Reads on from `known`, which is of a later era than what was read. If the store is in an
+    /// earlier one, it says so.
+    pub fn resume(&self, known: Revision) {
+        let mut order = lock(&self.shared);
+        if *order != Order::Pause {
+            *order = Order::ReadFrom(known);
+        }
+    }
+
     /// Stops reading after the call under way.
     pub fn pause(&self) {
         *lock(&self.shared) = Order::Pause;
--- a/daemon/tests/test_marked_store.rs
+++ b/daemon/tests/test_marked_store.rs
@@ -206,3 +206,24 @@
     });
     assert!(site.instances[0].is_ready());
 }
+
+/// Guards against a store of an earlier era, to which operators have moved, that is read and not
+/// taken.
+#[test]
+fn a_store_of_an_earlier_era_is_taken_once_it_has_said_so_often() {
+    let mut site = site(8, 1);
+    (0..3).for_each(|_| site.store.restore());
+    wait_until("it is told", || !lines_with(&site, &["platform restored", "to=3."]).is_empty());
+    let moved = Store::start().expect("a store");
+    let routes = [(service(Class::Feed), "idempotent", DESK.to_owned())];
+    moved.put_config(1_000, &routes);
+    let mut setup = site.instances[0].setup.clone();
+    setup.store = moved.address();
+
+    site.instances[0].rewrite(setup).expect("a file");
+    site.instances[0].signal(Signal::SIGHUP).expect("it runs");
+
+    wait_until("it is in force", || {
+        !lines_with(&site, &["config in force version=1000"]).is_empty()
+    });
+}
