--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -141,7 +141,7 @@
             yes(status.reading),
             span(status.uptime.0),
             or_dash(status.picture.version),
-            status.picture.revision.to_string(),
+            output::revision(&status.picture),
             or_dash(status.picture.age.map(|age| span(age.0))),
             status.flows.to_string(),
             status.members.to_string(),
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -57,12 +57,20 @@
     }
 }
 
+/// The revision as log lines write it: with its era, if the platform came back from a copy.
+pub fn revision(picture: &Picture) -> String {
+    match picture.era {
+        0 => picture.revision.to_string(),
+        era => format!("{era}.{}", picture.revision),
+    }
+}
+
 /// Prints up to where an instance knows config and targets.
 pub fn picture(picture: &Picture) {
     let age = picture.age.map(|age| span(age.0));
     let confirmed = age.map_or("never confirmed".to_owned(), |age| format!("confirmed {age} ago"));
     line(&format!("config   version {}", or_dash(picture.version)));
-    line(&format!("picture  up to revision {}, {confirmed}", picture.revision));
+    line(&format!("picture  up to revision {}, {confirmed}", revision(picture)));
     if picture.omitted > 0 {
         line(&format!("routes   {} of the config can't be served", picture.omitted));
     }
--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -23,6 +23,7 @@
 struct Instance {
     name: &'static str,
     version: Option<u64>,
+    era: u32,
 }
 
 /// Starts an instance with a bundle of this version in force, or none.
@@ -30,14 +31,19 @@
     let meters = Meters::new().expect("metrics");
     meters.count(Family::Packets, "received").add(10);
     let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
-    Operator::start(address, Arc::new(Instance { name, version }), meters).expect("starts")
+    Operator::start(address, Arc::new(Instance { name, version, era: 0 }), meters).expect("starts")
 }
 
 /// Starts an instance where marks are used, with a config of this version in force.
 pub fn marked(name: &'static str, version: Option<u64>) -> Operator {
+    marked_in_era(name, version, 0)
+}
+
+/// The same, of a platform that has come back from a copy as often.
+pub fn marked_in_era(name: &'static str, version: Option<u64>, era: u32) -> Operator {
     let meters = Meters::new().expect("metrics");
     let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
-    let source = Arc::new(Instance { name, version });
+    let source = Arc::new(Instance { name, version, era });
     Operator::start_marked(address, source, meters).expect("starts")
 }
 
@@ -51,7 +57,7 @@
             reading: true,
             members: 3,
             flows: 12,
-            picture: picture(self.version),
+            picture: picture(self.version, self.era),
             services: vec![MarkedService {
                 name: ServiceName::new("alertdesk"),
                 pressure: 31,
@@ -68,16 +74,16 @@
             class: Some(Class::Feed),
             target: marked_targets().pop(),
             candidates: marked_targets(),
-            picture: picture(self.version),
+            picture: picture(self.version, self.era),
         })
     }
 }
 
-fn picture(version: Option<u64>) -> Picture {
+fn picture(version: Option<u64>, era: u32) -> Picture {
     let evacuated = EvacuatedDomain { domain: DomainName::new("mladost"), revision: 40 };
     Picture {
         version: version.map(Version),
-        era: 0,
+        era,
         revision: 41,
         age: Some(Millis(350)),
         evacuated: vec![evacuated],
--- a/cli/tests/test_instances.rs
+++ b/cli/tests/test_instances.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     fixtures::folder,
-    instances::{instance, marked},
+    instances::{instance, marked, marked_in_era},
 };
 use expect_test::expect;
 
@@ -150,6 +150,17 @@
     assert!(json.contains(r#""flows":1200,"packets":0,"#), "{json}");
 }
 
+/// Guards against revisions that look as if they had gone back, where the platform did.
+#[test]
+fn status_tells_the_era_of_a_platform_that_came_back_from_a_copy() {
+    let one = marked_in_era("edge-1", Some(9), 2);
+
+    let printed = folder().run(&format!("status {}", one.address()));
+
+    assert!(printed.contains("up to revision 2.41,"), "{printed}");
+    assert!(printed.contains("9       2.41 "), "{printed}");
+}
+
 #[test]
 fn status_where_marks_are_used_tells_how_old_the_picture_is() {
     let one = marked("edge-1", Some(9));
