--- a/daemon/tests/test_marked_store.rs
+++ b/daemon/tests/test_marked_store.rs
@@ -128,8 +128,7 @@
     wait_until("all know it", || lines_with(&site, &["target entry", "state=leaving"]).len() == 6);
 }
 
-/// Guards against callers who notice that the store lost what was written: a target that came, one
-/// that leaves, an evacuation and a config, twice in a row, with a reader replaced in between.
+/// Guards against callers who notice what the store has lost, twice in a row.
 #[test]
 fn callers_notice_nothing_when_the_store_comes_back_from_copies() {
     let mut site = site(8, 4);
@@ -207,8 +206,7 @@
     assert!(site.instances[0].is_ready());
 }
 
-/// Guards against a store of an earlier era, to which operators have moved, that is read and not
-/// taken.
+/// Guards against reading a store of an earlier era and taking nothing of it.
 #[test]
 fn a_store_of_an_earlier_era_is_taken_once_it_has_said_so_often() {
     let mut site = site(8, 1);
--- a/marked/tests/test_catalog.rs
+++ b/marked/tests/test_catalog.rs
@@ -212,8 +212,7 @@
     assert_eq!(catalog.revision(), Revision::new(0, 10));
 }
 
-/// Guards against a reader that has just started and tells nothing of what was removed before: a
-/// listener that is a little behind would list a target for good that has gone.
+/// Guards against listing a target for good that went before the reader read all.
 #[test]
 fn a_reader_that_read_all_does_not_hide_earlier_removals() {
     let gone = target(1, "desk");
--- a/marked/tests/test_convergence.rs
+++ b/marked/tests/test_convergence.rs
@@ -196,8 +196,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 20_000, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Guards against instances that go on with different pictures after restores, whatever each
-    /// of them has read, heard and lost.
+    /// Guards against instances that go on with different pictures after restores.
     #[test]
     fn all_end_with_the_picture_of_the_source(steps in steps()) {
         let mut source = Source::default();
--- a/marked/tests/test_fleet.rs
+++ b/marked/tests/test_fleet.rs
@@ -528,8 +528,7 @@
     assert_eq!(known(&net).len(), 1);
 }
 
-/// Guards against a restore that each instance of a domain pays for with a whole reading or a
-/// whole picture.
+/// Guards against a restore for which each instance of a domain reads or asks for all.
 #[test]
 fn a_restore_costs_a_whole_reading_for_each_reader_only() {
     let cost = |count: u8, targets: u64| {
--- a/marked/tests/test_restore.rs
+++ b/marked/tests/test_restore.rs
@@ -235,8 +235,7 @@
     assert_eq!(later.restore, None);
 }
 
-/// Guards against a picture for each listener at each restore: what is told doesn't grow with what
-/// is as it was.
+/// Guards against telling each listener at a restore what is as it was.
 #[test]
 fn a_restore_is_told_in_a_message_that_does_not_grow_with_the_targets() {
     let size = |count: u64| {
@@ -260,8 +259,7 @@
     assert!(size(4_000).abs_diff(size(100)) < 4);
 }
 
-/// Guards against a listener that takes the difference of a reader which knew less than itself:
-/// a target that it alone had heard of would stay for good.
+/// Guards against taking the difference of a reader that knew less than the listener.
 #[test]
 fn whoever_knew_more_of_the_earlier_era_asks_for_all() {
     let mut reader = knowing(vec![]);
