load: move the modules that only the gate uses into a folder

The package holds the decisions of two forwarders. Those of the gate, which serves fabrics that return nothing, are in load/src/gate/ now; the others stay. A move alone: no code but paths has changed.

--- a/load/src/admission.rs
+++ b/load/src/gate/admission.rs
@@ -17,10 +17,8 @@
 //! Without limits in the bundle, openings are admitted up to the targets' slots and
 //! connections.
 
-use crate::{
-    callers::{Sketch, caller_key, network_key},
-    settings::Settings,
-};
+use super::settings::Settings;
+use crate::callers::{Sketch, caller_key, network_key};
 use medlarspur_lib::{bundle::Class, ids::ServiceIx, time::Millis};
 use std::net::Ipv4Addr;
 
--- a/load/src/counts.rs
+++ b/load/src/gate/counts.rs
@@ -1,6 +1,6 @@
 //! Counts of decisions, and the reasons of refusals.
 
-use crate::state::{CLASSES, class_index};
+use super::state::{CLASSES, class_index};
 use medlarspur_lib::bundle::Class;
 
 /// Number of decisions by outcome, for metrics.
--- a/load/src/gate.rs
+++ b/load/src/gate/mod.rs
@@ -1,24 +1,32 @@
 //! The admission decisions of one instance, combined for the packet path.
 
-use crate::{
-    admission::{self, CallerUsage},
-    callers::caller_key,
-    counts::{Counts, Reason},
-    opening::{Closing, Opening, ServiceSpec, Signal, Verdict},
-    placement,
-    queue::{Queue, Requester},
-    random::Random,
-    refusal,
-    retry::{Decision, DecisionCache, RetryBudget},
-    settings::Settings,
-    state::{CLASSES, Service, Target, class_index},
-};
+pub mod admission;
+mod counts;
+mod opening;
+pub mod placement;
+pub mod queue;
+pub mod refusal;
+pub mod retry;
+mod settings;
+pub mod shares;
+mod state;
+
+pub use counts::Counts;
+pub use opening::{Closing, LoadReport, Opening, ServiceSpec, Signal, TargetSpec, Verdict};
+pub use settings::Settings;
+
+use crate::{callers::caller_key, random::Random};
+use admission::CallerUsage;
+use counts::Reason;
 use medlarspur_lib::{
     bundle::{Class, TargetState},
     collections::Map,
     ids::{FlowId, ServiceIx, TargetIx},
     time::Millis,
 };
+use queue::{Queue, Requester};
+use retry::{Decision, DecisionCache, RetryBudget};
+use state::{CLASSES, Service, Target, class_index};
 
 /// Maximum number of uploads whose opening time is kept to learn how long uploads take.
 /// Uploads outlast the decision cache. When the limit is reached, samples are lost.
--- a/load/src/placement.rs
+++ b/load/src/gate/placement.rs
@@ -20,7 +20,7 @@
 //! - *A bad target keeps some work.* Otherwise its recovery would go unnoticed. Only a
 //!   leaving target gets none.
 
-use crate::opening::LoadReport;
+use super::opening::LoadReport;
 use medlarspur_lib::{bundle::TargetState, time::Millis};
 
 /// Weight of a target that has the full weight of the bundle.
--- a/load/src/state.rs
+++ b/load/src/gate/state.rs
@@ -1,6 +1,6 @@
 //! State that the gate keeps for each service and target.
 
-use crate::{
+use super::{
     admission,
     opening::{ServiceSpec, TargetSpec},
     placement::{self, FULL_WEIGHT, HoldTime, TargetStats, TargetView},
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -2,36 +2,29 @@
 //!
 //! Nothing here does I/O, starts a thread or reads a clock. Time and randomness are
 //! arguments, so that tests can simulate every load pattern. Each module makes one decision
-//! and names the load patterns that it handles. [`Gate`] combines the modules for the
-//! packet path. The alternatives are discussed in `docs/design/load.md` and
-//! `docs/design/refusals.md`; `docs/measures/load.md` has the figures.
+//! and names the load patterns that it handles. The alternatives are discussed in
+//! `docs/design/load.md` and `docs/design/refusals.md`; `docs/measures/load.md` has the
+//! figures.
+//!
+//! Two forwarders use this package. The modules of [`gate`] serve the forwarder of fabrics
+//! that return nothing; [`Gate`] combines them for its packet path. [`backlog`], [`choice`],
+//! [`estimate`], [`limit`], [`reserve`], [`subset`], [`vacancy`] and [`warmup`] serve the
+//! forwarder of fabrics that return marks, which calls each where it decides. [`callers`],
+//! [`lines`] and [`random`] serve both.
 
-pub mod admission;
 pub mod backlog;
 pub mod callers;
 pub mod choice;
-mod counts;
 pub mod estimate;
-mod gate;
+pub mod gate;
 pub mod limit;
 pub mod lines;
-mod opening;
-pub mod placement;
-pub mod queue;
 pub mod random;
-pub mod refusal;
 pub mod reserve;
-pub mod retry;
-mod settings;
-pub mod shares;
-mod state;
 pub mod subset;
 pub mod vacancy;
 pub mod warmup;
 
-pub use crate::{
-    counts::Counts,
-    gate::Gate,
-    opening::{Closing, LoadReport, Opening, ServiceSpec, Signal, TargetSpec, Verdict},
-    settings::Settings,
+pub use crate::gate::{
+    Closing, Counts, Gate, LoadReport, Opening, ServiceSpec, Settings, Signal, TargetSpec, Verdict,
 };
--- a/load/tests/test_placement.rs
+++ b/load/tests/test_placement.rs
@@ -1,7 +1,7 @@
 use medlarspur_lib::{bundle::TargetState, time::Millis};
 use medlarspur_load::{
     LoadReport,
-    placement::{FULL_WEIGHT, TargetStats, TargetView, update_weights},
+    gate::placement::{FULL_WEIGHT, TargetStats, TargetView, update_weights},
 };
 
 /// Updates the weights once a second for `seconds` and returns the last ones.
--- a/load/tests/test_properties.rs
+++ b/load/tests/test_properties.rs
@@ -6,8 +6,10 @@
 };
 use medlarspur_load::{
     Closing, Gate, LoadReport, Opening, ServiceSpec, Settings, Signal, TargetSpec, Verdict,
-    placement,
-    retry::{Decision, DecisionCache},
+    gate::{
+        placement,
+        retry::{Decision, DecisionCache},
+    },
 };
 use proptest::prelude::*;
 use std::net::Ipv4Addr;
--- a/load/tests/test_refusal.rs
+++ b/load/tests/test_refusal.rs
@@ -1,5 +1,8 @@
 use medlarspur_lib::time::Millis;
-use medlarspur_load::{random::Random, refusal::Overload, retry::RetryBudget};
+use medlarspur_load::{
+    gate::{refusal::Overload, retry::RetryBudget},
+    random::Random,
+};
 
 /// Returns the retry times of the last 100 refusals, at 100 a second, after so many seconds
 /// of an overload with twice as many openings as fit.
