lib, marked: read priorities and capabilities, and name the ends of requests

Routes keep their priority, the settings list optional capabilities, and one function passes on how a request ended. Nothing depends on any of them yet. The messages between instances have version 6, since routes have one more field; instances of both versions run beside each other and read the store themselves.

--- a/daemon/src/marked/instance/mod.rs
+++ b/daemon/src/marked/instance/mod.rs
@@ -112,8 +112,12 @@
     );
     let regions = settings.regions.iter().map(|it| (it.domain.clone(), it.region.clone()));
     let regions = regions.collect();
-    let options =
-        ForwarderOptions { domain: settings.domain.clone(), regions, seed: rand::random() };
+    let options = ForwarderOptions {
+        domain: settings.domain.clone(),
+        regions,
+        capabilities: settings.capabilities,
+        seed: rand::random(),
+    };
     let mut instance = Instance {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
--- a/lib/src/settings/marked.rs
+++ b/lib/src/settings/marked.rs
@@ -23,6 +23,7 @@
     "control",
     "peers",
     "regions",
+    "capabilities",
     "grace",
     "log",
 ];
@@ -58,6 +59,8 @@
         pub peers: Vec<SocketAddrV4>,
         /// Regions of the failure domains, as far as they are known.
         pub regions: Vec<DomainRegion>,
+        /// Optional decisions that are on.
+        pub capabilities: Capabilities,
         /// Time between the request to leave and the kill of the instance.
         pub grace: Millis,
         /// Form of log lines.
@@ -65,6 +68,17 @@
     }
 }
 
+value! {
+    /// Optional decisions of an instance, each on if the list `capabilities` names it.
+    #[derive(Default, Copy)]
+    pub struct Capabilities {
+        /// `health`: targets that fail more than others of their service get no new flows.
+        pub health: bool,
+        /// `pressure`: flows that exceed what targets take wait or are refused by priority.
+        pub pressure: bool,
+    }
+}
+
 value! {
     /// Region of a failure domain.
     pub struct DomainRegion {
@@ -109,6 +123,7 @@
     let control = fields.parse_optional("control", parse_socket);
     let peers = fields.parse_or("peers", Vec::new(), parse_peers);
     let regions = fields.parse_or("regions", Vec::new(), parse_regions);
+    let capabilities = fields.parse_or("capabilities", Capabilities::default(), parse_capabilities);
     let grace = fields
         .parse_or("grace", DEFAULT_GRACE, |node| node.duration(Millis(100)..=Millis::secs(600)));
     let log = fields
@@ -125,11 +140,26 @@
         control: control?,
         peers: peers?,
         regions: regions?,
+        capabilities: capabilities?,
         grace: grace?,
         log: log?,
     })
 }
 
+/// Reads the list of capabilities. Platforms may name more than this program knows; those have no
+/// effect.
+fn parse_capabilities(node: &Node<'_>) -> Option<Capabilities> {
+    let mut capabilities = Capabilities::default();
+    for item in node.items()? {
+        match item.text()? {
+            "health" => capabilities.health = true,
+            "pressure" => capabilities.pressure = true,
+            _ => {}
+        }
+    }
+    Some(capabilities)
+}
+
 fn parse_regions(node: &Node<'_>) -> Option<Vec<DomainRegion>> {
     let mut known = Vec::<DomainRegion>::new();
     for item in node.items()? {
--- a/lib/src/settings/mod.rs
+++ b/lib/src/settings/mod.rs
@@ -6,7 +6,7 @@
 mod marked;
 mod parse;
 
-pub use marked::{DomainRegion, MarkedSettings};
+pub use marked::{Capabilities, DomainRegion, MarkedSettings};
 
 use crate::{
     bundle::TrustedKeys,
--- a/lib/tests/product/test_marked_settings.rs
+++ b/lib/tests/product/test_marked_settings.rs
@@ -1,7 +1,7 @@
 //! Tests of the settings of an instance whose fabric returns marks.
 
 use expect_test::expect;
-use medlarspur_lib::settings::{DomainRegion, LogForm, MarkedSettings};
+use medlarspur_lib::settings::{Capabilities, DomainRegion, LogForm, MarkedSettings};
 
 const VALID: &str = "\
 agreement: marks
@@ -32,11 +32,11 @@
 
     expect![[r#"
         line 1: (top): the field `name` is missing; add `name:`
-        line 2: nam: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, control, peers, regions, grace, log
+        line 2: nam: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, control, peers, regions, capabilities, grace, log
         line 6: store: `store.example:1` does not fit; write an IPv4 address and a port other than 0, such as 10.0.0.1:6080
         line 7: grace: `soon` does not fit; write a span of time with its unit, such as 500ms, 30s, 5m or 1h
         line 8: metrics: the address `10.1.0.10:8167` is already used at ready; change or remove it here or at ready
-        line 9: colour: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, control, peers, regions, grace, log"#]].assert_eq(&report.to_string());
+        line 9: colour: unknown field; remove it, or use one of agreement, name, domain, packets, ready, metrics, callers, store, control, peers, regions, capabilities, grace, log"#]].assert_eq(&report.to_string());
 }
 
 #[test]
@@ -72,3 +72,13 @@
     assert!(MarkedSettings::is_declared_in("name: a\nagreement: \"marks\"\n"));
     assert!(!MarkedSettings::is_declared_in("site: sofia\nname: entry-1\n"));
 }
+
+/// Guards against settings of a newer platform that an older program refuses.
+#[test]
+fn unknown_capabilities_have_no_effect() {
+    let text = VALID.to_owned() + "capabilities: [base, health, other]\n";
+
+    let settings = MarkedSettings::parse(&text).expect("valid");
+
+    assert_eq!(settings.capabilities, Capabilities { health: true, pressure: false });
+}
--- a/marked/examples/slopes.rs
+++ b/marked/examples/slopes.rs
@@ -87,6 +87,7 @@
     let route = |number: usize| Route {
         address: address(198, number, 8443),
         class: Class::Feed,
+        priority: None,
         objective: Some(Millis(250)),
         shares: vec![Share {
             service: ServiceName::new(&format!("service-{}", number % services)),
@@ -150,8 +151,12 @@
 }
 
 fn forwarder(targets: usize, services: usize) -> Forwarder {
-    let options =
-        ForwarderOptions { domain: DomainName::new("north"), regions: Default::default(), seed: 1 };
+    let options = ForwarderOptions {
+        domain: DomainName::new("north"),
+        regions: Default::default(),
+        capabilities: Default::default(),
+        seed: 1,
+    };
     let mut forwarder = Forwarder::new(options);
     forwarder.apply_update(site(targets, services), Millis(0), &mut NoOutput);
     forwarder
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -21,6 +21,7 @@
 mod explain;
 mod failover;
 mod full;
+mod outcomes;
 mod output;
 mod placing;
 mod probing;
@@ -41,9 +42,11 @@
 use medlarspur_lib::{
     collections::{Map, SeededMap},
     ids::{DomainName, RegionName, ServiceName},
+    settings::Capabilities,
     time::Millis,
 };
-use medlarspur_load::{random::Random, warmup::Seat};
+use medlarspur_load::{outcome::Outcome, random::Random, warmup::Seat};
+use outcomes::RequestEnd;
 use placing::OPENING_LIMIT;
 use probing::LapseProbes;
 use state::TargetState;
@@ -64,6 +67,8 @@
     pub domain: DomainName,
     /// Region of each failure domain, as far as it is known.
     pub regions: Map<DomainName, RegionName>,
+    /// Optional decisions that the settings turn on.
+    pub capabilities: Capabilities,
     /// Seed of the random numbers that decide between equal targets.
     pub seed: u64,
 }
@@ -232,8 +237,7 @@
         let known = self.take_record(target, &segment.key);
         let is_resumed = known.is_none();
         let route = self.catalog.route(segment.key.service);
-        let (class, objective) =
-            (route.map(|route| route.class), route.and_then(waiting::objective));
+        let class = route.map(|route| route.class);
         let mut flow = match (known, class) {
             (Some(flow), _) => flow,
             (None, Some(class)) if segment.len > 0 => Flow::resume(target, class, segment, now),
@@ -250,8 +254,10 @@
         if seen.opened {
             self.record_accepted(target, class, now, out);
         }
-        if let (Some(since), Some(objective)) = (seen.request_since, objective) {
-            self.record_answer(target, objective, now.since(since), now);
+        if let Some(since) = seen.request_since {
+            let (key, span) = (segment.key, now.since(since));
+            let end = RequestEnd { key, target, class, span, outcome: Outcome::Unknown };
+            self.record_outcome(end, now, out);
         }
         if seen.alive {
             self.record_alive(target, now, out);
@@ -270,11 +276,6 @@
             out.measure(&service, flow.class, Span::Handshake(now.since(flow.first_seen)));
             self.estimates.add_handshake(flow.first_seen, flow.resent, now);
         }
-        if let Some(since) = seen.request_since {
-            let span = now.since(since);
-            out.measure(&service, flow.class, Span::Answer(span));
-            self.estimates.add_answer(&service, flow.class, span);
-        }
     }
 
     fn handle_close(
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -4,7 +4,7 @@
 //! they describe the load patterns that this is for.
 
 use super::{Forwarder, Output, Refusal};
-use crate::{FlowKey, Incarnation, Note, Route};
+use crate::{FlowKey, Note, Route};
 use medlarspur_lib::{
     bundle::Class,
     collections::{Map, Set},
@@ -129,13 +129,11 @@
     /// Adds the answer time of a request to the service's limit.
     pub(super) fn record_answer(
         &mut self,
-        target: Incarnation,
+        service: &ServiceName,
         objective: Millis,
         span: Millis,
         now: Millis,
     ) {
-        let Some(entry) = self.catalog.entry(target) else { return };
-        let service = entry.target.service.clone();
         if !self
             .admissions
             .entry(service.clone())
@@ -145,8 +143,8 @@
         {
             return;
         }
-        let Load { work, slot_share } = self.load(&service);
-        if let Some(admission) = self.admissions.get_mut(&service) {
+        let Load { work, slot_share } = self.load(service);
+        if let Some(admission) = self.admissions.get_mut(service) {
             admission.limit.adjust(work.all, slot_share, now);
         }
     }
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -33,6 +33,7 @@
 pub use health::{Health, ProbeResult};
 pub use incarnation::{Incarnation, Start};
 pub use mark::Mark;
+pub use medlarspur_load::priority::Priority;
 pub use note::{EntryState, Fields, Note, NoteKind};
 pub use segment::{FlowKey, Kind, Segment};
 pub use update::{
--- a/marked/src/message.rs
+++ b/marked/src/message.rs
@@ -8,7 +8,7 @@
 
 /// Version of the messages. Instances of different versions ignore each other's messages and read
 /// the store themselves.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 /// Maximum size of a datagram between instances, in bytes. With all headers it stays below the
 /// usual MTU of 1,500.
 pub const MAX_DATAGRAM: usize = 1_200;
--- a/marked/src/update.rs
+++ b/marked/src/update.rs
@@ -7,6 +7,7 @@
     ids::{DomainName, RegionName, ServiceName, TargetName, Version},
     time::Millis,
 };
+use medlarspur_load::priority::Priority;
 use serde::{Deserialize, Serialize};
 use std::{cmp::Ordering, fmt, net::SocketAddrV4};
 
@@ -90,6 +91,8 @@
     pub address: SocketAddrV4,
     /// Class of the requests in these flows.
     pub class: Class,
+    /// Priority of these flows, if operators set one.
+    pub priority: Option<Priority>,
     /// Latency objective of the answers, if operators set one.
     pub objective: Option<Millis>,
     /// Services that share the new flows. The list is not empty, and the sum of the weights is
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -3,6 +3,7 @@
 use medlarspur_lib::{
     bundle::Class,
     ids::{DomainName, RegionName, ServiceName, TargetName, Version},
+    settings::Capabilities,
     status::TargetUse,
     time::Millis,
 };
@@ -52,7 +53,14 @@
 
 pub fn route(address: SocketAddrV4, class: Class, service: &str) -> Route {
     let share = Share { service: ServiceName::new(service), weight: 1 };
-    Route { address, class, objective: None, shares: vec![share], regions: Vec::new() }
+    Route {
+        address,
+        class,
+        priority: None,
+        objective: None,
+        shares: vec![share],
+        regions: Vec::new(),
+    }
 }
 
 /// Properties of a service in a config.
@@ -178,7 +186,12 @@
         let regions =
             places.map(|(domain, region)| (DomainName::new(domain), RegionName::new(region)));
         let regions = regions.into_iter().collect();
-        let options = ForwarderOptions { domain: DomainName::new(domain), regions, seed };
+        let options = ForwarderOptions {
+            domain: DomainName::new(domain),
+            regions,
+            capabilities: Capabilities::default(),
+            seed,
+        };
         let mut instance =
             Instance { forwarder: Forwarder::new(options), out: Decisions::default() };
         instance.learn(snapshot(targets), 0);
