--- a/load/examples/choice.rs
+++ b/load/examples/choice.rs
@@ -7,11 +7,15 @@
 
 use medlarspur_lib::bundle::Class;
 use medlarspur_load::{
-    choice::{Candidate, Tier, choose},
+    choice::{Candidate, Demand, Tier, choose},
+    priority::Level,
     random::Random,
 };
 use std::{cmp::Reverse, collections::BinaryHeap};
 
+/// Flows of a service whose routes have no priority.
+const REQUEST: Demand = Demand { class: Class::Request, level: Level::nth(0, 2) };
+const FEED: Demand = Demand { class: Class::Feed, level: Level::nth(1, 2) };
 /// Numbers of instances, targets and slots per target, as at today's sites.
 const INSTANCES: usize = 8;
 const TARGETS: usize = 14;
@@ -104,7 +108,7 @@
     let mut feeds = Vec::new();
     for feed in 0..FEEDS {
         let instance = feed % INSTANCES;
-        let target = simulation.choose(strategy, instance, Class::Feed);
+        let target = simulation.choose(strategy, instance, FEED);
         simulation.idle[instance][target] += 1;
         feeds.push((instance, target));
         let at = simulation.exponential(pause);
@@ -126,7 +130,7 @@
                 simulation.push(at, Event::Feed(feed));
             }
             Event::Request(instance) => {
-                let target = simulation.choose(strategy, instance, Class::Request);
+                let target = simulation.choose(strategy, instance, REQUEST);
                 simulation.begin(now, instance, target, false);
                 let at = now + simulation.exponential(INSTANCES as f64 / (rate * 2.0 / 9.0));
                 simulation.push(at, Event::Request(instance));
@@ -148,7 +152,7 @@
         self.events.push(Reverse((at, self.count, event)));
     }
 
-    fn choose(&mut self, strategy: Strategy, instance: usize, class: Class) -> usize {
+    fn choose(&mut self, strategy: Strategy, instance: usize, demand: Demand) -> usize {
         let draw = self.random.draw();
         match strategy {
             Strategy::Random => (draw % TARGETS as u64) as usize,
@@ -164,12 +168,12 @@
             Strategy::LeastOwn => {
                 let candidates: Vec<_> =
                     (0..TARGETS).map(|it| self.candidate(&[instance], it)).collect();
-                choose(&candidates, class, draw).unwrap_or_default()
+                choose(&candidates, demand, draw).unwrap_or_default()
             }
             Strategy::LeastOfAll => {
                 let all: Vec<usize> = (0..INSTANCES).collect();
                 let candidates: Vec<_> = (0..TARGETS).map(|it| self.candidate(&all, it)).collect();
-                choose(&candidates, class, draw).unwrap_or_default()
+                choose(&candidates, demand, draw).unwrap_or_default()
             }
         }
     }
--- a/load/src/backlog.rs
+++ b/load/src/backlog.rs
@@ -3,15 +3,18 @@
 //!
 //! Handles the load patterns of [`limit`](crate::limit): for some seconds, more work
 //! arrives than the targets can do. In order of arrival every caller would wait as long as
-//! the overload lasts, and all answers would be late. Here the newest opening of a class
+//! the overload lasts, and all answers would be late. Here the newest opening of a level
 //! goes first, so that most callers are answered in time. The openings that have waited
 //! longest are late in any case. They are served when there is capacity again, or refused
 //! after [`max_wait`]. The caller may then retry, and no work was done for it.
 //!
-//! Requests go before feeds and uploads, because most requests can't be repeated once they
-//! have begun and operators give them priority.
+//! Openings of a higher [`Level`] go first. Operators rank routes by priority. Without
+//! priorities, requests go before feeds, because most requests can't be repeated once they
+//! have begun.
 
-use medlarspur_lib::{bundle::Class, time::Millis};
+use crate::priority::Level;
+use medlarspur_lib::time::Millis;
+use std::cmp::Reverse;
 
 /// Maximum number of waiting openings. More would cost an instance with 260 MB memory for
 /// callers that it can't serve. An instance of today's sites receives fewer openings within
@@ -37,8 +40,8 @@
 pub struct Waiting<K> {
     /// Identifies the opening.
     pub key: K,
-    /// The class of the request.
-    pub class: Class,
+    /// Level of the flow.
+    pub level: Level,
     /// Time at which the caller first sent the opening, as far as is known.
     pub since: Millis,
     /// Time at which the opening is refused.
@@ -68,6 +71,11 @@
         self.waiting.len()
     }
 
+    /// Returns the number of waiting openings of a level.
+    pub fn count(&self, level: Level) -> usize {
+        self.waiting.iter().filter(|it| it.level.rank() == level.rank()).count()
+    }
+
     /// Adds an opening, or returns it if the backlog is full.
     pub fn push(&mut self, opening: Waiting<K>) -> Option<Waiting<K>> {
         if self.waiting.len() >= MAX_LEN {
@@ -77,15 +85,33 @@
         None
     }
 
-    /// Returns whether an opening of a class may go ahead of the waiting ones.
-    pub fn can_bypass(&self, class: Class) -> bool {
-        self.waiting.is_empty()
-            || has_priority(class) && !self.waiting.iter().any(|it| has_priority(it.class))
+    /// Makes room for an opening of a level if the backlog is full: removes and returns one
+    /// of the lowest waiting level, if that is below the given one. The one that has waited
+    /// longest is the most likely to be late.
+    pub fn make_room(&mut self, level: Level) -> Option<Waiting<K>> {
+        if self.waiting.len() < MAX_LEN {
+            return None;
+        }
+        let lower = self.waiting.iter().enumerate().filter(|(_, it)| it.level > level);
+        let (position, _) = lower.max_by_key(|(_, it)| (it.level, Reverse(it.since)))?;
+        Some(self.waiting.swap_remove(position))
+    }
+
+    /// Replaces the levels of all waiting openings after a change of priorities.
+    pub fn set_levels(&mut self, level: impl Fn(K) -> Level) {
+        for opening in &mut self.waiting {
+            opening.level = level(opening.key);
+        }
+    }
+
+    /// Returns whether an opening of a level may go ahead of the waiting ones.
+    pub fn can_bypass(&self, level: Level) -> bool {
+        self.waiting.iter().all(|it| it.level > level)
     }
 
     /// Returns the opening that goes next.
     pub fn peek(&self) -> Option<Waiting<K>> {
-        self.waiting.iter().max_by_key(|it| (has_priority(it.class), it.since)).copied()
+        self.waiting.iter().max_by_key(|it| (Reverse(it.level), it.since)).copied()
     }
 
     /// Removes the opening with the given key.
@@ -104,7 +130,3 @@
         self.waiting.iter().map(|it| it.deadline).min()
     }
 }
-
-fn has_priority(class: Class) -> bool {
-    class == Class::Request
-}
--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -10,6 +10,7 @@
 //! counts. Without it, a slow or cold target would get as many new flows as an idle one,
 //! and its callers would wait for each other.
 
+use crate::priority::Level;
 use medlarspur_lib::bundle::Class;
 
 /// Load of an open feed without a request in flight, in requests. A feed sends about one
@@ -27,8 +28,8 @@
 /// leaves its failure domain only for a target with two requests per slot less.
 const OTHER_DOMAIN_COST_UPLOAD: f32 = 2.0;
 
-/// Cost of a target that is [reserved](crate::reserve) for requests, for a feed, in
-/// requests per slot: a little more than another failure domain.
+/// Cost of a target that is [reserved](crate::reserve) for higher levels, for a flow of the
+/// lowest level, in requests per slot: a little more than another failure domain.
 const RESERVED_COST: f32 = 0.5;
 
 /// Cost of a target in the subset of another instance of the failure domain, in requests
@@ -48,6 +49,15 @@
     Doubtful,
 }
 
+/// Properties of a new flow that determine its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Demand {
+    /// Class of the requests in the flow.
+    pub class: Class,
+    /// Level of the flow.
+    pub level: Level,
+}
+
 /// A target that could take a flow.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -65,7 +75,7 @@
     pub cold: bool,
     /// Whether the target is in this instance's failure domain.
     pub same_domain: bool,
-    /// Whether feeds should leave the target to requests.
+    /// Whether flows of the lowest level should leave the target to higher levels.
     pub reserved: bool,
     /// Whether the target belongs to the [subset](crate::subset) of other instances of the
     /// failure domain and not to that of this instance.
@@ -73,37 +83,38 @@
 }
 
 impl Candidate {
-    /// Returns the load of the idle feeds, in requests. Requests ignore feeds at reserved
-    /// targets: each of many instances has few feeds, which say little about the queue
-    /// there, and the targets without a feed of this instance would get all its requests.
-    fn idle_feed_load(&self, class: Class) -> f32 {
-        match class {
-            Class::Request if self.reserved => 0.0,
-            _ => self.idle_feeds as f32 * IDLE_FEED_LOAD,
+    /// Returns the load of the idle feeds, in requests. Levels above the lowest ignore feeds
+    /// at reserved targets: each of many instances has few feeds, which say little about the
+    /// queue there, and the targets without a feed of this instance would get all its flows
+    /// of those levels.
+    fn idle_feed_load(&self, level: Level) -> f32 {
+        match self.reserved && level.is_elevated() {
+            true => 0.0,
+            false => self.idle_feeds as f32 * IDLE_FEED_LOAD,
         }
     }
 
     /// Returns the cost of one more flow, in requests per slot.
-    fn cost(&self, class: Class) -> f32 {
-        let work = self.in_flight as f32 + self.opening as f32 + self.idle_feed_load(class);
+    fn cost(&self, Demand { class, level }: Demand) -> f32 {
+        let work = self.in_flight as f32 + self.opening as f32 + self.idle_feed_load(level);
         let load = (work + 1.0) / self.slots.max(1) as f32;
         let load = if self.cold { load * COLD_FACTOR } else { load };
         let other_domain = match class {
             Class::Upload => OTHER_DOMAIN_COST_UPLOAD,
             Class::Feed | Class::Request => OTHER_DOMAIN_COST,
         };
-        let reserved = if self.reserved && class == Class::Feed { RESERVED_COST } else { 0.0 };
+        let reserved = if self.reserved && !level.is_elevated() { RESERVED_COST } else { 0.0 };
         let other_domain = if self.same_domain { 0.0 } else { other_domain };
         let outside_subset = if self.outside_subset { OUTSIDE_SUBSET_COST } else { 0.0 };
         load + other_domain + reserved + outside_subset
     }
 
     /// Returns whether no target of the same size outside the subset can cost less.
-    pub fn is_cheapest_possible(&self, class: Class) -> bool {
+    pub fn is_cheapest_possible(&self, demand: Demand) -> bool {
         let idle_cost = 1.0 / self.slots.max(1) as f32;
         self.tier == Tier::Good
             && !self.outside_subset
-            && self.cost(class) <= idle_cost + OUTSIDE_SUBSET_COST
+            && self.cost(demand) <= idle_cost + OUTSIDE_SUBSET_COST
     }
 }
 
@@ -111,9 +122,9 @@
 ///
 /// `draw` decides between candidates of equal cost. Without it, instances that decide alike
 /// would all take the same target.
-pub fn choose(candidates: &[Candidate], class: Class, draw: u64) -> Option<usize> {
+pub fn choose(candidates: &[Candidate], demand: Demand, draw: u64) -> Option<usize> {
     let tier = candidates.iter().map(|it| it.tier).min()?;
-    let costs = candidates.iter().map(|it| (it.tier == tier).then(|| it.cost(class)));
+    let costs = candidates.iter().map(|it| (it.tier == tier).then(|| it.cost(demand)));
     let costs: Vec<Option<f32>> = costs.collect();
     let least = costs.iter().flatten().copied().fold(f32::INFINITY, f32::min);
     let equals = costs.iter().enumerate().filter(|(_, cost)| **cost == Some(least));
--- a/load/src/limit.rs
+++ b/load/src/limit.rs
@@ -16,7 +16,9 @@
 //! always takes most of its objective differs from one with queues in the amount of work in
 //! flight (`QUEUED_FACTOR`) and in its answer times without queues (`CALM_FACTOR`).
 
-use medlarspur_lib::{bundle::Class, time::Millis};
+use crate::priority::{Level, MAX_LEVELS};
+use medlarspur_lib::time::Millis;
+use std::ops::AddAssign;
 
 /// Fraction of the latency objective above which answers are slow. Without queues answers
 /// take far less, so beyond one half most of the time is waiting. The rest allows for
@@ -74,19 +76,41 @@
 /// Maximum value of one answer, as a fraction of its objective. A request that waited for a
 /// lost packet or a frozen machine says nothing about queues.
 const MAX_RATIO: f32 = 2.0;
-/// Multiple of the limit that requests may use. Operators give them priority, most of them
-/// can't be repeated, and open feeds continue whatever the limit.
-const REQUEST_FACTOR: f32 = 2.0;
+/// Multiple of the limit that levels above the lowest may use. Open feeds of the lowest
+/// level continue whatever the limit, and without this factor the flows that operators rank
+/// higher would be held back instead.
+const ELEVATED_FACTOR: f32 = 2.0;
 /// Time after the last answer at which the mean expires.
 const STALE_AFTER: Millis = Millis::secs(1);
 
-/// Requests and openings in flight at a service that this instance sees.
+/// Requests and openings in flight that this instance sees, by level.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub struct InFlight {
-    /// Of all classes.
-    pub all: u32,
-    /// Of class request.
-    pub requests: u32,
+pub struct InFlight([u32; MAX_LEVELS]);
+
+impl InFlight {
+    /// Adds `change`, which may be negative, to the work of a level.
+    pub fn adjust(&mut self, level: Level, change: i32) {
+        let count = &mut self.0[level.rank()];
+        *count = count.saturating_add_signed(change);
+    }
+
+    /// Returns the work of all levels.
+    pub fn total(&self) -> u32 {
+        self.0.iter().sum()
+    }
+
+    /// Returns the work of a level and of higher ones.
+    pub fn down_to(&self, level: Level) -> u32 {
+        self.0[..=level.rank()].iter().sum()
+    }
+}
+
+impl AddAssign for InFlight {
+    fn add_assign(&mut self, other: InFlight) {
+        for (count, added) in self.0.iter_mut().zip(other.0) {
+            *count += added;
+        }
+    }
 }
 
 /// The concurrency limit of one service at one instance.
@@ -190,18 +214,20 @@
         self.limit.is_none() || !self.is_mean_current(now)
     }
 
-    /// Returns whether one more opening of a class may start with `work` in flight.
+    /// Returns whether one more opening of a level may start with `work` in flight.
     ///
-    /// Requests are limited by requests in flight only. Open feeds continue whatever the
-    /// limit; if they counted, an excess of feeds would hold back only requests. Feeds are
-    /// also blocked while the service is [persistently slow](Self::is_persistently_slow).
-    pub fn admits(&self, class: Class, work: InFlight, now: Millis) -> bool {
+    /// Levels above the lowest are limited by the work of their own and higher levels. Open
+    /// feeds continue whatever the limit; if lower levels counted, an excess of them would
+    /// hold back only higher ones. The lowest level is also blocked while the service is
+    /// [persistently slow](Self::is_persistently_slow). An opening that is admitted would
+    /// also be admitted at any higher level.
+    pub fn admits(&self, level: Level, work: InFlight, now: Millis) -> bool {
         let limit = self.limit.filter(|_| !self.is_unlimited(now));
-        let (work, factor) = match class {
-            Class::Request => (work.requests, REQUEST_FACTOR),
-            Class::Feed | Class::Upload => (work.all, 1.0),
+        let (work, factor) = match level.is_elevated() {
+            true => (work.down_to(level), ELEVATED_FACTOR),
+            false => (work.total(), 1.0),
         };
-        let is_blocked = class != Class::Request && self.is_persistently_slow(now);
+        let is_blocked = !level.is_elevated() && self.is_persistently_slow(now);
         limit.is_none_or(|limit| !is_blocked && (work as f32) < limit * factor)
     }
 
@@ -211,8 +237,8 @@
         self.is_queueing(self.mean, now)
     }
 
-    /// Returns whether answers are slow over a longer time. Feeds are then not opened: a
-    /// feed admitted during a short pause stays open after it, and the feeds of several
+    /// Returns whether answers are slow over a longer time. The lowest level, which has the
+    /// feeds at most services, is then not opened: a feed admitted during a short pause stays open after it, and the feeds of several
     /// pauses would prolong the overload by themselves.
     pub fn is_persistently_slow(&self, now: Millis) -> bool {
         self.is_queueing(self.long_mean, now)
--- a/load/src/vacancy.rs
+++ b/load/src/vacancy.rs
@@ -12,17 +12,18 @@
 //!
 //! New flows avoid a target as soon as it leaves an opening unanswered. Its connections
 //! become free when flows end, and an instance sees the ends of the flows that it carries:
-//! for each it may open one flow. A connection that a request leaves is reserved for
-//! requests. A feed would hold it for as long as hundreds of requests, and requests, which
-//! operators prioritize and which can't be repeated, find no connection while feeds take
-//! them.
+//! for each it may open one flow. A connection that a flow leaves is reserved for its level
+//! and higher ones. A feed of a lower level would hold it for as long as hundreds of
+//! requests, and flows that operators rank higher find no connection while feeds take them.
 //!
 //! If an instance sees no end, it probes the target after a pause that doubles, and then
 //! tries one opening at a time: when a connection becomes free, all instances may see it
-//! and would send a burst. A feed needs several probe answers in a row, since a single one
-//! mostly shows the connection of a request that has just ended at another instance.
+//! and would send a burst. The lowest level needs several probe answers in a row, since a
+//! single one mostly shows the connection of a request that has just ended at another
+//! instance.
 
-use medlarspur_lib::{bundle::Class, time::Millis};
+use crate::priority::{Level, MAX_LEVELS};
+use medlarspur_lib::time::Millis;
 
 /// First pause. A few requests end in that time, and a target that was only late for a
 /// moment is avoided no longer than this.
@@ -38,11 +39,11 @@
 /// accepted openings may only use connections that other flows have just left.
 const ACCEPTED_TO_FREE: u32 = 8;
 
-/// Number of probe answers in a row after which a request or a feed is tried at a full
-/// target. Free capacity over six seconds is more than a connection that another flow has
-/// just left.
-const PROBES_FOR_REQUEST: u32 = 1;
-const PROBES_FOR_FEED: u32 = 6;
+/// Number of probe answers in a row after which a flow of a level above the lowest, or of
+/// the lowest, is tried at a full target. Free capacity over six seconds is more than a
+/// connection that another flow has just left.
+const PROBES_FOR_ELEVATED: u32 = 1;
+const PROBES_FOR_LOWEST: u32 = 6;
 
 /// Whether a target has a free connection, as far as is known.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -54,10 +55,9 @@
     /// Time of the next probe.
     next_probe: Millis,
     pause: Millis,
-    /// Number of flows that have ended since then, each of which may be replaced. Flows of
-    /// requests are counted apart and replaced by requests only.
-    freed: u32,
-    freed_by_requests: u32,
+    /// Number of flows that have ended since then, by level. Each may be replaced by one of
+    /// its level or a higher one.
+    freed: [u32; MAX_LEVELS],
     /// Number of probe answers since then; with enough of them one opening may be tried.
     probe_answers: u32,
     /// Number of openings accepted since then.
@@ -82,9 +82,9 @@
 
     /// Records an accepted opening. Returns whether the target thereby counts as free
     /// again.
-    pub fn record_accepted(&mut self, class: Class) -> bool {
+    pub fn record_accepted(&mut self, level: Level) -> bool {
         let Some(full) = &mut self.0 else { return false };
-        full.use_connection(class);
+        full.use_connection(level);
         full.accepted += 1;
         let is_free = full.accepted >= ACCEPTED_TO_FREE;
         if is_free {
@@ -93,12 +93,10 @@
         is_free
     }
 
-    /// Records the end of a flow at the target.
-    pub fn record_flow_end(&mut self, class: Class) {
-        let Some(full) = &mut self.0 else { return };
-        match class {
-            Class::Request => full.freed_by_requests += 1,
-            Class::Feed | Class::Upload => full.freed += 1,
+    /// Records the end of a flow of a level at the target.
+    pub fn record_flow_end(&mut self, level: Level) {
+        if let Some(full) = &mut self.0 {
+            full.freed[level.rank()] += 1;
         }
     }
 
@@ -120,15 +118,14 @@
         }
     }
 
-    /// Returns whether one more flow may be opened while `opening` flows are being opened.
-    pub fn can_open(&self, class: Class, opening: u32) -> bool {
+    /// Returns whether one more flow of a level may be opened while `opening` flows are being
+    /// opened. If it may, flows of any higher level may as well.
+    pub fn can_open(&self, level: Level, opening: u32) -> bool {
         let Some(full) = &self.0 else { return true };
-        let (freed_for_class, needed_answers) = match class {
-            Class::Request => (full.freed_by_requests, PROBES_FOR_REQUEST),
-            Class::Feed | Class::Upload => (0, PROBES_FOR_FEED),
-        };
-        opening < full.freed + freed_for_class
-            || full.probe_answers >= needed_answers && opening == 0
+        let freed: u32 = full.freed[level.rank()..].iter().sum();
+        let needed_answers =
+            if level.is_elevated() { PROBES_FOR_ELEVATED } else { PROBES_FOR_LOWEST };
+        opening < freed || full.probe_answers >= needed_answers && opening == 0
     }
 
     /// Returns whether the target has left openings unanswered since it last had a free
@@ -149,8 +146,7 @@
         Full {
             next_probe: now + pause,
             pause,
-            freed: 0,
-            freed_by_requests: 0,
+            freed: [0; MAX_LEVELS],
             probe_answers: 0,
             accepted: 0,
         }
@@ -162,13 +158,14 @@
         self.next_probe = now + self.pause;
     }
 
-    /// Accounts for a flow of a class that took a connection.
-    fn use_connection(&mut self, class: Class) {
-        match class {
-            Class::Request if self.freed_by_requests > 0 => self.freed_by_requests -= 1,
-            _ if self.freed > 0 => self.freed -= 1,
-            Class::Request => {}
-            Class::Feed | Class::Upload => self.probe_answers = 0,
+    /// Accounts for a flow of a level that took a connection: one of its own level if there
+    /// is one, so that those of lower levels remain for all that may use them.
+    fn use_connection(&mut self, level: Level) {
+        let mut freed = self.freed[level.rank()..].iter_mut();
+        match freed.find(|count| **count > 0) {
+            Some(count) => *count -= 1,
+            None if level.is_elevated() => {}
+            None => self.probe_answers = 0,
         }
     }
 }
--- a/load/tests/overload.rs
+++ b/load/tests/overload.rs
@@ -6,6 +6,7 @@
 use medlarspur_load::{
     backlog::{Backlog, Waiting, max_wait},
     limit::{self, ConcurrencyLimit},
+    priority::Level,
     random::Random,
 };
 use std::{
@@ -296,19 +297,21 @@
     }
 
     fn in_flight(&self, instance: usize) -> limit::InFlight {
-        limit::InFlight {
-            all: self.count_in_flight(instance),
-            requests: self.requests_in_flight[instance],
-        }
+        let requests = self.requests_in_flight[instance];
+        let mut work = limit::InFlight::default();
+        work.adjust(level(Class::Request), requests as i32);
+        work.adjust(level(Class::Feed), (self.count_in_flight(instance) - requests) as i32);
+        work
     }
 
     fn arrive(&mut self, id: usize, now: u64) {
         let work = self.works[id];
         let at = work.instance;
-        let is_admitted = self.limits[at].admits(work.class, self.in_flight(at), Millis(now));
+        let is_admitted =
+            self.limits[at].admits(level(work.class), self.in_flight(at), Millis(now));
         if !self.is_limited
             || work.on_feed
-            || is_admitted && self.backlogs[at].can_bypass(work.class)
+            || is_admitted && self.backlogs[at].can_bypass(level(work.class))
         {
             return self.begin(id, now);
         }
@@ -316,7 +319,7 @@
         // A repeated opening shows how long its caller has waited; a new flow does not.
         let known = now.saturating_sub(work.sent);
         let sent = if known >= 1_400 { now - (known - 1_400) } else { work.sent };
-        let waiting = Waiting { key: id, class: work.class, since: Millis(sent), deadline };
+        let waiting = Waiting { key: id, level: level(work.class), since: Millis(sent), deadline };
         if self.backlogs[at].push(waiting).is_some() {
             return self.refuse(id, now);
         }
@@ -377,7 +380,7 @@
 
     fn release(&mut self, at: usize, now: u64) {
         while let Some(next) = self.backlogs[at].peek() {
-            if !self.limits[at].admits(next.class, self.in_flight(at), Millis(now)) {
+            if !self.limits[at].admits(next.level, self.in_flight(at), Millis(now)) {
                 return;
             }
             self.backlogs[at].remove(next.key);
@@ -403,3 +406,8 @@
         }
     }
 }
+
+/// Returns the level of a class at a service whose routes have no priority.
+fn level(class: Class) -> Level {
+    Level::nth(u8::from(class != Class::Request), 2)
+}
--- a/load/tests/runner.rs
+++ b/load/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_overload;
 mod test_patterns;
 mod test_placement;
+mod test_priority;
 mod test_properties;
 mod test_refusal;
 mod test_reserve;
--- a/load/tests/test_choice.rs
+++ b/load/tests/test_choice.rs
@@ -2,10 +2,16 @@
 
 use medlarspur_lib::bundle::Class;
 use medlarspur_load::{
-    choice::{Candidate, Tier, choose},
+    choice::{Candidate, Demand, Tier, choose},
+    priority::Level,
     random::Random,
 };
 
+/// Flows of a service whose routes have no priority.
+const REQUEST: Demand = Demand { class: Class::Request, level: Level::nth(0, 2) };
+const FEED: Demand = Demand { class: Class::Feed, level: Level::nth(1, 2) };
+const UPLOAD: Demand = Demand { class: Class::Upload, level: Level::nth(1, 2) };
+
 fn idle() -> Candidate {
     Candidate {
         tier: Tier::Good,
@@ -22,7 +28,7 @@
 
 #[test]
 fn no_target_is_chosen_without_candidates() {
-    assert_eq!(choose(&[], Class::Feed, 1), None);
+    assert_eq!(choose(&[], FEED, 1), None);
 }
 
 #[test]
@@ -30,14 +36,14 @@
     let busy = Candidate { in_flight: 2, ..idle() };
     let large = Candidate { in_flight: 2, slots: 8, ..idle() };
 
-    assert_eq!(choose(&[busy, large, busy], Class::Request, 0), Some(1));
+    assert_eq!(choose(&[busy, large, busy], REQUEST, 0), Some(1));
 }
 
 #[test]
 fn openings_count_as_work() {
     let opening = Candidate { opening: 1, ..idle() };
 
-    assert_eq!(choose(&[opening, idle()], Class::Request, 0), Some(1));
+    assert_eq!(choose(&[opening, idle()], REQUEST, 0), Some(1));
 }
 
 /// A request that is not idempotent is answered where a slot is free now. Open idle feeds
@@ -47,7 +53,7 @@
     let feeds = Candidate { idle_feeds: 5, ..idle() };
     let works = Candidate { in_flight: 1, ..idle() };
 
-    assert_eq!(choose(&[works, feeds], Class::Request, 0), Some(1));
+    assert_eq!(choose(&[works, feeds], REQUEST, 0), Some(1));
 }
 
 /// Guards against preferring an idle target that has just started, which takes longer for all
@@ -57,8 +63,8 @@
     let cold = Candidate { cold: true, ..idle() };
     let busy = Candidate { in_flight: 4, ..idle() };
 
-    assert_eq!(choose(&[cold, idle()], Class::Feed, 0), Some(1));
-    assert_eq!(choose(&[cold, busy], Class::Feed, 0), Some(0));
+    assert_eq!(choose(&[cold, idle()], FEED, 0), Some(1));
+    assert_eq!(choose(&[cold, busy], FEED, 0), Some(0));
 }
 
 /// Guards against new flows to a failure domain that is cut off and whose targets don't
@@ -70,9 +76,9 @@
     let unlisted = Candidate { tier: Tier::Unlisted, in_flight: 9, ..idle() };
     let busy = Candidate { in_flight: 9, ..idle() };
 
-    assert_eq!(choose(&[doubtful, unlisted, busy], Class::Feed, 0), Some(2));
-    assert_eq!(choose(&[doubtful, unlisted], Class::Feed, 0), Some(1));
-    assert_eq!(choose(&[doubtful], Class::Feed, 0), Some(0));
+    assert_eq!(choose(&[doubtful, unlisted, busy], FEED, 0), Some(2));
+    assert_eq!(choose(&[doubtful, unlisted], FEED, 0), Some(1));
+    assert_eq!(choose(&[doubtful], FEED, 0), Some(0));
 }
 
 /// An upload carries 80 kB to its target, a request of a feed hardly anything.
@@ -82,9 +88,9 @@
     let busy = Candidate { in_flight: 2, ..idle() };
     let crowded = Candidate { in_flight: 6, ..idle() };
 
-    assert_eq!(choose(&[busy, far], Class::Upload, 0), Some(0));
-    assert_eq!(choose(&[busy, far], Class::Request, 0), Some(1));
-    assert_eq!(choose(&[crowded, far], Class::Upload, 0), Some(1));
+    assert_eq!(choose(&[busy, far], UPLOAD, 0), Some(0));
+    assert_eq!(choose(&[busy, far], REQUEST, 0), Some(1));
+    assert_eq!(choose(&[crowded, far], UPLOAD, 0), Some(1));
 }
 
 #[test]
@@ -93,7 +99,7 @@
     let mut random = Random::new(5);
     let mut counts = [0; 10];
     for _ in 0..10_000 {
-        counts[choose(&candidates, Class::Feed, random.draw()).expect("one")] += 1;
+        counts[choose(&candidates, FEED, random.draw()).expect("one")] += 1;
     }
 
     assert!(counts.iter().all(|count| (900..1100).contains(count)), "{counts:?}");
@@ -106,10 +112,7 @@
     let reserved = Candidate { reserved: true, ..idle() };
     let busy = Candidate { in_flight: 2, ..idle() };
 
-    assert_eq!(choose(&[reserved, Candidate { idle_feeds: 5, ..idle() }], Class::Feed, 0), Some(1));
-    assert_eq!(choose(&[reserved, busy], Class::Feed, 0), Some(0));
-    assert_eq!(
-        choose(&[reserved, Candidate { idle_feeds: 5, ..idle() }], Class::Request, 0),
-        Some(0)
-    );
+    assert_eq!(choose(&[reserved, Candidate { idle_feeds: 5, ..idle() }], FEED, 0), Some(1));
+    assert_eq!(choose(&[reserved, busy], FEED, 0), Some(0));
+    assert_eq!(choose(&[reserved, Candidate { idle_feeds: 5, ..idle() }], REQUEST, 0), Some(0));
 }
--- a/load/tests/test_limit.rs
+++ b/load/tests/test_limit.rs
@@ -1,19 +1,31 @@
 //! Tests the concurrency limit and its backlog step by step.
 
-use medlarspur_lib::{bundle::Class, time::Millis};
+use medlarspur_lib::time::Millis;
 use medlarspur_load::{
     backlog::{Backlog, Waiting, max_wait},
     limit::{ConcurrencyLimit, InFlight},
+    priority::Level,
 };
 
+/// Levels of a service with requests and feeds whose routes have no priority.
+const REQUEST: Level = Level::nth(0, 2);
+const FEED: Level = Level::nth(1, 2);
+
 const OBJECTIVE: Millis = Millis(150);
 
+fn work(requests: u32, feeds: u32) -> InFlight {
+    let mut work = InFlight::default();
+    work.adjust(REQUEST, requests as i32);
+    work.adjust(FEED, feeds as i32);
+    work
+}
+
 fn all_classes(all: u32) -> InFlight {
-    InFlight { all, requests: 0 }
+    work(0, all)
 }
 
 fn of_requests(requests: u32) -> InFlight {
-    InFlight { all: 100, requests }
+    work(requests, 100 - requests)
 }
 
 /// Records an answer after `span` milliseconds, with `in_flight` requests still in flight.
@@ -55,8 +67,8 @@
     }
 
     assert!(!limit.is_slow(Millis(8_160)));
-    assert!(limit.admits(Class::Request, of_requests(1), Millis(8_160)));
-    assert!(!limit.admits(Class::Feed, all_classes(0), Millis(8_160)));
+    assert!(limit.admits(REQUEST, of_requests(1), Millis(8_160)));
+    assert!(!limit.admits(FEED, all_classes(0), Millis(8_160)));
 }
 
 /// Guards against feeds that stay blocked after a burst is over and answers stay fast.
@@ -68,14 +80,14 @@
         record_answer(&mut limit, 45, 1, 8_100 + number * 100);
     }
 
-    assert!(limit.admits(Class::Feed, all_classes(1), Millis(9_100)));
+    assert!(limit.admits(FEED, all_classes(1), Millis(9_100)));
 }
 
 #[test]
 fn nothing_is_limited_before_any_answer() {
     let limit = ConcurrencyLimit::default();
 
-    assert!(limit.admits(Class::Feed, all_classes(1_000), Millis(0)));
+    assert!(limit.admits(FEED, all_classes(1_000), Millis(0)));
     assert!(!limit.is_slow(Millis(0)));
 }
 
@@ -83,7 +95,7 @@
 fn fast_answers_limit_nothing() {
     let limit = limit_after(50, 30, 50);
 
-    assert!(limit.admits(Class::Feed, all_classes(1_000), Millis(1_000)));
+    assert!(limit.admits(FEED, all_classes(1_000), Millis(1_000)));
     assert!(!limit.is_slow(Millis(1_000)));
 }
 
@@ -92,8 +104,8 @@
     let limit = overloaded_limit(10);
 
     assert!(limit.is_slow(Millis(8_000)));
-    assert!(limit.admits(Class::Request, of_requests(3), Millis(8_000)));
-    assert!(!limit.admits(Class::Feed, all_classes(2), Millis(8_000)));
+    assert!(limit.admits(REQUEST, of_requests(3), Millis(8_000)));
+    assert!(!limit.admits(FEED, all_classes(2), Millis(8_000)));
 }
 
 /// Guards against requests that wait for open feeds, which continue whatever the limit.
@@ -102,8 +114,8 @@
 fn requests_may_use_twice_the_limit() {
     let limit = overloaded_limit(10);
 
-    assert!(limit.admits(Class::Request, of_requests(3), Millis(8_000)));
-    assert!(!limit.admits(Class::Request, of_requests(4), Millis(8_000)));
+    assert!(limit.admits(REQUEST, of_requests(3), Millis(8_000)));
+    assert!(!limit.admits(REQUEST, of_requests(4), Millis(8_000)));
 }
 
 /// Guards against refusing callers for work that no target does. The answers to some
@@ -118,14 +130,14 @@
         record_answer(&mut limit, 45, 20, start + number * 20);
     }
 
-    assert!(limit.admits(Class::Feed, all_classes(20), Millis(start + 1_200)));
+    assert!(limit.admits(FEED, all_classes(20), Millis(start + 1_200)));
 }
 
 #[test]
 fn a_limit_without_answers_for_a_second_is_ignored() {
     let limit = overloaded_limit(10);
 
-    assert!(limit.admits(Class::Feed, all_classes(50), Millis(10_000)));
+    assert!(limit.admits(FEED, all_classes(50), Millis(10_000)));
     assert!(!limit.is_slow(Millis(10_000)));
 }
 
@@ -137,23 +149,18 @@
 
     record_answer(&mut limit, 9_000, 10, 1_000);
 
-    assert!(limit.admits(Class::Feed, all_classes(9), Millis(1_000)));
+    assert!(limit.admits(FEED, all_classes(9), Millis(1_000)));
 }
 
-fn waiting(key: u32, class: Class, since: u64) -> Waiting<u32> {
-    Waiting { key, class, since: Millis(since), deadline: Millis(since) + max_wait(OBJECTIVE) }
+fn waiting(key: u32, level: Level, since: u64) -> Waiting<u32> {
+    Waiting { key, level, since: Millis(since), deadline: Millis(since) + max_wait(OBJECTIVE) }
 }
 
 #[test]
 fn requests_go_first_and_within_a_class_the_newest() {
     let mut backlog = Backlog::default();
-    for (key, class, since) in [
-        (1, Class::Feed, 10),
-        (2, Class::Request, 20),
-        (3, Class::Feed, 40),
-        (4, Class::Request, 30),
-    ] {
-        assert_eq!(backlog.push(waiting(key, class, since)), None);
+    for (key, level, since) in [(1, FEED, 10), (2, REQUEST, 20), (3, FEED, 40), (4, REQUEST, 30)] {
+        assert_eq!(backlog.push(waiting(key, level, since)), None);
     }
 
     let mut order = Vec::new();
@@ -168,17 +175,17 @@
 #[test]
 fn a_request_does_not_wait_behind_feeds() {
     let mut backlog = Backlog::default();
-    backlog.push(waiting(1, Class::Feed, 10));
+    backlog.push(waiting(1, FEED, 10));
 
-    assert!(backlog.can_bypass(Class::Request));
-    assert!(!backlog.can_bypass(Class::Feed));
+    assert!(backlog.can_bypass(REQUEST));
+    assert!(!backlog.can_bypass(FEED));
 }
 
 #[test]
 fn an_expired_opening_is_returned_at_its_deadline() {
     let mut backlog = Backlog::default();
-    backlog.push(waiting(1, Class::Feed, 10));
-    backlog.push(waiting(2, Class::Feed, 50));
+    backlog.push(waiting(1, FEED, 10));
+    backlog.push(waiting(2, FEED, 50));
 
     let due = backlog.next_deadline().expect("somebody waits");
 
@@ -198,7 +205,7 @@
 #[test]
 fn the_backlog_is_bounded() {
     let mut backlog = Backlog::default();
-    let refused = (0..2_000).filter(|key| backlog.push(waiting(*key, Class::Feed, 0)).is_some());
+    let refused = (0..2_000).filter(|key| backlog.push(waiting(*key, FEED, 0)).is_some());
 
     assert_eq!(refused.count(), 2_000 - 1_024);
 }
@@ -210,7 +217,7 @@
     let limit = limit_after(120, 10, 300);
 
     assert!(!limit.is_slow(Millis(6_000)));
-    assert!(limit.admits(Class::Feed, all_classes(50), Millis(6_000)));
+    assert!(limit.admits(FEED, all_classes(50), Millis(6_000)));
 }
 
 /// Guards against an instance that takes an overload for normal because it started during
@@ -221,7 +228,7 @@
     let limit = limit_after(210, 10, 300);
 
     assert!(limit.is_slow(Millis(6_000)));
-    assert!(!limit.admits(Class::Feed, all_classes(3), Millis(6_000)));
+    assert!(!limit.admits(FEED, all_classes(3), Millis(6_000)));
 }
 
 #[test]
@@ -233,7 +240,7 @@
     }
 
     assert!(limit.is_slow(Millis(3_400)));
-    assert!(!limit.admits(Class::Feed, all_classes(10), Millis(3_400)));
+    assert!(!limit.admits(FEED, all_classes(10), Millis(3_400)));
 }
 
 /// Guards against taking an overload for normal while half of the targets of a service
--- a/load/tests/test_many.rs
+++ b/load/tests/test_many.rs
@@ -2,8 +2,12 @@
 //! requests.
 
 use medlarspur_lib::{bundle::Class, time::Millis};
+
+/// A request to a service that also has feeds.
+const REQUEST: Demand = Demand { class: Class::Request, level: Level::nth(0, 2) };
 use medlarspur_load::{
-    choice::{Candidate, Tier, choose},
+    choice::{Candidate, Demand, Tier, choose},
+    priority::Level,
     random::Random,
 };
 
@@ -54,7 +58,7 @@
             }
         };
         let candidates: Vec<Candidate> = (0..TARGETS).map(candidate).collect();
-        let target = choose(&candidates, Class::Request, random.draw()).expect("a target");
+        let target = choose(&candidates, REQUEST, random.draw()).expect("a target");
         let end = free_at[target].max(now) + WORK;
         free_at[target] = end;
         sent.push(Sent { target, instance, end });
--- /dev/null
+++ b/load/tests/test_priority.rs
@@ -0,0 +1,146 @@
+//! Tests the levels of priorities and the order that they give to flows.
+
+use medlarspur_lib::{bundle::Class, time::Millis};
+use medlarspur_load::{
+    backlog::{Backlog, Waiting},
+    limit::{ConcurrencyLimit, InFlight},
+    priority::{Level, Levels, MAX_LEVELS, Priority},
+    vacancy::Vacancy,
+};
+use proptest::prelude::*;
+
+/// Returns the levels of a service whose routes, of feeds, have the given priorities.
+fn levels_of(priorities: &[u8]) -> Levels {
+    Levels::new(priorities.iter().map(|it| (Class::Feed, Some(Priority(*it)))), true)
+}
+
+fn rank(levels: &Levels, priority: Option<u8>) -> usize {
+    levels.level(Class::Feed, priority.map(Priority)).rank()
+}
+
+fn waiting(key: u32, level: Level, since: u64) -> Waiting<u32> {
+    Waiting { key, level, since: Millis(since), deadline: Millis(since + 600) }
+}
+
+#[test]
+fn priorities_are_ranked_without_gaps() {
+    let levels = levels_of(&[7, 0, 7, 200]);
+
+    assert_eq!(levels.count(), 3);
+    assert_eq!([0, 7, 200].map(|it| rank(&levels, Some(it))), [0, 1, 2]);
+    assert_eq!(rank(&levels, None), 2);
+    let elevated = [0, 7, 200].map(|it| levels.level(Class::Feed, Some(Priority(it))));
+    assert_eq!(elevated.map(Level::is_elevated), [true, true, false]);
+}
+
+/// Guards against counts without bound for a config with many priorities.
+#[test]
+fn priorities_beyond_the_last_level_share_it() {
+    let priorities: Vec<u8> = (0..20).collect();
+    let levels = levels_of(&priorities);
+
+    assert_eq!(levels.count(), MAX_LEVELS);
+    assert_eq!([6, 7, 19].map(|it| rank(&levels, Some(it))), [6, 7, 7]);
+}
+
+#[test]
+fn the_class_decides_while_no_route_has_a_priority() {
+    let classes = [Class::Request, Class::Feed, Class::Upload];
+    let by_class = Levels::new(classes.map(|class| (class, None)), false);
+    let explicit = Levels::new(
+        classes.map(|class| (class, Some(Priority(1 + u8::from(class != Class::Request))))),
+        true,
+    );
+
+    let of_class = classes.map(|class| by_class.level(class, None));
+
+    assert_eq!(of_class, [Level::nth(0, 2), Level::nth(1, 2), Level::nth(1, 2)]);
+    assert_eq!(explicit.level(Class::Request, Some(Priority(1))), of_class[0]);
+    assert_eq!(explicit.level(Class::Upload, Some(Priority(2))), of_class[2]);
+    assert_eq!((by_class.count(), explicit.count()), (2, 2));
+}
+
+/// Guards against requests that are held like feeds because their service has no others.
+#[test]
+fn requests_alone_are_one_level_and_keep_the_treatment_of_requests() {
+    let levels = Levels::new([(Class::Request, Some(Priority(3)))], true);
+
+    assert_eq!(levels.count(), 1);
+    assert_eq!(levels.level(Class::Request, Some(Priority(3))), Level::HIGHEST);
+}
+
+#[test]
+fn the_backlog_serves_levels_in_order_and_follows_a_change() {
+    let mut backlog = Backlog::default();
+    for (key, rank) in [(1, 2), (2, 0), (3, 1), (4, 2)] {
+        backlog.push(waiting(key, Level::nth(rank, 3), key.into()));
+    }
+
+    assert_eq!(backlog.peek().map(|it| it.key), Some(2));
+    assert!(!backlog.can_bypass(Level::nth(0, 3)));
+    backlog.set_levels(|key| Level::nth(u8::from(key != 3), 2));
+    assert_eq!(backlog.peek().map(|it| it.key), Some(3));
+}
+
+/// Guards against a high flow that is refused while a lower one is held.
+#[test]
+fn a_full_backlog_makes_room_for_a_higher_level() {
+    let mut backlog = Backlog::default();
+    for key in 0..1_024 {
+        backlog.push(waiting(key, Level::nth(1, 3), 100));
+    }
+    backlog.remove(5);
+    backlog.remove(9);
+    backlog.push(waiting(2_000, Level::nth(2, 3), 50));
+    backlog.push(waiting(2_001, Level::nth(2, 3), 40));
+
+    let mut evicted = || backlog.make_room(Level::nth(0, 3)).map(|it| it.key);
+
+    assert_eq!(evicted(), Some(2_001));
+    assert_eq!(evicted(), None, "there is room now");
+    backlog.push(waiting(2_002, Level::nth(1, 3), 60));
+    assert_eq!(backlog.make_room(Level::nth(2, 3)), None);
+    assert_eq!(backlog.make_room(Level::nth(1, 3)).map(|it| it.key), Some(2_000));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a priority inversion: a flow is admitted while one of a higher level
+    /// would not be.
+    #[test]
+    fn what_is_admitted_would_be_admitted_at_any_higher_level(
+        work in prop::collection::vec(0..20_i32, 4),
+        freed in prop::collection::vec((0..4_u8, any::<bool>()), 0..12),
+        answers in 0..8_u32,
+        opening in 0..4_u32,
+    ) {
+        let mut limit = ConcurrencyLimit::default();
+        for nth in 0..200 {
+            let span = Millis(if nth < 100 { 45 } else { 140 });
+            if limit.record_answer(span, Millis(150), Millis(nth * 20)) {
+                limit.adjust(10, 2.0, Millis(nth * 20));
+            }
+        }
+        let mut in_flight = InFlight::default();
+        let mut vacancy = Vacancy::default();
+        vacancy.record_unanswered(Millis(0));
+        (0..answers).for_each(|_| vacancy.record_probe_answer());
+        for (rank, count) in work.into_iter().enumerate() {
+            in_flight.adjust(Level::nth(rank as u8, 4), count);
+        }
+        for (rank, is_end) in freed {
+            match is_end {
+                true => vacancy.record_flow_end(Level::nth(rank, 4)),
+                false => drop(vacancy.record_accepted(Level::nth(rank, 4))),
+            }
+        }
+
+        for rank in 1..4 {
+            let (higher, lower) = (Level::nth(rank - 1, 4), Level::nth(rank, 4));
+            let admits = |level| limit.admits(level, in_flight, Millis(4_000));
+            prop_assert!(admits(higher) || !admits(lower));
+            prop_assert!(vacancy.can_open(higher, opening) || !vacancy.can_open(lower, opening));
+        }
+    }
+}
--- a/load/tests/test_reserve.rs
+++ b/load/tests/test_reserve.rs
@@ -1,18 +1,22 @@
 //! Tests the number of targets that feeds leave to requests.
 
-use medlarspur_lib::{bundle::Class, time::Millis};
-use medlarspur_load::reserve::RequestShare;
+use medlarspur_lib::time::Millis;
+use medlarspur_load::{priority::Level, reserve::ElevatedShare};
+
+/// Levels of a service with requests and feeds whose routes have no priority.
+const REQUEST: Level = Level::nth(0, 2);
+const FEED: Level = Level::nth(1, 2);
 
 /// Returns the share after answers to so many requests and feeds, with the work of each in
 /// milliseconds.
-fn share_after(requests: u64, request: u64, feeds: u64, feed: u64) -> RequestShare {
-    let mut share = RequestShare::default();
+fn share_after(requests: u64, request: u64, feeds: u64, feed: u64) -> ElevatedShare {
+    let mut share = ElevatedShare::default();
     for nth in 0..(requests + feeds) {
         let is_request =
             nth * requests / (requests + feeds) != (nth + 1) * requests / (requests + feeds);
         match is_request {
-            true => share.record(Class::Request, Millis(request)),
-            false => share.record(Class::Feed, Millis(feed)),
+            true => share.record(REQUEST, Millis(request)),
+            false => share.record(FEED, Millis(feed)),
         }
     }
     share
@@ -37,7 +41,7 @@
 #[test]
 fn some_targets_are_reserved_before_any_answer() {
     assert_eq!(
-        [4, 5, 14].map(|targets| RequestShare::default().reserved_targets(targets)),
+        [4, 5, 14].map(|targets| ElevatedShare::default().reserved_targets(targets)),
         [1, 2, 5]
     );
 }
@@ -49,7 +53,7 @@
     let mut share = share_after(830, 72, 2_920, 55);
     let before = share.reserved_targets(40);
 
-    (0..200).for_each(|_| share.record(Class::Feed, Millis(60)));
+    (0..200).for_each(|_| share.record(FEED, Millis(60)));
 
     assert!(before - share.reserved_targets(40) <= 3);
 }
--- a/load/tests/test_vacancy.rs
+++ b/load/tests/test_vacancy.rs
@@ -1,7 +1,11 @@
 //! Tests which flows are opened where targets run out of connections.
 
-use medlarspur_lib::{bundle::Class, time::Millis};
-use medlarspur_load::{random::Random, vacancy::Vacancy};
+use medlarspur_lib::time::Millis;
+use medlarspur_load::{priority::Level, random::Random, vacancy::Vacancy};
+
+/// Levels of a service with requests and feeds whose routes have no priority.
+const REQUEST: Level = Level::nth(0, 2);
+const FEED: Level = Level::nth(1, 2);
 
 #[test]
 fn a_target_that_leaves_an_opening_unanswered_gets_none() {
@@ -9,7 +13,7 @@
 
     assert!(vacancy.record_unanswered(Millis(100)));
 
-    assert!(!vacancy.can_open(Class::Request, 0));
+    assert!(!vacancy.can_open(REQUEST, 0));
     assert!(!vacancy.record_unanswered(Millis(150)), "already known");
     assert_eq!(vacancy.next_probe(), Some(Millis(600)));
 }
@@ -72,11 +76,11 @@
     let mut vacancy = Vacancy::default();
     vacancy.record_unanswered(Millis(0));
 
-    vacancy.record_flow_end(Class::Request);
+    vacancy.record_flow_end(REQUEST);
 
-    assert!(!vacancy.can_open(Class::Feed, 0));
-    assert!(vacancy.can_open(Class::Request, 0));
-    assert!(!vacancy.can_open(Class::Request, 1), "one for each end");
+    assert!(!vacancy.can_open(FEED, 0));
+    assert!(vacancy.can_open(REQUEST, 0));
+    assert!(!vacancy.can_open(REQUEST, 1), "one for each end");
 }
 
 #[test]
@@ -84,11 +88,11 @@
     let mut vacancy = Vacancy::default();
     vacancy.record_unanswered(Millis(0));
 
-    vacancy.record_flow_end(Class::Feed);
+    vacancy.record_flow_end(FEED);
 
-    assert!(vacancy.can_open(Class::Feed, 0) && vacancy.can_open(Class::Request, 0));
-    vacancy.record_accepted(Class::Feed);
-    assert!(!vacancy.can_open(Class::Feed, 0));
+    assert!(vacancy.can_open(FEED, 0) && vacancy.can_open(REQUEST, 0));
+    vacancy.record_accepted(FEED);
+    assert!(!vacancy.can_open(FEED, 0));
 }
 
 #[test]
@@ -97,8 +101,7 @@
     vacancy.record_unanswered(Millis(0));
     vacancy.record_probe_answer();
 
-    let taken =
-        (0..8).map(|_| vacancy.record_accepted(Class::Request)).filter(|free| *free).count();
+    let taken = (0..8).map(|_| vacancy.record_accepted(REQUEST)).filter(|free| *free).count();
 
     assert_eq!(taken, 1);
     assert!(!vacancy.is_full());
@@ -111,10 +114,10 @@
 
     vacancy.record_probe_answer();
 
-    assert!(vacancy.can_open(Class::Request, 0) && !vacancy.can_open(Class::Request, 1));
-    assert!(!vacancy.can_open(Class::Feed, 0));
+    assert!(vacancy.can_open(REQUEST, 0) && !vacancy.can_open(REQUEST, 1));
+    assert!(!vacancy.can_open(FEED, 0));
     (1..6).for_each(|_| vacancy.record_probe_answer());
-    assert!(vacancy.can_open(Class::Feed, 0) && !vacancy.can_open(Class::Feed, 1));
+    assert!(vacancy.can_open(FEED, 0) && !vacancy.can_open(FEED, 1));
 }
 
 /// Numbers of targets, of connections per target, and of instances.
@@ -144,12 +147,12 @@
     }
 }
 
-/// An open flow at a target: its end, its instance and its class.
+/// An open flow at a target: its end, its instance and its level.
 struct OpenFlow {
     end: u64,
     target: usize,
     instance: usize,
-    class: Class,
+    level: Level,
 }
 
 /// Simulates callers that arrive at random at instances that know only what they see. With
@@ -161,7 +164,7 @@
     let mut flows: Vec<OpenFlow> = Vec::new();
     for now in 0..DURATION {
         for flow in flows.extract_if(.., |flow| flow.end <= now) {
-            vacancies[flow.instance][flow.target].record_flow_end(flow.class);
+            vacancies[flow.instance][flow.target].record_flow_end(flow.level);
         }
         let used =
             |flows: &[OpenFlow], target| flows.iter().filter(|it| it.target == target).count();
@@ -176,10 +179,10 @@
             }
         }
         let arrivals = [
-            (Class::Feed, FEEDS_PER_SECOND, FEED_DURATION),
-            (Class::Request, REQUESTS_PER_SECOND, REQUEST_DURATION),
+            (FEED, FEEDS_PER_SECOND, FEED_DURATION),
+            (REQUEST, REQUESTS_PER_SECOND, REQUEST_DURATION),
         ];
-        for (nth, (class, rate, duration)) in arrivals.into_iter().enumerate() {
+        for (nth, (level, rate, duration)) in arrivals.into_iter().enumerate() {
             if random.draw() % 1_000 >= rate {
                 continue;
             }
@@ -187,7 +190,7 @@
             let first = random.draw() as usize;
             let order = (0..TARGETS).map(|it| (first.wrapping_add(it)) % TARGETS);
             let candidates =
-                order.filter(|it| !learns || vacancies[instance][*it].can_open(class, 0));
+                order.filter(|it| !learns || vacancies[instance][*it].can_open(level, 0));
             let candidates: Vec<usize> = candidates.collect();
             let mut tries = 0;
             // A caller's opening is sent to two more targets before its latency objective
@@ -206,8 +209,8 @@
                 tallies[nth].served += u32::from(target.is_some());
             }
             if let Some(target) = target {
-                vacancies[instance][target].record_accepted(class);
-                flows.push(OpenFlow { end: now + duration, target, instance, class });
+                vacancies[instance][target].record_accepted(level);
+                flows.push(OpenFlow { end: now + duration, target, instance, level });
             }
         }
     }
--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -6,6 +6,7 @@
 
 use crate::{Incarnation, Segment, segment::is_after};
 use medlarspur_lib::{bundle::Class, time::Millis};
+use medlarspur_load::priority::Level;
 
 /// Maximum number of bytes that a caller sends without an acknowledgement from the target:
 /// sixteen packets of 1,200 bytes. More new data shows that the target has acknowledged some.
@@ -39,6 +40,8 @@
     pub target: Incarnation,
     /// Class of the requests in the flow.
     pub class: Class,
+    /// Level of the flow at its target's service.
+    pub level: Level,
     /// Progress of the flow.
     pub phase: Phase,
     /// Whether this instance received the opening packet.
@@ -108,6 +111,7 @@
         Flow {
             target,
             class,
+            level: Level::default(),
             phase: Phase::Open,
             opened_here: false,
             resent: false,
--- a/marked/src/forwarder/contested.rs
+++ b/marked/src/forwarder/contested.rs
@@ -29,6 +29,7 @@
                 return None;
             }
             flow.target = target;
+            flow.level = self.level_at(target, flow.class, key);
             // The answer may be to either opening, so the handshake's duration is ambiguous.
             flow.resent = true;
         }
--- a/marked/src/forwarder/estimates.rs
+++ b/marked/src/forwarder/estimates.rs
@@ -1,14 +1,14 @@
 //! Estimates derived from the answers that pass through this instance.
 
-use medlarspur_lib::{bundle::Class, collections::Map, ids::ServiceName, time::Millis};
-use medlarspur_load::{estimate::Estimate, reserve::RequestShare};
+use medlarspur_lib::{collections::Map, ids::ServiceName, time::Millis};
+use medlarspur_load::{estimate::Estimate, priority::Level, reserve::ElevatedShare};
 
 /// Maximum number of ambiguous handshakes in a row that are left out of the estimate. A
 /// handshake is ambiguous if its opening was sent more than once. A few targets that are full
 /// at the same time cause fewer.
 const MAX_AMBIGUOUS: u32 = 8;
 
-/// Usual handshake and answer times, and the share of requests in the work.
+/// Usual handshake and answer times, and the share of the higher levels in the work.
 #[derive(Debug, Default)]
 pub(super) struct Estimates {
     handshakes: Estimate,
@@ -22,7 +22,7 @@
 #[derive(Debug, Default)]
 struct ServiceEstimates {
     answers: Estimate,
-    request_share: RequestShare,
+    elevated_share: ElevatedShare,
 }
 
 impl Estimates {
@@ -38,11 +38,11 @@
         }
     }
 
-    /// Adds the answer time of a request of a class.
-    pub(super) fn add_answer(&mut self, service: &ServiceName, class: Class, span: Millis) {
+    /// Adds the answer time of a request on a flow of a level.
+    pub(super) fn add_answer(&mut self, service: &ServiceName, level: Level, span: Millis) {
         let service = self.services.entry(service.clone()).or_default();
         service.answers.record(span);
-        service.request_share.record(class, span);
+        service.elevated_share.record(level, span);
     }
 
     /// Whether an opening that arrived later than `since` was answered.
@@ -60,9 +60,16 @@
         self.services.get(service)?.answers.upper_bound()
     }
 
-    /// Share of requests in the work of a service.
-    pub(super) fn request_share(&self, service: &ServiceName) -> RequestShare {
-        self.services.get(service).map(|service| service.request_share).unwrap_or_default()
+    /// Share of the levels above the lowest in the work of a service.
+    pub(super) fn elevated_share(&self, service: &ServiceName) -> ElevatedShare {
+        self.services.get(service).map(|service| service.elevated_share).unwrap_or_default()
+    }
+
+    /// Forgets that share, because the levels of a service's routes have changed.
+    pub(super) fn reset_share(&mut self, service: &ServiceName) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.elevated_share = ElevatedShare::default();
+        }
     }
 
     /// Removes services that no longer exist.
--- a/marked/src/forwarder/explain.rs
+++ b/marked/src/forwarder/explain.rs
@@ -6,7 +6,7 @@
 };
 use crate::{Entry, FlowKey, Presence, Revision};
 use medlarspur_lib::{
-    bundle::{Class, Protocol},
+    bundle::Protocol,
     collections::Set,
     ids::{DomainName, ServiceName},
     packet,
@@ -16,7 +16,7 @@
     },
     time::Millis,
 };
-use medlarspur_load::choice::Tier;
+use medlarspur_load::{choice::Tier, priority::Level};
 
 impl Forwarder {
     /// Explains where a flow goes and why. `age` is the age of the catalog.
@@ -122,7 +122,7 @@
                 None => {}
             }
         }
-        let candidate = self.candidate(entry, Class::Request, now).filter(|_| exclusion.is_none());
+        let candidate = self.candidate(entry, Level::HIGHEST, now).filter(|_| exclusion.is_none());
         match candidate.map(|it| it.tier) {
             Some(Tier::Good) => TargetUse::Good,
             Some(Tier::Unlisted) => TargetUse::Unlisted,
--- a/marked/src/forwarder/full.rs
+++ b/marked/src/forwarder/full.rs
@@ -11,8 +11,8 @@
 
 use super::{Forwarder, Output, TargetState};
 use crate::{Entry, Incarnation, Note, ProbeResult};
-use medlarspur_lib::{bundle::Class, time::Millis};
-use medlarspur_load::vacancy::Vacancy;
+use medlarspur_lib::time::Millis;
+use medlarspur_load::{priority::Level, vacancy::Vacancy};
 
 /// Minimum time without answers on open flows after which a silent target is lost: callers
 /// retransmit after 200 ms, and the answer takes some time.
@@ -46,7 +46,7 @@
     pub(super) fn record_accepted(
         &mut self,
         target: Incarnation,
-        class: Class,
+        level: Level,
         now: Millis,
         out: &mut impl Output,
     ) {
@@ -54,15 +54,15 @@
         state.health.record_accepted(now);
         state.unanswered = 0;
         state.late_unanswered = false;
-        if state.vacancy.record_accepted(class) {
+        if state.vacancy.record_accepted(level) {
             self.mark_vacant(target, out);
         }
     }
 
     /// Records that a flow at a target ended.
-    pub(super) fn record_flow_end(&mut self, target: Incarnation, class: Class) {
+    pub(super) fn record_flow_end(&mut self, target: Incarnation, level: Level) {
         if let Some(state) = self.states.get_mut(&target) {
-            state.vacancy.record_flow_end(class);
+            state.vacancy.record_flow_end(level);
         }
     }
 
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -21,6 +21,7 @@
 mod explain;
 mod failover;
 mod full;
+mod levels;
 mod outcomes;
 mod output;
 mod placing;
@@ -39,6 +40,7 @@
     flow::Observation,
 };
 use estimates::Estimates;
+use levels::ServiceLevels;
 use medlarspur_lib::{
     collections::{Map, SeededMap},
     ids::{DomainName, RegionName, ServiceName},
@@ -85,6 +87,7 @@
     /// Flows held before their opening, and the admission state of their services.
     held: SeededMap<FlowKey, NewFlow>,
     admissions: Admissions,
+    levels: ServiceLevels,
     /// Number of instances in this failure domain, including this one, and number of domains
     /// that have targets.
     domain_size: usize,
@@ -124,6 +127,7 @@
             openings: VecDeque::new(),
             held: SeededMap::default(),
             admissions: Admissions::default(),
+            levels: ServiceLevels::default(),
             domain_size: 1,
             domain_count: 1,
             lost: Vec::new(),
@@ -240,10 +244,14 @@
         let class = route.map(|route| route.class);
         let mut flow = match (known, class) {
             (Some(flow), _) => flow,
-            (None, Some(class)) if segment.len > 0 => Flow::resume(target, class, segment, now),
+            (None, Some(class)) if segment.len > 0 => {
+                let mut flow = Flow::resume(target, class, segment, now);
+                flow.level = self.level_at(target, class, &segment.key);
+                flow
+            }
             (None, _) => return,
         };
-        let class = flow.class;
+        let Flow { class, level, .. } = flow;
         let seen = flow.observe(segment, now);
         self.account(&flow, 1);
         self.record_times(&flow, seen, now, out);
@@ -252,7 +260,7 @@
             self.probe_unprobed(target, now, out);
         }
         if seen.opened {
-            self.record_accepted(target, class, now, out);
+            self.record_accepted(target, level, now, out);
         }
         if let Some(since) = seen.request_since {
             let (key, span) = (segment.key, now.since(since));
@@ -298,7 +306,7 @@
             out.measure(&entry.target.service, flow.class, length);
         }
         if let Some(flow) = self.flows.get(&segment.key).filter(|flow| !flow.is_opening()) {
-            self.record_flow_end(target, flow.class);
+            self.record_flow_end(target, flow.level);
         }
         self.drop_flow(&segment.key);
         self.counts.passed += 1;
@@ -335,6 +343,7 @@
             refusal: Refusal::TargetLost,
             target: Some(target),
             lost: lost.map(|since| now.since(since)),
+            level: None,
         });
     }
 
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -27,7 +27,8 @@
         let Some(entry) = self.catalog.entry(end.target) else { return };
         let service = entry.target.service.clone();
         out.measure(&service, end.class, Span::Answer(end.span));
-        self.estimates.add_answer(&service, end.class, end.span);
+        let level = self.level(&service, end.class, &end.key);
+        self.estimates.add_answer(&service, level, end.span);
         let objective = self.catalog.route(end.key.service).and_then(waiting::objective);
         if let Some(objective) = objective {
             self.record_answer(&service, objective, end.span, now);
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -15,8 +15,9 @@
     time::Millis,
 };
 use medlarspur_load::{
-    choice::{self, Candidate, Tier},
-    reserve::RequestShare,
+    choice::{self, Candidate, Demand, Tier},
+    priority::Level,
+    reserve::ElevatedShare,
 };
 
 /// Minimum time without the end of the handshake after which an opening packet is sent again
@@ -107,7 +108,8 @@
     pub(super) fn place(&mut self, it: NewFlow, now: Millis, out: &mut impl Output) {
         let NewFlow { key, seq, class, service, packet, waited } = it;
         self.drop_flow(&key);
-        let Some((target, note)) = self.choose(&service, class, &key, now) else {
+        let level = self.level(&service, class, &key);
+        let Some((target, note)) = self.choose(&service, Demand { class, level }, &key, now) else {
             return self.refuse(&key, self.refusal_reason(&service, &key, now), out);
         };
         self.counts.opened += 1;
@@ -115,6 +117,7 @@
         out.note(note);
         self.send(target, &key, &packet, out);
         let mut flow = Flow::open(target, class, packet, seq, now);
+        flow.level = level;
         flow.overdue = waited >= OVERDUE_WAIT;
         self.insert_flow(key, flow);
         self.schedule_opening_check(key, now);
@@ -140,17 +143,17 @@
     fn choose(
         &mut self,
         service: &ServiceName,
-        class: Class,
+        demand: Demand,
         key: &FlowKey,
         now: Millis,
     ) -> Option<(Incarnation, Note)> {
         let subset = self.subset(service);
         let first = subset
             .as_ref()
-            .and_then(|subset| self.subset_options(service, subset, class, key, now));
+            .and_then(|subset| self.subset_options(service, subset, demand, key, now));
         let options =
-            first.unwrap_or_else(|| self.all_options(service, subset.as_ref(), class, key, now));
-        self.choose_among(options, class, key)
+            first.unwrap_or_else(|| self.all_options(service, subset.as_ref(), demand, key, now));
+        self.choose_among(options, demand, key)
     }
 
     /// Returns the targets of this instance's subset, if no target of the service is excluded
@@ -160,7 +163,7 @@
         &self,
         service: &ServiceName,
         subset: &Subset,
-        class: Class,
+        demand: Demand,
         key: &FlowKey,
         now: Millis,
     ) -> Option<Options> {
@@ -168,16 +171,16 @@
         if !restrictions.is_empty() || self.catalog.evacuated().next().is_some() {
             return None;
         }
-        let request_share = self.estimates.request_share(service);
+        let share = self.reserving_share(service, demand.class);
         let mut options = Options::default();
         for entry in subset.own.iter().filter_map(|it| self.catalog.entry(*it)) {
-            let Some(mut candidate) = self.candidate(entry, class, now) else { continue };
-            candidate.reserved = class != Class::Upload
-                && subset.is_reserved(entry.target.incarnation, request_share);
+            let Some(mut candidate) = self.candidate(entry, demand.level, now) else { continue };
+            candidate.reserved =
+                share.is_some_and(|share| subset.is_reserved(entry.target.incarnation, share));
             options.targets.push(entry.target.incarnation);
             options.candidates.push(candidate);
         }
-        options.candidates.iter().any(|it| it.is_cheapest_possible(class)).then_some(options)
+        options.candidates.iter().any(|it| it.is_cheapest_possible(demand)).then_some(options)
     }
 
     /// Returns all targets that could take a flow.
@@ -185,7 +188,7 @@
         &self,
         service: &ServiceName,
         subset: Option<&Subset>,
-        class: Class,
+        demand: Demand,
         key: &FlowKey,
         now: Millis,
     ) -> Options {
@@ -197,7 +200,9 @@
                 Some(Exclusion::Warming) => options.warming = true,
                 Some(Exclusion::Away) => {}
                 None => {
-                    let Some(mut candidate) = self.candidate(entry, class, now) else { continue };
+                    let Some(mut candidate) = self.candidate(entry, demand.level, now) else {
+                        continue;
+                    };
                     let is_own = |subset: &Subset| subset.contains(entry.target.incarnation);
                     candidate.outside_subset =
                         candidate.same_domain && subset.is_some_and(|it| !is_own(it));
@@ -206,23 +211,30 @@
                 }
             }
         }
-        if class != Class::Upload {
-            let request_share = self.estimates.request_share(service);
-            reserve_for_requests(request_share, &entries, &mut options.candidates);
+        if let Some(share) = self.reserving_share(service, demand.class) {
+            reserve_targets(share, &entries, &mut options.candidates);
         }
         options.targets = entries.iter().map(|entry| entry.target.incarnation).collect();
         options
     }
 
+    /// The share of the work that determines which targets are reserved for higher levels, if
+    /// any are. Uploads go to any target of their domain, since their bytes are expensive to
+    /// carry to another one.
+    fn reserving_share(&self, service: &ServiceName, class: Class) -> Option<ElevatedShare> {
+        let has_reserve = class != Class::Upload && self.levels.has_several(service);
+        has_reserve.then(|| self.estimates.elevated_share(service))
+    }
+
     fn choose_among(
         &mut self,
         options: Options,
-        class: Class,
+        demand: Demand,
         key: &FlowKey,
     ) -> Option<(Incarnation, Note)> {
         let Options { mut targets, mut candidates, evacuated, warming } = options;
         loop {
-            let position = choice::choose(&candidates, class, self.random.draw())?;
+            let position = choice::choose(&candidates, demand, self.random.draw())?;
             let count = candidates.len();
             let chosen = candidates.swap_remove(position);
             let target = targets.swap_remove(position);
@@ -235,7 +247,7 @@
                 let note = Note::Opened {
                     flow: *key,
                     target,
-                    class,
+                    class: demand.class,
                     tier: chosen.tier,
                     work: chosen.in_flight + chosen.opening,
                     candidates: count,
@@ -265,12 +277,12 @@
 
     /// Returns a target as a candidate for a flow, without checking its [exclusion](Exclusion);
     /// none if it can't take the flow.
-    pub(super) fn candidate(&self, entry: &Entry, class: Class, now: Millis) -> Option<Candidate> {
+    pub(super) fn candidate(&self, entry: &Entry, level: Level, now: Millis) -> Option<Candidate> {
         let state = self.states.get(&entry.target.incarnation)?;
         if entry.target.leaving || state.health.is_lost() {
             return None;
         }
-        if !state.vacancy.can_open(class, state.opening) {
+        if !state.vacancy.can_open(level, state.opening) {
             return None;
         }
         let same_domain = entry.target.domain == self.options.domain;
@@ -351,25 +363,30 @@
     pub(super) fn refuse(&mut self, flow: &FlowKey, refusal: Refusal, out: &mut impl Output) {
         self.counts.refuse(refusal);
         out.reset(flow, 0);
-        out.note(Note::Reset { flow: *flow, refusal, target: None, lost: None });
+        out.note(Note::Reset { flow: *flow, refusal, target: None, lost: None, level: None });
+    }
+
+    /// Resets a flow of a level that was sent to no target because its service is busy.
+    pub(super) fn refuse_busy(&mut self, flow: &FlowKey, level: Level, out: &mut impl Output) {
+        let refusal = Refusal::Busy;
+        self.counts.refuse(refusal);
+        out.reset(flow, 0);
+        let level = Some(level);
+        out.note(Note::Reset { flow: *flow, refusal, target: None, lost: None, level });
     }
 }
 
-/// Marks the candidates that feeds leave to requests: the first ones of each failure domain by
-/// incarnation, an order that is the same at all instances.
-fn reserve_for_requests(
-    request_share: RequestShare,
-    entries: &[&Entry],
-    candidates: &mut [Candidate],
-) {
+/// Marks the candidates that the lowest level leaves to higher ones: the first ones of each
+/// failure domain by incarnation, an order that is the same at all instances.
+fn reserve_targets(share: ElevatedShare, entries: &[&Entry], candidates: &mut [Candidate]) {
     let mut domains: Map<&DomainName, Vec<(Incarnation, usize)>> = Map::default();
     for (at, entry) in entries.iter().enumerate() {
         let domain = domains.entry(&entry.target.domain).or_default();
         domain.push((entry.target.incarnation, at));
     }
     for domain in domains.values_mut() {
-        let reserved = request_share.reserved_targets(domain.len());
-        // Every opening of a feed runs this, and only membership in the first part is needed,
+        let reserved = share.reserved_targets(domain.len());
+        // Every opening outside the subset runs this, and only membership in the first part is needed,
         // so a selection replaces a full sort.
         if reserved < domain.len() {
             domain.select_nth_unstable(reserved);
--- a/marked/src/forwarder/state.rs
+++ b/marked/src/forwarder/state.rs
@@ -2,7 +2,7 @@
 
 use crate::{Flow, Health};
 use medlarspur_lib::{bundle::Class, time::Millis};
-use medlarspur_load::vacancy::Vacancy;
+use medlarspur_load::{limit::InFlight, vacancy::Vacancy};
 
 /// Maximum time between unanswered openings that count together against a target. Where
 /// instances come and go, some handshakes end at other instances; at a large site, where an
@@ -38,8 +38,8 @@
     pub(super) opening: u32,
     /// Number of open feeds without a request in flight.
     pub(super) idle_feeds: u32,
-    /// The part of `in_flight` and `opening` that belongs to requests.
-    pub(super) requests: u32,
+    /// `in_flight` and `opening` together, by level.
+    pub(super) work: InFlight,
     /// Number of all flows there.
     pub(super) flows: u32,
     /// Whether the entry was removed and the target has not been probed since.
@@ -62,7 +62,7 @@
             in_flight: 0,
             opening: 0,
             idle_feeds: 0,
-            requests: 0,
+            work: InFlight::default(),
             flows: 0,
             unprobed: false,
         }
@@ -92,9 +92,8 @@
             return;
         }
         self.flows = self.flows.saturating_add_signed(sign);
-        let is_work = flow.is_opening() || flow.has_pending_request();
-        if is_work && flow.class == Class::Request {
-            self.requests = self.requests.saturating_add_signed(sign);
+        if flow.is_opening() || flow.has_pending_request() {
+            self.work.adjust(flow.level, sign);
         }
         let field = if flow.is_opening() {
             &mut self.opening
--- a/marked/src/forwarder/subset.rs
+++ b/marked/src/forwarder/subset.rs
@@ -5,7 +5,7 @@
 use super::Forwarder;
 use crate::{Entry, Incarnation};
 use medlarspur_lib::ids::ServiceName;
-use medlarspur_load::{reserve::RequestShare, subset, warmup::Seat};
+use medlarspur_load::{reserve::ElevatedShare, subset, warmup::Seat};
 use std::sync::Arc;
 
 /// Subset of a service's targets in this failure domain.
@@ -22,9 +22,10 @@
         self.own.binary_search(&target).is_ok()
     }
 
-    /// Whether feeds leave a target to requests, which get the first ones by incarnation.
-    pub(super) fn is_reserved(&self, target: Incarnation, request_share: RequestShare) -> bool {
-        let reserved = request_share.reserved_targets(self.all.len());
+    /// Whether the lowest level leaves a target to higher ones, which get the first ones by
+    /// incarnation.
+    pub(super) fn is_reserved(&self, target: Incarnation, share: ElevatedShare) -> bool {
+        let reserved = share.reserved_targets(self.all.len());
         self.all[..reserved].last().is_some_and(|last| target <= *last)
     }
 }
--- a/marked/src/forwarder/update.rs
+++ b/marked/src/forwarder/update.rs
@@ -52,6 +52,7 @@
             let routes = config.routes.len();
             out.note(Note::Config { version: config.version, revision, routes });
         }
+        self.update_levels();
         self.count_domains();
         self.drop_unused_services();
         let catalog = &self.catalog;
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -14,6 +14,7 @@
 use medlarspur_load::{
     backlog::{Backlog, Waiting, max_wait},
     limit::{ConcurrencyLimit, InFlight},
+    priority::Level,
 };
 
 /// Admission state of a service: its concurrency limit and the held flows.
@@ -94,15 +95,18 @@
             return Some(it);
         }
         let Load { work, .. } = self.load(&it.service);
+        let level = self.level(&it.service, it.class, &it.key);
         let admission = self.admissions.entry(it.service.clone()).or_default();
-        if admission.backlog.can_bypass(it.class) && admission.limit.admits(it.class, work, now) {
+        if admission.backlog.can_bypass(level) && admission.limit.admits(level, work, now) {
             return Some(it);
         }
+        self.make_room(&it.service, level, out);
+        let admission = self.admissions.entry(it.service.clone()).or_default();
         let deadline = now + max_wait(objective);
-        let waiting = Waiting { key: it.key, class: it.class, since: now, deadline };
+        let waiting = Waiting { key: it.key, level, since: now, deadline };
         let count = admission.backlog.len();
         if admission.backlog.push(waiting).is_some() {
-            self.refuse(&it.key, Refusal::Busy, out);
+            self.refuse_busy(&it.key, level, out);
             return None;
         }
         self.counts.held += 1;
@@ -110,7 +114,8 @@
         out.note(Note::Held {
             flow: it.key,
             class: it.class,
-            work: work.all,
+            level,
+            work: work.total(),
             pressure,
             waiting: count,
         });
@@ -118,6 +123,30 @@
         None
     }
 
+    /// Refuses a held flow of a lower level if the backlog is full. Without priorities in the
+    /// config, no held flow gives way.
+    fn make_room(&mut self, service: &ServiceName, level: Level, out: &mut impl Output) {
+        if !self.levels.has_priorities() {
+            return;
+        }
+        let Some(admission) = self.admissions.get_mut(service) else { return };
+        let Some(evicted) = admission.backlog.make_room(level) else { return };
+        if self.held.remove(&evicted.key).is_some() {
+            self.refuse_busy(&evicted.key, evicted.level, out);
+        }
+    }
+
+    /// Replaces the levels of held flows after a change of priorities.
+    pub(super) fn update_held_levels(&mut self) {
+        let Forwarder { catalog, levels, held, admissions, .. } = self;
+        for (service, admission) in admissions {
+            admission.backlog.set_levels(|key| {
+                let class = held.get(&key).map(|it| it.class);
+                class.map(|class| levels.level(catalog, service, class, &key)).unwrap_or_default()
+            });
+        }
+    }
+
     /// Removes a held flow that its caller has given up.
     pub(super) fn cancel_held(&mut self, key: &FlowKey) {
         let Some(it) = self.held.remove(key) else { return };
@@ -145,7 +174,7 @@
         }
         let Load { work, slot_share } = self.load(service);
         if let Some(admission) = self.admissions.get_mut(service) {
-            admission.limit.adjust(work.all, slot_share, now);
+            admission.limit.adjust(work.total(), slot_share, now);
         }
     }
 
@@ -167,7 +196,7 @@
             let Load { work, .. } = self.load(service);
             let Some(admission) = self.admissions.get_mut(service) else { return };
             let Some(next) = admission.backlog.peek() else { return };
-            if !admission.limit.admits(next.class, work, now) {
+            if !admission.limit.admits(next.level, work, now) {
                 return;
             }
             admission.backlog.remove(next.key);
@@ -182,7 +211,7 @@
             let Some(admission) = self.admissions.get_mut(service) else { return };
             let Some(late) = admission.backlog.pop_expired(now) else { return };
             if self.held.remove(&late.key).is_some() {
-                self.refuse(&late.key, Refusal::Busy, out);
+                self.refuse_busy(&late.key, late.level, out);
             }
         }
     }
@@ -221,8 +250,7 @@
             if self.is_evacuation_active(&entry.target.domain) {
                 continue;
             }
-            work.all += state.in_flight + state.opening;
-            work.requests += state.requests;
+            work += state.work;
             if !entry.target.leaving && !state.health.is_lost() && entry.is_listed() {
                 slots += entry.target.slots;
             }
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -8,7 +8,7 @@
     ids::{DomainName, TargetName, Version},
     time::Millis,
 };
-use medlarspur_load::choice::Tier;
+use medlarspur_load::{choice::Tier, priority::Level};
 use std::fmt;
 
 /// One decision or change of state, with what led to it.
@@ -35,6 +35,8 @@
         flow: FlowKey,
         /// The class of the requests inside.
         class: Class,
+        /// Level of the flow at the service.
+        level: Level,
         /// Requests and openings in flight at the service, as seen by this instance.
         work: u32,
         /// Answer time of the service in hundredths of the latency objective.
@@ -59,6 +61,8 @@
         target: Option<Incarnation>,
         /// Time for which that target has been lost.
         lost: Option<Millis>,
+        /// Level of a flow that was refused because its service was busy.
+        level: Option<Level>,
     },
     /// A packet in mid-flow was dropped.
     Dropped {
@@ -284,9 +288,10 @@
                 ("work", work.to_string()),
                 ("candidates", candidates.to_string()),
             ],
-            Note::Held { flow, class, work, pressure, waiting } => vec![
+            Note::Held { flow, class, level, work, pressure, waiting } => vec![
                 ("flow", flow.to_string()),
                 ("class", lower(class)),
+                ("level", level.rank().to_string()),
                 ("work", work.to_string()),
                 ("pressure", pressure.to_string()),
                 ("waiting", waiting.to_string()),
@@ -294,10 +299,11 @@
             Note::Moved { flow, from } => {
                 vec![("flow", flow.to_string()), ("from", name(*from))]
             }
-            Note::Reset { flow, refusal, target, lost } => {
+            Note::Reset { flow, refusal, target, lost, level } => {
                 let mut fields = vec![("flow", flow.to_string()), ("reason", lower(refusal))];
                 fields.extend(target.map(|it| ("target", name(it))));
                 fields.extend(lost.map(|it| ("lost_ms", it.to_string())));
+                fields.extend(level.map(|it| ("level", it.rank().to_string())));
                 fields
             }
             Note::Dropped { flow, reason, mark } => {
--- a/marked/tests/test_waiting.rs
+++ b/marked/tests/test_waiting.rs
@@ -10,7 +10,8 @@
     time::Millis,
 };
 use medlarspur_marked::{
-    Content, FlowKey, Incarnation, Kind, Note, ProbeResult, Refusal, Revision, Scope, Target,
+    Config, Content, FlowKey, Incarnation, Kind, Note, ProbeResult, Refusal, Revision, Scope,
+    Target,
 };
 use std::net::SocketAddrV4;
 
@@ -24,8 +25,12 @@
 /// An instance with two targets of two slots each, whose requests have taken `span`
 /// milliseconds so far.
 fn busy_instance(span: u64) -> Instance {
+    busy_instance_with(config(2), span)
+}
+
+/// The same with the routes of a config.
+pub(super) fn busy_instance_with(mut config: Config, span: u64) -> Instance {
     let mut instance = Instance::new(&[target(1, "desk"), target(2, "desk"), target(3, "ingest")]);
-    let mut config = config(2);
     for route in &mut config.routes {
         route.objective = Some(Millis(OBJECTIVE));
     }
@@ -45,7 +50,7 @@
 }
 
 /// Opens flows of a route with a request each until one is held; returns that one.
-fn open_until_held(instance: &mut Instance, route: SocketAddrV4, now: u64) -> FlowKey {
+pub(super) fn open_until_held(instance: &mut Instance, route: SocketAddrV4, now: u64) -> FlowKey {
     for number in 100..200 {
         let key = flow(number, route);
         instance.out.sent.clear();
@@ -60,7 +65,7 @@
 }
 
 /// Ends the requests that `open_until_held` has begun; `held` stays held.
-fn end_requests(instance: &mut Instance, held: FlowKey, now: u64) {
+pub(super) fn end_requests(instance: &mut Instance, held: FlowKey, now: u64) {
     for key in (100..200).map(|number| flow(number, held.service)).filter(|key| *key != held) {
         for target in [target(1, "desk"), target(2, "desk")] {
             let mut end = middle(key, target.incarnation, 1101, 700, 0);
@@ -70,7 +75,7 @@
     }
 }
 
-fn opened(instance: &Instance) -> Vec<FlowKey> {
+pub(super) fn opened(instance: &Instance) -> Vec<FlowKey> {
     let notes = instance.out.notes.iter();
     let opened = notes.filter_map(|note| match note {
         Note::Opened { flow, .. } => Some(*flow),
