load, marked: tell served requests from failed and unanswered ones

A failed or rejected request has a short, fast answer, so the limit and the estimates took the worst target for the best. Targets answer callers directly; only the acknowledgements of the callers show how long an answer is.

Each route learns the lengths of answers after which the caller used the flow again. A complete answer that is clearly shorter is a failure; a long one is served as soon as that many bytes are acknowledged, with the time of its first byte. A request without an answer beyond the usual time, the latency objective and 500 ms is unanswered. Failed and unanswered requests no longer enter the limit, the estimates and the answer histogram.

Nothing changes unless the settings list the capability health or pressure.

--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -32,6 +32,24 @@
     Open,
 }
 
+/// How far the outcome of a flow's last request is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The request has no answer yet, or there was no request.
+    Open,
+    /// The request was recorded as unanswered.
+    Unanswered,
+    /// More bytes of the answer may follow.
+    Settling {
+        /// Time from the request to the first byte of the answer.
+        span: Millis,
+        /// Time of the latest progress of the acknowledgement.
+        progress: Millis,
+    },
+    /// The outcome was recorded.
+    Recorded,
+}
+
 /// The record that an instance keeps of a flow.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Flow {
@@ -47,7 +65,8 @@
     pub resent: bool,
     /// Number of checks while the opening was unanswered.
     pub checks: u8,
-    /// Time of the next check while the opening is unanswered.
+    /// Time of the next check while the opening is unanswered. In an open flow, time of the
+    /// next check of its request and answer; 0 if none is scheduled.
     pub next_check: Millis,
     /// Whether the flow was held here for so long that its caller may have gone.
     pub overdue: bool,
@@ -60,8 +79,12 @@
     pub last_seen: Millis,
     /// Start of the request whose first answer byte is pending.
     pub pending_since: Option<Millis>,
+    /// How far the outcome of the last request is known.
+    pub verdict: Verdict,
     /// Last acknowledgement number of the caller.
     pub acked: u32,
+    /// The same when the last request began, if one was seen.
+    request_ack: Option<u32>,
     /// Number after the last byte that the caller sent.
     sent_end: u32,
     /// Time at which that byte was first seen.
@@ -83,6 +106,12 @@
     pub unanswered_since: Option<Millis>,
     /// Start of the pending request whose first answer the packet acknowledges.
     pub request_since: Option<Millis>,
+    /// Whether the packet acknowledges more bytes of an answer.
+    pub progress: bool,
+    /// Whether the packet begins a request.
+    pub began: bool,
+    /// Length of the complete answer to the request before, if the packet begins another one.
+    pub previous_length: Option<u32>,
 }
 
 impl Flow {
@@ -118,7 +147,9 @@
             first_seen: now,
             last_seen: now,
             pending_since: None,
+            verdict: Verdict::Open,
             acked,
+            request_ack: None,
             sent_end,
             sent_at: now,
             answered_end: sent_end,
@@ -136,6 +167,11 @@
         self.pending_since.is_some()
     }
 
+    /// Number of bytes of the answer to the last request that the caller has acknowledged.
+    pub fn answer_length(&self) -> u32 {
+        self.request_ack.map_or(0, |start| self.acked.wrapping_sub(start))
+    }
+
     /// Time at which retransmitted data that is still unanswered was first sent. Data that was
     /// sent only once is not reported: its answer may pass through another instance, whereas
     /// the caller still waits for what it retransmits here.
@@ -158,9 +194,14 @@
     pub fn observe(&mut self, segment: &Segment, now: Millis) -> Observation {
         self.last_seen = now;
         let opened = self.observe_handshake(segment, now);
+        let previous_ack = self.acked;
         let request_since = self.observe_ack(segment);
-        let (progress, unanswered_since) = self.observe_data(segment, now);
-        let alive = opened || request_since.is_some() || progress;
+        let progress = self.acked != previous_ack;
+        let was_pending = self.has_pending_request();
+        let (is_acked, unanswered_since) = self.observe_data(segment, now);
+        let began = !was_pending && self.has_pending_request();
+        let previous_length = if began { self.begin_request() } else { None };
+        let alive = opened || request_since.is_some() || is_acked;
         if alive {
             self.answered_end = self.sent_end;
         }
@@ -170,15 +211,26 @@
             alive,
             unanswered_since: unanswered_since.filter(|_| !alive),
             request_since,
+            progress,
+            began,
+            previous_length,
         }
     }
 
+    /// Starts to count the bytes of an answer. Returns the length of the answer before: the
+    /// caller has received all of it, since it sends one request at a time.
+    fn begin_request(&mut self) -> Option<u32> {
+        let previous = self.request_ack.replace(self.acked)?;
+        Some(self.acked.wrapping_sub(previous)).filter(|length| *length > 0)
+    }
+
     /// Ends the handshake: the caller sends other packets only once it has the target's answer.
     fn observe_handshake(&mut self, segment: &Segment, now: Millis) -> bool {
         if !self.is_opening() {
             return false;
         }
         self.phase = Phase::Open;
+        self.next_check = Millis(0);
         self.abandoned = false;
         self.acked = segment.ack;
         self.sent_end = segment.seq;
--- a/marked/src/forwarder/counts.rs
+++ b/marked/src/forwarder/counts.rs
@@ -1,6 +1,7 @@
 //! Counters of the forwarder.
 
 use crate::{ProbeResult, Refusal};
+use medlarspur_load::outcome::Outcome;
 
 /// Counters since the start of the process. The log line "stop" prints the names of the fields.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -49,6 +50,8 @@
     pub asked: u64,
     /// Probe results, by kind.
     pub found: [u64; ProbeResult::ALL.len()],
+    /// Requests that ended, by outcome, where outcomes are classified.
+    pub requests: [u64; Outcome::ALL.len()],
 }
 
 impl Counts {
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -45,8 +45,8 @@
     settings::Capabilities,
     time::Millis,
 };
-use medlarspur_load::{outcome::Outcome, random::Random, warmup::Seat};
-use outcomes::RequestEnd;
+use medlarspur_load::{random::Random, warmup::Seat};
+use outcomes::Outcomes;
 use placing::OPENING_LIMIT;
 use probing::LapseProbes;
 use state::TargetState;
@@ -96,6 +96,8 @@
     full: Vec<Incarnation>,
     /// Estimates derived from answers.
     estimates: Estimates,
+    /// Lengths of answers and scheduled checks of requests.
+    outcomes: Outcomes,
     /// Seat of this instance in its failure domain, while it is known.
     seat: Option<Seat>,
     /// This instance's subset of the targets of its domain, by service.
@@ -130,6 +132,7 @@
             lapse_probes: LapseProbes::default(),
             full: Vec::new(),
             estimates: Estimates::default(),
+            outcomes: Outcomes::default(),
             seat: None,
             subsets: Map::default(),
             cut_off: false,
@@ -247,6 +250,7 @@
         let seen = flow.observe(segment, now);
         self.account(&flow, 1);
         self.record_times(&flow, seen, now, out);
+        let answered = self.observe_answer(segment.key, &mut flow, seen, now);
         self.flows.insert(segment.key, flow);
         if is_resumed {
             self.probe_unprobed(target, now, out);
@@ -254,10 +258,8 @@
         if seen.opened {
             self.record_accepted(target, class, now, out);
         }
-        if let Some(since) = seen.request_since {
-            let (key, span) = (segment.key, now.since(since));
-            let end = RequestEnd { key, target, class, span, outcome: Outcome::Unknown };
-            self.record_outcome(end, now, out);
+        if let Some(answer) = answered {
+            self.record_answer_end(answer, now, out);
         }
         if seen.alive {
             self.record_alive(target, now, out);
@@ -292,6 +294,7 @@
         if segment.kind == Kind::Close {
             self.track(target, segment, now, out);
         }
+        self.settle_closed(&segment.key, segment.kind, now, out);
         let flow = self.flows.get(&segment.key).filter(|flow| flow.opened_here);
         if let (Some(flow), Some(entry)) = (flow, self.catalog.entry(target)) {
             let length = Span::Length(now.since(flow.first_seen));
@@ -347,6 +350,7 @@
                 self.check_opening(key, now, out);
             }
         }
+        self.check_requests(now, out);
         self.release_held(now, out);
         self.check_silent_targets(now, out);
         self.probe_lost(now, out);
@@ -368,6 +372,7 @@
         let full =
             full.flat_map(|state| state.check_at.into_iter().chain(state.vacancy.next_probe()));
         let others = retries.chain(full).chain(self.held_deadline()).chain(self.catalog.deadline());
+        let others = others.chain(self.outcomes.deadline());
         opening.into_iter().chain(others).min()
     }
 
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -7,7 +7,7 @@
     subset::Subset,
     waiting::{self, NewFlow},
 };
-use crate::{Entry, Flow, FlowKey, Incarnation, Mark, Note, Phase, Presence, Segment};
+use crate::{Entry, Flow, FlowKey, Incarnation, Kind, Mark, Note, Phase, Presence, Segment};
 use medlarspur_lib::{
     bundle::Class,
     collections::Map,
@@ -106,6 +106,7 @@
     /// Chooses a target for a new flow and forwards the opening packet.
     pub(super) fn place(&mut self, it: NewFlow, now: Millis, out: &mut impl Output) {
         let NewFlow { key, seq, class, service, packet, waited } = it;
+        self.settle_closed(&key, Kind::Abort, now, out);
         self.drop_flow(&key);
         let Some((target, note)) = self.choose(&service, class, &key, now) else {
             return self.refuse(&key, self.refusal_reason(&service, &key, now), out);
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -71,6 +71,7 @@
             !admission.backlog.is_empty() || catalog.targets(service).next().is_some()
         });
         self.estimates.retain(|service| catalog.targets(service).next().is_some());
+        self.outcomes.retain(|route| catalog.route(route).is_some());
     }
 
     /// Whether a flow is held.
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -28,7 +28,7 @@
 pub use delta::Delta;
 pub use entry::{Entry, Presence};
 pub use fleet::{Fleet, Outgoing};
-pub use flow::{Flow, Observation, Phase};
+pub use flow::{Flow, Observation, Phase, Verdict};
 pub use forwarder::{Counts, Forwarder, ForwarderOptions, Output, Refusal, Span, Unroutable};
 pub use health::{Health, ProbeResult};
 pub use incarnation::{Incarnation, Start};
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -69,6 +69,26 @@
         /// The packet's mark, if it has one.
         mark: Option<Mark>,
     },
+    /// A target answered that it failed, or that it had no capacity.
+    Failed {
+        /// The target.
+        target: Incarnation,
+        /// Flow of the request.
+        flow: FlowKey,
+        /// Length of the answer in bytes.
+        length: u32,
+        /// Time from the request to the first byte of the answer.
+        span: Millis,
+    },
+    /// A target did not answer a request in time.
+    Unanswered {
+        /// The target.
+        target: Incarnation,
+        /// Flow of the request.
+        flow: FlowKey,
+        /// Time since the request.
+        waited: Millis,
+    },
     /// A target is suspected and probed.
     Suspected {
         /// The suspected target.
@@ -194,6 +214,8 @@
     Dropped,
     /// [`Note::Suspected`].
     Suspected,
+    /// [`Note::Failed`] and [`Note::Unanswered`].
+    Outcome,
     /// [`Note::Lost`], [`Note::Regained`], [`Note::Full`] and [`Note::Vacant`].
     Reach,
     /// [`Note::Entry`], [`Note::Config`], [`Note::Evacuated`], [`Note::EvacuationEnded`],
@@ -203,13 +225,14 @@
 
 impl NoteKind {
     /// All kinds, in the order of their values.
-    pub const ALL: [NoteKind; 8] = [
+    pub const ALL: [NoteKind; 9] = [
         NoteKind::Opened,
         NoteKind::Held,
         NoteKind::Moved,
         NoteKind::Reset,
         NoteKind::Dropped,
         NoteKind::Suspected,
+        NoteKind::Outcome,
         NoteKind::Reach,
         NoteKind::News,
     ];
@@ -223,6 +246,7 @@
             NoteKind::Reset => "reset",
             NoteKind::Dropped => "dropped",
             NoteKind::Suspected => "doubted",
+            NoteKind::Outcome => "outcomes",
             NoteKind::Reach => "reach",
             NoteKind::News => "news",
         }
@@ -242,6 +266,7 @@
             Note::Reset { .. } => NoteKind::Reset,
             Note::Dropped { .. } => NoteKind::Dropped,
             Note::Suspected { .. } => NoteKind::Suspected,
+            Note::Failed { .. } | Note::Unanswered { .. } => NoteKind::Outcome,
             Note::Lost { .. } | Note::Regained { .. } => NoteKind::Reach,
             Note::Full { .. } | Note::Vacant { .. } => NoteKind::Reach,
             Note::Entry { .. } | Note::Config { .. } => NoteKind::News,
@@ -259,6 +284,8 @@
             Note::Reset { .. } => "flow reset",
             Note::Dropped { .. } => "packet dropped",
             Note::Suspected { .. } => "target doubted",
+            Note::Failed { .. } => "request failed",
+            Note::Unanswered { .. } => "request unanswered",
             Note::Lost { .. } => "target lost",
             Note::Regained { .. } => "target regained",
             Note::Full { .. } => "target full",
@@ -310,6 +337,17 @@
                 ("silent_ms", silent.to_string()),
                 ("flow", flow.to_string()),
             ],
+            Note::Failed { target, flow, length, span } => vec![
+                ("target", name(*target)),
+                ("length", length.to_string()),
+                ("answered_ms", span.to_string()),
+                ("flow", flow.to_string()),
+            ],
+            Note::Unanswered { target, flow, waited } => vec![
+                ("target", name(*target)),
+                ("waited_ms", waited.to_string()),
+                ("flow", flow.to_string()),
+            ],
             Note::Lost { target, result, silent, flows } => vec![
                 ("target", name(*target)),
                 ("finding", lower(result)),
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_health;
 mod test_mark;
 mod test_openings;
+mod test_outcomes;
 mod test_properties;
 mod test_regions;
 mod test_restarts;
