lib: drop the packets that are held while the process sleeps

An instance that was suspended while it asked its peers about an opening, or while the opening waited for admission, sent the opening by its old view as soon as it resumed: only openings that it read after the sleep were dropped. By then a target of that view may have left.

Dropped packets are counted as after-sleep, and callers retransmit them.

--- a/lib/src/forwarder/held.rs
+++ b/lib/src/forwarder/held.rs
@@ -57,6 +57,12 @@
         self.waiting.entry(id).or_insert_with(|| packet.to_vec());
         true
     }
+
+    /// Drops all held packets and returns their number.
+    pub(super) fn clear(&mut self) -> usize {
+        let lookups = self.lookups.drain().map(|(_, lookup)| lookup.packets.len()).sum::<usize>();
+        lookups + self.waiting.drain().count()
+    }
 }
 
 impl<G: Gate> Forwarder<G> {
--- a/lib/src/forwarder/mod.rs
+++ b/lib/src/forwarder/mod.rs
@@ -182,10 +182,12 @@
     /// socket are old: their callers have been served elsewhere or have given
     /// up, and by the old view they would go to a target that has left since. A
     /// caller that still wants to open retransmits its SYN, which reaches
-    /// another instance or this one with a fresh view.
+    /// another instance or this one with a fresh view. The same holds for the
+    /// packets held here, and answers that arrive for them are old too.
     pub fn wake(&mut self, now: Millis) {
         self.distrust(now);
         self.no_openings_until = Some(now + WAKE_TIME);
+        self.counters.after_sleep += self.held.clear() as u64;
         self.counters.slept += 1;
     }
 
--- a/tests/tests/test_moves.rs
+++ b/tests/tests/test_moves.rs
@@ -184,6 +184,28 @@
     assert_eq!(traffic.count_broken(), 0);
 }
 
+/// Guards against openings that an instance holds while it is suspended and sends by
+/// its old view when it resumes. They would reach a target that has left since.
+#[test]
+fn openings_held_during_a_sleep_reach_no_target_that_left_meanwhile() {
+    let site = SiteBuilder::new(4, 4);
+    let leaving = site.bundle().services[0].targets[3].address;
+    let mut fleet = fleet(&site);
+    let mut traffic = Traffic::new(Distribution::PerFlow, vec![4]);
+    let now = fleet.now;
+    fleet.nodes[4].forwarder.distrust(now);
+
+    (0..50).for_each(|_| _ = traffic.open(&mut fleet, REQUESTS));
+    fleet.freeze(4, true);
+    fleet.publish(&site.leaving("alertdesk-3").bundle());
+    fleet.advance(Millis::secs(8));
+    fleet.freeze(4, false);
+    settle(&mut fleet, &mut traffic);
+
+    assert_eq!(traffic.flows.iter().filter(|flow| flow.target == Some(leaving)).count(), 0);
+    assert_eq!(fleet.nodes[4].forwarder.counters().after_sleep, 50);
+}
+
 /// Guards against flows that change their target when operators cancel the leaving
 /// of a target soon after they published it. This concerns flows opened before and
 /// after the cancellation.
