load: detect targets that fail more than their peers

A target that fails half of its requests while its probes succeed keeps getting new flows, because nothing compares its outcomes with those of the service's other targets.

Nothing uses the module yet.

--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -8,8 +8,8 @@
 //!
 //! Two forwarders use this package. The modules of [`gate`] serve the forwarder of fabrics
 //! that return nothing; [`Gate`] combines them for its packet path. [`backlog`], [`choice`],
-//! [`estimate`], [`limit`], [`outcome`], [`priority`], [`reserve`], [`subset`], [`vacancy`]
-//! and [`warmup`] serve the forwarder of fabrics that return marks, which calls each where it decides. [`callers`],
+//! [`estimate`], [`limit`], [`outcome`], [`outlier`], [`priority`], [`reserve`], [`subset`],
+//! [`vacancy`] and [`warmup`] serve the forwarder of fabrics that return marks, which calls each where it decides. [`callers`],
 //! [`lines`] and [`random`] serve both.
 
 pub mod backlog;
@@ -20,6 +20,7 @@
 pub mod limit;
 pub mod lines;
 pub mod outcome;
+pub mod outlier;
 pub mod priority;
 pub mod random;
 pub mod reserve;
--- a/load/tests/runner.rs
+++ b/load/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_limit;
 mod test_lines;
 mod test_many;
+mod test_outlier;
 mod test_overload;
 mod test_patterns;
 mod test_placement;
