marked: exchange request outcomes within a failure domain

One instance sees a request only every few seconds at a target, too rarely to find one that fails half of them. Add a message by which each instance reports its outcomes at targets with bad ones to at most 16 others of its failure domain, once a second and with at most 3,000 bytes. A report replaces the sender's last one and expires after 5 s. A sender with more to say than that reports a random part, and readers of domains of more than 34 instances report nothing, since their heartbeats take nearly all that control traffic may.

Nothing sends the message yet.

--- a/marked/src/fleet/mod.rs
+++ b/marked/src/fleet/mod.rs
@@ -1,4 +1,5 @@
-//! Gossip between instances: choice of the readers of the store, and propagation of updates.
+//! Gossip between instances: choice of the readers of the store, propagation of updates, and
+//! exchange of request outcomes ([`evidence`]).
 //!
 //! Calls to the store cost money and are rate-limited, so two instances in each failure domain read
 //! it and propagate what they read. The readers are not appointed:
@@ -20,6 +21,7 @@
 //! All knowledge is local. After a network partition within a domain, each part has its own
 //! readers, and later the parts merge their catalogs by revision.
 
+mod evidence;
 mod heartbeats;
 mod pull;
 mod readers;
@@ -30,6 +32,7 @@
     Catalog, Revision, Update,
     message::{DomainId, Message, Role, encode},
 };
+use evidence::EvidenceExchange;
 use heartbeats::Purpose;
 use medlarspur_lib::{collections::Map, ids::DomainName, time::Millis};
 use medlarspur_load::random::Random;
@@ -106,6 +109,8 @@
     started: Millis,
     /// The seat that the first reader last assigned to this instance.
     assigned_seat: Option<AssignedSeat>,
+    /// Outcomes of requests that other instances of the domain report.
+    evidence: EvidenceExchange,
     random: Random,
     outgoing: Vec<Outgoing>,
 }
@@ -138,6 +143,7 @@
             sources: Vec::new(),
             started: now,
             assigned_seat: None,
+            evidence: EvidenceExchange::default(),
             random: Random::new(seed),
             outgoing: Vec::new(),
         }
@@ -217,6 +223,10 @@
                 self.refresh_reader(reader, update.revision, now);
                 self.receive_update(reader, update, to, seat, catalog, now)
             }
+            Message::Evidence { domain, number, reports } => {
+                self.receive_evidence(from, (domain, number), &reports, catalog, now);
+                None
+            }
         }
     }
 
@@ -224,6 +234,7 @@
     pub fn tick(&mut self, catalog: &Catalog, now: Millis) {
         self.track_era(catalog.revision().era, now);
         self.forget_silent(now);
+        self.expire_reports(now);
         self.update_role(catalog, now);
         let is_due = |at: Option<Millis>, pause| at.is_none_or(|at| now.since(at) >= pause);
         let revision = catalog.revision();
--- a/marked/src/message.rs
+++ b/marked/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between instances: datagrams, and updates of any size for streams.
 
-use crate::{Change, Revision, Update};
-use medlarspur_load::warmup::Seat;
+use crate::{Change, Incarnation, Revision, Update};
+use medlarspur_load::{outlier::OutcomeCounts, warmup::Seat};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 use std::net::SocketAddrV4;
@@ -12,6 +12,8 @@
 /// Maximum size of a datagram between instances, in bytes. With all headers it stays below the
 /// usual MTU of 1,500.
 pub const MAX_DATAGRAM: usize = 1_200;
+/// Maximum number of targets in [`Message::Evidence`].
+pub const MAX_REPORTS: usize = 32;
 
 /// Role of an instance in its failure domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,6 +68,40 @@
         /// that follow.
         seat: Option<Seat>,
     },
+    /// Reports recent outcomes of requests to other instances of the failure domain.
+    Evidence {
+        /// The sender's failure domain.
+        domain: DomainId,
+        /// Time of the message by the sender's clock, in milliseconds, which orders its messages.
+        number: u32,
+        /// The outcomes by target.
+        reports: Vec<TargetReport>,
+    },
+}
+
+/// Recent outcomes of requests at a target, in tenths since they decay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetReport {
+    /// The target.
+    pub target: Incarnation,
+    /// Requests that were served.
+    pub served: u8,
+    /// Requests that failed or were left unanswered.
+    pub bad: u8,
+}
+
+impl TargetReport {
+    /// Creates a report. Larger counts than fit are reduced in proportion.
+    pub fn new((target, counts): &(Incarnation, OutcomeCounts)) -> TargetReport {
+        let most = counts.served.max(counts.bad).max(u8::MAX.into());
+        let fit = |count: u16| (u32::from(count) * u32::from(u8::MAX) / u32::from(most)) as u8;
+        TargetReport { target: *target, served: fit(counts.served), bad: fit(counts.bad) }
+    }
+
+    /// The reported counts.
+    pub fn counts(&self) -> OutcomeCounts {
+        OutcomeCounts { served: self.served.into(), bad: self.bad.into() }
+    }
 }
 
 /// Reason why a message is rejected.
@@ -115,8 +151,10 @@
 /// Fails on anything that [`encode`] does not produce.
 pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
     let message = postcard::from_bytes(body(bytes)?).context(DecodeSnafu)?;
-    if let Message::Update { update, .. } = &message {
-        ensure!(update.is_valid(), InvalidSnafu);
+    match &message {
+        Message::Heartbeat(_) => {}
+        Message::Update { update, .. } => ensure!(update.is_valid(), InvalidSnafu),
+        Message::Evidence { reports, .. } => ensure!(reports.len() <= MAX_REPORTS, InvalidSnafu),
     }
     Ok(message)
 }
@@ -141,6 +179,11 @@
     Ok(update)
 }
 
+/// Size of a datagram in bytes. A message that can't be encoded counts as larger than any datagram.
+pub(crate) fn size(message: &Message) -> usize {
+    postcard::to_stdvec(message).map_or(usize::MAX / 2, |bytes| bytes.len() + 1)
+}
+
 /// Encoded size of a change in bytes. A change that can't be encoded counts as larger than any
 /// datagram, so that sending it fails with the encoder's error.
 pub(crate) fn change_size(change: &Change) -> usize {
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_convergence;
 mod test_delta;
 mod test_evacuation;
+mod test_evidence;
 mod test_fleet;
 mod test_flow;
 mod test_forwarder;
