marked: exclude targets that fail more than their peers

Targets that fail or leave unanswered 45 % of their requests while their probes succeed got as many new flows as the others, or more. With the capability health, outcomes of requests now feed the outlier detection of load, together with the reports that instances of a failure domain exchange. An excluded target keeps its open flows, gets single trials after its pause, and gets flows that no other target can take. The own subset still decides for most flows.

Without the capability nothing changes.

--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -75,4 +75,5 @@
         output::print_line(&format!("target   {} at {}", target.name, target.address));
     }
     output::target_table("CANDIDATE", &explanation.candidates).print();
+    output::print_excluded(&explanation.candidates);
 }
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -126,6 +126,7 @@
                 "{name}: answers take {pressure} % of their goals, {waiting} flows wait"
             ));
             output::target_table("TARGET", &service.targets).print();
+            output::print_excluded(&service.targets);
         }
     }
 }
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -1,7 +1,7 @@
 //! Printing of lines, tables and JSON.
 
 use crate::error::{CommandError, JsonSnafu};
-use medlarspur_lib::status::{CatalogStatus, MarkedTarget};
+use medlarspur_lib::status::{CatalogStatus, ExcludedStatus, MarkedTarget};
 use serde::Serialize;
 use snafu::ResultExt;
 use std::{
@@ -98,6 +98,27 @@
     table
 }
 
+/// Prints what led to the exclusion of targets.
+pub fn print_excluded(targets: &[MarkedTarget]) {
+    for target in targets {
+        if let Some(excluded) = &target.excluded {
+            print_line(&format!("! {} {}", target.name, format_excluded(excluded)));
+        }
+    }
+}
+
+fn format_excluded(it: &ExcludedStatus) -> String {
+    let percent = |share: Option<u32>| share.map_or("-".to_owned(), |share| format!("{share} %"));
+    format!(
+        "is excluded for {}, next trial in {}; failed: {} of own requests, {} of those of {} others",
+        format_duration(it.age.0),
+        format_duration(it.pause.0),
+        percent(it.own_bad_percent),
+        percent(it.others_bad_percent),
+        it.reporters
+    )
+}
+
 /// Formats a number of milliseconds in the one or two largest units that fit.
 pub fn format_duration(millis: u64) -> String {
     match millis {
--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -102,6 +102,7 @@
         usage,
         work: 2,
         feeds: 5,
+        excluded: None,
     };
     vec![target(1, TargetUse::Good), target(2, TargetUse::Leaving)]
 }
--- a/daemon/src/marked/instance/mod.rs
+++ b/daemon/src/marked/instance/mod.rs
@@ -403,6 +403,12 @@
         self.forwarder.set_seat(fleet.seat(now));
         let known = self.forwarder.revision();
         fleet.tick(self.forwarder.catalog(), now);
+        if let Some(reports) = fleet.take_reports(now) {
+            self.forwarder.set_reports(reports);
+        }
+        if fleet.are_reports_due(now) {
+            fleet.send_reports(self.forwarder.reports(now), now);
+        }
         if let Some(from) = fleet.take_pull(known, now) {
             exchange.pull(from, self.forwarder.catalog().pull_base());
         }
--- a/daemon/src/marked/instance/report.rs
+++ b/daemon/src/marked/instance/report.rs
@@ -66,6 +66,7 @@
             version: config.map_or(0, |config| config.version.0),
             live_and_lost: self.forwarder.live_and_lost(),
             full: self.forwarder.count_full(),
+            excluded: self.forwarder.count_excluded(),
             evacuated: self.forwarder.catalog().evacuated().count(),
             omitted: config.map_or(0, |config| config.omitted),
             collisions: self.forwarder.catalog().collisions(),
--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -44,6 +44,8 @@
     pub live_and_lost: (usize, usize),
     /// Number of targets that accept no openings.
     pub full: usize,
+    /// Number of targets that are excluded because they fail more than their peers.
+    pub excluded: usize,
     /// Number of evacuated failure domains.
     pub evacuated: usize,
     /// Number of routes of the config in force that can't be served.
@@ -74,7 +76,7 @@
 /// Family and label of a series, and the function that reads its value.
 type CounterSeries = (Family, &'static str, fn(&Stats) -> u64);
 
-const COUNTERS: [CounterSeries; 33] = [
+const COUNTERS: [CounterSeries; 35] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -90,6 +92,8 @@
     (Family::Flows, "evacuated-avoided", |it| it.counts.avoided),
     (Family::Flows, "warming-spared", |it| it.counts.spared),
     (Family::Flows, "target-filled", |it| it.counts.filled),
+    (Family::Flows, "target-excluded", |it| it.counts.excluded),
+    (Family::Flows, "target-readmitted", |it| it.counts.readmitted),
     (Family::Flows, "held", |it| it.counts.held),
     (Family::Flows, "reset-busy", |it| it.counts.busy),
     (Family::Flows, "reset-target-lost", |it| it.counts.lost),
@@ -113,7 +117,7 @@
 /// A gauge and the function that reads its value.
 type GaugeSeries = (Gauge, fn(&Stats) -> u64);
 
-const GAUGES: [GaugeSeries; 12] = [
+const GAUGES: [GaugeSeries; 13] = [
     (Gauge::Ready, |it| u64::from(it.ready)),
     (Gauge::FlowsHeld, |it| it.flows),
     (Gauge::MembersLive, |it| it.members + 1),
@@ -124,6 +128,7 @@
     (Gauge::TargetsLive, |it| it.live_and_lost.0 as u64),
     (Gauge::TargetsLost, |it| it.live_and_lost.1 as u64),
     (Gauge::TargetsFull, |it| it.full as u64),
+    (Gauge::TargetsExcluded, |it| it.excluded as u64),
     (Gauge::DomainsEvacuated, |it| it.evacuated as u64),
     (Gauge::RoutesOmitted, |it| u64::from(it.omitted)),
 ];
--- a/lib/src/status/marked.rs
+++ b/lib/src/status/marked.rs
@@ -100,6 +100,26 @@
         pub work: u32,
         /// Number of this instance's open feeds there without a request in progress.
         pub feeds: u32,
+        /// Evidence against it, if it is excluded because it fails more requests than the
+        /// other targets of its service.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub excluded: Option<ExcludedStatus>,
+    }
+
+    /// Exclusion of a target that fails more requests than the others of its service.
+    #[derive(Serialize, Deserialize)]
+    pub struct ExcludedStatus {
+        /// Milliseconds since it was excluded.
+        pub age: Millis,
+        /// Milliseconds until a new flow may try it; 0 if one may now.
+        pub pause: Millis,
+        /// Share of bad outcomes in the recent ones that this instance saw, in percent;
+        /// none without any.
+        pub own_bad_percent: Option<u32>,
+        /// The same of those that other instances reported.
+        pub others_bad_percent: Option<u32>,
+        /// Number of other instances that reported outcomes.
+        pub reporters: u32,
     }
 
     /// Explanation of where a flow goes.
@@ -136,6 +156,9 @@
         /// It takes no openings, or one at a time as a probe, and serves its existing
         /// flows.
         Full,
+        /// It fails more requests than the other targets of its service. It takes one flow
+        /// at a time as a trial, and flows that no other target can take.
+        Excluded,
         /// Its failure domain is evacuated, so it takes no new flows.
         Evacuated,
         /// It is in slow start and its service limits the flows that it gets, so it
@@ -194,6 +217,7 @@
             TargetUse::Unlisted => "unlisted",
             TargetUse::Doubtful => "doubtful",
             TargetUse::Full => "full",
+            TargetUse::Excluded => "excluded",
             TargetUse::Evacuated => "evacuated",
             TargetUse::Warming => "warming",
             TargetUse::Away => "away",
--- a/lib/src/status/mod.rs
+++ b/lib/src/status/mod.rs
@@ -17,7 +17,7 @@
         BundleStatus, Life, MemberStatus, PlanStatus, ServiceStatus, Status, TargetStatus, Unready,
     },
     marked::{
-        CatalogStatus, EvacuatedDomain, MarkedExplanation, MarkedReason, MarkedService,
-        MarkedStatus, MarkedTarget, TargetUse,
+        CatalogStatus, EvacuatedDomain, ExcludedStatus, MarkedExplanation, MarkedReason,
+        MarkedService, MarkedStatus, MarkedTarget, TargetUse,
     },
 };
--- a/load/src/outlier.rs
+++ b/load/src/outlier.rs
@@ -438,6 +438,12 @@
         self.exclusion(target).is_some()
     }
 
+    /// Duration of a target's exclusion so far, and time until the next trial.
+    pub fn exclusion_times(&self, target: u64, now: Millis) -> Option<(Millis, Millis)> {
+        let exclusion = self.exclusion(target)?;
+        Some((now.since(exclusion.since), exclusion.paused_until.since(now)))
+    }
+
     /// Whether any target is excluded.
     pub fn has_excluded(&self) -> bool {
         self.records.values().any(|it| it.exclusion.is_some())
--- a/marked/src/forwarder/counts.rs
+++ b/marked/src/forwarder/counts.rs
@@ -37,6 +37,10 @@
     pub spared: u64,
     /// Number of times that a target was found full.
     pub filled: u64,
+    /// Number of times that a target was excluded because it fails more than its peers.
+    pub excluded: u64,
+    /// Number of times that such an exclusion ended.
+    pub readmitted: u64,
     /// Openings held until their service had capacity.
     pub held: u64,
     /// Flows reset because their service had no capacity in time.
--- a/marked/src/forwarder/exclusion.rs
+++ b/marked/src/forwarder/exclusion.rs
@@ -1,8 +1,8 @@
 //! Targets that are alive and have capacity but must not get new flows.
 //!
 //! Their failure domain is evacuated, or the route's requests must stay in other regions, or
-//! they are in slow start and can take only a limited number of requests per second from all
-//! instances together. No instance sees what others open, so each target in slow start has one
+//! they [fail more than their peers](super::outliers), or they are in slow start and can take
+//! only a limited number of requests per second from all instances together. No instance sees what others open, so each target in slow start has one
 //! owner, chosen by [`warmup`], and gets nothing from other instances until it is warm. The
 //! design alternatives are in `docs/design/evacuation.md`.
 
@@ -23,6 +23,8 @@
     Away,
     /// It is in slow start, and its service limits the rate of new flows.
     Warming,
+    /// It fails more requests than its peers. It gets flows that no other target can take.
+    Outlier,
 }
 
 /// Restrictions of a route on its targets, apart from evacuations.
@@ -67,8 +69,11 @@
         if !self.is_in_regions(domain, restrictions.regions) {
             return Some(Exclusion::Away);
         }
-        let warmup = restrictions.warmup.filter(|it| self.is_warming(entry, *it, now))?;
-        (!self.may_open_at_warming(entry, warmup, now)).then_some(Exclusion::Warming)
+        let warmup = restrictions.warmup.filter(|it| self.is_warming(entry, *it, now));
+        if warmup.is_some_and(|it| !self.may_open_at_warming(entry, it, now)) {
+            return Some(Exclusion::Warming);
+        }
+        self.is_outlier(entry).then_some(Exclusion::Outlier)
     }
 
     /// Whether a failure domain is in one of the regions, or no regions are given. A domain of
--- a/marked/src/forwarder/explain.rs
+++ b/marked/src/forwarder/explain.rs
@@ -30,7 +30,10 @@
         let candidates: Vec<_> = entries.map(target_status).collect();
         let known = self.flows.get(key).and_then(|flow| self.catalog.entry(flow.target));
         let can_take = |it: &MarkedTarget| {
-            matches!(it.usage, TargetUse::Good | TargetUse::Unlisted | TargetUse::Doubtful)
+            matches!(
+                it.usage,
+                TargetUse::Good | TargetUse::Unlisted | TargetUse::Doubtful | TargetUse::Excluded
+            )
         };
         let reason = if known.is_some() {
             MarkedReason::Known
@@ -106,6 +109,7 @@
             usage: self.usage(entry, restrictions, now),
             work: state.map_or(0, |state| state.in_flight + state.opening),
             feeds: state.map_or(0, |state| state.idle_feeds),
+            excluded: self.excluded_status(entry, now),
         }
     }
 
@@ -118,11 +122,13 @@
                 Some(Exclusion::Evacuated) => return TargetUse::Evacuated,
                 Some(Exclusion::Away) => return TargetUse::Away,
                 Some(Exclusion::Warming) => return TargetUse::Warming,
-                None if self.is_full(entry) => return TargetUse::Full,
+                _ if self.is_full(entry) => return TargetUse::Full,
+                Some(Exclusion::Outlier) => return TargetUse::Excluded,
                 None => {}
             }
         }
-        let candidate = self.candidate(entry, Class::Request, now).filter(|_| exclusion.is_none());
+        let is_usable = matches!(exclusion, None | Some(Exclusion::Outlier));
+        let candidate = self.candidate(entry, Class::Request, now).filter(|_| is_usable);
         match candidate.map(|it| it.tier) {
             Some(Tier::Good) => TargetUse::Good,
             Some(Tier::Unlisted) => TargetUse::Unlisted,
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -11,6 +11,8 @@
 //!   of one and the mark of the other.
 //! - A target in an evacuated failure domain gets no new flows; its open flows go on.
 //! - A target that accepts no openings is full: new flows go elsewhere, its open flows go on.
+//! - A target that fails more requests than its peers gets new flows only if no other can take
+//!   them, and one at a time as a trial; its open flows go on.
 //! - When a target is found lost, its open flows are reset at once, and flows whose handshake
 //!   has not ended move to another target.
 
@@ -22,6 +24,7 @@
 mod failover;
 mod full;
 mod outcomes;
+mod outliers;
 mod output;
 mod placing;
 mod probing;
@@ -47,6 +50,7 @@
 };
 use medlarspur_load::{outcome::Outcome, random::Random, warmup::Seat};
 use outcomes::RequestEnd;
+use outliers::Outliers;
 use placing::OPENING_LIMIT;
 use probing::LapseProbes;
 use state::TargetState;
@@ -96,6 +100,8 @@
     full: Vec<Incarnation>,
     /// Estimates derived from answers.
     estimates: Estimates,
+    /// Targets that fail more than their peers.
+    outliers: Outliers,
     /// Seat of this instance in its failure domain, while it is known.
     seat: Option<Seat>,
     /// This instance's subset of the targets of its domain, by service.
@@ -130,6 +136,7 @@
             lapse_probes: LapseProbes::default(),
             full: Vec::new(),
             estimates: Estimates::default(),
+            outliers: Outliers::default(),
             seat: None,
             subsets: Map::default(),
             cut_off: false,
@@ -347,6 +354,7 @@
                 self.check_opening(key, now, out);
             }
         }
+        self.evaluate_outliers(now, out);
         self.release_held(now, out);
         self.check_silent_targets(now, out);
         self.probe_lost(now, out);
@@ -368,6 +376,7 @@
         let full =
             full.flat_map(|state| state.check_at.into_iter().chain(state.vacancy.next_probe()));
         let others = retries.chain(full).chain(self.held_deadline()).chain(self.catalog.deadline());
+        let others = others.chain(self.evaluation_deadline());
         opening.into_iter().chain(others).min()
     }
 
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -22,7 +22,8 @@
 }
 
 impl Forwarder {
-    /// Records the end of a request in the estimates and in the limit of its service.
+    /// Records the end of a request in the estimates, in the limit of its service and in outlier
+    /// detection.
     pub(super) fn record_outcome(&mut self, end: RequestEnd, now: Millis, out: &mut impl Output) {
         let Some(entry) = self.catalog.entry(end.target) else { return };
         let service = entry.target.service.clone();
@@ -32,5 +33,6 @@
         if let Some(objective) = objective {
             self.record_answer(&service, objective, end.span, now);
         }
+        self.record_peer_outcome(&service, end, now, out);
     }
 }
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -112,6 +112,7 @@
         };
         self.counts.opened += 1;
         self.record_warmup_opening(target, now);
+        self.record_trial(&key, target, now);
         out.note(note);
         self.send(target, &key, &packet, out);
         let mut flow = Flow::open(target, class, packet, seq, now);
@@ -154,7 +155,7 @@
     }
 
     /// Returns the targets of this instance's subset, if no target of the service is excluded
-    /// and one of the subset ranks as high as any other could. All targets are then examined for
+    /// other than as an outlier and one of the subset ranks as high as any other could. All targets are then examined for
     /// few flows only, so that the cost of a flow does not grow with their number.
     fn subset_options(
         &self,
@@ -171,6 +172,9 @@
         let request_share = self.estimates.request_share(service);
         let mut options = Options::default();
         for entry in subset.own.iter().filter_map(|it| self.catalog.entry(*it)) {
+            if self.is_outlier(entry) && !self.may_try_outlier(entry, class, now) {
+                continue;
+            }
             let Some(mut candidate) = self.candidate(entry, class, now) else { continue };
             candidate.reserved = class != Class::Upload
                 && subset.is_reserved(entry.target.incarnation, request_share);
@@ -180,7 +184,8 @@
         options.candidates.iter().any(|it| it.is_cheapest_possible(class)).then_some(options)
     }
 
-    /// Returns all targets that could take a flow.
+    /// Returns all targets that could take a flow. Outliers are among them only for a trial, or
+    /// if there are no others.
     fn all_options(
         &self,
         service: &ServiceName,
@@ -191,21 +196,30 @@
     ) -> Options {
         let restrictions = self.restrictions(service, key);
         let (mut options, mut entries) = (Options::default(), Vec::new());
+        let mut outliers = Vec::new();
         for entry in self.catalog.targets(service) {
-            match self.exclusion(entry, restrictions, now) {
+            let exclusion = self.exclusion(entry, restrictions, now);
+            match exclusion {
                 Some(Exclusion::Evacuated) => options.evacuated = true,
                 Some(Exclusion::Warming) => options.warming = true,
                 Some(Exclusion::Away) => {}
-                None => {
+                Some(Exclusion::Outlier) | None => {
                     let Some(mut candidate) = self.candidate(entry, class, now) else { continue };
                     let is_own = |subset: &Subset| subset.contains(entry.target.incarnation);
                     candidate.outside_subset =
                         candidate.same_domain && subset.is_some_and(|it| !is_own(it));
+                    if exclusion.is_some() && !self.may_try_outlier(entry, class, now) {
+                        outliers.push((entry, candidate));
+                        continue;
+                    }
                     entries.push(entry);
                     options.candidates.push(candidate);
                 }
             }
         }
+        if entries.is_empty() {
+            (entries, options.candidates) = outliers.into_iter().unzip();
+        }
         if class != Class::Upload {
             let request_share = self.estimates.request_share(service);
             reserve_for_requests(request_share, &entries, &mut options.candidates);
@@ -250,8 +264,11 @@
         let targets = self.catalog.targets(service).filter(|it| !it.target.leaving);
         let targets: Vec<&Entry> = targets.collect();
         let restrictions = self.restrictions(service, key);
-        let exclusion =
-            |it: &&Entry| it.is_listed().then(|| self.exclusion(it, restrictions, now)).flatten();
+        let exclusion = |it: &&Entry| {
+            let exclusion = it.is_listed().then(|| self.exclusion(it, restrictions, now)).flatten();
+            // An outlier would have got the flow if it could take it.
+            exclusion.filter(|it| *it != Exclusion::Outlier)
+        };
         if targets.iter().any(|entry| exclusion(entry).is_none() && self.is_full(entry)) {
             return Refusal::Full;
         }
@@ -259,7 +276,7 @@
             Some(Exclusion::Warming) => Refusal::Warming,
             Some(Exclusion::Evacuated) => Refusal::Evacuated,
             Some(Exclusion::Away) => Refusal::Away,
-            None => Refusal::NoTarget,
+            Some(Exclusion::Outlier) | None => Refusal::NoTarget,
         }
     }
 
--- a/marked/src/forwarder/update.rs
+++ b/marked/src/forwarder/update.rs
@@ -56,6 +56,7 @@
         self.drop_unused_services();
         let catalog = &self.catalog;
         self.states.retain(|incarnation, _| catalog.entry(*incarnation).is_some());
+        self.update_outliers();
     }
 
     /// Accepts an earlier era of the store than was known.
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -223,7 +223,8 @@
             }
             work.all += state.in_flight + state.opening;
             work.requests += state.requests;
-            if !entry.target.leaving && !state.health.is_lost() && entry.is_listed() {
+            let is_usable = !entry.target.leaving && !state.health.is_lost() && entry.is_listed();
+            if is_usable && !self.is_outlier(entry) {
                 slots += entry.target.slots;
             }
         }
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -8,7 +8,10 @@
     ids::{DomainName, TargetName, Version},
     time::Millis,
 };
-use medlarspur_load::choice::Tier;
+use medlarspur_load::{
+    choice::Tier,
+    outlier::{Evidence, Readmission},
+};
 use std::fmt;
 
 /// One decision or change of state, with what led to it.
@@ -105,6 +108,28 @@
         /// The target.
         target: Incarnation,
     },
+    /// A target fails more requests than its peers and gets no new flows for a while.
+    Excluded {
+        /// The target.
+        target: Incarnation,
+        /// Time until a new flow may try it.
+        pause: Millis,
+        /// What led to the exclusion.
+        evidence: Evidence,
+        /// Number of its flows here, which go on.
+        flows: u32,
+    },
+    /// An excluded target gets new flows again.
+    Readmitted {
+        /// The target.
+        target: Incarnation,
+        /// Duration of the exclusion.
+        after: Millis,
+        /// Reason of its end.
+        cause: Readmission,
+        /// What is known about the target.
+        evidence: Evidence,
+    },
     /// A lost target answers again.
     Regained {
         /// The target.
@@ -194,7 +219,8 @@
     Dropped,
     /// [`Note::Suspected`].
     Suspected,
-    /// [`Note::Lost`], [`Note::Regained`], [`Note::Full`] and [`Note::Vacant`].
+    /// [`Note::Lost`], [`Note::Regained`], [`Note::Full`], [`Note::Vacant`], [`Note::Excluded`]
+    /// and [`Note::Readmitted`].
     Reach,
     /// [`Note::Entry`], [`Note::Config`], [`Note::Evacuated`], [`Note::EvacuationEnded`],
     /// [`Note::Stranded`], [`Note::Rejoined`] and [`Note::StoreRestored`].
@@ -244,6 +270,7 @@
             Note::Suspected { .. } => NoteKind::Suspected,
             Note::Lost { .. } | Note::Regained { .. } => NoteKind::Reach,
             Note::Full { .. } | Note::Vacant { .. } => NoteKind::Reach,
+            Note::Excluded { .. } | Note::Readmitted { .. } => NoteKind::Reach,
             Note::Entry { .. } | Note::Config { .. } => NoteKind::News,
             Note::Evacuated { .. } | Note::EvacuationEnded { .. } => NoteKind::News,
             Note::Stranded { .. } | Note::Rejoined | Note::StoreRestored(_) => NoteKind::News,
@@ -263,6 +290,8 @@
             Note::Regained { .. } => "target regained",
             Note::Full { .. } => "target full",
             Note::Vacant { .. } => "target vacant",
+            Note::Excluded { .. } => "target excluded",
+            Note::Readmitted { .. } => "target readmitted",
             Note::Entry { .. } => "target entry",
             Note::Evacuated { .. } => "domain evacuated",
             Note::EvacuationEnded { .. } => "domain restored",
@@ -325,6 +354,21 @@
                 ("silent_ms", silent.to_string()),
                 ("flows", flows.to_string()),
             ],
+            Note::Excluded { target, pause, evidence, flows } => {
+                let mut fields = vec![("target", name(*target)), ("pause_ms", pause.to_string())];
+                fields.extend(evidence_fields(evidence));
+                fields.push(("flows", flows.to_string()));
+                fields
+            }
+            Note::Readmitted { target, after, cause, evidence } => {
+                let mut fields = vec![
+                    ("target", name(*target)),
+                    ("reason", lower(cause)),
+                    ("after_ms", after.to_string()),
+                ];
+                fields.extend(evidence_fields(evidence));
+                fields
+            }
             Note::Entry { target, start, state, revision, .. } => vec![
                 ("target", name(*target)),
                 ("start", start.0.to_string()),
@@ -354,6 +398,15 @@
     }
 }
 
+/// Recent outcomes at a target, as served and bad ones with a slash between.
+fn evidence_fields(evidence: &Evidence) -> [(&'static str, String); 3] {
+    [
+        ("own", evidence.own.to_string()),
+        ("others", evidence.others.to_string()),
+        ("reporters", evidence.reporters.to_string()),
+    ]
+}
+
 /// Returns the name of a value in log lines: `NoRoute` becomes `no-route`.
 fn lower(value: &impl fmt::Debug) -> String {
     let mut name = String::new();
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -15,6 +15,7 @@
 mod test_health;
 mod test_mark;
 mod test_openings;
+mod test_outliers;
 mod test_properties;
 mod test_regions;
 mod test_restarts;
--- a/operator/src/meters/family.rs
+++ b/operator/src/meters/family.rs
@@ -127,6 +127,8 @@
     TargetsLost,
     /// Number of targets that accept no openings but serve the flows that they have.
     TargetsFull,
+    /// Number of targets that get no new flows because they fail more than their peers.
+    TargetsExcluded,
     /// Number of failure domains that operators have evacuated.
     DomainsEvacuated,
     /// Number of routes of the config in force that can't be served.
@@ -135,7 +137,7 @@
 
 impl Gauge {
     /// Every gauge.
-    pub const ALL: [Gauge; 16] = [
+    pub const ALL: [Gauge; 17] = [
         Gauge::Ready,
         Gauge::FlowsHeld,
         Gauge::MembersLive,
@@ -150,6 +152,7 @@
         Gauge::TargetsLive,
         Gauge::TargetsLost,
         Gauge::TargetsFull,
+        Gauge::TargetsExcluded,
         Gauge::DomainsEvacuated,
         Gauge::RoutesOmitted,
     ];
@@ -171,6 +174,7 @@
             Gauge::TargetsLive => "medlarspur_targets_live",
             Gauge::TargetsLost => "medlarspur_targets_lost",
             Gauge::TargetsFull => "medlarspur_targets_full",
+            Gauge::TargetsExcluded => "medlarspur_targets_excluded",
             Gauge::DomainsEvacuated => "medlarspur_domains_evacuated",
             Gauge::RoutesOmitted => "medlarspur_routes_omitted",
         }
@@ -194,6 +198,9 @@
             Gauge::TargetsFull => {
                 "Targets that take no openings and serve the flows that they have."
             }
+            Gauge::TargetsExcluded => {
+                "Targets that get no new flows because they fail more than their peers."
+            }
             Gauge::DomainsEvacuated => "Failure domains that operators have emptied.",
             Gauge::RoutesOmitted => "Routes of the config in force that can't be served.",
         }
