--- a/load/src/outlier.rs
+++ b/load/src/outlier.rs
@@ -15,7 +15,6 @@
 
 use crate::{outcome::Outcome, random::Random};
 use medlarspur_lib::{
-    bundle::Class,
     collections::{Map, Set},
     ids::DomainName,
     time::Millis,
@@ -68,14 +67,17 @@
 /// Time after an exclusion during which reports from others are ignored: the reports may
 /// still contain what led to it.
 const REPORT_GRACE: Millis = Millis::secs(3);
-/// Time for which a trial waits for a flow that may be repeated before it takes a request.
-const REQUEST_TRIAL_DELAY: Millis = Millis::secs(2);
+/// Time for which a trial waits for a preferred flow before it takes any other.
+const ANY_TRIAL_DELAY: Millis = Millis::secs(2);
 /// Time after which a trial without an outcome no longer blocks the next one. Its caller may
 /// have closed the flow, or its packets pass through another instance.
 const TRIAL_TIMEOUT: Millis = Millis::secs(5);
-/// Number of trials in a row with answers of unknown kind that end an exclusion. In services
-/// whose flows carry one request each, no answer can be told to be a good one.
+/// Number of trials in a row with answers of unknown kind that end an exclusion, if no answers
+/// of the service are known to be good ones. Where its flows carry one request each, none are.
 const UNKNOWN_TRIALS: u32 = 3;
+/// Time from a trial of unknown outcome to the next. Short flows would otherwise follow each
+/// other at a target that fails them.
+const UNKNOWN_TRIAL_PAUSE: Millis = Millis::secs(1);
 
 /// Numbers of recent outcomes, in tenths since they decay.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -176,6 +178,8 @@
 struct Exclusion {
     since: Millis,
     paused_until: Millis,
+    /// Time of the next trial, which may be some time after the pause.
+    next_trial: Millis,
     doublings: u32,
     /// Start of the trial in progress.
     trial_since: Option<Millis>,
@@ -275,6 +279,7 @@
         let pause = (FIRST_PAUSE.0 << self.doublings) as f64;
         let pause = Millis((pause * (1.0 + PAUSE_SPREAD * random.fraction())) as u64);
         self.paused_until = now + pause;
+        self.next_trial = self.paused_until;
         self.trial_since = None;
         pause
     }
@@ -311,6 +316,7 @@
         let mut exclusion = Exclusion {
             since: now,
             paused_until: now,
+            next_trial: now,
             doublings: 0,
             trial_since: None,
             unknown_trials: 0,
@@ -449,12 +455,13 @@
         self.records.values().any(|it| it.exclusion.is_some())
     }
 
-    /// Whether a new flow may try an excluded target. Work that may be repeated goes first.
-    pub fn may_try(&self, target: u64, class: Class, now: Millis) -> bool {
-        let delay = if class == Class::Request { REQUEST_TRIAL_DELAY } else { Millis(0) };
+    /// Whether a new flow may try an excluded target. Preferred flows go first: those that may
+    /// be repeated, and whose outcome will be known.
+    pub fn may_try(&self, target: u64, is_preferred: bool, now: Millis) -> bool {
+        let delay = if is_preferred { Millis(0) } else { ANY_TRIAL_DELAY };
         self.exclusion(target).is_some_and(|it| {
             let is_trying = it.trial_since.is_some_and(|at| now.since(at) < TRIAL_TIMEOUT);
-            !is_trying && now >= it.paused_until + delay
+            !is_trying && now >= it.next_trial && now >= it.paused_until + delay
         })
     }
 
@@ -474,6 +481,7 @@
         pool: Option<&Pool>,
         now: Millis,
     ) -> Option<Change> {
+        let served = self.records.values().map(|it| it.own.at(now).served).sum::<f32>();
         let record = self.records.get_mut(&target)?;
         let exclusion = record.exclusion.as_mut()?;
         exclusion.trial_since = None;
@@ -485,7 +493,8 @@
                 return None;
             }
             Outcome::Unknown => {
-                exclusion.unknown_trials += 1;
+                exclusion.unknown_trials += u32::from(served <= THREE_OUTCOMES);
+                exclusion.next_trial = now + UNKNOWN_TRIAL_PAUSE;
                 if exclusion.unknown_trials < UNKNOWN_TRIALS {
                     return None;
                 }
--- a/marked/src/forwarder/explain.rs
+++ b/marked/src/forwarder/explain.rs
@@ -6,7 +6,7 @@
 };
 use crate::{Entry, FlowKey, Presence, Revision};
 use medlarspur_lib::{
-    bundle::{Class, Protocol},
+    bundle::Protocol,
     collections::Set,
     ids::{DomainName, ServiceName},
     packet,
@@ -16,7 +16,7 @@
     },
     time::Millis,
 };
-use medlarspur_load::choice::Tier;
+use medlarspur_load::{choice::Tier, priority::Level};
 
 impl Forwarder {
     /// Explains where a flow goes and why. `age` is the age of the catalog.
@@ -128,7 +128,7 @@
             }
         }
         let is_usable = matches!(exclusion, None | Some(Exclusion::Outlier));
-        let candidate = self.candidate(entry, Class::Request, now).filter(|_| is_usable);
+        let candidate = self.candidate(entry, Level::HIGHEST, now).filter(|_| is_usable);
         match candidate.map(|it| it.tier) {
             Some(Tier::Good) => TargetUse::Good,
             Some(Tier::Unlisted) => TargetUse::Unlisted,
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -23,6 +23,7 @@
 mod explain;
 mod failover;
 mod full;
+mod levels;
 mod outcomes;
 mod outliers;
 mod output;
@@ -42,14 +43,15 @@
     flow::Observation,
 };
 use estimates::Estimates;
+use levels::ServiceLevels;
 use medlarspur_lib::{
     collections::{Map, SeededMap},
     ids::{DomainName, RegionName, ServiceName},
     settings::Capabilities,
     time::Millis,
 };
-use medlarspur_load::{outcome::Outcome, random::Random, warmup::Seat};
-use outcomes::RequestEnd;
+use medlarspur_load::{random::Random, warmup::Seat};
+use outcomes::Outcomes;
 use outliers::Outliers;
 use placing::OPENING_LIMIT;
 use probing::LapseProbes;
@@ -89,6 +91,7 @@
     /// Flows held before their opening, and the admission state of their services.
     held: SeededMap<FlowKey, NewFlow>,
     admissions: Admissions,
+    levels: ServiceLevels,
     /// Number of instances in this failure domain, including this one, and number of domains
     /// that have targets.
     domain_size: usize,
@@ -102,6 +105,8 @@
     estimates: Estimates,
     /// Targets that fail more than their peers.
     outliers: Outliers,
+    /// Lengths of answers and scheduled checks of requests.
+    outcomes: Outcomes,
     /// Seat of this instance in its failure domain, while it is known.
     seat: Option<Seat>,
     /// This instance's subset of the targets of its domain, by service.
@@ -130,6 +135,7 @@
             openings: VecDeque::new(),
             held: SeededMap::default(),
             admissions: Admissions::default(),
+            levels: ServiceLevels::default(),
             domain_size: 1,
             domain_count: 1,
             lost: Vec::new(),
@@ -137,6 +143,7 @@
             full: Vec::new(),
             estimates: Estimates::default(),
             outliers: Outliers::default(),
+            outcomes: Outcomes::default(),
             seat: None,
             subsets: Map::default(),
             cut_off: false,
@@ -247,24 +254,27 @@
         let class = route.map(|route| route.class);
         let mut flow = match (known, class) {
             (Some(flow), _) => flow,
-            (None, Some(class)) if segment.len > 0 => Flow::resume(target, class, segment, now),
+            (None, Some(class)) if segment.len > 0 => {
+                let mut flow = Flow::resume(target, class, segment, now);
+                flow.level = self.level_at(target, class, &segment.key);
+                flow
+            }
             (None, _) => return,
         };
-        let class = flow.class;
+        let level = flow.level;
         let seen = flow.observe(segment, now);
         self.account(&flow, 1);
         self.record_times(&flow, seen, now, out);
+        let answered = self.observe_answer(segment.key, &mut flow, seen, now);
         self.flows.insert(segment.key, flow);
         if is_resumed {
             self.probe_unprobed(target, now, out);
         }
         if seen.opened {
-            self.record_accepted(target, class, now, out);
+            self.record_accepted(target, level, now, out);
         }
-        if let Some(since) = seen.request_since {
-            let (key, span) = (segment.key, now.since(since));
-            let end = RequestEnd { key, target, class, span, outcome: Outcome::Unknown };
-            self.record_outcome(end, now, out);
+        if let Some(answer) = answered {
+            self.record_answer_end(answer, now, out);
         }
         if seen.alive {
             self.record_alive(target, now, out);
@@ -299,13 +309,14 @@
         if segment.kind == Kind::Close {
             self.track(target, segment, now, out);
         }
+        self.settle_closed(&segment.key, segment.kind, now, out);
         let flow = self.flows.get(&segment.key).filter(|flow| flow.opened_here);
         if let (Some(flow), Some(entry)) = (flow, self.catalog.entry(target)) {
             let length = Span::Length(now.since(flow.first_seen));
             out.measure(&entry.target.service, flow.class, length);
         }
         if let Some(flow) = self.flows.get(&segment.key).filter(|flow| !flow.is_opening()) {
-            self.record_flow_end(target, flow.class);
+            self.record_flow_end(target, flow.level);
         }
         self.drop_flow(&segment.key);
         self.counts.passed += 1;
@@ -342,6 +353,7 @@
             refusal: Refusal::TargetLost,
             target: Some(target),
             lost: lost.map(|since| now.since(since)),
+            level: None,
         });
     }
 
@@ -354,6 +366,7 @@
                 self.check_opening(key, now, out);
             }
         }
+        self.check_requests(now, out);
         self.evaluate_outliers(now, out);
         self.release_held(now, out);
         self.check_silent_targets(now, out);
@@ -377,6 +390,7 @@
             full.flat_map(|state| state.check_at.into_iter().chain(state.vacancy.next_probe()));
         let others = retries.chain(full).chain(self.held_deadline()).chain(self.catalog.deadline());
         let others = others.chain(self.evaluation_deadline());
+        let others = others.chain(self.outcomes.deadline());
         opening.into_iter().chain(others).min()
     }
 
--- a/marked/src/forwarder/outliers.rs
+++ b/marked/src/forwarder/outliers.rs
@@ -51,10 +51,18 @@
         !excluded.is_empty() && excluded.contains(&entry.target.incarnation)
     }
 
-    /// Whether a new flow may try an excluded target.
-    pub(super) fn may_try_outlier(&self, entry: &Entry, class: Class, now: Millis) -> bool {
+    /// Whether a new flow may try an excluded target. Flows that may be repeated, and whose
+    /// answers show how they ended, go first.
+    pub(super) fn may_try_outlier(
+        &self,
+        entry: &Entry,
+        flow: &FlowKey,
+        class: Class,
+        now: Millis,
+    ) -> bool {
+        let is_preferred = class != Class::Request && self.outcomes.is_learnt(flow.service);
         let detector = self.outliers.detectors.get(&entry.target.service);
-        detector.is_some_and(|it| it.may_try(entry.target.incarnation.0, class, now))
+        detector.is_some_and(|it| it.may_try(entry.target.incarnation.0, is_preferred, now))
     }
 
     /// Records that a new flow goes to a target, which is a trial if the target is excluded and
@@ -66,8 +74,8 @@
         }
         let Some(entry) = self.catalog.entry(target) else { return };
         let Some(detector) = outliers.detectors.get_mut(&entry.target.service) else { return };
-        // A flow that found no other target may be a request, and no reason to wait longer.
-        if detector.may_try(target.0, Class::Feed, now) {
+        // The choice of this flow may have waited for a preferred one, or found no other target.
+        if detector.may_try(target.0, true, now) {
             detector.start_trial(target.0, now);
             outliers.trials.retain(|_, it| *it != target);
             outliers.trials.insert(*flow, target);
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -11,6 +11,7 @@
 use medlarspur_load::{
     choice::Tier,
     outlier::{Evidence, Readmission},
+    priority::Level,
 };
 use std::fmt;
 
@@ -38,6 +39,8 @@
         flow: FlowKey,
         /// The class of the requests inside.
         class: Class,
+        /// Level of the flow at the service.
+        level: Level,
         /// Requests and openings in flight at the service, as seen by this instance.
         work: u32,
         /// Answer time of the service in hundredths of the latency objective.
@@ -62,6 +65,8 @@
         target: Option<Incarnation>,
         /// Time for which that target has been lost.
         lost: Option<Millis>,
+        /// Level of a flow that was refused because its service was busy.
+        level: Option<Level>,
     },
     /// A packet in mid-flow was dropped.
     Dropped {
@@ -72,6 +77,26 @@
         /// The packet's mark, if it has one.
         mark: Option<Mark>,
     },
+    /// A target answered that it failed, or that it had no capacity.
+    Failed {
+        /// The target.
+        target: Incarnation,
+        /// Flow of the request.
+        flow: FlowKey,
+        /// Length of the answer in bytes.
+        length: u32,
+        /// Time from the request to the first byte of the answer.
+        span: Millis,
+    },
+    /// A target did not answer a request in time.
+    Unanswered {
+        /// The target.
+        target: Incarnation,
+        /// Flow of the request.
+        flow: FlowKey,
+        /// Time since the request.
+        waited: Millis,
+    },
     /// A target is suspected and probed.
     Suspected {
         /// The suspected target.
@@ -219,6 +244,8 @@
     Dropped,
     /// [`Note::Suspected`].
     Suspected,
+    /// [`Note::Failed`] and [`Note::Unanswered`].
+    Outcome,
     /// [`Note::Lost`], [`Note::Regained`], [`Note::Full`], [`Note::Vacant`], [`Note::Excluded`]
     /// and [`Note::Readmitted`].
     Reach,
@@ -229,13 +256,14 @@
 
 impl NoteKind {
     /// All kinds, in the order of their values.
-    pub const ALL: [NoteKind; 8] = [
+    pub const ALL: [NoteKind; 9] = [
         NoteKind::Opened,
         NoteKind::Held,
         NoteKind::Moved,
         NoteKind::Reset,
         NoteKind::Dropped,
         NoteKind::Suspected,
+        NoteKind::Outcome,
         NoteKind::Reach,
         NoteKind::News,
     ];
@@ -249,6 +277,7 @@
             NoteKind::Reset => "reset",
             NoteKind::Dropped => "dropped",
             NoteKind::Suspected => "doubted",
+            NoteKind::Outcome => "outcomes",
             NoteKind::Reach => "reach",
             NoteKind::News => "news",
         }
@@ -268,6 +297,7 @@
             Note::Reset { .. } => NoteKind::Reset,
             Note::Dropped { .. } => NoteKind::Dropped,
             Note::Suspected { .. } => NoteKind::Suspected,
+            Note::Failed { .. } | Note::Unanswered { .. } => NoteKind::Outcome,
             Note::Lost { .. } | Note::Regained { .. } => NoteKind::Reach,
             Note::Full { .. } | Note::Vacant { .. } => NoteKind::Reach,
             Note::Excluded { .. } | Note::Readmitted { .. } => NoteKind::Reach,
@@ -286,6 +316,8 @@
             Note::Reset { .. } => "flow reset",
             Note::Dropped { .. } => "packet dropped",
             Note::Suspected { .. } => "target doubted",
+            Note::Failed { .. } => "request failed",
+            Note::Unanswered { .. } => "request unanswered",
             Note::Lost { .. } => "target lost",
             Note::Regained { .. } => "target regained",
             Note::Full { .. } => "target full",
@@ -313,9 +345,10 @@
                 ("work", work.to_string()),
                 ("candidates", candidates.to_string()),
             ],
-            Note::Held { flow, class, work, pressure, waiting } => vec![
+            Note::Held { flow, class, level, work, pressure, waiting } => vec![
                 ("flow", flow.to_string()),
                 ("class", lower(class)),
+                ("level", level.rank().to_string()),
                 ("work", work.to_string()),
                 ("pressure", pressure.to_string()),
                 ("waiting", waiting.to_string()),
@@ -323,10 +356,11 @@
             Note::Moved { flow, from } => {
                 vec![("flow", flow.to_string()), ("from", name(*from))]
             }
-            Note::Reset { flow, refusal, target, lost } => {
+            Note::Reset { flow, refusal, target, lost, level } => {
                 let mut fields = vec![("flow", flow.to_string()), ("reason", lower(refusal))];
                 fields.extend(target.map(|it| ("target", name(it))));
                 fields.extend(lost.map(|it| ("lost_ms", it.to_string())));
+                fields.extend(level.map(|it| ("level", it.rank().to_string())));
                 fields
             }
             Note::Dropped { flow, reason, mark } => {
@@ -339,6 +373,17 @@
                 ("silent_ms", silent.to_string()),
                 ("flow", flow.to_string()),
             ],
+            Note::Failed { target, flow, length, span } => vec![
+                ("target", name(*target)),
+                ("length", length.to_string()),
+                ("answered_ms", span.to_string()),
+                ("flow", flow.to_string()),
+            ],
+            Note::Unanswered { target, flow, waited } => vec![
+                ("target", name(*target)),
+                ("waited_ms", waited.to_string()),
+                ("flow", flow.to_string()),
+            ],
             Note::Lost { target, result, silent, flows } => vec![
                 ("target", name(*target)),
                 ("finding", lower(result)),
