--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -11,6 +11,8 @@
 //!   of one and the mark of the other.
 //! - A target in an evacuated failure domain gets no new flows; its open flows go on.
 //! - A target that accepts no openings is full: new flows go elsewhere, its open flows go on.
+//! - A target that fails more requests than its peers gets new flows only if no other can take
+//!   them, and one at a time as a trial; its open flows go on.
 //! - When a target is found lost, its open flows are reset at once, and flows whose handshake
 //!   has not ended move to another target.
 
@@ -23,6 +25,7 @@
 mod full;
 mod levels;
 mod outcomes;
+mod outliers;
 mod output;
 mod placing;
 mod probing;
@@ -49,6 +52,7 @@
 };
 use medlarspur_load::{random::Random, warmup::Seat};
 use outcomes::Outcomes;
+use outliers::Outliers;
 use placing::OPENING_LIMIT;
 use probing::LapseProbes;
 use state::TargetState;
@@ -99,6 +103,8 @@
     full: Vec<Incarnation>,
     /// Estimates derived from answers.
     estimates: Estimates,
+    /// Targets that fail more than their peers.
+    outliers: Outliers,
     /// Lengths of answers and scheduled checks of requests.
     outcomes: Outcomes,
     /// Seat of this instance in its failure domain, while it is known.
@@ -136,6 +142,7 @@
             lapse_probes: LapseProbes::default(),
             full: Vec::new(),
             estimates: Estimates::default(),
+            outliers: Outliers::default(),
             outcomes: Outcomes::default(),
             seat: None,
             subsets: Map::default(),
@@ -360,6 +367,7 @@
             }
         }
         self.check_requests(now, out);
+        self.evaluate_outliers(now, out);
         self.release_held(now, out);
         self.check_silent_targets(now, out);
         self.probe_lost(now, out);
@@ -381,6 +389,7 @@
         let full =
             full.flat_map(|state| state.check_at.into_iter().chain(state.vacancy.next_probe()));
         let others = retries.chain(full).chain(self.held_deadline()).chain(self.catalog.deadline());
+        let others = others.chain(self.evaluation_deadline());
         let others = others.chain(self.outcomes.deadline());
         opening.into_iter().chain(others).min()
     }
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -30,6 +30,11 @@
 }
 
 impl Outcomes {
+    /// Whether the outcomes of a route's requests can be told from their answers.
+    pub(super) fn is_learnt(&self, route: SocketAddrV4) -> bool {
+        self.lengths.get(&route).is_some_and(AnswerLengths::is_learnt)
+    }
+
     /// The time of the next check.
     pub(super) fn deadline(&self) -> Option<Millis> {
         self.checks.front().map(|(due, _)| *due)
@@ -269,14 +274,15 @@
         self.record_outcome(end, now, out);
     }
 
-    /// Records the end of a request in the estimates and in the limit of its service. A failure
-    /// is a fast answer of a bad target, and a request without an answer has no answer time.
+    /// Records the end of a request in outlier detection, in the estimates and in the limit of its
+    /// service. A failure is a fast answer of a bad target, and a request without an answer has no answer time.
     pub(super) fn record_outcome(&mut self, end: RequestEnd, now: Millis, out: &mut impl Output) {
         let Some(entry) = self.catalog.entry(end.target) else { return };
+        let service = entry.target.service.clone();
+        self.record_peer_outcome(&service, end, now, out);
         if matches!(end.outcome, Outcome::Failed | Outcome::Unanswered) {
             return;
         }
-        let service = entry.target.service.clone();
         out.measure(&service, end.class, Span::Answer(end.span));
         let level = self.level(&service, end.class, &end.key);
         self.estimates.add_answer(&service, level, end.span);
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -115,6 +115,7 @@
         };
         self.counts.opened += 1;
         self.record_warmup_opening(target, now);
+        self.record_trial(&key, target, now);
         out.note(note);
         self.send(target, &key, &packet, out);
         let mut flow = Flow::open(target, class, packet, seq, now);
@@ -158,7 +159,7 @@
     }
 
     /// Returns the targets of this instance's subset, if no target of the service is excluded
-    /// and one of the subset ranks as high as any other could. All targets are then examined for
+    /// other than as an outlier and one of the subset ranks as high as any other could. All targets are then examined for
     /// few flows only, so that the cost of a flow does not grow with their number.
     fn subset_options(
         &self,
@@ -175,6 +176,9 @@
         let share = self.reserving_share(service, demand.class);
         let mut options = Options::default();
         for entry in subset.own.iter().filter_map(|it| self.catalog.entry(*it)) {
+            if self.is_outlier(entry) && !self.may_try_outlier(entry, key, demand.class, now) {
+                continue;
+            }
             let Some(mut candidate) = self.candidate(entry, demand.level, now) else { continue };
             candidate.reserved =
                 share.is_some_and(|share| subset.is_reserved(entry.target.incarnation, share));
@@ -184,7 +188,8 @@
         options.candidates.iter().any(|it| it.is_cheapest_possible(demand)).then_some(options)
     }
 
-    /// Returns all targets that could take a flow.
+    /// Returns all targets that could take a flow. Outliers are among them only for a trial, or
+    /// if there are no others.
     fn all_options(
         &self,
         service: &ServiceName,
@@ -195,23 +200,32 @@
     ) -> Options {
         let restrictions = self.restrictions(service, key);
         let (mut options, mut entries) = (Options::default(), Vec::new());
+        let mut outliers = Vec::new();
         for entry in self.catalog.targets(service) {
-            match self.exclusion(entry, restrictions, now) {
+            let exclusion = self.exclusion(entry, restrictions, now);
+            match exclusion {
                 Some(Exclusion::Evacuated) => options.evacuated = true,
                 Some(Exclusion::Warming) => options.warming = true,
                 Some(Exclusion::Away) => {}
-                None => {
+                Some(Exclusion::Outlier) | None => {
                     let Some(mut candidate) = self.candidate(entry, demand.level, now) else {
                         continue;
                     };
                     let is_own = |subset: &Subset| subset.contains(entry.target.incarnation);
                     candidate.outside_subset =
                         candidate.same_domain && subset.is_some_and(|it| !is_own(it));
+                    if exclusion.is_some() && !self.may_try_outlier(entry, key, demand.class, now) {
+                        outliers.push((entry, candidate));
+                        continue;
+                    }
                     entries.push(entry);
                     options.candidates.push(candidate);
                 }
             }
         }
+        if entries.is_empty() {
+            (entries, options.candidates) = outliers.into_iter().unzip();
+        }
         if let Some(share) = self.reserving_share(service, demand.class) {
             reserve_targets(share, &entries, &mut options.candidates);
         }
@@ -263,8 +277,11 @@
         let targets = self.catalog.targets(service).filter(|it| !it.target.leaving);
         let targets: Vec<&Entry> = targets.collect();
         let restrictions = self.restrictions(service, key);
-        let exclusion =
-            |it: &&Entry| it.is_listed().then(|| self.exclusion(it, restrictions, now)).flatten();
+        let exclusion = |it: &&Entry| {
+            let exclusion = it.is_listed().then(|| self.exclusion(it, restrictions, now)).flatten();
+            // An outlier would have got the flow if it could take it.
+            exclusion.filter(|it| *it != Exclusion::Outlier)
+        };
         if targets.iter().any(|entry| exclusion(entry).is_none() && self.is_full(entry)) {
             return Refusal::Full;
         }
@@ -272,7 +289,7 @@
             Some(Exclusion::Warming) => Refusal::Warming,
             Some(Exclusion::Evacuated) => Refusal::Evacuated,
             Some(Exclusion::Away) => Refusal::Away,
-            None => Refusal::NoTarget,
+            Some(Exclusion::Outlier) | None => Refusal::NoTarget,
         }
     }
 
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -252,7 +252,8 @@
                 continue;
             }
             work += state.work;
-            if !entry.target.leaving && !state.health.is_lost() && entry.is_listed() {
+            let is_usable = !entry.target.leaving && !state.health.is_lost() && entry.is_listed();
+            if is_usable && !self.is_outlier(entry) {
                 slots += entry.target.slots;
             }
         }
--- a/marked/tests/net.rs
+++ b/marked/tests/net.rs
@@ -67,6 +67,8 @@
     pub loss: u64,
     /// Domains that are partitioned from all others.
     pub partitioned: BTreeSet<u8>,
+    /// Instances that are partitioned from all others.
+    pub isolated: BTreeSet<SocketAddrV4>,
     in_flight: Vec<(u64, SocketAddrV4, SocketAddrV4, Vec<u8>)>,
     pulls: Vec<(u64, SocketAddrV4, SocketAddrV4, Revision)>,
     /// Answers to pulls in flight: end, receiver, sender, and the receiver's revision.
@@ -103,6 +105,7 @@
             transfer_limits: (0, usize::MAX),
             loss: 0,
             partitioned: BTreeSet::new(),
+            isolated: BTreeSet::new(),
             in_flight: Vec::new(),
             pulls: Vec::new(),
             transfers: Vec::new(),
@@ -294,6 +297,9 @@
     }
 
     fn is_connected(&self, from: SocketAddrV4, to: SocketAddrV4) -> bool {
+        if self.isolated.contains(&from) || self.isolated.contains(&to) {
+            return false;
+        }
         let (from, to) = (domain_of(from), domain_of(to));
         from == to || !self.partitioned.contains(&from) && !self.partitioned.contains(&to)
     }
