--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -7,6 +7,7 @@
 use crate::{clock::Clock, sink::LogSink};
 use medlarspur_fabric::Counts as SocketCounts;
 use medlarspur_lib::{bundle::Class, collections::Map, ids::ServiceName, time::Millis};
+use medlarspur_load::outcome::Outcome;
 use medlarspur_marked::{Counts, ProbeResult, Revision, Span};
 use medlarspur_operator::{ClassMeters, Family, Gauge, Meters};
 use medlarspur_platform::site::packet::PacketError;
@@ -74,7 +75,7 @@
 /// Family and label of a series, and the function that reads its value.
 type CounterSeries = (Family, &'static str, fn(&Stats) -> u64);
 
-const COUNTERS: [CounterSeries; 33] = [
+const COUNTERS: [CounterSeries; 37] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -108,6 +109,10 @@
     (Family::Probes, "declines", |it| it.counts.found[ProbeResult::Declines as usize]),
     (Family::Probes, "gone", |it| it.counts.found[ProbeResult::Gone as usize]),
     (Family::Probes, "silent", |it| it.counts.found[ProbeResult::Silent as usize]),
+    (Family::Requests, "served", |it| it.counts.requests[Outcome::Served as usize]),
+    (Family::Requests, "failed", |it| it.counts.requests[Outcome::Failed as usize]),
+    (Family::Requests, "unanswered", |it| it.counts.requests[Outcome::Unanswered as usize]),
+    (Family::Requests, "unknown", |it| it.counts.requests[Outcome::Unknown as usize]),
 ];
 
 /// A gauge and the function that reads its value.
--- a/marked/examples/slopes.rs
+++ b/marked/examples/slopes.rs
@@ -6,6 +6,7 @@
 use medlarspur_lib::{
     bundle::Class,
     ids::{DomainName, ServiceName, TargetName, Version},
+    settings::Capabilities,
     time::Millis,
 };
 use medlarspur_marked::{
@@ -50,6 +51,9 @@
     for flows in [300, 3_000, 18_000] {
         packets(flows);
     }
+    for health in [false, true] {
+        requests(3_000, health);
+    }
     for targets in [4, 14, 120, 1_000] {
         openings(targets);
     }
@@ -150,14 +154,17 @@
     std::mem::forget(catalog);
 }
 
-fn forwarder(targets: usize, services: usize) -> Forwarder {
-    let options = ForwarderOptions {
+fn options() -> ForwarderOptions {
+    ForwarderOptions {
         domain: DomainName::new("north"),
         regions: Default::default(),
         capabilities: Default::default(),
         seed: 1,
-    };
-    let mut forwarder = Forwarder::new(options);
+    }
+}
+
+fn forwarder(targets: usize, services: usize) -> Forwarder {
+    let mut forwarder = Forwarder::new(options());
     forwarder.apply_update(site(targets, services), Millis(0), &mut NoOutput);
     forwarder
 }
@@ -198,6 +205,45 @@
     black_box(before);
 }
 
+/// Requests with answers on open flows; `health` turns the classification of outcomes on.
+fn requests(flows: usize, health: bool) {
+    let mut forwarder = forwarder(5_600, 700);
+    if health {
+        let capabilities = Capabilities { health, pressure: false };
+        forwarder = Forwarder::new(ForwarderOptions { capabilities, ..options() });
+        forwarder.apply_update(site(5_600, 700), Millis(0), &mut NoOutput);
+    }
+    let marks = |nth: usize| {
+        let key = flow(nth, 700);
+        (key, Some(Mark::new(target(nth % 700 + 700 * (nth % 8), 0).incarnation, &key)))
+    };
+    let marks: Vec<_> = (0..flows).map(marks).collect();
+    let mut packet = |nth: usize, round: u32, len: u16, is_answered: bool, now: Millis| {
+        let (key, mark) = marks[nth];
+        let seq = round * 100 + if len == 0 { 100 } else { 0 };
+        let ack = 1 + 840 * (round + u32::from(is_answered));
+        let segment = Segment { key, kind: Kind::Continue, seq, ack, len, mark };
+        forwarder.handle_packet(&segment, &[0; 134], now, &mut NoOutput);
+        if nth.is_multiple_of(50) {
+            forwarder.tick(now, &mut NoOutput);
+        }
+    };
+    let start = Instant::now();
+    let rounds = ROUNDS / flows as u32;
+    for round in 0..rounds {
+        let now = Millis(u64::from(round) * 1_000);
+        for nth in 0..flows {
+            packet(nth, round, 100, false, now + Millis(nth as u64 / 10));
+        }
+        for nth in 0..flows {
+            packet(nth, round, 0, true, now + Millis(300 + nth as u64 / 10));
+        }
+    }
+    let nanos = start.elapsed().as_nanos() as f64 / (2 * rounds as usize * flows) as f64;
+    let measure = if health { "outcomes classified" } else { "outcomes off" };
+    row(&format!("a packet of a request or answer, {measure}"), flows, nanos, "ns");
+}
+
 fn openings(targets: usize) {
     let mut forwarder = forwarder(targets, 1);
     let count = 20_000;
--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -35,16 +35,16 @@
 /// How far the outcome of a flow's last request is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// The request has no answer yet, or there was no request.
+    /// No request has been seen.
+    Idle,
+    /// The request has no answer yet.
     Open,
     /// The request was recorded as unanswered.
     Unanswered,
-    /// More bytes of the answer may follow.
+    /// More bytes of the answer may follow the last packet.
     Settling {
-        /// Time from the request to the first byte of the answer.
-        span: Millis,
-        /// Time of the latest progress of the acknowledgement.
-        progress: Millis,
+        /// Milliseconds from the request to the first byte of the answer.
+        span: u32,
     },
     /// The outcome was recorded.
     Recorded,
@@ -83,8 +83,8 @@
     pub verdict: Verdict,
     /// Last acknowledgement number of the caller.
     pub acked: u32,
-    /// The same when the last request began, if one was seen.
-    request_ack: Option<u32>,
+    /// The same when the last request began.
+    request_ack: u32,
     /// Number after the last byte that the caller sent.
     sent_end: u32,
     /// Time at which that byte was first seen.
@@ -147,9 +147,9 @@
             first_seen: now,
             last_seen: now,
             pending_since: None,
-            verdict: Verdict::Open,
+            verdict: Verdict::Idle,
             acked,
-            request_ack: None,
+            request_ack: acked,
             sent_end,
             sent_at: now,
             answered_end: sent_end,
@@ -169,7 +169,7 @@
 
     /// Number of bytes of the answer to the last request that the caller has acknowledged.
     pub fn answer_length(&self) -> u32 {
-        self.request_ack.map_or(0, |start| self.acked.wrapping_sub(start))
+        self.acked.wrapping_sub(self.request_ack)
     }
 
     /// Time at which retransmitted data that is still unanswered was first sent. Data that was
@@ -220,8 +220,9 @@
     /// Starts to count the bytes of an answer. Returns the length of the answer before: the
     /// caller has received all of it, since it sends one request at a time.
     fn begin_request(&mut self) -> Option<u32> {
-        let previous = self.request_ack.replace(self.acked)?;
-        Some(self.acked.wrapping_sub(previous)).filter(|length| *length > 0)
+        let length = self.answer_length();
+        self.request_ack = self.acked;
+        (self.verdict != Verdict::Idle && length > 0).then_some(length)
     }
 
     /// Ends the handshake: the caller sends other packets only once it has the target's answer.
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -40,6 +40,16 @@
         self.lengths.retain(|route, _| is_route(*route));
     }
 
+    /// Classifies a complete answer.
+    fn classify(&self, route: SocketAddrV4, length: u32) -> Outcome {
+        self.lengths.get(&route).map_or(Outcome::Unknown, |it| it.classify(length))
+    }
+
+    /// Whether the outcome of an answer is known before it is complete.
+    fn is_decided(&self, route: SocketAddrV4, length: u32) -> bool {
+        self.lengths.get(&route).is_none_or(|it| it.is_decided(length))
+    }
+
     /// Schedules a check of a flow, unless it has one. Returns whether it has one.
     fn schedule(&mut self, key: FlowKey, flow: &mut Flow, due: Millis) -> bool {
         if flow.next_check != Millis(0) {
@@ -140,30 +150,32 @@
     ) -> Option<AnswerEnd> {
         let span = match (flow.verdict, seen.request_since) {
             (Verdict::Unanswered, Some(since)) => {
+                // The answer is slow, and the limit must learn of it. The request has been counted.
                 flow.verdict = Verdict::Recorded;
                 let length = flow.answer_length();
                 let answer = AnswerEnd::new(key, flow, length, now.since(since), Outcome::Unknown);
                 return Some(AnswerEnd { is_late: true, ..answer });
             }
             (_, Some(since)) => now.since(since),
-            (Verdict::Settling { span, .. }, None) => span,
+            (Verdict::Settling { span }, None) => Millis(span.into()),
             _ => return None,
         };
-        flow.verdict = Verdict::Settling { span, progress: now };
+        let settling_span = u32::try_from(span.0).unwrap_or(u32::MAX);
+        flow.verdict = Verdict::Settling { span: settling_span };
         if seen.began {
             // Another request begins with the same packet, so the answer is complete.
             return None;
         }
         let length = flow.answer_length();
-        let lengths = self.outcomes.lengths.get(&key.service);
-        let is_decided = lengths.is_none_or(|lengths| lengths.is_decided(length));
-        if is_decided || !self.outcomes.schedule(key, flow, now + SETTLING_TIME) {
-            let outcome = lengths_outcome(self.outcomes.lengths.get(&key.service), length);
-            let outcome = if is_decided { outcome } else { Outcome::Unknown };
-            flow.verdict = Verdict::Recorded;
-            return Some(AnswerEnd::new(key, flow, length, span, outcome));
-        }
-        None
+        let outcome = if self.outcomes.is_decided(key.service, length) {
+            self.outcomes.classify(key.service, length)
+        } else if self.outcomes.schedule(key, flow, now + SETTLING_TIME) {
+            return None;
+        } else {
+            Outcome::Unknown
+        };
+        flow.verdict = Verdict::Recorded;
+        Some(AnswerEnd::new(key, flow, length, span, outcome))
     }
 
     /// Learns the length of an answer after which the flow carries another request.
@@ -177,9 +189,9 @@
         let lengths = self.outcomes.lengths.entry(key.service).or_default();
         let outcome = lengths.classify_reused();
         lengths.record_served(length);
-        let Verdict::Settling { span, .. } = flow.verdict else { return answered };
+        let Verdict::Settling { span } = flow.verdict else { return answered };
         flow.verdict = Verdict::Recorded;
-        Some(AnswerEnd::new(key, flow, length, span, outcome))
+        Some(AnswerEnd::new(key, flow, length, Millis(span.into()), outcome))
     }
 
     /// Records the outcome of an answer that is still settling when its flow ends. A caller that
@@ -192,14 +204,14 @@
         out: &mut impl Output,
     ) {
         let Some(flow) = self.flows.get_mut(key) else { return };
-        let Verdict::Settling { span, .. } = flow.verdict else { return };
+        let Verdict::Settling { span } = flow.verdict else { return };
         flow.verdict = Verdict::Recorded;
         let length = flow.answer_length();
         let outcome = match kind {
-            Kind::Close => lengths_outcome(self.outcomes.lengths.get(&key.service), length),
+            Kind::Close => self.outcomes.classify(key.service, length),
             _ => Outcome::Unknown,
         };
-        let answer = AnswerEnd::new(*key, flow, length, span, outcome);
+        let answer = AnswerEnd::new(*key, flow, length, Millis(span.into()), outcome);
         self.record_answer_end(answer, now, out);
     }
 
@@ -213,39 +225,34 @@
     /// Records a request that has waited too long for its answer, or an answer that has
     /// settled. Otherwise schedules the next check.
     fn check_request(&mut self, key: FlowKey, due: Millis, now: Millis, out: &mut impl Output) {
-        let Some(flow) = self.flows.get_mut(&key) else { return };
-        if flow.is_opening() || flow.next_check != due {
-            return;
-        }
+        let is_valid = |flow: &&mut Flow| !flow.is_opening() && flow.next_check == due;
+        let Some(flow) = self.flows.get_mut(&key).filter(is_valid) else { return };
         flow.next_check = Millis(0);
-        let is_late = now.since(due) > MAX_CHECK_DELAY;
-        let pending = flow.pending_since.filter(|_| flow.verdict == Verdict::Open);
-        let ready_at = match (pending, flow.verdict) {
-            (Some(since), _) => {
-                let route = self.catalog.route(key.service);
-                let objective = route.and_then(waiting::objective);
+        let (ready_at, span, outcome) = match (flow.pending_since, flow.verdict) {
+            (Some(since), Verdict::Open) => {
+                let objective = self.catalog.route(key.service).and_then(waiting::objective);
                 let entry = self.catalog.entry(flow.target);
                 let usual = entry.and_then(|it| self.estimates.longest_answer(&it.target.service));
-                since + unanswered_after(usual, objective)
+                let ready_at = since + unanswered_after(usual, objective);
+                (ready_at, now.since(since), Outcome::Unanswered)
+            }
+            (_, Verdict::Settling { span }) => {
+                let outcome = self.outcomes.classify(key.service, flow.answer_length());
+                (flow.last_seen + SETTLING_TIME, Millis(span.into()), outcome)
             }
-            (None, Verdict::Settling { progress, .. }) => progress + SETTLING_TIME,
             _ => return,
         };
+        let is_late = now.since(due) > MAX_CHECK_DELAY;
         if is_late || now < ready_at {
-            let next = if is_late { ready_at.max(now + CHECK_DELAY) } else { ready_at };
+            // The usual answer time may fall until then, so it is looked up again.
+            let soon = now + CHECK_DELAY;
+            let next = if is_late { soon } else { ready_at.min(soon) };
             self.outcomes.schedule(key, flow, next);
             return;
         }
-        let length = flow.answer_length();
-        let (span, outcome) = match (pending, flow.verdict) {
-            (Some(since), _) => (now.since(since), Outcome::Unanswered),
-            (None, Verdict::Settling { span, .. }) => {
-                (span, lengths_outcome(self.outcomes.lengths.get(&key.service), length))
-            }
-            _ => return,
-        };
-        flow.verdict = if pending.is_some() { Verdict::Unanswered } else { Verdict::Recorded };
-        let answer = AnswerEnd::new(key, flow, length, span, outcome);
+        let is_unanswered = outcome == Outcome::Unanswered;
+        flow.verdict = if is_unanswered { Verdict::Unanswered } else { Verdict::Recorded };
+        let answer = AnswerEnd::new(key, flow, flow.answer_length(), span, outcome);
         self.record_answer_end(answer, now, out);
     }
 
@@ -285,8 +292,3 @@
         }
     }
 }
-
-/// Classifies a complete answer of a route, of which nothing may have been learnt.
-fn lengths_outcome(lengths: Option<&AnswerLengths>, length: u32) -> Outcome {
-    lengths.map_or(Outcome::Unknown, |lengths| lengths.classify(length))
-}
--- a/operator/src/meters/family.rs
+++ b/operator/src/meters/family.rs
@@ -21,6 +21,8 @@
     Platform,
     /// Probes of targets, by result.
     Probes,
+    /// Requests that ended, by outcome.
+    Requests,
     /// Pauses of the process, by event.
     Pauses,
     /// Bytes of control messages to peers, by kind of message.
@@ -31,7 +33,7 @@
 
 impl Family {
     /// Every family.
-    pub const ALL: [Family; 12] = [
+    pub const ALL: [Family; 13] = [
         Family::Packets,
         Family::Flows,
         Family::Drops,
@@ -41,6 +43,7 @@
         Family::Rings,
         Family::Platform,
         Family::Probes,
+        Family::Requests,
         Family::Pauses,
         Family::ControlSent,
         Family::ControlReceived,
@@ -58,6 +61,7 @@
             Family::Rings => "medlarspur_ring_full",
             Family::Platform => "medlarspur_platform_calls",
             Family::Probes => "medlarspur_probes",
+            Family::Requests => "medlarspur_requests",
             Family::Pauses => "medlarspur_pauses",
             Family::ControlSent => "medlarspur_control_sent_bytes",
             Family::ControlReceived => "medlarspur_control_received_bytes",
@@ -68,7 +72,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Family::Packets | Family::Flows | Family::Messages | Family::Pauses => "event",
-            Family::Bundles => "outcome",
+            Family::Bundles | Family::Requests => "outcome",
             Family::Drops => "reason",
             Family::Questions => "answer",
             Family::Rings => "ring",
@@ -88,6 +92,7 @@
             Family::Rings => "Times that a ring between threads was full.",
             Family::Platform => "Calls to the platform, by result.",
             Family::Probes => "Probes of targets, by result.",
+            Family::Requests => "Requests that ended, by outcome.",
             Family::Pauses => "Pauses of the process.",
             Family::ControlSent => "Bytes of control messages to peers, by kind.",
             Family::ControlReceived => "Bytes of control messages from peers, by kind.",
