marked, operator: count held, refused and opened flows by level

Operators could not see which priorities an overload hits. The forwarder counts these events by service and level, and three metrics serve them. status shows how many flows of each level wait; its JSON has the new field waiting_by_level. Three metrics rather than one: each is limited to 16,384 series, and 3,400 services with several levels would exceed that together.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -121,15 +121,23 @@
         output::print_catalog(&status.picture);
         for service in &status.services {
             let (name, pressure, waiting) = (&service.name, service.pressure, service.waiting);
+            let levels = describe_levels(&service.waiting_by_level);
             output::print_line("");
             output::print_line(&format!(
-                "{name}: answers take {pressure} % of their goals, {waiting} flows wait"
+                "{name}: answers take {pressure} % of their goals, {waiting} flows wait{levels}"
             ));
             output::target_table("TARGET", &service.targets).print();
         }
     }
 }
 
+/// Returns the numbers of waiting flows by level, in parentheses; empty if none waits.
+fn describe_levels(waiting: &[u64]) -> String {
+    let waiting = waiting.iter().enumerate().filter(|(_, count)| **count > 0);
+    let levels: Vec<_> = waiting.map(|(rank, count)| format!("{count} of level {rank}")).collect();
+    if levels.is_empty() { String::new() } else { format!(" ({})", levels.join(", ")) }
+}
+
 fn print_marked(answers: &[Answer]) {
     let mut table = Table::new(&[
         "INSTANCE", "ADDRESS", "DOMAIN", "READY", "READS", "UPTIME", "CONFIG", "REVISION", "AGE",
--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -24,6 +24,8 @@
     name: &'static str,
     version: Option<u64>,
     era: u32,
+    /// Numbers of waiting flows by level.
+    waiting: Vec<u64>,
 }
 
 /// Starts an instance with a bundle of this version in force, or without one.
@@ -31,22 +33,34 @@
     let meters = Meters::new().expect("metrics");
     meters.counter(Family::Packets, "received").add(10);
     let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
-    OperatorServer::start(address, Arc::new(Instance { name, version, era: 0 }), meters)
-        .expect("starts")
+    OperatorServer::start(
+        address,
+        Arc::new(Instance { name, version, era: 0, waiting: Vec::new() }),
+        meters,
+    )
+    .expect("starts")
 }
 
 /// Starts an instance at a site whose fabric returns marks, with a config of this version in
 /// force, or without one.
 pub fn start_marked(name: &'static str, version: Option<u64>) -> OperatorServer {
-    start_marked_in_era(name, version, 0)
+    start_marked_instance(Instance { name, version, era: 0, waiting: Vec::new() })
 }
 
 /// Like [`start_marked`], at a platform that has been restored from a copy `era` times.
 pub fn start_marked_in_era(name: &'static str, version: Option<u64>, era: u32) -> OperatorServer {
+    start_marked_instance(Instance { name, version, era, waiting: Vec::new() })
+}
+
+/// Like [`start_marked`], with waiting flows of several levels.
+pub fn start_marked_with_waiting(name: &'static str, waiting: Vec<u64>) -> OperatorServer {
+    start_marked_instance(Instance { name, version: Some(9), era: 0, waiting })
+}
+
+fn start_marked_instance(instance: Instance) -> OperatorServer {
     let meters = Meters::new().expect("metrics");
     let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
-    let source = Arc::new(Instance { name, version, era });
-    OperatorServer::start_marked(address, source, meters).expect("starts")
+    OperatorServer::start_marked(address, Arc::new(instance), meters).expect("starts")
 }
 
 impl MarkedSource for Instance {
@@ -63,7 +77,8 @@
             services: vec![MarkedService {
                 name: ServiceName::new("alertdesk"),
                 pressure: 31,
-                waiting: 0,
+                waiting: self.waiting.iter().sum(),
+                waiting_by_level: self.waiting.clone(),
                 targets: marked_targets(),
             }],
         })
--- a/cli/tests/test_instances.rs
+++ b/cli/tests/test_instances.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     fixtures::folder,
-    instances::{start_instance, start_marked, start_marked_in_era},
+    instances::{start_instance, start_marked, start_marked_in_era, start_marked_with_waiting},
 };
 use expect_test::expect;
 
@@ -162,6 +162,16 @@
     assert!(printed.contains("9       2.41 "), "{printed}");
 }
 
+/// Guards against an overload in which operators can't see whose flows wait.
+#[test]
+fn status_shows_the_waiting_flows_by_level() {
+    let one = start_marked_with_waiting("edge-1", vec![0, 3, 0, 40]);
+
+    let printed = folder().run(&format!("status {}", one.address()));
+
+    assert!(printed.contains("43 flows wait (3 of level 1, 40 of level 3)\n"), "{printed}");
+}
+
 #[test]
 fn status_where_marks_are_used_shows_the_age_of_the_catalog() {
     let one = start_marked("edge-1", Some(9));
--- a/daemon/src/marked/instance/report.rs
+++ b/daemon/src/marked/instance/report.rs
@@ -4,7 +4,7 @@
 use crate::{
     marked::{
         inbox::OperatorQuery,
-        meters::{self, Histograms, Stats},
+        meters::{self, ServiceMeters, Stats},
         status::StatusSource,
     },
     sink::LogSink,
@@ -41,7 +41,7 @@
     ) -> Result<(), RunError> {
         let meters = Meters::new().context(MetricsSnafu)?;
         meters::register(&meters, &self.published, &self.store_reader.calls(), sink, self.clock);
-        self.output.set_histograms(Histograms::new(meters.clone()));
+        self.output.set_service_meters(ServiceMeters::new(meters.clone()));
         let due = self.clock.now() + METRICS_DELAY;
         self.metrics = Some(Metrics { address, meters, due, server: None });
         Ok(())
--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -7,8 +7,9 @@
 use crate::{clock::Clock, sink::LogSink};
 use medlarspur_fabric::Counts as SocketCounts;
 use medlarspur_lib::{bundle::Class, collections::Map, ids::ServiceName, time::Millis};
-use medlarspur_marked::{Counts, ProbeResult, Revision, Span};
-use medlarspur_operator::{ClassMeters, Family, Gauge, Meters};
+use medlarspur_load::priority::Level;
+use medlarspur_marked::{Counts, FlowEvent, ProbeResult, Revision, Span};
+use medlarspur_operator::{ClassMeters, Family, Gauge, LevelMeters, Meters};
 use medlarspur_platform::site::packet::PacketError;
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering::Relaxed},
@@ -166,17 +167,30 @@
     }
 }
 
-/// Records measured times, with a cache of the histograms in use.
+/// Records measured times and events of flows, with a cache of the meters in use.
 #[derive(Clone)]
-pub struct Histograms {
+pub struct ServiceMeters {
     meters: Meters,
     classes: Map<(ServiceName, Class), Arc<ClassMeters>>,
+    levels: Map<(ServiceName, usize), LevelMeters>,
 }
 
-impl Histograms {
+impl ServiceMeters {
     /// Creates a recorder for these metrics.
-    pub fn new(meters: Meters) -> Histograms {
-        Histograms { meters, classes: Map::default() }
+    pub fn new(meters: Meters) -> ServiceMeters {
+        ServiceMeters { meters, classes: Map::default(), levels: Map::default() }
+    }
+
+    /// Counts an event of a flow of a level of a service.
+    pub fn count(&mut self, service: &ServiceName, level: Level, event: FlowEvent) {
+        let (key, meters) = ((service.clone(), level.rank()), &self.meters);
+        let counters =
+            self.levels.entry(key).or_insert_with_key(|(it, rank)| meters.level(it, *rank));
+        match event {
+            FlowEvent::Opened => counters.opened.add(1),
+            FlowEvent::Held => counters.held.add(1),
+            FlowEvent::Refused => counters.refused.add(1),
+        }
     }
 
     /// Records a time of a class of a service.
--- a/daemon/src/marked/output.rs
+++ b/daemon/src/marked/output.rs
@@ -1,13 +1,14 @@
-//! Output of the forwarder: datagrams, probes, histograms and log lines.
+//! Output of the forwarder: datagrams, probes, meters and log lines.
 
 use super::{
     asker::Prober,
     lines::{CatalogState, DecisionLog},
-    meters::Histograms,
+    meters::ServiceMeters,
 };
 use medlarspur_fabric::Outbox;
 use medlarspur_lib::{bundle::Class, ids::ServiceName, time::Millis};
-use medlarspur_marked::{FlowKey, Mark, Note, Output, Revision, Span, Target};
+use medlarspur_load::priority::Level;
+use medlarspur_marked::{FlowEvent, FlowKey, Mark, Note, Output, Revision, Span, Target};
 use medlarspur_platform::site::packet;
 use std::net::SocketAddrV4;
 
@@ -20,7 +21,7 @@
     log: DecisionLog,
     catalog: CatalogState,
     now: Millis,
-    histograms: Option<Histograms>,
+    service_meters: Option<ServiceMeters>,
 }
 
 impl RoundOutput {
@@ -34,13 +35,13 @@
             log: DecisionLog::new(now),
             catalog: CatalogState { revision: Revision::default(), age: None },
             now,
-            histograms: None,
+            service_meters: None,
         }
     }
 
-    /// Sets the histograms in which measured times are recorded.
-    pub fn set_histograms(&mut self, histograms: Histograms) {
-        self.histograms = Some(histograms);
+    /// Sets the meters of services, in which measured times and events of flows are recorded.
+    pub fn set_service_meters(&mut self, meters: ServiceMeters) {
+        self.service_meters = Some(meters);
     }
 
     /// Begins a round. `catalog` is the state on which its decisions are based.
@@ -72,8 +73,14 @@
     }
 
     fn measure(&mut self, service: &ServiceName, class: Class, span: Span) {
-        if let Some(histograms) = &mut self.histograms {
-            histograms.record(service, class, span);
+        if let Some(meters) = &mut self.service_meters {
+            meters.record(service, class, span);
+        }
+    }
+
+    fn count(&mut self, service: &ServiceName, level: Level, event: FlowEvent) {
+        if let Some(meters) = &mut self.service_meters {
+            meters.count(service, level, event);
         }
     }
 
--- a/lib/src/status/marked.rs
+++ b/lib/src/status/marked.rs
@@ -76,6 +76,9 @@
         pub pressure: u32,
         /// Number of new flows that wait for capacity.
         pub waiting: u64,
+        /// The same by level, the highest level first, down to the lowest that has any.
+        #[serde(default)]
+        pub waiting_by_level: Vec<u64>,
         /// Targets of the service, including removed ones that may still have flows.
         pub targets: Vec<MarkedTarget>,
     }
--- a/load/src/backlog.rs
+++ b/load/src/backlog.rs
@@ -71,9 +71,15 @@
         self.waiting.len()
     }
 
-    /// Returns the number of waiting openings of a level.
-    pub fn count(&self, level: Level) -> usize {
-        self.waiting.iter().filter(|it| it.level.rank() == level.rank()).count()
+    /// Returns the number of waiting openings of each level, the highest first, down to the
+    /// lowest that has any.
+    pub fn count_by_level(&self) -> Vec<u64> {
+        let mut counts = Vec::new();
+        for rank in self.waiting.iter().map(|it| it.level.rank()) {
+            counts.resize(counts.len().max(rank + 1), 0);
+            counts[rank] += 1;
+        }
+        counts
     }
 
     /// Adds an opening, or returns it if the backlog is full.
--- a/marked/examples/slopes.rs
+++ b/marked/examples/slopes.rs
@@ -8,9 +8,10 @@
     ids::{DomainName, ServiceName, TargetName, Version},
     time::Millis,
 };
+use medlarspur_load::priority::Level;
 use medlarspur_marked::{
-    Catalog, Change, Config, Content, FlowKey, Forwarder, ForwarderOptions, Incarnation, Kind,
-    Mark, Note, Output, Revision, Route, Scope, Segment, Share, Span, Start, Target, Update,
+    Catalog, Change, Config, Content, FlowEvent, FlowKey, Forwarder, ForwarderOptions, Incarnation,
+    Kind, Mark, Note, Output, Revision, Route, Scope, Segment, Share, Span, Start, Target, Update,
     message,
 };
 use std::{fs, hint::black_box, net::SocketAddrV4, time::Instant};
@@ -40,6 +41,10 @@
     fn measure(&mut self, _service: &ServiceName, _class: Class, span: Span) {
         black_box(span);
     }
+
+    fn count(&mut self, _service: &ServiceName, level: Level, event: FlowEvent) {
+        black_box((level, event));
+    }
 }
 
 fn main() {
--- a/marked/src/forwarder/explain.rs
+++ b/marked/src/forwarder/explain.rs
@@ -83,11 +83,12 @@
     }
 
     fn service_status(&self, name: &ServiceName, now: Millis) -> MarkedService {
-        let (pressure, waiting) = self.pressure_and_backlog(name);
+        let (pressure, waiting_by_level) = self.pressure_and_backlog(name);
+        let waiting = waiting_by_level.iter().sum();
         let restrictions = self.service_restrictions(name);
         let targets = self.catalog.targets(name);
         let targets = targets.map(|entry| self.target_status(entry, restrictions, now)).collect();
-        MarkedService { name: name.clone(), pressure, waiting, targets }
+        MarkedService { name: name.clone(), pressure, waiting, waiting_by_level, targets }
     }
 
     fn target_status(
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -33,7 +33,7 @@
 mod waiting;
 
 pub use counts::Counts;
-pub use output::{Output, Refusal, Span, Unroutable};
+pub use output::{FlowEvent, Output, Refusal, Span, Unroutable};
 
 use crate::{
     Catalog, Config, Flow, FlowKey, Incarnation, Kind, Mark, Note, Revision, Segment,
--- a/marked/src/forwarder/output.rs
+++ b/marked/src/forwarder/output.rs
@@ -2,6 +2,7 @@
 
 use crate::{FlowKey, Mark, Note, Target};
 use medlarspur_lib::{bundle::Class, ids::ServiceName, time::Millis};
+use medlarspur_load::priority::Level;
 
 /// Receives the forwarder's decisions.
 pub trait Output {
@@ -16,6 +17,20 @@
     fn note(&mut self, note: Note);
     /// Records a measured time of a class of a service.
     fn measure(&mut self, service: &ServiceName, class: Class, span: Span);
+    /// Counts an event of a flow of a level of a service.
+    fn count(&mut self, service: &ServiceName, level: Level, event: FlowEvent);
+}
+
+/// An event of a new flow that is counted by service and level.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum FlowEvent {
+    /// A target was chosen. Counts again when the flow moves to another target.
+    Opened,
+    /// The flow is held until its service has capacity.
+    Held,
+    /// The flow was reset because the service had no capacity in time or no target that can
+    /// take it.
+    Refused,
 }
 
 /// A measured time.
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -1,7 +1,7 @@
 //! Choice of targets for new flows.
 
 use super::{
-    Forwarder, Output, Refusal,
+    FlowEvent, Forwarder, Output, Refusal,
     exclusion::Exclusion,
     probing::SUSPECT_TIME,
     subset::Subset,
@@ -110,9 +110,11 @@
         self.drop_flow(&key);
         let level = self.level(&service, class, &key);
         let Some((target, note)) = self.choose(&service, Demand { class, level }, &key, now) else {
+            out.count(&service, level, FlowEvent::Refused);
             return self.refuse(&key, self.refusal_reason(&service, &key, now), out);
         };
         self.counts.opened += 1;
+        out.count(&service, level, FlowEvent::Opened);
         self.record_warmup_opening(target, now);
         out.note(note);
         self.send(target, &key, &packet, out);
@@ -367,8 +369,15 @@
     }
 
     /// Resets a flow of a level that was sent to no target because its service is busy.
-    pub(super) fn refuse_busy(&mut self, flow: &FlowKey, level: Level, out: &mut impl Output) {
+    pub(super) fn refuse_busy(
+        &mut self,
+        flow: &FlowKey,
+        service: &ServiceName,
+        level: Level,
+        out: &mut impl Output,
+    ) {
         let refusal = Refusal::Busy;
+        out.count(service, level, FlowEvent::Refused);
         self.counts.refuse(refusal);
         out.reset(flow, 0);
         let level = Some(level);
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -3,7 +3,7 @@
 //! `medlarspur_load::{backlog, limit}` decide the order and the amount of work in flight;
 //! they describe the load patterns that this is for.
 
-use super::{Forwarder, Output, Refusal};
+use super::{FlowEvent, Forwarder, Output, Refusal};
 use crate::{FlowKey, Note, Route};
 use medlarspur_lib::{
     bundle::Class,
@@ -106,10 +106,11 @@
         let waiting = Waiting { key: it.key, level, since: now, deadline };
         let count = admission.backlog.len();
         if admission.backlog.push(waiting).is_some() {
-            self.refuse_busy(&it.key, level, out);
+            self.refuse_busy(&it.key, &it.service, level, out);
             return None;
         }
         self.counts.held += 1;
+        out.count(&it.service, level, FlowEvent::Held);
         let pressure = admission.limit.pressure();
         out.note(Note::Held {
             flow: it.key,
@@ -132,7 +133,7 @@
         let Some(admission) = self.admissions.get_mut(service) else { return };
         let Some(evicted) = admission.backlog.make_room(level) else { return };
         if self.held.remove(&evicted.key).is_some() {
-            self.refuse_busy(&evicted.key, evicted.level, out);
+            self.refuse_busy(&evicted.key, service, evicted.level, out);
         }
     }
 
@@ -211,7 +212,7 @@
             let Some(admission) = self.admissions.get_mut(service) else { return };
             let Some(late) = admission.backlog.pop_expired(now) else { return };
             if self.held.remove(&late.key).is_some() {
-                self.refuse_busy(&late.key, late.level, out);
+                self.refuse_busy(&late.key, service, late.level, out);
             }
         }
     }
@@ -228,12 +229,12 @@
         self.place(it, now, out);
     }
 
-    /// Answer time of a service in hundredths of its latency objective, and number of flows
-    /// held for it.
-    pub(super) fn pressure_and_backlog(&self, service: &ServiceName) -> (u32, u64) {
+    /// Answer time of a service in hundredths of its latency objective, and numbers of flows
+    /// held for it by rank of their level, down to the lowest one that is held.
+    pub(super) fn pressure_and_backlog(&self, service: &ServiceName) -> (u32, Vec<u64>) {
         let admission = self.admissions.get(service);
-        admission.map_or((0, 0), |admission| {
-            (admission.limit.pressure(), admission.backlog.len() as u64)
+        admission.map_or((0, Vec::new()), |admission| {
+            (admission.limit.pressure(), admission.backlog.count_by_level())
         })
     }
 
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -29,7 +29,9 @@
 pub use entry::{Entry, Presence};
 pub use fleet::{Fleet, Outgoing};
 pub use flow::{Flow, Observation, Phase};
-pub use forwarder::{Counts, Forwarder, ForwarderOptions, Output, Refusal, Span, Unroutable};
+pub use forwarder::{
+    Counts, FlowEvent, Forwarder, ForwarderOptions, Output, Refusal, Span, Unroutable,
+};
 pub use health::{Health, ProbeResult};
 pub use incarnation::{Incarnation, Start};
 pub use mark::Mark;
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -7,9 +7,11 @@
     status::TargetUse,
     time::Millis,
 };
+use medlarspur_load::priority::Level;
 use medlarspur_marked::{
-    Change, Config, Content, FlowKey, Forwarder, ForwarderOptions, Incarnation, Kind, Mark, Note,
-    Output, Refusal, Revision, Route, Scope, Segment, Service, Share, Span, Start, Target, Update,
+    Change, Config, Content, FlowEvent, FlowKey, Forwarder, ForwarderOptions, Incarnation, Kind,
+    Mark, Note, Output, Refusal, Revision, Route, Scope, Segment, Service, Share, Span, Start,
+    Target, Update,
 };
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -129,6 +131,8 @@
     pub notes: Vec<Note>,
     /// Measured times.
     pub spans: Vec<(ServiceName, Class, Span)>,
+    /// Counted events of flows, by service and rank of the level.
+    pub counted: Vec<(ServiceName, usize, FlowEvent)>,
     reset: Option<(FlowKey, u32)>,
 }
 
@@ -145,6 +149,10 @@
         self.spans.push((service.clone(), class, span));
     }
 
+    fn count(&mut self, service: &ServiceName, level: Level, event: FlowEvent) {
+        self.counted.push((service.clone(), level.rank(), event));
+    }
+
     fn note(&mut self, note: Note) {
         // The note that follows a reset contains its reason.
         if let Note::Reset { flow, refusal, .. } = &note {
--- a/marked/tests/test_priority.rs
+++ b/marked/tests/test_priority.rs
@@ -5,7 +5,7 @@
     test_waiting::{busy_instance_with, end_requests, open_until_held, opened},
 };
 use medlarspur_lib::{bundle::Class, collections::Map, time::Millis};
-use medlarspur_marked::{Config, Content, Incarnation, Kind, Note, Priority, Refusal};
+use medlarspur_marked::{Config, Content, FlowEvent, Incarnation, Kind, Note, Priority, Refusal};
 
 /// A config in which requests and other flows have the given priorities.
 fn prioritized(version: u64, request: Option<u8>, others: Option<u8>) -> Config {
@@ -57,6 +57,8 @@
     instance.packet(segment(flow(901, FEED), Kind::Open), 500);
 
     assert_eq!(opened(&instance), [flow(901, FEED)]);
+    let counted = instance.out.counted.iter().rev().take(2).map(|(_, rank, it)| (*rank, *it));
+    assert_eq!(counted.collect::<Vec<_>>(), [(0, FlowEvent::Opened), (1, FlowEvent::Held)]);
 }
 
 /// Guards against held flows that wait in the order of an earlier config.
@@ -86,6 +88,10 @@
     let held = open_until_held(&mut instance, REQUEST, 502);
 
     assert_eq!(instance.out.resets, [(first, 0, Refusal::Busy)]);
+    let counted = instance.out.counted.iter().rev().take(2).map(|(_, rank, it)| (*rank, *it));
+    assert_eq!(counted.collect::<Vec<_>>(), [(0, FlowEvent::Held), (1, FlowEvent::Refused)]);
+    let desk = instance.forwarder.services(Millis(502)).remove(0);
+    assert_eq!(desk.waiting_by_level, [1, 1_023]);
     assert!(matches!(instance.out.notes.last(), Some(Note::Held { flow, .. }) if *flow == held));
     let levels = instance.out.notes.iter().rev().take(2).map(|note| {
         let fields = note.fields(|it| format!("{it:?}"));
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -10,7 +10,7 @@
 mod source;
 
 pub use self::{
-    meters::{ClassMeters, Counter, Family, Gauge, Meters, MetersError},
+    meters::{ClassMeters, Counter, Family, Gauge, LevelMeters, Meters, MetersError},
     server::{OperatorError, OperatorServer, SILENCED_LOG_TARGETS},
     source::{MarkedSource, Source},
 };
--- a/operator/src/meters/counter.rs
+++ b/operator/src/meters/counter.rs
@@ -24,7 +24,7 @@
         self.0.fetch_add(amount, Ordering::Relaxed);
     }
 
-    fn get(&self) -> u64 {
+    pub(super) fn get(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
     }
 }
--- a/operator/src/meters/mod.rs
+++ b/operator/src/meters/mod.rs
@@ -8,14 +8,16 @@
 mod counter;
 mod family;
 mod forwarder;
+mod level;
 
 pub use self::{
     class::ClassMeters,
     counter::Counter,
     family::{Family, Gauge},
+    level::LevelMeters,
 };
 
-use self::{class::Histograms, counter::Counters};
+use self::{class::Histograms, counter::Counters, level::LevelCounters};
 use medlarspur_lib::{bundle::Class, collections::Map, ids::ServiceName};
 use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::{
@@ -58,6 +60,7 @@
     meter: Meter,
     counters: Counters,
     histograms: Histograms,
+    levels: LevelCounters,
     classes: Mutex<Map<(ServiceName, Class), Arc<ClassMeters>>>,
 }
 
@@ -80,8 +83,10 @@
         let meter = provider.meter("medlarspur");
         let counters = Counters::new(&meter);
         let histograms = Histograms::new(&meter);
+        let levels = LevelCounters::new(&meter);
         let classes = Mutex::default();
-        let inner = Inner { registry, _provider: provider, meter, counters, histograms, classes };
+        let _provider = provider;
+        let inner = Inner { registry, _provider, meter, counters, histograms, levels, classes };
         Ok(Meters(Arc::new(inner)))
     }
 
@@ -108,6 +113,12 @@
         classes.entry((service.clone(), class)).or_insert_with(create).clone()
     }
 
+    /// Returns the counters of one level of a service, the same ones at each call. They are
+    /// exported from then on, starting at zero.
+    pub fn level(&self, service: &ServiceName, rank: usize) -> LevelMeters {
+        self.0.levels.level(service, rank)
+    }
+
     /// Exports a gauge. Each scrape calls `value` for its value.
     pub fn observe_gauge(&self, gauge: Gauge, value: impl Fn() -> u64 + Send + Sync + 'static) {
         let read = move |observer: &dyn opentelemetry::metrics::AsyncInstrument<u64>| {
--- a/operator/tests/test_meters.rs
+++ b/operator/tests/test_meters.rs
@@ -188,3 +188,22 @@
     assert_eq!(counts.lines().count(), 4000);
     assert!(!counts.contains("overflow"));
 }
+
+/// Guards against flows of several levels or services that are counted as one.
+#[test]
+fn levels_of_services_have_separate_counters() {
+    let meters = Meters::new().expect("metrics");
+    let (desk, feed) = (ServiceName::new("alertdesk"), ServiceName::new("alertfeed"));
+
+    meters.level(&desk, 0).refused.add(1);
+    meters.level(&desk, 1).refused.add(4);
+    meters.level(&feed, 0).held.add(2);
+    meters.level(&desk, 1).refused.add(3);
+
+    expect![[r#"
+        medlarspur_level_refused_total{level="0",service="alertdesk"} 1
+        medlarspur_level_refused_total{level="0",service="alertfeed"} 0
+        medlarspur_level_refused_total{level="1",service="alertdesk"} 7
+    "#]]
+    .assert_eq(&metric_lines(&meters, "medlarspur_level_refused_total{"));
+}
--- a/operator/tests/test_pages.rs
+++ b/operator/tests/test_pages.rs
@@ -43,3 +43,17 @@
         assert!(page.contains(&format!("`{label}`")), "{label}");
     }
 }
+
+/// Guards against counters of levels that operators find no description of.
+#[test]
+fn the_counters_of_levels_are_described() {
+    let page = page();
+    let meters = Meters::new().expect("metrics");
+    meters.level(&ServiceName::new("alertdesk"), 0);
+
+    let text = meters.text().expect("text");
+
+    for name in ["opened", "held", "refused"].map(|it| format!("medlarspur_level_{it}_total")) {
+        assert!(text.contains(&name) && page.contains(&format!("`{name}`")), "{name}");
+    }
+}
