--- a/load/tests/test_outlier.rs
+++ b/load/tests/test_outlier.rs
@@ -100,6 +100,11 @@
 
         assert_eq!(service.excluded(0), [0; 0], "{bad} bad outcomes each");
     }
+
+    let mut service = Service::new(6);
+    (1..=6).for_each(|it| service.record(it, &[Served, Failed], 0));
+    service.record(3, &[Failed; 14], 0);
+    assert_eq!(service.excluded(0), [0; 0], "one fails even more");
 }
 
 /// Guards against a service that loses most of its targets to exclusions.
@@ -260,7 +265,7 @@
     let mut service = with_excluded_target();
     let trial = service.trial_time(1, true, 0);
     service.try_with(1, Served, trial);
-    service.serve_all(2, trial);
+    (2..=6).for_each(|it| service.record(it, &[Served; 4], trial));
 
     service.report(1, &[(0, 4), (0, 4), (0, 4)]);
 
--- a/marked/src/forwarder/outliers.rs
+++ b/marked/src/forwarder/outliers.rs
@@ -7,7 +7,7 @@
 //! design alternatives are in `docs/design/outlier.md`.
 
 use super::{Forwarder, Output, outcomes::RequestEnd};
-use crate::{Entry, FlowKey, Incarnation, Note};
+use crate::{Entry, FlowKey, Incarnation, Note, Presence};
 use medlarspur_lib::{
     bundle::Class,
     collections::{Map, Set},
@@ -191,11 +191,14 @@
         }
     }
 
-    /// Forgets targets that no longer exist. The remaining ones may be too few for those that
+    /// Forgets targets that no longer exist or have restarted. The remaining ones may be too few for those that
     /// are excluded.
     pub(super) fn update_outliers(&mut self) {
         let (catalog, outliers) = (&self.catalog, &mut self.outliers);
-        let is_known = |target: u64| catalog.entry(Incarnation(target)).is_some();
+        let is_known = |target: u64| {
+            let entry = catalog.entry(Incarnation(target));
+            entry.is_some_and(|it| !matches!(it.presence, Presence::Replaced(_)))
+        };
         outliers.excluded.retain(|it| is_known(it.0));
         outliers.trials.retain(|_, it| is_known(it.0));
         outliers.pools.retain(|it, _| is_known(*it));
--- a/marked/tests/test_evidence.rs
+++ b/marked/tests/test_evidence.rs
@@ -35,9 +35,10 @@
 /// Delivers a report to an instance of domain 1 directly.
 fn deliver(net: &mut Net, from: SocketAddrV4, number: u32, it: OutcomeCounts) {
     let time = net.time();
+    let domain = net.instances[&from].fleet.domain();
     let instance = net.instances.get_mut(&address(1, 1)).expect("the instance exists");
     let reports = vec![TargetReport::new(&(desk(), it))];
-    let message = Message::Evidence { domain: instance.fleet.domain(), number, reports };
+    let message = Message::Evidence { domain, number, reports };
     assert!(instance.fleet.receive(from, message, &instance.catalog, time).is_none());
 }
 
@@ -61,6 +62,9 @@
         assert_eq!(held(&mut net, address(1, number)), Some(vec![counts(12, 25)]));
         assert_eq!(held(&mut net, address(2, number)), None);
     }
+    deliver(&mut net, address(2, 1), 10, counts(0, 10));
+    net.run(300);
+    assert_eq!(held(&mut net, address(1, 1)), None);
 }
 
 /// Guards against failures that are counted again when a datagram is repeated, or reported by an
@@ -107,7 +111,7 @@
 /// Guards against memory that grows with the number of senders or of targets that don't exist.
 #[test]
 fn few_reports_are_held_for_a_target_and_none_for_unknown_ones() {
-    let mut net = settled_net(1, 2);
+    let mut net = settled_net(1, 40);
     for number in 3..40 {
         deliver(&mut net, address(1, number), 10, counts(0, number.into()));
     }
--- a/marked/tests/test_outliers.rs
+++ b/marked/tests/test_outliers.rs
@@ -130,19 +130,26 @@
 fn flows_still_go_to_the_subset_first() {
     let mut instance = instance(40, true);
     instance.forwarder.set_seat(Some(Seat { position: 0, count: 4 }));
-    for number in 1..=40 {
+    for number in 1..=8 {
         report(&mut instance, target(number, "desk").incarnation, FOUND + number * 250);
     }
-    assert_eq!(instance.forwarder.count_excluded(), 13);
+    let excluded = instance.out.notes.iter().filter_map(|note| match note {
+        Note::Excluded { target, .. } => Some(*target),
+        _ => None,
+    });
+    let excluded: Vec<Incarnation> = excluded.collect();
+    assert_eq!(excluded.len(), 8);
     instance.out = Decisions::default();
 
-    instance.open(flow(0, FEED), FOUND + 10_000);
+    instance.open(flow(0, FEED), FOUND + 2_100);
 
     let opened = instance.out.notes.iter().find_map(|note| match note {
         Note::Opened { candidates, .. } => Some(*candidates),
         _ => None,
     });
     assert!(opened.is_some_and(|count| count < 20), "{opened:?} candidates");
+    let targets: Vec<_> = (1..80).map(|it| instance.open(flow(it, FEED), FOUND + 2_100)).collect();
+    assert!(!targets.iter().any(|it| excluded.contains(it)));
 }
 
 /// Guards against refusals while an excluded target could serve some requests.
@@ -182,6 +189,7 @@
     let mut instance = with_excluded_target(6);
     let restarted = started(1, "desk", 1_700_000_900_000);
     instance.learn(incremental(101, Content::Target(restarted.clone())), FOUND + 100);
+    assert_eq!(instance.forwarder.count_excluded(), 0);
 
     let flows = count_at(&mut instance, restarted.incarnation, 0..40, FOUND + 200);
 
