load: add shedding by outcome and fairness among callers

Targets that reject work answer fast, so the limit took an overload with up to 40 of 100 arrivals rejected for an idle service. Callers who are refused return at once as the newest opening and displace others, and one that asks often gets a larger share.

`shedding` tells an overload, in which many targets reject at once, from faults of a few targets, and which held openings can't be let in within their time. `fairness` orders the callers of a level by what they got, first attempts before repeated ones. `limit` is lowered by a rejection in an overload. Nothing calls these yet.

--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -8,7 +8,8 @@
 //!
 //! Two forwarders use this package. The modules of [`gate`] serve the forwarder of fabrics
 //! that return nothing; [`Gate`] combines them for its packet path. [`backlog`], [`choice`],
-//! [`estimate`], [`limit`], [`outcome`], [`priority`], [`reserve`], [`subset`], [`vacancy`]
+//! [`estimate`], [`fairness`], [`limit`], [`outcome`], [`priority`], [`reserve`],
+//! [`shedding`], [`subset`], [`vacancy`]
 //! and [`warmup`] serve the forwarder of fabrics that return marks, which calls each where it decides. [`callers`],
 //! [`lines`] and [`random`] serve both.
 
@@ -16,6 +17,7 @@
 pub mod callers;
 pub mod choice;
 pub mod estimate;
+pub mod fairness;
 pub mod gate;
 pub mod limit;
 pub mod lines;
@@ -23,6 +25,7 @@
 pub mod priority;
 pub mod random;
 pub mod reserve;
+pub mod shedding;
 pub mod subset;
 pub mod vacancy;
 pub mod warmup;
--- a/load/src/limit.rs
+++ b/load/src/limit.rs
@@ -15,6 +15,9 @@
 //! that a target that is slow for another reason is not left idle. A service whose work
 //! always takes most of its objective differs from one with queues in the amount of work in
 //! flight (`QUEUED_FACTOR`) and in its answer times without queues (`CALM_FACTOR`).
+//!
+//! Targets with short queues reject the excess instead of answering late. A rejection in an
+//! overload ([`shedding`](crate::shedding)) lowers the limit like a slow answer.
 
 use medlarspur_lib::{bundle::Class, time::Millis};
 
@@ -67,6 +70,13 @@
 /// another instance seems in flight until it is forgotten. With this step, an instance that
 /// sees 50 answers a second makes up for 25 such requests in a second.
 const GROWTH: f32 = 0.5;
+/// Share of rejected requests at which the limit settles while targets reject work. A tenth
+/// is the most that may be rejected; without any rejection, capacity would be left unused.
+const TOLERATED_REJECTIONS: f32 = 0.04;
+/// Time after a rejection during which an answer in time raises the limit by a fraction of
+/// what a rejection lowers it. With [`GROWTH`], two of five requests would be rejected at a
+/// limit of seven. It is one second so that service is normal two seconds after the load is.
+const REJECTION_MEMORY: Millis = Millis::secs(1);
 /// Multiple of the work in flight plus the own share of the slots above which the limit
 /// restricts nothing and is dropped. With a lower factor it would be dropped and set again
 /// with each fluctuation.
@@ -107,6 +117,8 @@
     last_answer: Option<Millis>,
     /// Time of the last reduction of the limit.
     last_reduction: Millis,
+    /// Time of the last request that targets rejected in an overload.
+    last_rejection: Option<Millis>,
 }
 
 impl ConcurrencyLimit {
@@ -168,7 +180,12 @@
         if self.is_slow(now) {
             self.reduce(in_flight, own_slots, now);
         } else if let Some(limit) = &mut self.limit {
-            *limit += GROWTH;
+            let is_rejecting =
+                self.last_rejection.is_some_and(|at| now.since(at) < REJECTION_MEMORY);
+            *limit += match is_rejecting {
+                true => *limit * (1.0 - REDUCTION_FACTOR) * TOLERATED_REJECTIONS,
+                false => GROWTH,
+            };
             if *limit > UNUSED_FACTOR * (in_flight as f32 + own_slots) {
                 self.limit = None;
             }
@@ -185,9 +202,26 @@
         self.limit = Some((limit * REDUCTION_FACTOR).max(own_slots).max(1.0));
     }
 
+    /// Lowers the limit after a request that targets rejected in an overload. The arguments
+    /// are those of [`adjust`](Self::adjust).
+    pub fn record_rejection(&mut self, in_flight: u32, own_slots: f32, now: Millis) {
+        self.last_rejection = Some(now);
+        if now.since(self.last_reduction) < REDUCTION_INTERVAL {
+            return;
+        }
+        self.last_reduction = now;
+        // The work in flight varies by more than a step, and many rejections follow each
+        // other, so that the least of it would soon be the limit.
+        let in_flight = in_flight as f32 + 1.0;
+        let limit =
+            self.limit.map_or(in_flight, |it| it.min(UNUSED_FACTOR * (in_flight + own_slots)));
+        self.limit = Some((limit * REDUCTION_FACTOR).max(own_slots).max(1.0));
+    }
+
     /// Returns whether any number of requests may start.
     pub fn is_unlimited(&self, now: Millis) -> bool {
-        self.limit.is_none() || !self.is_mean_current(now)
+        let is_rejecting = self.last_rejection.is_some_and(|at| now.since(at) <= STALE_AFTER);
+        self.limit.is_none() || !self.is_mean_current(now) && !is_rejecting
     }
 
     /// Returns whether one more opening of a class may start with `work` in flight.
--- /dev/null
+++ b/load/tests/test_priority_burst.rs
@@ -0,0 +1,29 @@
+//! Tests refusals while one priority takes what capacity there is.
+
+use medlarspur_lib::time::Millis;
+use medlarspur_load::shedding::OpeningRates;
+
+/// Guards against lower levels that wait for all their time while higher ones take every
+/// connection, and against refusals of the higher ones because of them.
+#[test]
+fn only_the_level_that_gets_nothing_is_refused() {
+    let mut rates = OpeningRates::default();
+    rates.record_held(0, true, Millis(0));
+    rates.record_held(1, true, Millis(0));
+    (0..1_000).step_by(20).for_each(|at| rates.record_opening(0, Millis(at)));
+    let (now, wait) = (Millis(1_000), Millis(1_000));
+
+    assert!(rates.can_open(0, 30, 30, wait, now));
+    assert!(!rates.can_open(1, 35, 5, wait, now));
+}
+
+/// Guards against refusals by the rate of an overload that has ended for the level.
+#[test]
+fn a_level_that_is_held_anew_is_not_refused_by_its_past() {
+    let mut rates = OpeningRates::default();
+    rates.record_held(1, true, Millis(0));
+    rates.record_held(1, false, Millis(900));
+    rates.record_held(1, true, Millis(950));
+
+    assert!(rates.can_open(1, 10, 10, Millis(500), Millis(1_000)));
+}
--- /dev/null
+++ b/load/tests/test_retry_storm.rs
@@ -0,0 +1,65 @@
+//! Tests that callers who come back after a refusal do not sustain the overload.
+
+use medlarspur_lib::{bundle::Class, time::Millis};
+use medlarspur_load::{
+    fairness::Fairness,
+    limit::{ConcurrencyLimit, InFlight},
+    outcome::Outcome,
+    shedding::Rejections,
+};
+use std::net::Ipv4Addr;
+
+const CALLER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+
+/// Guards against retries that displace first attempts because they are newer.
+#[test]
+fn a_repeated_attempt_goes_behind_a_first_one() {
+    let mut fairness = Fairness::default();
+    fairness.record_failure(0, CALLER, Millis(0));
+
+    let repeated = fairness.record_attempt(0, CALLER, Millis(5));
+
+    let first = fairness.turn(0, Ipv4Addr::new(10, 0, 0, 2), 0, false, Millis(5));
+    assert!(fairness.turn(0, CALLER, 0, repeated, Millis(5)) > first);
+}
+
+/// Guards against a caller, or others behind its address, who stay behind after one failure.
+#[test]
+fn a_failure_accounts_for_one_repeated_attempt_within_two_seconds() {
+    let mut fairness = Fairness::default();
+    fairness.record_failure(0, CALLER, Millis(0));
+    let attempts = [10, 20].map(|at| fairness.record_attempt(0, CALLER, Millis(at)));
+    fairness.record_failure(0, CALLER, Millis(100));
+
+    let later = fairness.record_attempt(0, CALLER, Millis(2_200));
+
+    assert_eq!((attempts, later), ([true, false], false));
+}
+
+/// Guards against a limit that stays low after a retry storm: two seconds after the last
+/// rejection, twice the share of the slots is let in again.
+#[test]
+fn service_is_normal_two_seconds_after_the_load_is() {
+    let (mut limit, mut rejections) = (ConcurrencyLimit::default(), Rejections::default());
+    for it in 0..200 {
+        let now = Millis(it * 20);
+        if rejections.record(it % 20, Outcome::Failed, now) {
+            limit.record_rejection(4, 4.0, now);
+        }
+    }
+    let end = 4_000;
+    let admits = |limit: &ConcurrencyLimit, now| {
+        limit.admits(Class::Feed, InFlight { all: 8, ..InFlight::default() }, now)
+    };
+    let was_limited = !admits(&limit, Millis(end));
+
+    for at in (end..end + 2_000).step_by(40) {
+        rejections.record(at % 20, Outcome::Served, Millis(at));
+        if limit.record_answer(Millis(20), Millis(250), Millis(at)) {
+            limit.adjust(2, 4.0, Millis(at));
+        }
+    }
+
+    assert!(was_limited && admits(&limit, Millis(end + 2_000)));
+    assert!(!rejections.is_overloaded(Millis(end + 2_100)));
+}
