load: attribute a failure to the retry that came before it was known

That an answer was a failure is known only after a settling time, and callers repeat at once. Counted against the next attempt, a first attempt would go behind others.

--- a/load/src/fairness.rs
+++ b/load/src/fairness.rs
@@ -94,14 +94,34 @@
         is_repeated
     }
 
-    /// Records that an attempt of a caller was refused here, or failed at its target.
-    pub fn record_failure(&mut self, level: usize, caller: Ipv4Addr, now: Millis) {
+    /// Records that an attempt of a caller was refused here.
+    pub fn record_refusal(&mut self, level: usize, caller: Ipv4Addr, now: Millis) {
         if let Some(usage) = self.level_mut(level).usage_mut(caller, now) {
             usage.failed = if usage.has_failed(now) { usage.failed.saturating_add(1) } else { 1 };
             usage.failed_at = now;
         }
     }
 
+    /// Records that an attempt of a caller failed at its target at a time in the past. Returns
+    /// whether the caller has made another attempt since then, which is the repeated one.
+    ///
+    /// That an answer was a failure is known only some time after it, and callers repeat at
+    /// once.
+    pub fn record_failure(
+        &mut self,
+        level: usize,
+        caller: Ipv4Addr,
+        at: Millis,
+        now: Millis,
+    ) -> bool {
+        let usages = &self.level_mut(level).usages;
+        let is_repeated = usages.get(&caller).is_some_and(|usage| usage.attempted_at >= at);
+        if !is_repeated {
+            self.record_refusal(level, caller, now);
+        }
+        is_repeated
+    }
+
     /// Records that an opening of a caller was let in.
     pub fn record_opening(&mut self, level: usize, caller: Ipv4Addr, now: Millis) {
         let callers = self.level_mut(level);
--- a/load/tests/test_retry_storm.rs
+++ b/load/tests/test_retry_storm.rs
@@ -15,7 +15,7 @@
 #[test]
 fn a_repeated_attempt_goes_behind_a_first_one() {
     let mut fairness = Fairness::default();
-    fairness.record_failure(0, CALLER, Millis(0));
+    fairness.record_refusal(0, CALLER, Millis(0));
 
     let repeated = fairness.record_attempt(0, CALLER, Millis(5));
 
@@ -27,15 +27,27 @@
 #[test]
 fn a_failure_accounts_for_one_repeated_attempt_within_two_seconds() {
     let mut fairness = Fairness::default();
-    fairness.record_failure(0, CALLER, Millis(0));
+    fairness.record_refusal(0, CALLER, Millis(0));
     let attempts = [10, 20].map(|at| fairness.record_attempt(0, CALLER, Millis(at)));
-    fairness.record_failure(0, CALLER, Millis(100));
+    fairness.record_refusal(0, CALLER, Millis(100));
 
     let later = fairness.record_attempt(0, CALLER, Millis(2_200));
 
     assert_eq!((attempts, later), ([true, false], false));
 }
 
+/// Guards against a first attempt that goes behind others because the retry came before its
+/// cause was known as a failure.
+#[test]
+fn a_failure_that_was_repeated_already_accounts_for_no_other_attempt() {
+    let mut fairness = Fairness::default();
+    fairness.record_attempt(0, CALLER, Millis(100));
+
+    let was_repeated = fairness.record_failure(0, CALLER, Millis(99), Millis(300));
+
+    assert!(was_repeated && !fairness.record_attempt(0, CALLER, Millis(400)));
+}
+
 /// Guards against a limit that stays low after a retry storm: two seconds after the last
 /// rejection, twice the share of the slots is let in again.
 #[test]
