--- a/load/tests/test_lasting_overload.rs
+++ b/load/tests/test_lasting_overload.rs
@@ -90,7 +90,7 @@
     rates.record_opening(1, now);
     rates.record_held(1, true, now);
 
-    assert!(rates.can_open(1, 500, 500, Millis(1_200), now + Millis(100)));
+    assert!(rates.can_open(1, 500, 500, Millis(1_200), now + Millis(150)));
 }
 
 /// Guards against refusing all openings at an instance whose share of the slots is about one
