--- a/load/src/fairness.rs
+++ b/load/src/fairness.rs
@@ -9,11 +9,10 @@
 //! goes first, and nobody is limited while others leave capacity. Among these, first
 //! attempts go before repeated ones. Callers behind one address have one share.
 
+use crate::priority::{Level, MAX_LEVELS};
 use medlarspur_lib::time::Millis;
 use std::{collections::BTreeMap, net::Ipv4Addr};
 
-/// Number of levels that are told apart.
-const LEVELS: usize = 8;
 /// Maximum number of callers of a level. An instance of the largest planned site gets 48 new
 /// flows a second, so fewer callers are current. Further callers count as new ones.
 const MAX_CALLERS: usize = 1_024;
@@ -39,7 +38,7 @@
 /// What the callers of a service have got recently.
 #[derive(Debug, Default, Clone)]
 pub struct Fairness {
-    levels: [Callers; LEVELS],
+    levels: [Callers; MAX_LEVELS],
 }
 
 #[derive(Debug, Default, Clone)]
@@ -86,7 +85,7 @@
     ///
     /// Each failed attempt accounts for one repeated one, so that other callers behind the
     /// same address keep their first attempts.
-    pub fn record_attempt(&mut self, level: usize, caller: Ipv4Addr, now: Millis) -> bool {
+    pub fn record_attempt(&mut self, level: Level, caller: Ipv4Addr, now: Millis) -> bool {
         let Some(usage) = self.level_mut(level).usage_mut(caller, now) else { return false };
         usage.attempted_at = now;
         let is_repeated = usage.has_failed(now);
@@ -95,7 +94,7 @@
     }
 
     /// Records that an attempt of a caller was refused here.
-    pub fn record_refusal(&mut self, level: usize, caller: Ipv4Addr, now: Millis) {
+    pub fn record_refusal(&mut self, level: Level, caller: Ipv4Addr, now: Millis) {
         if let Some(usage) = self.level_mut(level).usage_mut(caller, now) {
             usage.failed = if usage.has_failed(now) { usage.failed.saturating_add(1) } else { 1 };
             usage.failed_at = now;
@@ -109,7 +108,7 @@
     /// once.
     pub fn record_failure(
         &mut self,
-        level: usize,
+        level: Level,
         caller: Ipv4Addr,
         at: Millis,
         now: Millis,
@@ -123,7 +122,7 @@
     }
 
     /// Records that an opening of a caller was let in.
-    pub fn record_opening(&mut self, level: usize, caller: Ipv4Addr, now: Millis) {
+    pub fn record_opening(&mut self, level: Level, caller: Ipv4Addr, now: Millis) {
         let callers = self.level_mut(level);
         let Some(usage) = callers.usage_mut(caller, now) else { return };
         usage.openings = usage.current(now) + 1.0;
@@ -135,13 +134,13 @@
     /// Returns the turn of an opening whose caller has `held` other openings waiting.
     pub fn turn(
         &self,
-        level: usize,
+        level: Level,
         caller: Ipv4Addr,
         held: usize,
         repeated: bool,
         now: Millis,
     ) -> Turn {
-        let callers = &self.levels[level.min(LEVELS - 1)];
+        let callers = &self.levels[level.rank()];
         let usage = callers.usages.get(&caller).map_or(0.0, |usage| usage.current(now));
         let mean = decay(callers.total, callers.at, now) / callers.usages.len().max(1) as f32;
         // One opening more than the mean is no excess.
@@ -149,8 +148,8 @@
         Turn { rank: rank as u16, repeated }
     }
 
-    fn level_mut(&mut self, level: usize) -> &mut Callers {
-        &mut self.levels[level.min(LEVELS - 1)]
+    fn level_mut(&mut self, level: Level) -> &mut Callers {
+        &mut self.levels[level.rank()]
     }
 }
 
--- a/load/src/shedding.rs
+++ b/load/src/shedding.rs
@@ -13,7 +13,10 @@
 //! time, at the rate at which openings of its level are being let in, is refused at once,
 //! so that its caller hears early and the backlog stays short.
 
-use crate::outcome::Outcome;
+use crate::{
+    outcome::Outcome,
+    priority::{Level, MAX_LEVELS},
+};
 use medlarspur_lib::time::Millis;
 use std::collections::VecDeque;
 
@@ -108,8 +111,6 @@
     targets.len()
 }
 
-/// Number of levels that are told apart.
-const LEVELS: usize = 8;
 /// Time over which the rate of openings is measured: about the longest time that an opening
 /// is held.
 const RATE_WINDOW: Millis = Millis::secs(1);
@@ -126,30 +127,30 @@
     /// Openings let in by level, in each part of the window. The parts are reused in turn.
     buckets: [Bucket; BUCKETS as usize],
     /// Time since when flows of a level have been held without a pause.
-    held_since: [Option<Millis>; LEVELS],
+    held_since: [Option<Millis>; MAX_LEVELS],
 }
 
 #[derive(Debug, Default, Clone, Copy)]
 struct Bucket {
     /// Number of the part since time 0.
     number: u64,
-    openings: [u32; LEVELS],
+    openings: [u32; MAX_LEVELS],
 }
 
 impl OpeningRates {
     /// Records an opening that is let in.
-    pub fn record_opening(&mut self, level: usize, now: Millis) {
+    pub fn record_opening(&mut self, level: Level, now: Millis) {
         let number = now.0 / BUCKET.0;
         let bucket = &mut self.buckets[(number % BUCKETS) as usize];
         if bucket.number != number {
             *bucket = Bucket { number, ..Bucket::default() };
         }
-        bucket.openings[level.min(LEVELS - 1)] += 1;
+        bucket.openings[level.rank()] += 1;
     }
 
     /// Records whether flows of a level are held.
-    pub fn record_held(&mut self, level: usize, is_held: bool, now: Millis) {
-        let since = &mut self.held_since[level.min(LEVELS - 1)];
+    pub fn record_held(&mut self, level: Level, is_held: bool, now: Millis) {
+        let since = &mut self.held_since[level.rank()];
         match is_held {
             true => {
                 since.get_or_insert(now);
@@ -162,14 +163,14 @@
     /// openings go before it, `ahead_in_level` of them of its own level.
     pub fn can_open(
         &self,
-        level: usize,
+        level: Level,
         ahead: usize,
         ahead_in_level: usize,
         remaining: Millis,
         now: Millis,
     ) -> bool {
-        let level = level.min(LEVELS - 1);
-        let Some(since) = self.held_since[level] else { return true };
+        let rank = level.rank();
+        let Some(since) = self.held_since[rank] else { return true };
         let held = now.since(since);
         if held < MIN_HELD_TIME {
             return true;
@@ -180,8 +181,8 @@
         let elapsed = now.since(Millis(first * BUCKET.0)).0.max(1);
         let (mut openings, mut openings_of_level) = (0, 0);
         for bucket in self.buckets.iter().filter(|it| it.number >= first) {
-            openings += bucket.openings[..=level].iter().sum::<u32>();
-            openings_of_level += bucket.openings[level];
+            openings += bucket.openings[..=rank].iter().sum::<u32>();
+            openings_of_level += bucket.openings[rank];
         }
         // One opening more than was seen may just be due. At an instance whose share of the
         // slots is about one, none may have been let in for some time.
--- a/load/tests/test_heavy_caller.rs
+++ b/load/tests/test_heavy_caller.rs
@@ -1,9 +1,11 @@
 //! Tests what a caller gets that asks ten times as much as others.
 
 use medlarspur_lib::time::Millis;
-use medlarspur_load::fairness::Fairness;
+use medlarspur_load::{fairness::Fairness, priority::Level};
 use std::net::Ipv4Addr;
 
+const LEVEL: Level = Level::nth(0, 1);
+
 fn caller(number: u32) -> Ipv4Addr {
     Ipv4Addr::from_bits(0x0a00_0000 + number)
 }
@@ -16,11 +18,11 @@
     for round in 0..200 {
         let now = Millis(u64::from(round) * 20);
         let waiting = [0, 1 + round % 9];
-        waiting.into_iter().for_each(|it| _ = fairness.record_attempt(0, caller(it), now));
-        let turn = |it: &u32| fairness.turn(0, caller(*it), 0, false, now);
+        waiting.into_iter().for_each(|it| _ = fairness.record_attempt(LEVEL, caller(it), now));
+        let turn = |it: &u32| fairness.turn(LEVEL, caller(*it), 0, false, now);
         // The heavy caller is the newest, and goes first among equals.
         let chosen = waiting.into_iter().min_by_key(turn).unwrap_or_default();
-        fairness.record_opening(0, caller(chosen), now);
+        fairness.record_opening(LEVEL, caller(chosen), now);
         counts[chosen as usize] += 1;
     }
     counts
@@ -40,7 +42,7 @@
 fn held_openings_of_a_caller_count_against_it() {
     let fairness = Fairness::default();
 
-    let turn = |held| fairness.turn(0, caller(0), held, false, Millis(0));
+    let turn = |held| fairness.turn(LEVEL, caller(0), held, false, Millis(0));
 
     assert!(turn(5) > turn(0));
 }
@@ -50,10 +52,10 @@
 fn equal_callers_have_equal_turns_whatever_they_got() {
     let mut fairness = Fairness::default();
     for it in 0..100 {
-        fairness.record_opening(0, caller(it % 2), Millis(u64::from(it) * 10));
+        fairness.record_opening(LEVEL, caller(it % 2), Millis(u64::from(it) * 10));
     }
 
-    let turn = |it| fairness.turn(0, caller(it), 0, false, Millis(1_000));
+    let turn = |it| fairness.turn(LEVEL, caller(it), 0, false, Millis(1_000));
 
     assert_eq!((turn(0).rank, turn(1).rank), (0, 0));
 }
@@ -63,10 +65,10 @@
 fn the_number_of_callers_is_bounded() {
     let mut fairness = Fairness::default();
     for it in 0..3_000 {
-        (0..3).for_each(|_| fairness.record_opening(0, caller(it), Millis(0)));
+        (0..3).for_each(|_| fairness.record_opening(LEVEL, caller(it), Millis(0)));
     }
 
-    let rank = |it| fairness.turn(0, caller(it), 3, false, Millis(0)).rank;
+    let rank = |it| fairness.turn(LEVEL, caller(it), 3, false, Millis(0)).rank;
 
     assert!(rank(0) > 0);
     assert_eq!(rank(2_999), rank(5_000));
--- a/load/tests/test_lasting_overload.rs
+++ b/load/tests/test_lasting_overload.rs
@@ -1,13 +1,15 @@
 //! Tests the limit and the refusals while more work arrives than targets take.
 
-use medlarspur_lib::{bundle::Class, time::Millis};
+use medlarspur_lib::time::Millis;
 use medlarspur_load::{
     limit::{ConcurrencyLimit, InFlight},
     outcome::Outcome,
+    priority::Level,
     shedding::{OpeningRates, Rejections},
 };
 
 const OBJECTIVE: Millis = Millis(250);
+const LOWEST: Level = Level::nth(1, 2);
 const OWN_SLOTS: f32 = 4.0;
 
 /// A limit that many targets have made this instance lower, and the time.
@@ -23,8 +25,10 @@
     (limit, Millis(1_200))
 }
 
-fn work(all: u32) -> InFlight {
-    InFlight { all, ..InFlight::default() }
+fn work(count: i32) -> InFlight {
+    let mut work = InFlight::default();
+    work.adjust(LOWEST, count);
+    work
 }
 
 /// Guards against targets that reject two of five arrivals because rejections look like fast
@@ -33,7 +37,7 @@
 fn rejections_lower_the_limit() {
     let (limit, now) = limit_in_overload();
 
-    assert!(!limit.admits(Class::Feed, work(8), now));
+    assert!(!limit.admits(LOWEST, work(8), now));
 }
 
 /// Guards against targets left idle by a limit below the instance's share of their slots.
@@ -44,7 +48,7 @@
         limit.record_rejection(4, OWN_SLOTS, now + Millis(it * 60));
     }
 
-    assert!(limit.admits(Class::Feed, work(3), now + Millis(6_000)));
+    assert!(limit.admits(LOWEST, work(3), now + Millis(6_000)));
 }
 
 /// Guards against a limit that answers in time raise as fast as rejections lower it, so that
@@ -61,14 +65,14 @@
         }
     }
 
-    assert!(!limit.admits(Class::Feed, work(10), now));
+    assert!(!limit.admits(LOWEST, work(10), now));
 }
 
 /// Rates of an instance that lets in one opening in 50 ms while flows are held.
 fn rates(now: Millis) -> OpeningRates {
     let mut rates = OpeningRates::default();
-    rates.record_held(1, true, Millis(0));
-    (0..now.0).step_by(50).for_each(|at| rates.record_opening(1, Millis(at)));
+    rates.record_held(LOWEST, true, Millis(0));
+    (0..now.0).step_by(50).for_each(|at| rates.record_opening(LOWEST, Millis(at)));
     rates
 }
 
@@ -78,8 +82,8 @@
     let now = Millis(2_000);
     let rates = rates(now);
 
-    assert!(rates.can_open(1, 20, 20, Millis(1_200), now));
-    assert!(!rates.can_open(1, 30, 30, Millis(1_200), now));
+    assert!(rates.can_open(LOWEST, 20, 20, Millis(1_200), now));
+    assert!(!rates.can_open(LOWEST, 30, 30, Millis(1_200), now));
 }
 
 /// Guards against refusals in a burst that fits, by the rate of the demand before it.
@@ -87,10 +91,10 @@
 fn the_start_of_a_burst_is_not_refused() {
     let mut rates = OpeningRates::default();
     let now = Millis(10_000);
-    rates.record_opening(1, now);
-    rates.record_held(1, true, now);
+    rates.record_opening(LOWEST, now);
+    rates.record_held(LOWEST, true, now);
 
-    assert!(rates.can_open(1, 500, 500, Millis(1_200), now + Millis(150)));
+    assert!(rates.can_open(LOWEST, 500, 500, Millis(1_200), now + Millis(150)));
 }
 
 /// Guards against refusing all openings at an instance whose share of the slots is about one
@@ -98,8 +102,8 @@
 #[test]
 fn the_next_opening_waits_where_none_was_let_in() {
     let mut rates = OpeningRates::default();
-    rates.record_held(1, true, Millis(0));
+    rates.record_held(LOWEST, true, Millis(0));
 
-    assert!(rates.can_open(1, 1, 1, Millis(1_000), Millis(800)));
-    assert!(!rates.can_open(1, 3, 3, Millis(1_000), Millis(800)));
+    assert!(rates.can_open(LOWEST, 1, 1, Millis(1_000), Millis(800)));
+    assert!(!rates.can_open(LOWEST, 3, 3, Millis(1_000), Millis(800)));
 }
--- a/load/tests/test_retry_storm.rs
+++ b/load/tests/test_retry_storm.rs
@@ -1,37 +1,39 @@
 //! Tests that callers who come back after a refusal do not sustain the overload.
 
-use medlarspur_lib::{bundle::Class, time::Millis};
+use medlarspur_lib::time::Millis;
 use medlarspur_load::{
     fairness::Fairness,
     limit::{ConcurrencyLimit, InFlight},
     outcome::Outcome,
+    priority::Level,
     shedding::Rejections,
 };
 use std::net::Ipv4Addr;
 
+const LEVEL: Level = Level::nth(0, 1);
 const CALLER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
 
 /// Guards against retries that displace first attempts because they are newer.
 #[test]
 fn a_repeated_attempt_goes_behind_a_first_one() {
     let mut fairness = Fairness::default();
-    fairness.record_refusal(0, CALLER, Millis(0));
+    fairness.record_refusal(LEVEL, CALLER, Millis(0));
 
-    let repeated = fairness.record_attempt(0, CALLER, Millis(5));
+    let repeated = fairness.record_attempt(LEVEL, CALLER, Millis(5));
 
-    let first = fairness.turn(0, Ipv4Addr::new(10, 0, 0, 2), 0, false, Millis(5));
-    assert!(fairness.turn(0, CALLER, 0, repeated, Millis(5)) > first);
+    let first = fairness.turn(LEVEL, Ipv4Addr::new(10, 0, 0, 2), 0, false, Millis(5));
+    assert!(fairness.turn(LEVEL, CALLER, 0, repeated, Millis(5)) > first);
 }
 
 /// Guards against a caller, or others behind its address, who stay behind after one failure.
 #[test]
 fn a_failure_accounts_for_one_repeated_attempt_within_two_seconds() {
     let mut fairness = Fairness::default();
-    fairness.record_refusal(0, CALLER, Millis(0));
-    let attempts = [10, 20].map(|at| fairness.record_attempt(0, CALLER, Millis(at)));
-    fairness.record_refusal(0, CALLER, Millis(100));
+    fairness.record_refusal(LEVEL, CALLER, Millis(0));
+    let attempts = [10, 20].map(|at| fairness.record_attempt(LEVEL, CALLER, Millis(at)));
+    fairness.record_refusal(LEVEL, CALLER, Millis(100));
 
-    let later = fairness.record_attempt(0, CALLER, Millis(2_200));
+    let later = fairness.record_attempt(LEVEL, CALLER, Millis(2_200));
 
     assert_eq!((attempts, later), ([true, false], false));
 }
@@ -41,11 +43,11 @@
 #[test]
 fn a_failure_that_was_repeated_already_accounts_for_no_other_attempt() {
     let mut fairness = Fairness::default();
-    fairness.record_attempt(0, CALLER, Millis(100));
+    fairness.record_attempt(LEVEL, CALLER, Millis(100));
 
-    let was_repeated = fairness.record_failure(0, CALLER, Millis(99), Millis(300));
+    let was_repeated = fairness.record_failure(LEVEL, CALLER, Millis(99), Millis(300));
 
-    assert!(was_repeated && !fairness.record_attempt(0, CALLER, Millis(400)));
+    assert!(was_repeated && !fairness.record_attempt(LEVEL, CALLER, Millis(400)));
 }
 
 /// Guards against a limit that stays low after a retry storm: two seconds after the last
@@ -60,9 +62,9 @@
         }
     }
     let end = 4_000;
-    let admits = |limit: &ConcurrencyLimit, now| {
-        limit.admits(Class::Feed, InFlight { all: 8, ..InFlight::default() }, now)
-    };
+    let mut work = InFlight::default();
+    work.adjust(LEVEL, 8);
+    let admits = |limit: &ConcurrencyLimit, now| limit.admits(LEVEL, work, now);
     let was_limited = !admits(&limit, Millis(end));
 
     for at in (end..end + 2_000).step_by(40) {
