--- a/load/tests/runner.rs
+++ b/load/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_limit;
 mod test_lines;
 mod test_many;
+mod test_outcome;
 mod test_overload;
 mod test_patterns;
 mod test_placement;
