marked: shed the excess by outcome, and serve callers fairly

With the capability `pressure`, a request that targets reject in an overload lowers the limit of its service, so that the excess waits at the instances. A held flow that can't be opened in its remaining time, at the rate at which flows of its level are let in, is refused at once with the new reason `shed`. Among flows of one level, callers that got less than the mean go first, then first attempts before repeated ones.

An overload needs 8 of 100 answers to fail: below that, what the limit leaves idle costs more than the repetitions.

Without the capability nothing changes: all turns are equal.

--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -74,7 +74,7 @@
 /// Family and label of a series, and the function that reads its value.
 type CounterSeries = (Family, &'static str, fn(&Stats) -> u64);
 
-const COUNTERS: [CounterSeries; 33] = [
+const COUNTERS: [CounterSeries; 36] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -92,6 +92,9 @@
     (Family::Flows, "target-filled", |it| it.counts.filled),
     (Family::Flows, "held", |it| it.counts.held),
     (Family::Flows, "reset-busy", |it| it.counts.busy),
+    (Family::Flows, "reset-shed", |it| it.counts.shed),
+    (Family::Flows, "retried", |it| it.counts.retried),
+    (Family::Flows, "rejected", |it| it.counts.rejected),
     (Family::Flows, "reset-target-lost", |it| it.counts.lost),
     (Family::Drops, "unmarked", |it| it.counts.unmarked),
     (Family::Drops, "unknown-mark", |it| it.counts.unknown),
--- a/load/src/backlog.rs
+++ b/load/src/backlog.rs
@@ -10,9 +10,10 @@
 //!
 //! Openings of a higher [`Level`] go first. Operators rank routes by priority. Without
 //! priorities, requests go before feeds, because most requests can't be repeated once they
-//! have begun.
+//! have begun. Among openings of one level, the [turns](Turn) of their callers go before
+//! their times, where the forwarder has any.
 
-use crate::priority::Level;
+use crate::{fairness::Turn, priority::Level};
 use medlarspur_lib::time::Millis;
 use std::cmp::Reverse;
 
@@ -51,7 +52,20 @@
 /// The openings that wait for one service.
 #[derive(Debug, Clone)]
 pub struct Backlog<K> {
-    waiting: Vec<Waiting<K>>,
+    waiting: Vec<Entry<K>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry<K> {
+    opening: Waiting<K>,
+    turn: Turn,
+}
+
+impl<K> Entry<K> {
+    /// Returns the position in the order; the least goes next.
+    fn order(&self) -> (Level, Turn, Reverse<Millis>) {
+        (self.opening.level, self.turn, Reverse(self.opening.since))
+    }
 }
 
 impl<K> Default for Backlog<K> {
@@ -73,60 +87,107 @@
 
     /// Returns the number of waiting openings of a level.
     pub fn count(&self, level: Level) -> usize {
-        self.waiting.iter().filter(|it| it.level.rank() == level.rank()).count()
+        self.count_matching(|it| it.level.rank() == level.rank())
+    }
+
+    /// Returns the number of waiting openings that match.
+    pub fn count_matching(&self, is_match: impl Fn(&Waiting<K>) -> bool) -> usize {
+        self.waiting.iter().filter(|it| is_match(&it.opening)).count()
     }
 
     /// Adds an opening, or returns it if the backlog is full.
     pub fn push(&mut self, opening: Waiting<K>) -> Option<Waiting<K>> {
+        self.push_with_turn(opening, Turn::default())
+    }
+
+    /// Adds an opening with a turn among those of its level, or returns it if the backlog is
+    /// full.
+    pub fn push_with_turn(&mut self, opening: Waiting<K>, turn: Turn) -> Option<Waiting<K>> {
         if self.waiting.len() >= MAX_LEN {
             return Some(opening);
         }
-        self.waiting.push(opening);
+        self.waiting.push(Entry { opening, turn });
         None
     }
 
+    /// Places the earliest opening that matches behind first attempts, unless it is there.
+    pub fn mark_repeated(&mut self, is_match: impl Fn(&Waiting<K>) -> bool) {
+        let firsts =
+            self.waiting.iter_mut().filter(|it| !it.turn.repeated && is_match(&it.opening));
+        if let Some(entry) = firsts.min_by_key(|it| it.opening.since) {
+            entry.turn.repeated = true;
+        }
+    }
+
     /// Makes room for an opening of a level if the backlog is full: removes and returns one
-    /// of the lowest waiting level, if that is below the given one. The one that has waited
-    /// longest is the most likely to be late.
+    /// of the lowest waiting level, if that is below the given one. The one that would go
+    /// last, which without turns has waited longest, is the most likely to be late.
     pub fn make_room(&mut self, level: Level) -> Option<Waiting<K>> {
         if self.waiting.len() < MAX_LEN {
             return None;
         }
-        let lower = self.waiting.iter().enumerate().filter(|(_, it)| it.level > level);
-        let (position, _) = lower.max_by_key(|(_, it)| (it.level, Reverse(it.since)))?;
-        Some(self.waiting.swap_remove(position))
+        let lower = self.waiting.iter().enumerate().filter(|(_, it)| it.opening.level > level);
+        let (position, _) = lower.max_by_key(|(_, it)| it.order())?;
+        Some(self.waiting.swap_remove(position).opening)
     }
 
     /// Replaces the levels of all waiting openings after a change of priorities.
     pub fn set_levels(&mut self, level: impl Fn(K) -> Level) {
-        for opening in &mut self.waiting {
+        for Entry { opening, .. } in &mut self.waiting {
             opening.level = level(opening.key);
         }
     }
 
     /// Returns whether an opening of a level may go ahead of the waiting ones.
     pub fn can_bypass(&self, level: Level) -> bool {
-        self.waiting.iter().all(|it| it.level > level)
+        self.waiting.iter().all(|it| it.opening.level > level)
     }
 
     /// Returns the opening that goes next.
     pub fn peek(&self) -> Option<Waiting<K>> {
-        self.waiting.iter().max_by_key(|it| (Reverse(it.level), it.since)).copied()
+        // The last one of equals goes next: of those that arrived at once, it is the newest.
+        self.waiting.iter().rev().min_by_key(|it| it.order()).map(|it| it.opening)
     }
 
     /// Removes the opening with the given key.
     pub fn remove(&mut self, key: K) {
-        self.waiting.retain(|it| it.key != key);
+        self.waiting.retain(|it| it.opening.key != key);
     }
 
     /// Removes and returns one opening whose deadline has passed.
     pub fn pop_expired(&mut self, now: Millis) -> Option<Waiting<K>> {
-        let position = self.waiting.iter().position(|it| it.deadline <= now)?;
-        Some(self.waiting.swap_remove(position))
+        let position = self.waiting.iter().position(|it| it.opening.deadline <= now)?;
+        Some(self.waiting.swap_remove(position).opening)
+    }
+
+    /// Removes and returns the openings that can't be opened in time, judged with the number
+    /// of openings that go before each, of all levels and of its own.
+    pub fn take_unservable(
+        &mut self,
+        can_open: impl Fn(&Waiting<K>, usize, usize) -> bool,
+    ) -> Vec<Waiting<K>> {
+        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        order.sort_by_key(|position| self.waiting[*position].order());
+        let (mut ahead, mut ahead_in_level, mut level) = (0, 0, Level::HIGHEST);
+        let mut unservable = Vec::new();
+        for position in order {
+            let opening = self.waiting[position].opening;
+            if opening.level != level {
+                (level, ahead_in_level) = (opening.level, 0);
+            }
+            if can_open(&opening, ahead, ahead_in_level) {
+                ahead += 1;
+                ahead_in_level += 1;
+            } else {
+                unservable.push(opening);
+            }
+        }
+        self.waiting.retain(|it| !unservable.iter().any(|other| other.key == it.opening.key));
+        unservable
     }
 
     /// Returns the earliest deadline of the waiting openings.
     pub fn next_deadline(&self) -> Option<Millis> {
-        self.waiting.iter().map(|it| it.deadline).min()
+        self.waiting.iter().map(|it| it.opening.deadline).min()
     }
 }
--- a/load/src/priority.rs
+++ b/load/src/priority.rs
@@ -37,6 +37,11 @@
         Level { rank, is_elevated: rank < lowest }
     }
 
+    /// Returns one level of each rank.
+    pub fn all() -> impl Iterator<Item = Level> {
+        (0..MAX_LEVELS as u8).map(|rank| Level::nth(rank, MAX_LEVELS as u8))
+    }
+
     /// Returns the rank, which is less than [`MAX_LEVELS`]; 0 is the highest.
     pub fn rank(self) -> usize {
         usize::from(self.rank)
--- a/load/src/shedding.rs
+++ b/load/src/shedding.rs
@@ -30,9 +30,13 @@
 /// Share of the targets that answered above which rejections are an overload rather than
 /// faults of some targets. Faults of a ninth of the targets are to be expected.
 const OVERLOAD_TARGET_SHARE: f32 = 0.125;
+/// Share of failed answers above which targets are overloaded. Up to a tenth may be rejected:
+/// callers repeat these, and a limit leaves some slots idle. Where a ninth of the targets fail
+/// half of their requests, 6 of 100 answers fail.
+const OVERLOAD_ANSWER_SHARE: f32 = 0.08;
 /// Share of failed answers below which an overload is over. It is below the share at which
 /// the limit settles, so that an overload is not left and found again all the time.
-const NORMAL_ANSWER_SHARE: f32 = 0.02;
+const NORMAL_ANSWER_SHARE: f32 = 0.03;
 
 /// Recent answers of a service's targets.
 #[derive(Debug, Clone)]
@@ -91,15 +95,16 @@
     }
 
     fn update(&mut self) {
-        let failed = self.answers.iter().filter(|it| it.failed).count();
+        let failures = || self.answers.iter().filter(|it| it.failed);
+        let share = failures().count() as f32 / self.answers.len().max(1) as f32;
         if self.overloaded {
-            self.overloaded = failed as f32 > self.answers.len() as f32 * NORMAL_ANSWER_SHARE;
+            self.overloaded = share > NORMAL_ANSWER_SHARE;
             return;
         }
         let answering = count_distinct(self.answers.iter().map(|it| it.target));
-        let rejecting =
-            count_distinct(self.answers.iter().filter(|it| it.failed).map(|it| it.target));
-        self.overloaded = rejecting >= MIN_TARGETS.min(answering).max(2)
+        let rejecting = count_distinct(failures().map(|it| it.target));
+        self.overloaded = share > OVERLOAD_ANSWER_SHARE
+            && rejecting >= MIN_TARGETS.min(answering).max(2)
             && rejecting as f32 > answering as f32 * OVERLOAD_TARGET_SHARE;
     }
 }
--- a/marked/src/forwarder/counts.rs
+++ b/marked/src/forwarder/counts.rs
@@ -42,6 +42,12 @@
     pub held: u64,
     /// Flows reset because their service had no capacity in time.
     pub busy: u64,
+    /// Flows reset because they could not have been opened in their time.
+    pub shed: u64,
+    /// Attempts to open a flow that repeat one which failed or was refused a moment ago.
+    pub retried: u64,
+    /// Requests that targets rejected in an overload.
+    pub rejected: u64,
     /// Flows reset because their target is lost.
     pub lost: u64,
     /// Number of times that the store came back from a copy.
@@ -65,6 +71,7 @@
             Refusal::Warming => &mut self.warming,
             Refusal::Away => &mut self.away,
             Refusal::Busy => &mut self.busy,
+            Refusal::Shed => &mut self.shed,
             Refusal::TargetLost => &mut self.lost,
         };
         *count += 1;
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -17,6 +17,7 @@
 mod contested;
 mod counts;
 mod estimates;
+mod excess;
 mod exclusion;
 mod explain;
 mod failover;
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -273,10 +273,11 @@
     /// is a fast answer of a bad target, and a request without an answer has no answer time.
     pub(super) fn record_outcome(&mut self, end: RequestEnd, now: Millis, out: &mut impl Output) {
         let Some(entry) = self.catalog.entry(end.target) else { return };
+        let service = entry.target.service.clone();
+        self.record_rejection(&service, &end, now);
         if matches!(end.outcome, Outcome::Failed | Outcome::Unanswered) {
             return;
         }
-        let service = entry.target.service.clone();
         out.measure(&service, end.class, Span::Answer(end.span));
         let level = self.level(&service, end.class, &end.key);
         self.estimates.add_answer(&service, level, end.span);
--- a/marked/src/forwarder/output.rs
+++ b/marked/src/forwarder/output.rs
@@ -50,6 +50,9 @@
     /// The service had no capacity before an answer would have come too late. No packet was
     /// sent to a target.
     Busy,
+    /// The flow could not have been opened in its time, at the rate at which flows of its level
+    /// were being opened. No packet was sent to a target.
+    Shed,
     /// The target no longer answers.
     TargetLost,
 }
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -111,9 +111,11 @@
         self.drop_flow(&key);
         let level = self.level(&service, class, &key);
         let Some((target, note)) = self.choose(&service, Demand { class, level }, &key, now) else {
+            self.record_refusal(&service, level, &key, now);
             return self.refuse(&key, self.refusal_reason(&service, &key, now), out);
         };
         self.counts.opened += 1;
+        self.record_opening(&service, Demand { class, level }, &key, now);
         self.record_warmup_opening(target, now);
         out.note(note);
         self.send(target, &key, &packet, out);
@@ -367,9 +369,14 @@
         out.note(Note::Reset { flow: *flow, refusal, target: None, lost: None, level: None });
     }
 
-    /// Resets a flow of a level that was sent to no target because its service is busy.
-    pub(super) fn refuse_busy(&mut self, flow: &FlowKey, level: Level, out: &mut impl Output) {
-        let refusal = Refusal::Busy;
+    /// Resets a flow of a level that was sent to no target because its service lacks capacity.
+    pub(super) fn refuse_level(
+        &mut self,
+        flow: &FlowKey,
+        refusal: Refusal,
+        level: Level,
+        out: &mut impl Output,
+    ) {
         self.counts.refuse(refusal);
         out.reset(flow, 0);
         let level = Some(level);
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -3,7 +3,7 @@
 //! `medlarspur_load::{backlog, limit}` decide the order and the amount of work in flight;
 //! they describe the load patterns that this is for.
 
-use super::{Forwarder, Output, Refusal};
+use super::{Forwarder, Output, Refusal, excess::Excess};
 use crate::{FlowKey, Note, Route};
 use medlarspur_lib::{
     bundle::Class,
@@ -21,7 +21,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Admission {
     limit: ConcurrencyLimit,
-    backlog: Backlog<FlowKey>,
+    pub(super) backlog: Backlog<FlowKey>,
+    pub(super) excess: Excess,
 }
 
 /// A new flow without a target.
@@ -89,6 +90,7 @@
         out: &mut impl Output,
     ) -> Option<NewFlow> {
         let Some(objective) = objective else { return Some(it) };
+        let is_repeated = self.record_attempt(&it, now);
         let is_open = self.admissions.get(&it.service).is_none_or(|admission| {
             admission.backlog.is_empty() && admission.limit.is_unlimited(now)
         });
@@ -101,39 +103,44 @@
         if admission.backlog.can_bypass(level) && admission.limit.admits(level, work, now) {
             return Some(it);
         }
-        self.make_room(&it.service, level, out);
+        let turn = self.turn(&it, level, is_repeated, now);
+        self.record_held(&it.service, now);
+        self.make_room(&it.service, level, now, out);
         let admission = self.admissions.entry(it.service.clone()).or_default();
         let deadline = now + max_wait(objective);
         let waiting = Waiting { key: it.key, level, since: now, deadline };
-        let count = admission.backlog.len();
-        if admission.backlog.push(waiting).is_some() {
-            self.refuse_busy(&it.key, level, out);
+        let (pressure, count) = (admission.limit.pressure(), admission.backlog.len());
+        if admission.backlog.push_with_turn(waiting, turn).is_some() {
+            self.refuse_held(&it.service, &waiting, Refusal::Busy, now, out);
             return None;
         }
-        self.counts.held += 1;
-        let pressure = admission.limit.pressure();
-        out.note(Note::Held {
-            flow: it.key,
-            class: it.class,
-            level,
-            work: work.total(),
-            pressure,
-            waiting: count,
-        });
-        self.held.insert(it.key, it);
+        let NewFlow { key, class, service, .. } = it.clone();
+        self.held.insert(key, it);
+        self.shed_held(&service, now, out);
+        if self.is_held(&key) {
+            self.counts.held += 1;
+            let work = work.total();
+            out.note(Note::Held { flow: key, class, level, work, pressure, waiting: count });
+        }
         None
     }
 
     /// Refuses a held flow of a lower level if the backlog is full. Without priorities in the
     /// config, no held flow gives way.
-    fn make_room(&mut self, service: &ServiceName, level: Level, out: &mut impl Output) {
+    fn make_room(
+        &mut self,
+        service: &ServiceName,
+        level: Level,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
         if !self.levels.has_priorities() {
             return;
         }
         let Some(admission) = self.admissions.get_mut(service) else { return };
         let Some(evicted) = admission.backlog.make_room(level) else { return };
         if self.held.remove(&evicted.key).is_some() {
-            self.refuse_busy(&evicted.key, evicted.level, out);
+            self.refuse_held(service, &evicted, Refusal::Busy, now, out);
         }
     }
 
@@ -179,8 +186,29 @@
         }
     }
 
+    /// Lowers the limit of a service after a request that targets rejected in an overload.
+    pub(super) fn lower_limit(&mut self, service: &ServiceName, now: Millis) {
+        let Load { work, slot_share } = self.load(service);
+        if let Some(admission) = self.admissions.get_mut(service) {
+            admission.limit.record_rejection(work.total(), slot_share, now);
+        }
+    }
+
+    /// Refuses a held flow, or one that can't be held.
+    pub(super) fn refuse_held(
+        &mut self,
+        service: &ServiceName,
+        it: &Waiting<FlowKey>,
+        refusal: Refusal,
+        now: Millis,
+        out: &mut impl Output,
+    ) {
+        self.record_refusal(service, it.level, &it.key, now);
+        self.refuse_level(&it.key, refusal, it.level, out);
+    }
+
     /// Opens held flows for which there is capacity, and refuses those that were held for too
-    /// long.
+    /// long or can't be opened in time.
     pub(super) fn release_held(&mut self, now: Millis, out: &mut impl Output) {
         if self.held.is_empty() {
             return;
@@ -189,6 +217,7 @@
         for service in services {
             self.open_held(&service, now, out);
             self.refuse_expired(&service, now, out);
+            self.shed_held(&service, now, out);
         }
     }
 
@@ -212,7 +241,7 @@
             let Some(admission) = self.admissions.get_mut(service) else { return };
             let Some(late) = admission.backlog.pop_expired(now) else { return };
             if self.held.remove(&late.key).is_some() {
-                self.refuse_busy(&late.key, late.level, out);
+                self.refuse_held(service, &late, Refusal::Busy, now, out);
             }
         }
     }
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -22,4 +22,5 @@
 mod test_restore;
 mod test_scale;
 mod test_seats;
+mod test_shedding;
 mod test_waiting;
