--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -8,14 +8,16 @@
 //!
 //! Two forwarders use this package. The modules of [`gate`] serve the forwarder of fabrics
 //! that return nothing; [`Gate`] combines them for its packet path. [`backlog`], [`choice`],
-//! [`estimate`], [`limit`], [`outcome`], [`outlier`], [`priority`], [`reserve`], [`subset`],
-//! [`vacancy`] and [`warmup`] serve the forwarder of fabrics that return marks, which calls each where it decides. [`callers`],
+//! [`estimate`], [`fairness`], [`limit`], [`outcome`], [`outlier`], [`priority`],
+//! [`reserve`], [`shedding`], [`subset`], [`vacancy`] and [`warmup`] serve the forwarder of
+//! fabrics that return marks, which calls each where it decides. [`callers`],
 //! [`lines`] and [`random`] serve both.
 
 pub mod backlog;
 pub mod callers;
 pub mod choice;
 pub mod estimate;
+pub mod fairness;
 pub mod gate;
 pub mod limit;
 pub mod lines;
@@ -24,6 +26,7 @@
 pub mod priority;
 pub mod random;
 pub mod reserve;
+pub mod shedding;
 pub mod subset;
 pub mod vacancy;
 pub mod warmup;
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -19,6 +19,7 @@
 mod contested;
 mod counts;
 mod estimates;
+mod excess;
 mod exclusion;
 mod explain;
 mod failover;
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -287,6 +287,7 @@
         let Some(entry) = self.catalog.entry(end.target) else { return };
         let service = entry.target.service.clone();
         self.record_peer_outcome(&service, end, now, out);
+        self.record_rejection(&service, &end, now);
         if matches!(end.outcome, Outcome::Failed | Outcome::Unanswered) {
             return;
         }
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -112,10 +112,12 @@
         let level = self.level(&service, class, &key);
         let Some((target, note)) = self.choose(&service, Demand { class, level }, &key, now) else {
             out.count(&service, level, FlowEvent::Refused);
+            self.record_refusal(&service, level, &key, now);
             return self.refuse(&key, self.refusal_reason(&service, &key, now), out);
         };
         self.counts.opened += 1;
         out.count(&service, level, FlowEvent::Opened);
+        self.record_opening(&service, Demand { class, level }, &key, now);
         self.record_warmup_opening(target, now);
         self.record_trial(&key, target, now);
         out.note(note);
@@ -386,15 +388,15 @@
         out.note(Note::Reset { flow: *flow, refusal, target: None, lost: None, level: None });
     }
 
-    /// Resets a flow of a level that was sent to no target because its service is busy.
-    pub(super) fn refuse_busy(
+    /// Resets a flow of a level that was sent to no target because its service lacks capacity.
+    pub(super) fn refuse_level(
         &mut self,
         flow: &FlowKey,
+        refusal: Refusal,
         service: &ServiceName,
         level: Level,
         out: &mut impl Output,
     ) {
-        let refusal = Refusal::Busy;
         out.count(service, level, FlowEvent::Refused);
         self.counts.refuse(refusal);
         out.reset(flow, 0);
