load: put off trials of a target while it is seen to fail

Trials now wait while recent outcomes, own or reported, show failures, for 30 s at most. Counts decay within 4 s instead of 5 s and the least share is 20 % instead of 25 %, so that outcomes from before a fault hide it for a shorter time. Where most targets have failures, the others' share is taken from the reports too.

--- a/load/src/outlier.rs
+++ b/load/src/outlier.rs
@@ -22,17 +22,20 @@
 use std::{cmp::Reverse, fmt};
 
 /// Time constant with which counts decay. In a failure domain of 17 instances, a target gets
-/// some three requests a second, so about fifteen outcomes count.
-const DECAY_TIME: Millis = Millis::secs(5);
+/// some three requests a second, so about twelve outcomes count. With 5 s, outcomes from before
+/// a fault hid it for half a second longer in a trial, and with 3 s few outcomes count.
+const DECAY_TIME: Millis = Millis::secs(4);
 /// Decayed count above which at least three outcomes were recorded.
 const THREE_OUTCOMES: f32 = 2.0;
 /// Decayed count above which at least two outcomes were recorded.
 const TWO_OUTCOMES: f32 = 1.0;
-/// Decayed count below which no outcome is recent: a single one is 8 s old.
+/// Decayed count above which at least one outcome was recorded within some 3 s.
+const ONE_RECENT_OUTCOME: f32 = 0.5;
+/// Decayed count below which no outcome is recent: a single one is 6 s old.
 const NEGLIGIBLE: f32 = 0.2;
-/// Share of bad outcomes up to which no target is excluded. Faulty targets fail about half of
-/// their requests. With three bad outcomes in fifteen, chance is a likely cause.
-const MIN_BAD_SHARE: f32 = 0.25;
+/// Share of bad outcomes up to which no target is excluded. A target that fails 45 % of its
+/// requests exceeds it 2.4 s after the fault began, when most outcomes from before have decayed.
+const MIN_BAD_SHARE: f32 = 0.2;
 /// Multiple of the others' share that an outlier must exceed. With twice their share, none of
 /// two failing targets among three would be excluded.
 const PEER_FACTOR: f32 = 1.5;
@@ -69,6 +72,11 @@
 const REPORT_GRACE: Millis = Millis::secs(3);
 /// Time for which a trial waits for a preferred flow before it takes any other.
 const ANY_TRIAL_DELAY: Millis = Millis::secs(2);
+/// Maximum time for which trials are put off after a pause while instances still see the target
+/// fail, on open flows or in their own trials. Without reports, the trials of 17 instances
+/// would fail about as many requests as those that the target no longer gets. Without this
+/// limit, one wrong reporter could exclude a target for ever.
+const MAX_DEFERRAL: Millis = Millis::secs(30);
 /// Time after which a trial without an outcome no longer blocks the next one. Its caller may
 /// have closed the flow, or its packets pass through another instance.
 const TRIAL_TIMEOUT: Millis = Millis::secs(5);
@@ -180,6 +188,8 @@
     paused_until: Millis,
     /// Time of the next trial, which may be some time after the pause.
     next_trial: Millis,
+    /// Time until which evidence of others against the target puts off its trials.
+    deferred_until: Millis,
     doublings: u32,
     /// Start of the trial in progress.
     trial_since: Option<Millis>,
@@ -280,6 +290,7 @@
         let pause = Millis((pause * (1.0 + PAUSE_SPREAD * random.fraction())) as u64);
         self.paused_until = now + pause;
         self.next_trial = self.paused_until;
+        self.deferred_until = self.paused_until + MAX_DEFERRAL;
         self.trial_since = None;
         pause
     }
@@ -311,12 +322,19 @@
         all.exceeds(peer_share) && rest.bad > TWO_OUTCOMES && rest.bad_share() > MIN_BAD_SHARE
     }
 
+    /// Whether recent outcomes show that the target still fails.
+    fn is_failing(&self, pool: Option<&Pool>, now: Millis) -> bool {
+        let all = self.own.at(now).plus(pool.copied().unwrap_or_default().total);
+        all.bad > ONE_RECENT_OUTCOME && all.bad_share() > MIN_BAD_SHARE
+    }
+
     fn exclude(&mut self, now: Millis, random: &mut Random) -> Millis {
         let repeated = self.last_exclusion.filter(|(end, _)| now.since(*end) < REPEAT_TIME);
         let mut exclusion = Exclusion {
             since: now,
             paused_until: now,
             next_trial: now,
+            deferred_until: now,
             doublings: 0,
             trial_since: None,
             unknown_trials: 0,
@@ -413,10 +431,13 @@
         let own_total = included().map(own).fold(Tally::default(), Tally::plus);
         let all = |target| self.combined(target, pools, now);
         let all_total = included().map(all).fold(Tally::default(), Tally::plus);
+        // If most targets fail, most are reported, and reports show how much they fail.
+        let failing = included().filter(|it| all(*it).bad > NEGLIGIBLE).count();
+        let is_common = failing * 2 > listed.len();
         let unseen = Record::default();
         let is_outlier = |target: &u64| {
             let own_peers = own_total.minus(own(*target));
-            let peers = match own_peers.total() >= MIN_OWN_PEERS {
+            let peers = match own_peers.total() >= MIN_OWN_PEERS && !is_common {
                 true => own_peers,
                 false => all_total.minus(all(*target)),
             };
@@ -457,11 +478,19 @@
 
     /// Whether a new flow may try an excluded target. Preferred flows go first: those that may
     /// be repeated, and whose outcome will be known.
-    pub fn may_try(&self, target: u64, is_preferred: bool, now: Millis) -> bool {
+    pub fn may_try(
+        &self,
+        target: u64,
+        is_preferred: bool,
+        pool: Option<&Pool>,
+        now: Millis,
+    ) -> bool {
         let delay = if is_preferred { Millis(0) } else { ANY_TRIAL_DELAY };
-        self.exclusion(target).is_some_and(|it| {
+        let Some(record) = self.records.get(&target) else { return false };
+        record.exclusion.is_some_and(|it| {
             let is_trying = it.trial_since.is_some_and(|at| now.since(at) < TRIAL_TIMEOUT);
-            !is_trying && now >= it.next_trial && now >= it.paused_until + delay
+            let is_due = now >= it.next_trial && now >= it.paused_until + delay;
+            is_due && !is_trying && (now >= it.deferred_until || !record.is_failing(pool, now))
         })
     }
 
--- a/load/tests/test_outlier.rs
+++ b/load/tests/test_outlier.rs
@@ -60,17 +60,22 @@
 
     /// The time of the next possible trial by a flow.
     fn trial_time(&self, target: u64, is_preferred: bool, from: u64) -> u64 {
-        let may_try = |at: &u64| self.detector.may_try(target, is_preferred, Millis(*at));
+        let may_try = |at: &u64| {
+            let pool = self.pools.get(&target);
+            self.detector.may_try(target, is_preferred, pool, Millis(*at))
+        };
         (from..from + 100_000).find(may_try).expect("a trial")
     }
 }
 
-/// Six targets of which the first fails its requests and is excluded at 0 ms.
+/// Six targets of which the first fails its requests and is excluded at 0 ms. Its open flows are
+/// served from then on.
 fn with_excluded_target() -> Service {
     let mut service = Service::new(6);
     service.serve_all(4, 0);
     service.record(1, &[Failed, Unanswered, Failed, Failed], 0);
     assert_eq!(service.excluded(0), [1]);
+    service.record(1, &[Served; 20], 0);
     service
 }
 
@@ -200,7 +205,7 @@
         pauses.push((trial - now) / 1000);
         now = trial;
         service.detector.start_trial(1, Millis(now));
-        assert!(!service.detector.may_try(1, true, Millis(now + 100)));
+        assert!(!service.detector.may_try(1, true, None, Millis(now + 100)));
         assert_eq!(service.try_with(1, Unanswered, now), None);
     }
 
@@ -271,3 +276,15 @@
 
     assert_eq!(service.excluded(trial + 1_000), [0; 0]);
 }
+
+/// Guards against trials of all instances at a target that still fails, and against one wrong
+/// reporter that keeps a target excluded for ever.
+#[test]
+fn reports_put_off_trials_for_a_limited_time() {
+    let mut service = with_excluded_target();
+    let first = service.trial_time(1, true, 0);
+
+    service.report(1, &[(0, 4)]);
+
+    assert_eq!(service.trial_time(1, true, 0), first + 30_000);
+}
--- a/marked/src/forwarder/outliers.rs
+++ b/marked/src/forwarder/outliers.rs
@@ -61,8 +61,10 @@
         now: Millis,
     ) -> bool {
         let is_preferred = class != Class::Request && self.outcomes.is_learnt(flow.service);
+        let target = entry.target.incarnation.0;
+        let pool = self.outliers.pools.get(&target);
         let detector = self.outliers.detectors.get(&entry.target.service);
-        detector.is_some_and(|it| it.may_try(entry.target.incarnation.0, is_preferred, now))
+        detector.is_some_and(|it| it.may_try(target, is_preferred, pool, now))
     }
 
     /// Records that a new flow goes to a target, which is a trial if the target is excluded and
@@ -75,7 +77,7 @@
         let Some(entry) = self.catalog.entry(target) else { return };
         let Some(detector) = outliers.detectors.get_mut(&entry.target.service) else { return };
         // The choice of this flow may have waited for a preferred one, or found no other target.
-        if detector.may_try(target.0, true, now) {
+        if detector.may_try(target.0, true, outliers.pools.get(&target.0), now) {
             detector.start_trial(target.0, now);
             outliers.trials.retain(|_, it| *it != target);
             outliers.trials.insert(*flow, target);
