--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -7,8 +7,9 @@
 use crate::{clock::Clock, sink::LogSink};
 use medlarspur_fabric::Counts as SocketCounts;
 use medlarspur_lib::{bundle::Class, collections::Map, ids::ServiceName, time::Millis};
-use medlarspur_marked::{Counts, ProbeResult, Revision, Span};
-use medlarspur_operator::{ClassMeters, Family, Gauge, Meters};
+use medlarspur_load::{outcome::Outcome, priority::Level};
+use medlarspur_marked::{Counts, FlowEvent, ProbeResult, Revision, Span};
+use medlarspur_operator::{ClassMeters, Family, Gauge, LevelMeters, Meters};
 use medlarspur_platform::site::packet::PacketError;
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering::Relaxed},
@@ -76,7 +77,7 @@
 /// Family and label of a series, and the function that reads its value.
 type CounterSeries = (Family, &'static str, fn(&Stats) -> u64);
 
-const COUNTERS: [CounterSeries; 35] = [
+const COUNTERS: [CounterSeries; 39] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -112,6 +113,10 @@
     (Family::Probes, "declines", |it| it.counts.found[ProbeResult::Declines as usize]),
     (Family::Probes, "gone", |it| it.counts.found[ProbeResult::Gone as usize]),
     (Family::Probes, "silent", |it| it.counts.found[ProbeResult::Silent as usize]),
+    (Family::Requests, "served", |it| it.counts.requests[Outcome::Served as usize]),
+    (Family::Requests, "failed", |it| it.counts.requests[Outcome::Failed as usize]),
+    (Family::Requests, "unanswered", |it| it.counts.requests[Outcome::Unanswered as usize]),
+    (Family::Requests, "unknown", |it| it.counts.requests[Outcome::Unknown as usize]),
 ];
 
 /// A gauge and the function that reads its value.
@@ -171,17 +176,30 @@
     }
 }
 
-/// Records measured times, with a cache of the histograms in use.
+/// Records measured times and events of flows, with a cache of the meters in use.
 #[derive(Clone)]
-pub struct Histograms {
+pub struct ServiceMeters {
     meters: Meters,
     classes: Map<(ServiceName, Class), Arc<ClassMeters>>,
+    levels: Map<(ServiceName, usize), LevelMeters>,
 }
 
-impl Histograms {
+impl ServiceMeters {
     /// Creates a recorder for these metrics.
-    pub fn new(meters: Meters) -> Histograms {
-        Histograms { meters, classes: Map::default() }
+    pub fn new(meters: Meters) -> ServiceMeters {
+        ServiceMeters { meters, classes: Map::default(), levels: Map::default() }
+    }
+
+    /// Counts an event of a flow of a level of a service.
+    pub fn count(&mut self, service: &ServiceName, level: Level, event: FlowEvent) {
+        let (key, meters) = ((service.clone(), level.rank()), &self.meters);
+        let counters =
+            self.levels.entry(key).or_insert_with_key(|(it, rank)| meters.level(it, *rank));
+        match event {
+            FlowEvent::Opened => counters.opened.add(1),
+            FlowEvent::Held => counters.held.add(1),
+            FlowEvent::Refused => counters.refused.add(1),
+        }
     }
 
     /// Records a time of a class of a service.
--- a/marked/tests/test_priority.rs
+++ b/marked/tests/test_priority.rs
@@ -5,7 +5,7 @@
     test_waiting::{busy_instance_with, end_requests, open_until_held, opened},
 };
 use medlarspur_lib::{bundle::Class, collections::Map, time::Millis};
-use medlarspur_marked::{Config, Content, Incarnation, Kind, Note, Priority, Refusal};
+use medlarspur_marked::{Config, Content, FlowEvent, Incarnation, Kind, Note, Priority, Refusal};
 
 /// A config in which requests and other flows have the given priorities.
 fn prioritized(version: u64, request: Option<u8>, others: Option<u8>) -> Config {
@@ -23,9 +23,8 @@
     let mut instance = busy_instance_with(config, 140);
     instance.out = Default::default();
     let held = open_until_held(&mut instance, REQUEST, 500);
-    for number in 300..320 {
-        instance
-            .packet(segment(flow(number, [FEED, REQUEST][number as usize % 2]), Kind::Open), 505);
+    for key in (300..310).flat_map(|number| [FEED, REQUEST].map(|route| flow(number, route))) {
+        instance.packet(segment(key, Kind::Open), 505);
     }
     end_requests(&mut instance, held, 560);
     for now in 560..1_200 {
@@ -57,6 +56,8 @@
     instance.packet(segment(flow(901, FEED), Kind::Open), 500);
 
     assert_eq!(opened(&instance), [flow(901, FEED)]);
+    let counted = instance.out.counted.iter().rev().take(2).map(|(_, rank, it)| (*rank, *it));
+    assert_eq!(counted.collect::<Vec<_>>(), [(0, FlowEvent::Opened), (1, FlowEvent::Held)]);
 }
 
 /// Guards against held flows that wait in the order of an earlier config.
@@ -86,12 +87,15 @@
     let held = open_until_held(&mut instance, REQUEST, 502);
 
     assert_eq!(instance.out.resets, [(first, 0, Refusal::Busy)]);
-    assert!(matches!(instance.out.notes.last(), Some(Note::Held { flow, .. }) if *flow == held));
-    let levels = instance.out.notes.iter().rev().take(2).map(|note| {
-        let fields = note.fields(|it| format!("{it:?}"));
-        fields.into_iter().find(|(name, _)| *name == "level").map(|(_, value)| value)
-    });
-    assert_eq!(levels.collect::<Vec<_>>(), [Some("0".into()), Some("1".into())]);
+    let counted = instance.out.counted.iter().rev().take(2).map(|(_, rank, it)| (*rank, *it));
+    assert_eq!(counted.collect::<Vec<_>>(), [(0, FlowEvent::Held), (1, FlowEvent::Refused)]);
+    let desk = instance.forwarder.services(Millis(502)).remove(0);
+    assert_eq!(desk.waiting_by_level, [1, 1_023]);
+    let last = &instance.out.notes[instance.out.notes.len() - 2..];
+    let lines = last.iter().map(|note| note.fields(|it| format!("{it:?}")));
+    let levels = lines.flatten().filter(|(name, _)| *name == "level").map(|(_, value)| value);
+    assert_eq!(levels.collect::<Vec<_>>(), ["1", "0"]);
+    assert!(matches!(last[1], Note::Held { flow, .. } if flow == held));
 }
 
 /// Guards against idle targets in a service where no flow has a use for a reserve.
