cli, load: test the printed evidence and widespread reports

Nothing tested that status and explain print what is held against an excluded target, nor that an instance which is told of failures at most targets excludes none.

--- a/cli/tests/instances.rs
+++ b/cli/tests/instances.rs
@@ -8,9 +8,10 @@
     members::MemberState,
     packet::FlowKey,
     status::{
-        BundleStatus, CatalogStatus, EvacuatedDomain, Explanation, FlowStatus, Life,
-        MarkedExplanation, MarkedReason, MarkedService, MarkedStatus, MarkedTarget, MemberStatus,
-        Owner, PlanStatus, Reason, ServiceStatus, Status, TargetStatus, TargetUse, Unready,
+        BundleStatus, CatalogStatus, EvacuatedDomain, ExcludedStatus, Explanation, FlowStatus,
+        Life, MarkedExplanation, MarkedReason, MarkedService, MarkedStatus, MarkedTarget,
+        MemberStatus, Owner, PlanStatus, Reason, ServiceStatus, Status, TargetStatus, TargetUse,
+        Unready,
     },
     time::Millis,
 };
@@ -26,6 +27,7 @@
     era: u32,
     /// Numbers of waiting flows by level.
     waiting: Vec<u64>,
+    excluded: Option<ExcludedStatus>,
 }
 
 /// Starts an instance with a bundle of this version in force, or without one.
@@ -35,7 +37,7 @@
     let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
     OperatorServer::start(
         address,
-        Arc::new(Instance { name, version, era: 0, waiting: Vec::new() }),
+        Arc::new(Instance { name, version, era: 0, waiting: Vec::new(), excluded: None }),
         meters,
     )
     .expect("starts")
@@ -44,17 +46,23 @@
 /// Starts an instance at a site whose fabric returns marks, with a config of this version in
 /// force, or without one.
 pub fn start_marked(name: &'static str, version: Option<u64>) -> OperatorServer {
-    start_marked_instance(Instance { name, version, era: 0, waiting: Vec::new() })
+    start_marked_instance(Instance { name, version, era: 0, waiting: Vec::new(), excluded: None })
 }
 
 /// Like [`start_marked`], at a platform that has been restored from a copy `era` times.
 pub fn start_marked_in_era(name: &'static str, version: Option<u64>, era: u32) -> OperatorServer {
-    start_marked_instance(Instance { name, version, era, waiting: Vec::new() })
+    start_marked_instance(Instance { name, version, era, waiting: Vec::new(), excluded: None })
 }
 
 /// Like [`start_marked`], with waiting flows of several levels.
 pub fn start_marked_with_waiting(name: &'static str, waiting: Vec<u64>) -> OperatorServer {
-    start_marked_instance(Instance { name, version: Some(9), era: 0, waiting })
+    start_marked_instance(Instance { name, version: Some(9), era: 0, waiting, excluded: None })
+}
+
+/// Like [`start_marked`], with an excluded target.
+pub fn start_marked_with_excluded(name: &'static str, excluded: ExcludedStatus) -> OperatorServer {
+    let (waiting, excluded) = (Vec::new(), Some(excluded));
+    start_marked_instance(Instance { name, version: Some(9), era: 0, waiting, excluded })
 }
 
 fn start_marked_instance(instance: Instance) -> OperatorServer {
@@ -79,7 +87,7 @@
                 pressure: 31,
                 waiting: self.waiting.iter().sum(),
                 waiting_by_level: self.waiting.clone(),
-                targets: marked_targets(),
+                targets: marked_targets(self.excluded.clone()),
             }],
         })
     }
@@ -89,8 +97,8 @@
             flow: *flow,
             reason: MarkedReason::Known,
             class: Some(Class::Feed),
-            target: marked_targets().pop(),
-            candidates: marked_targets(),
+            target: marked_targets(None).pop(),
+            candidates: marked_targets(self.excluded.clone()),
             picture: catalog_status(self.version, self.era),
         })
     }
@@ -108,7 +116,7 @@
     }
 }
 
-fn marked_targets() -> Vec<MarkedTarget> {
+fn marked_targets(excluded: Option<ExcludedStatus>) -> Vec<MarkedTarget> {
     let target = |number: u8, usage| MarkedTarget {
         name: TargetName::new(&format!("7f3a91c{number}")),
         start: 0,
@@ -119,7 +127,11 @@
         feeds: 5,
         excluded: None,
     };
-    vec![target(1, TargetUse::Good), target(2, TargetUse::Leaving)]
+    let mut targets = vec![target(1, TargetUse::Good), target(2, TargetUse::Leaving)];
+    if excluded.is_some() {
+        targets.push(MarkedTarget { excluded, ..target(3, TargetUse::Excluded) });
+    }
+    targets
 }
 
 impl Source for Instance {
--- a/cli/tests/test_instances.rs
+++ b/cli/tests/test_instances.rs
@@ -2,9 +2,13 @@
 
 use crate::{
     fixtures::folder,
-    instances::{start_instance, start_marked, start_marked_in_era, start_marked_with_waiting},
+    instances::{
+        start_instance, start_marked, start_marked_in_era, start_marked_with_excluded,
+        start_marked_with_waiting,
+    },
 };
 use expect_test::expect;
+use medlarspur_lib::{status::ExcludedStatus, time::Millis};
 
 /// Removes ports from the output, since the system chooses them. The columns of tables stay
 /// aligned, since all ports have five digits.
@@ -172,6 +176,29 @@
     assert!(printed.contains("43 flows wait (3 of level 1, 40 of level 3)\n"), "{printed}");
 }
 
+/// Guards against a target that gets nothing for a reason that operators can't see.
+#[test]
+fn status_and_explain_show_what_is_held_against_an_excluded_target() {
+    let excluded = ExcludedStatus {
+        age: Millis(5_000),
+        pause: Millis(1_000),
+        own_bad_percent: None,
+        others_bad_percent: Some(45),
+        reporters: 5,
+    };
+    let one = start_marked_with_excluded("edge-1", excluded);
+    let flow = "100.64.0.7:2525>198.18.0.1:8443";
+
+    for command in ["status".to_owned(), format!("explain {flow} --instance")] {
+        let printed = folder().run(&format!("{command} {}", one.address()));
+
+        let row = "10.1.64.3:8080  druzhba  excluded  2     5\n";
+        let evidence = "! 7f3a91c3 is excluded for 5s, next trial in 1s; \
+            failed: - of own requests, 45 % of those of 5 others\n";
+        assert!(printed.contains(row) && printed.contains(evidence), "{printed}");
+    }
+}
+
 #[test]
 fn status_where_marks_are_used_shows_the_age_of_the_catalog() {
     let one = start_marked("edge-1", Some(9));
--- a/load/tests/test_outlier.rs
+++ b/load/tests/test_outlier.rs
@@ -112,6 +112,19 @@
     assert_eq!(service.excluded(0), [0; 0], "one fails even more");
 }
 
+/// Guards against exclusions during overload by an instance that saw few failures itself and is
+/// told of many.
+#[test]
+fn reports_of_failures_at_most_targets_exclude_none() {
+    let mut service = Service::new(12);
+    (2..=12).for_each(|it| service.record(it, &[Served; 2], 0));
+    (2..=12).for_each(|it| service.report(it, &[(2, 2); 4]));
+
+    service.report(1, &[(1, 3); 4]);
+
+    assert_eq!(service.excluded(0), [0; 0]);
+}
+
 /// Guards against a service that loses most of its targets to exclusions.
 #[test]
 fn at_most_a_third_of_the_targets_is_excluded() {
