load: don't learn rejections on reused flows as served answers

A reused answer that is too short to be a full one and below the floor now counts as failed, and becomes part of the floor only after a minute.

--- a/load/src/outcome.rs
+++ b/load/src/outcome.rs
@@ -5,8 +5,10 @@
 //!
 //! The content of answers is not seen, only their length: how far the caller's acknowledgement
 //! advances. A caller sends another request on a flow after a full answer, and leaves the flow
-//! after a failure. The lengths of answers after which a flow was used again are therefore
+//! after most failures. The lengths of answers after which a flow was used again are therefore
 //! those of served ones, and an answer that is clearly shorter than all of them is a failure.
+//! Callers with several flows also use a flow again on which a target rejected a request, so
+//! answers that are too short to be full ones change what was learnt only if they persist.
 //! The error rates and the alternatives are in `docs/design/outcome.md`.
 
 use medlarspur_lib::time::Millis;
@@ -35,6 +37,12 @@
 /// Minimum length that shows by itself that an answer was served. Failures were 213 or 214
 /// bytes long in a trial, and where served answers are as short, nothing distinguishes them.
 const MIN_SERVED_LENGTH: u32 = 256;
+/// Time for which short answers must be followed by further requests before they count as
+/// served. A release may shorten all answers of a route; an overload, in which most answers are
+/// rejections, lasts some ten seconds.
+const RELEARN_TIME: Millis = Millis::secs(60);
+/// Pause between two short answers after which that time starts again.
+const RELEARN_GAP: Millis = Millis::secs(10);
 /// Minimum time after which a request counts as unanswered. A packet that is lost once is sent
 /// again after 200 ms, which may happen to the request and to its answer.
 const MIN_UNANSWERED: Millis = Millis(500);
@@ -71,6 +79,9 @@
     counts: [u16; BUCKETS],
     total: u32,
     limits: Option<Limits>,
+    /// Times of the first and the last reused answer of those below the floor.
+    short_since: Millis,
+    short_at: Option<Millis>,
 }
 
 /// Lengths that separate failures from served answers.
@@ -84,13 +95,41 @@
 
 impl Default for AnswerLengths {
     fn default() -> AnswerLengths {
-        AnswerLengths { counts: [0; BUCKETS], total: 0, limits: None }
+        AnswerLengths {
+            counts: [0; BUCKETS],
+            total: 0,
+            limits: None,
+            short_since: Millis(0),
+            short_at: None,
+        }
     }
 }
 
 impl AnswerLengths {
-    /// Records the length of an answer after which the caller used the flow again.
-    pub fn record_served(&mut self, length: u32) {
+    /// Records the length of an answer after which the caller used the flow again. Returns how
+    /// the request ended.
+    pub fn record_reused(&mut self, length: u32, now: Millis) -> Outcome {
+        let is_short = self.limits.is_some_and(|it| length < it.floor.min(MIN_SERVED_LENGTH));
+        if is_short && !self.accepts_short(now) {
+            return Outcome::Failed;
+        }
+        let outcome = if self.is_learnt() { Outcome::Served } else { Outcome::Unknown };
+        self.learn(length);
+        outcome
+    }
+
+    /// Whether short answers have been followed by further requests for so long that they are
+    /// served ones.
+    fn accepts_short(&mut self, now: Millis) -> bool {
+        let is_first = self.short_at.is_none_or(|at| now.since(at) > RELEARN_GAP);
+        if is_first {
+            self.short_since = now;
+        }
+        self.short_at = Some(now);
+        now.since(self.short_since) >= RELEARN_TIME
+    }
+
+    fn learn(&mut self, length: u32) {
         let bucket = bucket(length);
         self.counts[bucket] += 1;
         self.total += 1;
@@ -144,11 +183,6 @@
             _ => Outcome::Unknown,
         }
     }
-
-    /// Classifies a complete answer after which the caller used the flow again.
-    pub fn classify_reused(&self) -> Outcome {
-        if self.is_learnt() { Outcome::Served } else { Outcome::Unknown }
-    }
 }
 
 /// Returns the time after which a request without the first byte of an answer is unanswered;
--- a/load/tests/test_outcome.rs
+++ b/load/tests/test_outcome.rs
@@ -11,7 +11,7 @@
 
 fn learnt(lengths: impl IntoIterator<Item = u32>) -> AnswerLengths {
     let mut learnt = AnswerLengths::default();
-    lengths.into_iter().for_each(|length| learnt.record_served(length));
+    lengths.into_iter().for_each(|length| _ = learnt.record_reused(length, Millis(0)));
     learnt
 }
 
@@ -64,10 +64,32 @@
     let mut lengths = learnt([FAILURE].into_iter().chain([850; 1_000]));
     assert_eq!(lengths.classify(FAILURE), Outcome::Failed);
 
-    (0..16).for_each(|_| lengths.record_served(500));
+    (0..16).for_each(|_| _ = lengths.record_reused(500, Millis(0)));
     assert_eq!(lengths.classify(500), Outcome::Served);
 }
 
+/// Guards against rejections that become the floor in an overload, in which callers use flows
+/// again on which a request was rejected.
+#[test]
+fn rejections_on_reused_flows_do_not_hide_an_overload() {
+    let mut lengths = learnt([850; 1_000]);
+
+    let outcomes = (0..20_000).map(|at| lengths.record_reused(FAILURE, Millis(at)));
+    assert!(outcomes.into_iter().all(|it| it == Outcome::Failed));
+
+    assert_eq!(lengths.classify(FAILURE), Outcome::Failed);
+}
+
+/// Guards against a route whose answers all count as failures after a release shortens them.
+#[test]
+fn short_answers_that_persist_are_served_ones() {
+    let mut lengths = learnt([850; 1_000]);
+
+    let last = (0..65).map(|at| lengths.record_reused(FAILURE, Millis::secs(at))).last();
+
+    assert_eq!(last, Some(Outcome::Served));
+}
+
 /// Guards against requests that count as unanswered while a lost packet is sent again, or while
 /// all answers of the service are slow.
 #[test]
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -136,7 +136,7 @@
             answered = self.observe_progress(key, flow, seen, now);
         }
         if let Some(length) = seen.previous_length {
-            answered = self.observe_reuse(key, flow, length, answered);
+            answered = self.observe_reuse(key, flow, length, answered, now);
         }
         if seen.began {
             flow.verdict = Verdict::Open;
@@ -190,10 +190,10 @@
         flow: &mut Flow,
         length: u32,
         answered: Option<AnswerEnd>,
+        now: Millis,
     ) -> Option<AnswerEnd> {
         let lengths = self.outcomes.lengths.entry(key.service).or_default();
-        let outcome = lengths.classify_reused();
-        lengths.record_served(length);
+        let outcome = lengths.record_reused(length, now);
         let Verdict::Settling { span } = flow.verdict else { return answered };
         flow.verdict = Verdict::Recorded;
         Some(AnswerEnd::new(key, flow, length, Millis(span.into()), outcome))
