--- a/marked/tests/test_outliers.rs
+++ b/marked/tests/test_outliers.rs
@@ -171,17 +171,6 @@
     assert_eq!(instance.out.resets, []);
 }
 
-/// Guards against a service of one or two targets that loses one, and against a single instance
-/// whose reports exclude a target.
-#[test]
-fn few_targets_are_not_excluded() {
-    for count in [1, 2] {
-        let mut instance = instance(count, true);
-        report(&mut instance, first(), FOUND);
-        assert_eq!(instance.forwarder.count_excluded(), 0, "of {count} targets");
-    }
-}
-
 /// Guards against a restarted target that has no new flows because of what its previous start
 /// did, and against an exclusion that is counted for a target that is gone.
 #[test]
