--- a/load/src/backlog.rs
+++ b/load/src/backlog.rs
@@ -85,16 +85,22 @@
         self.waiting.len()
     }
 
-    /// Returns the number of waiting openings of a level.
-    pub fn count(&self, level: Level) -> usize {
-        self.count_matching(|it| it.level.rank() == level.rank())
-    }
-
     /// Returns the number of waiting openings that match.
     pub fn count_matching(&self, is_match: impl Fn(&Waiting<K>) -> bool) -> usize {
         self.waiting.iter().filter(|it| is_match(&it.opening)).count()
     }
 
+    /// Returns the number of waiting openings of each level, the highest first, down to the
+    /// lowest that has any.
+    pub fn count_by_level(&self) -> Vec<u64> {
+        let mut counts = Vec::new();
+        for rank in self.waiting.iter().map(|it| it.opening.level.rank()) {
+            counts.resize(counts.len().max(rank + 1), 0);
+            counts[rank] += 1;
+        }
+        counts
+    }
+
     /// Adds an opening, or returns it if the backlog is full.
     pub fn push(&mut self, opening: Waiting<K>) -> Option<Waiting<K>> {
         self.push_with_turn(opening, Turn::default())
--- a/load/tests/test_lasting_overload.rs
+++ b/load/tests/test_lasting_overload.rs
@@ -71,7 +71,7 @@
 /// Rates of an instance that lets in one opening in 50 ms while flows are held.
 fn rates(now: Millis) -> OpeningRates {
     let mut rates = OpeningRates::default();
-    rates.record_held(LOWEST, true, Millis(0));
+    rates.record_held(&[0, 1], Millis(0));
     (0..now.0).step_by(50).for_each(|at| rates.record_opening(LOWEST, Millis(at)));
     rates
 }
@@ -92,7 +92,7 @@
     let mut rates = OpeningRates::default();
     let now = Millis(10_000);
     rates.record_opening(LOWEST, now);
-    rates.record_held(LOWEST, true, now);
+    rates.record_held(&[0, 1], now);
 
     assert!(rates.can_open(LOWEST, 500, 500, Millis(1_200), now + Millis(150)));
 }
@@ -102,7 +102,7 @@
 #[test]
 fn the_next_opening_waits_where_none_was_let_in() {
     let mut rates = OpeningRates::default();
-    rates.record_held(LOWEST, true, Millis(0));
+    rates.record_held(&[0, 1], Millis(0));
 
     assert!(rates.can_open(LOWEST, 1, 1, Millis(1_000), Millis(800)));
     assert!(!rates.can_open(LOWEST, 3, 3, Millis(1_000), Millis(800)));
--- a/load/tests/test_priority_burst.rs
+++ b/load/tests/test_priority_burst.rs
@@ -11,8 +11,7 @@
 #[test]
 fn only_the_level_that_gets_nothing_is_refused() {
     let mut rates = OpeningRates::default();
-    rates.record_held(HIGHEST, true, Millis(0));
-    rates.record_held(LOWEST, true, Millis(0));
+    rates.record_held(&[30, 5], Millis(0));
     (0..1_000).step_by(20).for_each(|at| rates.record_opening(HIGHEST, Millis(at)));
     let (now, wait) = (Millis(1_000), Millis(1_000));
 
@@ -24,9 +23,9 @@
 #[test]
 fn a_level_that_is_held_anew_is_not_refused_by_its_past() {
     let mut rates = OpeningRates::default();
-    rates.record_held(LOWEST, true, Millis(0));
-    rates.record_held(LOWEST, false, Millis(900));
-    rates.record_held(LOWEST, true, Millis(950));
+    rates.record_held(&[0, 1], Millis(0));
+    rates.record_held(&[], Millis(900));
+    rates.record_held(&[0, 1], Millis(950));
 
     assert!(rates.can_open(LOWEST, 10, 10, Millis(500), Millis(1_000)));
 }
--- a/marked/src/forwarder/excess.rs
+++ b/marked/src/forwarder/excess.rs
@@ -115,10 +115,7 @@
     pub(super) fn record_held(&mut self, service: &ServiceName, now: Millis) {
         let is_on = self.options.capabilities.pressure;
         let Some(admission) = self.admissions.get_mut(service).filter(|_| is_on) else { return };
-        for level in Level::all() {
-            let is_held = admission.backlog.count(level) > 0;
-            admission.excess.rates.record_held(level, is_held, now);
-        }
+        admission.excess.rates.record_held(&admission.backlog.count_by_level(), now);
     }
 
     /// Refuses held flows of a service that can't be opened in their time at the rate at which
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -1,7 +1,7 @@
 //! Choice of targets for new flows.
 
 use super::{
-    Forwarder, Output, Refusal,
+    FlowEvent, Forwarder, Output, Refusal,
     exclusion::Exclusion,
     probing::SUSPECT_TIME,
     subset::Subset,
@@ -111,10 +111,12 @@
         self.drop_flow(&key);
         let level = self.level(&service, class, &key);
         let Some((target, note)) = self.choose(&service, Demand { class, level }, &key, now) else {
+            out.count(&service, level, FlowEvent::Refused);
             self.record_refusal(&service, level, &key, now);
             return self.refuse(&key, self.refusal_reason(&service, &key, now), out);
         };
         self.counts.opened += 1;
+        out.count(&service, level, FlowEvent::Opened);
         self.record_opening(&service, Demand { class, level }, &key, now);
         self.record_warmup_opening(target, now);
         out.note(note);
@@ -373,10 +375,12 @@
     pub(super) fn refuse_level(
         &mut self,
         flow: &FlowKey,
+        service: &ServiceName,
         refusal: Refusal,
         level: Level,
         out: &mut impl Output,
     ) {
+        out.count(service, level, FlowEvent::Refused);
         self.counts.refuse(refusal);
         out.reset(flow, 0);
         let level = Some(level);
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -3,7 +3,7 @@
 //! `medlarspur_load::{backlog, limit}` decide the order and the amount of work in flight;
 //! they describe the load patterns that this is for.
 
-use super::{Forwarder, Output, Refusal, excess::Excess};
+use super::{FlowEvent, Forwarder, Output, Refusal, excess::Excess};
 use crate::{FlowKey, Note, Route};
 use medlarspur_lib::{
     bundle::Class,
@@ -119,6 +119,7 @@
         self.shed_held(&service, now, out);
         if self.is_held(&key) {
             self.counts.held += 1;
+            out.count(&service, level, FlowEvent::Held);
             let work = work.total();
             out.note(Note::Held { flow: key, class, level, work, pressure, waiting: count });
         }
@@ -204,7 +205,7 @@
         out: &mut impl Output,
     ) {
         self.record_refusal(service, it.level, &it.key, now);
-        self.refuse_level(&it.key, refusal, it.level, out);
+        self.refuse_level(&it.key, service, refusal, it.level, out);
     }
 
     /// Opens held flows for which there is capacity, and refuses those that were held for too
@@ -258,12 +259,12 @@
         self.place(it, now, out);
     }
 
-    /// Answer time of a service in hundredths of its latency objective, and number of flows
-    /// held for it.
-    pub(super) fn pressure_and_backlog(&self, service: &ServiceName) -> (u32, u64) {
+    /// Answer time of a service in hundredths of its latency objective, and numbers of flows
+    /// held for it by rank of their level, down to the lowest one that is held.
+    pub(super) fn pressure_and_backlog(&self, service: &ServiceName) -> (u32, Vec<u64>) {
         let admission = self.admissions.get(service);
-        admission.map_or((0, 0), |admission| {
-            (admission.limit.pressure(), admission.backlog.len() as u64)
+        admission.map_or((0, Vec::new()), |admission| {
+            (admission.limit.pressure(), admission.backlog.count_by_level())
         })
     }
 
