load, marked: keep free connections beside abandoned flows for higher levels

A caller whose attempt failed opens another flow and leaves the old one idle at its target, where it holds a connection for some 12 s. In a retry storm such flows filled the targets, and retries took each connection that became free, while flows of a higher level were refused as full. Flows whose last request failed are now counted at their target and as `left-idle`. While a full target has any, the lowest level of a service with several levels gets no connection that others leave.

--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -75,7 +75,7 @@
 /// Family and label of a series, and the function that reads its value.
 type CounterSeries = (Family, &'static str, fn(&Stats) -> u64);
 
-const COUNTERS: [CounterSeries; 36] = [
+const COUNTERS: [CounterSeries; 37] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -95,6 +95,7 @@
     (Family::Flows, "reset-busy", |it| it.counts.busy),
     (Family::Flows, "reset-shed", |it| it.counts.shed),
     (Family::Flows, "retried", |it| it.counts.retried),
+    (Family::Flows, "left-idle", |it| it.counts.left_idle),
     (Family::Flows, "rejected", |it| it.counts.rejected),
     (Family::Flows, "reset-target-lost", |it| it.counts.lost),
     (Family::Drops, "unmarked", |it| it.counts.unmarked),
--- a/load/src/vacancy.rs
+++ b/load/src/vacancy.rs
@@ -128,6 +128,17 @@
         opening < freed || full.probe_answers >= needed_answers && opening == 0
     }
 
+    /// Returns the same at a target where callers have left `abandoned` flows idle after a
+    /// failed attempt. Each holds a connection until it has been idle for long, so while the
+    /// target is full, the connections that others leave are kept for levels above the lowest.
+    /// Retries of the lowest level would take them all.
+    pub fn can_open_beside(&self, abandoned: u32, level: Level, opening: u32) -> bool {
+        let Some(full) = self.0.as_ref().filter(|_| abandoned > 0 && !level.is_elevated()) else {
+            return self.can_open(level, opening);
+        };
+        full.probe_answers >= PROBES_FOR_LOWEST && opening == 0
+    }
+
     /// Returns whether the target has left openings unanswered since it last had a free
     /// connection.
     pub fn is_full(&self) -> bool {
--- a/load/tests/test_retry_storm.rs
+++ b/load/tests/test_retry_storm.rs
@@ -7,6 +7,7 @@
     outcome::Outcome,
     priority::Level,
     shedding::Rejections,
+    vacancy::Vacancy,
 };
 use std::net::Ipv4Addr;
 
@@ -77,3 +78,16 @@
     assert!(was_limited && admits(&limit, Millis(end + 2_000)));
     assert!(!rejections.is_overloaded(Millis(end + 2_100)));
 }
+
+/// Guards against retries that take every connection that becomes free at a full target, whose
+/// other connections are held by flows that the same callers have left idle.
+#[test]
+fn free_connections_beside_abandoned_flows_are_kept_for_higher_levels() {
+    let mut vacancy = Vacancy::default();
+    vacancy.record_unanswered(Millis(0));
+    vacancy.record_flow_end(Level::nth(1, 2));
+
+    let can_open = |abandoned, rank| vacancy.can_open_beside(abandoned, Level::nth(rank, 2), 0);
+
+    assert_eq!([(0, 1), (3, 1), (3, 0)].map(|(it, rank)| can_open(it, rank)), [true, false, true]);
+}
--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -76,6 +76,9 @@
     /// Whether the flow is overdue and its handshake did not end within the usual time. Such a
     /// flow counts as work of its target only if the handshake ends after all.
     pub abandoned: bool,
+    /// Whether the last request failed and nothing has arrived since. The caller has probably
+    /// opened another flow; this one holds a connection until it has been idle for long.
+    pub left_idle: bool,
     /// Arrival of the opening packet, or of the first packet seen here.
     pub first_seen: Millis,
     /// Arrival of the last packet.
@@ -148,6 +151,7 @@
             next_check: Millis(0),
             overdue: false,
             abandoned: false,
+            left_idle: false,
             first_seen: now,
             last_seen: now,
             pending_since: None,
@@ -197,6 +201,7 @@
     /// Updates the record with a packet other than the opening one.
     pub fn observe(&mut self, segment: &Segment, now: Millis) -> Observation {
         self.last_seen = now;
+        self.left_idle = false;
         let opened = self.observe_handshake(segment, now);
         let previous_ack = self.acked;
         let request_since = self.observe_ack(segment);
--- a/marked/src/forwarder/counts.rs
+++ b/marked/src/forwarder/counts.rs
@@ -46,6 +46,8 @@
     pub shed: u64,
     /// Attempts to open a flow that repeat one which failed or was refused a moment ago.
     pub retried: u64,
+    /// Flows whose callers left them idle after a failed request.
+    pub left_idle: u64,
     /// Requests that targets rejected in an overload.
     pub rejected: u64,
     /// Flows reset because their target is lost.
--- a/marked/src/forwarder/excess.rs
+++ b/marked/src/forwarder/excess.rs
@@ -105,12 +105,24 @@
                 it.key.caller.ip() == &caller && it.level == level && it.since >= failed_at
             });
         }
+        if end.outcome == Outcome::Failed {
+            self.record_left_idle(&end.key);
+        }
         if is_rejected {
             self.counts.rejected += 1;
             self.lower_limit(service, now);
         }
     }
 
+    /// Counts a flow that its caller has left idle after a failed request.
+    fn record_left_idle(&mut self, key: &FlowKey) {
+        let Some(mut flow) = self.flows.remove(key) else { return };
+        self.account(&flow, -1);
+        flow.left_idle = !flow.has_pending_request();
+        self.counts.left_idle += u64::from(flow.left_idle);
+        self.insert_flow(*key, flow);
+    }
+
     /// Records of which levels flows are held.
     pub(super) fn record_held(&mut self, service: &ServiceName, now: Millis) {
         let is_on = self.options.capabilities.pressure;
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -287,7 +287,9 @@
         if entry.target.leaving || state.health.is_lost() {
             return None;
         }
-        if !state.vacancy.can_open(level, state.opening) {
+        let has_several = self.levels.has_several(&entry.target.service);
+        let abandoned = if has_several { state.left_idle } else { 0 };
+        if !state.vacancy.can_open_beside(abandoned, level, state.opening) {
             return None;
         }
         let same_domain = entry.target.domain == self.options.domain;
--- a/marked/src/forwarder/state.rs
+++ b/marked/src/forwarder/state.rs
@@ -40,6 +40,8 @@
     pub(super) idle_feeds: u32,
     /// `in_flight` and `opening` together, by level.
     pub(super) work: InFlight,
+    /// Number of flows that callers have left idle after a failed request.
+    pub(super) left_idle: u32,
     /// Number of all flows there.
     pub(super) flows: u32,
     /// Whether the entry was removed and the target has not been probed since.
@@ -63,6 +65,7 @@
             opening: 0,
             idle_feeds: 0,
             work: InFlight::default(),
+            left_idle: 0,
             flows: 0,
             unprobed: false,
         }
@@ -92,6 +95,9 @@
             return;
         }
         self.flows = self.flows.saturating_add_signed(sign);
+        if flow.left_idle {
+            self.left_idle = self.left_idle.saturating_add_signed(sign);
+        }
         if flow.is_opening() || flow.has_pending_request() {
             self.work.adjust(flow.level, sign);
         }
