--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -287,8 +287,8 @@
         if entry.target.leaving || state.health.is_lost() {
             return None;
         }
-        let has_several = self.levels.has_several(&entry.target.service);
-        let abandoned = if has_several { state.left_idle } else { 0 };
+        let has_abandoned = state.left_idle > 0 && self.levels.has_several(&entry.target.service);
+        let abandoned = if has_abandoned { state.left_idle } else { 0 };
         if !state.vacancy.can_open_beside(abandoned, level, state.opening) {
             return None;
         }
