--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -7,7 +7,7 @@
 use crate::{clock::Clock, sink::LogSink};
 use medlarspur_fabric::Counts as SocketCounts;
 use medlarspur_lib::{bundle::Class, collections::Map, ids::ServiceName, time::Millis};
-use medlarspur_load::priority::Level;
+use medlarspur_load::{outcome::Outcome, priority::Level};
 use medlarspur_marked::{Counts, FlowEvent, ProbeResult, Revision, Span};
 use medlarspur_operator::{ClassMeters, Family, Gauge, LevelMeters, Meters};
 use medlarspur_platform::site::packet::PacketError;
@@ -45,6 +45,8 @@
     pub live_and_lost: (usize, usize),
     /// Number of targets that accept no openings.
     pub full: usize,
+    /// Number of targets that are excluded because they fail more than their peers.
+    pub excluded: usize,
     /// Number of evacuated failure domains.
     pub evacuated: usize,
     /// Number of routes of the config in force that can't be served.
@@ -75,7 +77,7 @@
 /// Family and label of a series, and the function that reads its value.
 type CounterSeries = (Family, &'static str, fn(&Stats) -> u64);
 
-const COUNTERS: [CounterSeries; 37] = [
+const COUNTERS: [CounterSeries; 43] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -91,6 +93,8 @@
     (Family::Flows, "evacuated-avoided", |it| it.counts.avoided),
     (Family::Flows, "warming-spared", |it| it.counts.spared),
     (Family::Flows, "target-filled", |it| it.counts.filled),
+    (Family::Flows, "target-excluded", |it| it.counts.excluded),
+    (Family::Flows, "target-readmitted", |it| it.counts.readmitted),
     (Family::Flows, "held", |it| it.counts.held),
     (Family::Flows, "reset-busy", |it| it.counts.busy),
     (Family::Flows, "reset-shed", |it| it.counts.shed),
@@ -113,12 +117,16 @@
     (Family::Probes, "declines", |it| it.counts.found[ProbeResult::Declines as usize]),
     (Family::Probes, "gone", |it| it.counts.found[ProbeResult::Gone as usize]),
     (Family::Probes, "silent", |it| it.counts.found[ProbeResult::Silent as usize]),
+    (Family::Requests, "served", |it| it.counts.requests[Outcome::Served as usize]),
+    (Family::Requests, "failed", |it| it.counts.requests[Outcome::Failed as usize]),
+    (Family::Requests, "unanswered", |it| it.counts.requests[Outcome::Unanswered as usize]),
+    (Family::Requests, "unknown", |it| it.counts.requests[Outcome::Unknown as usize]),
 ];
 
 /// A gauge and the function that reads its value.
 type GaugeSeries = (Gauge, fn(&Stats) -> u64);
 
-const GAUGES: [GaugeSeries; 12] = [
+const GAUGES: [GaugeSeries; 13] = [
     (Gauge::Ready, |it| u64::from(it.ready)),
     (Gauge::FlowsHeld, |it| it.flows),
     (Gauge::MembersLive, |it| it.members + 1),
@@ -129,6 +137,7 @@
     (Gauge::TargetsLive, |it| it.live_and_lost.0 as u64),
     (Gauge::TargetsLost, |it| it.live_and_lost.1 as u64),
     (Gauge::TargetsFull, |it| it.full as u64),
+    (Gauge::TargetsExcluded, |it| it.excluded as u64),
     (Gauge::DomainsEvacuated, |it| it.evacuated as u64),
     (Gauge::RoutesOmitted, |it| u64::from(it.omitted)),
 ];
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -205,7 +205,7 @@
         out: &mut impl Output,
     ) {
         self.record_refusal(service, it.level, &it.key, now);
-        self.refuse_level(&it.key, service, refusal, it.level, out);
+        self.refuse_level(&it.key, refusal, service, it.level, out);
     }
 
     /// Opens held flows for which there is capacity, and refuses those that were held for too
@@ -282,7 +282,8 @@
                 continue;
             }
             work += state.work;
-            if !entry.target.leaving && !state.health.is_lost() && entry.is_listed() {
+            let is_usable = !entry.target.leaving && !state.health.is_lost() && entry.is_listed();
+            if is_usable && !self.is_outlier(entry) {
                 slots += entry.target.slots;
             }
         }
--- a/operator/src/meters/family.rs
+++ b/operator/src/meters/family.rs
@@ -21,6 +21,8 @@
     Platform,
     /// Probes of targets, by result.
     Probes,
+    /// Requests that ended, by outcome.
+    Requests,
     /// Pauses of the process, by event.
     Pauses,
     /// Bytes of control messages to peers, by kind of message.
@@ -31,7 +33,7 @@
 
 impl Family {
     /// Every family.
-    pub const ALL: [Family; 12] = [
+    pub const ALL: [Family; 13] = [
         Family::Packets,
         Family::Flows,
         Family::Drops,
@@ -41,6 +43,7 @@
         Family::Rings,
         Family::Platform,
         Family::Probes,
+        Family::Requests,
         Family::Pauses,
         Family::ControlSent,
         Family::ControlReceived,
@@ -58,6 +61,7 @@
             Family::Rings => "medlarspur_ring_full",
             Family::Platform => "medlarspur_platform_calls",
             Family::Probes => "medlarspur_probes",
+            Family::Requests => "medlarspur_requests",
             Family::Pauses => "medlarspur_pauses",
             Family::ControlSent => "medlarspur_control_sent_bytes",
             Family::ControlReceived => "medlarspur_control_received_bytes",
@@ -68,7 +72,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Family::Packets | Family::Flows | Family::Messages | Family::Pauses => "event",
-            Family::Bundles => "outcome",
+            Family::Bundles | Family::Requests => "outcome",
             Family::Drops => "reason",
             Family::Questions => "answer",
             Family::Rings => "ring",
@@ -88,6 +92,7 @@
             Family::Rings => "Times that a ring between threads was full.",
             Family::Platform => "Calls to the platform, by result.",
             Family::Probes => "Probes of targets, by result.",
+            Family::Requests => "Requests that ended, by outcome.",
             Family::Pauses => "Pauses of the process.",
             Family::ControlSent => "Bytes of control messages to peers, by kind.",
             Family::ControlReceived => "Bytes of control messages from peers, by kind.",
@@ -127,6 +132,8 @@
     TargetsLost,
     /// Number of targets that accept no openings but serve the flows that they have.
     TargetsFull,
+    /// Number of targets that get no new flows because they fail more than their peers.
+    TargetsExcluded,
     /// Number of failure domains that operators have evacuated.
     DomainsEvacuated,
     /// Number of routes of the config in force that can't be served.
@@ -135,7 +142,7 @@
 
 impl Gauge {
     /// Every gauge.
-    pub const ALL: [Gauge; 16] = [
+    pub const ALL: [Gauge; 17] = [
         Gauge::Ready,
         Gauge::FlowsHeld,
         Gauge::MembersLive,
@@ -150,6 +157,7 @@
         Gauge::TargetsLive,
         Gauge::TargetsLost,
         Gauge::TargetsFull,
+        Gauge::TargetsExcluded,
         Gauge::DomainsEvacuated,
         Gauge::RoutesOmitted,
     ];
@@ -171,6 +179,7 @@
             Gauge::TargetsLive => "medlarspur_targets_live",
             Gauge::TargetsLost => "medlarspur_targets_lost",
             Gauge::TargetsFull => "medlarspur_targets_full",
+            Gauge::TargetsExcluded => "medlarspur_targets_excluded",
             Gauge::DomainsEvacuated => "medlarspur_domains_evacuated",
             Gauge::RoutesOmitted => "medlarspur_routes_omitted",
         }
@@ -194,6 +203,9 @@
             Gauge::TargetsFull => {
                 "Targets that take no openings and serve the flows that they have."
             }
+            Gauge::TargetsExcluded => {
+                "Targets that get no new flows because they fail more than their peers."
+            }
             Gauge::DomainsEvacuated => "Failure domains that operators have emptied.",
             Gauge::RoutesOmitted => "Routes of the config in force that can't be served.",
         }
