--- a/load/src/shedding.rs
+++ b/load/src/shedding.rs
@@ -153,14 +153,14 @@
         bucket.openings[level.rank()] += 1;
     }
 
-    /// Records whether flows of a level are held.
-    pub fn record_held(&mut self, level: Level, is_held: bool, now: Millis) {
-        let since = &mut self.held_since[level.rank()];
-        match is_held {
-            true => {
-                since.get_or_insert(now);
-            }
-            false => *since = None,
+    /// Records how many flows of each level are held, the highest first.
+    pub fn record_held(&mut self, counts: &[u64], now: Millis) {
+        let mut counts = counts.iter();
+        for since in &mut self.held_since {
+            *since = match counts.next() {
+                Some(1..) => since.or(Some(now)),
+                _ => None,
+            };
         }
     }
 
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -304,7 +304,9 @@
         if entry.target.leaving || state.health.is_lost() {
             return None;
         }
-        if !state.vacancy.can_open(level, state.opening) {
+        let has_abandoned = state.left_idle > 0 && self.levels.has_several(&entry.target.service);
+        let abandoned = if has_abandoned { state.left_idle } else { 0 };
+        if !state.vacancy.can_open_beside(abandoned, level, state.opening) {
             return None;
         }
         let same_domain = entry.target.domain == self.options.domain;
