lib: drop old openings of known flows after a sleep

A caller's SYN that waited in the socket of a suspended instance was sent on when the instance resumed, if the instance knew the flow. It knows flows that others opened: on resuming it takes the adverts that it gets as a keeper before the packets. The caller had repeated the SYN meanwhile, and another instance had opened the flow. A target that has left takes the old SYN for a new opening and resets the flow.

Openings in the second after a sleep are now dropped before anything else is decided by the old view, which also covers the reset for an address that no service of the old view has.

--- a/lib/src/forwarder/mod.rs
+++ b/lib/src/forwarder/mod.rs
@@ -180,7 +180,9 @@
     /// Handles a sleep of the process. In addition to [`Forwarder::distrust`],
     /// no flows are opened for `WAKE_TIME`. The openings that wait in the
     /// socket are old: their callers have been served elsewhere or have given
-    /// up, and by the old view they would go to a target that has left since. A
+    /// up, and by the old view they would go to a target that has left since.
+    /// This also holds for flows that are known here, of which keepers learn
+    /// from adverts: a leaving target resets the flow of a repeated SYN. A
     /// caller that still wants to open retransmits its SYN, which reaches
     /// another instance or this one with a fresh view. The same holds for the
     /// packets held here, and answers that arrive for them are old too.
@@ -213,6 +215,12 @@
     }
 
     fn route_with(&mut self, view: &View, now: Millis, packet: &Packet<'_>, sink: &mut impl Sink) {
+        if packet.kind() == PacketKind::Open
+            && self.no_openings_until.is_some_and(|until| now < until)
+        {
+            self.counters.after_sleep += 1;
+            return;
+        }
         let key = packet.key();
         let Some((service, class)) = view.service_at(key.service, key.protocol) else {
             self.counters.no_service += 1;
@@ -230,12 +238,6 @@
             self.counters.syn_with_data += 1;
             return;
         }
-        if packet.kind() == PacketKind::Open
-            && self.no_openings_until.is_some_and(|until| now < until)
-        {
-            self.counters.after_sleep += 1;
-            return;
-        }
         if self.should_ask(now, &ctx) {
             self.hold_and_ask(now, packet, &ctx, sink);
         } else {
--- a/tests/tests/test_moves.rs
+++ b/tests/tests/test_moves.rs
@@ -206,6 +206,26 @@
     assert_eq!(fleet.nodes[4].forwarder.counters().after_sleep, 50);
 }
 
+/// Guards against an old opening that an instance reads after it was suspended and
+/// sends to the target of a flow that it knows. If the target is leaving, it resets
+/// the flow, which another instance may have opened meanwhile.
+#[test]
+fn after_a_sleep_no_old_opening_of_a_known_flow_is_sent() {
+    let mut fleet = fleet(&SiteBuilder::new(4, 4));
+    let mut traffic = Traffic::new(Distribution::PerFlow, vec![4]);
+    let flow = traffic.open(&mut fleet, REQUESTS);
+    settle(&mut fleet, &mut traffic);
+
+    fleet.freeze(4, true);
+    fleet.advance(Millis::secs(8));
+    fleet.freeze(4, false);
+    fleet.advance(Millis(5));
+    fleet.receive(4, &segment(&traffic.flows[flow].key, SegmentKind::Open));
+
+    assert!(traffic.flows[flow].target.is_some(), "the flow was opened");
+    assert_eq!(fleet.packets, []);
+}
+
 /// Guards against flows that change their target when operators cancel the leaving
 /// of a target soon after they published it. This concerns flows opened before and
 /// after the cancellation.
