daemon: read the clock after packets are received

The packet thread read the clock before it received packets. If the process was suspended in between, it handled all packets that had come during the sleep by the time and the view of before, as if it had not slept.

There is no small test: nothing but a signal at that instant shows it. What is left is the time from the reading to the sending of the same round.

--- a/daemon/src/packets.rs
+++ b/daemon/src/packets.rs
@@ -95,15 +95,19 @@
         last_published: Millis(0),
         last_round: clock.now(),
     };
-    let mut batch = Batch::new();
+    let (mut datagrams, mut packets) = (Batch::new(), Batch::new());
     while !shared.should_stop() {
         wait_readable([thread.fabric.as_fd(), thread.questions.as_fd()], Some(MAX_WAIT))?;
+        thread.questions.receive(&mut datagrams, Duration::ZERO)?;
+        let received = thread.fabric.receive(&mut packets, Duration::ZERO)?;
+        // The clock is read after the receipt. If the process is suspended before it, the sockets
+        // hold packets that came during the sleep, and a time read earlier would hide the sleep.
         let now = clock.now();
         thread.detect_sleep(now);
         thread.install_view(now);
         thread.handle_commands(now);
-        thread.answer_peers(now, &mut batch)?;
-        let received = thread.forward(now, &mut batch)?;
+        thread.answer_peers(now, &datagrams);
+        thread.forward(now, &packets);
         if received > 0 {
             shared.last_packet.store(now.0, Relaxed);
         }
@@ -202,8 +206,7 @@
         }
     }
 
-    fn answer_peers(&mut self, now: Millis, batch: &mut Batch) -> Result<(), SocketError> {
-        self.questions.receive(batch, Duration::ZERO)?;
+    fn answer_peers(&mut self, now: Millis, batch: &Batch) {
         for received in batch.iter() {
             match Datagram::decode(received.bytes, &self.secret) {
                 Ok(datagram) => {
@@ -212,18 +215,15 @@
                 Err(error) => self.forwarder.count_refused_datagram(error),
             }
         }
-        Ok(())
     }
 
-    fn forward(&mut self, now: Millis, batch: &mut Batch) -> Result<usize, SocketError> {
-        let received = self.fabric.receive(batch, Duration::ZERO)?;
+    fn forward(&mut self, now: Millis, batch: &Batch) {
         if let Some(first) = batch.iter().next() {
             self.sampler.begin(now, first.bytes, self.forwarder.view());
         }
         for received in batch.iter() {
             self.forwarder.handle_packet(now, received.bytes, &mut self.outbox);
         }
-        Ok(received)
     }
 
     fn publish(&mut self, now: Millis, shared: &Shared) {
