load, marked: rank the restricted level by the levels in use

The lowest of all configured levels was the restricted one. A route without traffic and with a lower priority than all others therefore elevated every level in use: new feeds passed the limit as requests do, and all targets counted as reserved. One with a higher priority restricted requests that are alone at their service.

Keep for 60 s which levels had flows or answers at a service, and restrict the lowest of these. Requests that are alone in use keep their treatment. Ranks, and with them all counts, stay those of the config, and nothing changes without priorities or with 1 for requests and 2 for the rest.

A forwarder test compares an overload with and without an unused route; it failed before for priority 9.

--- a/load/src/priority.rs
+++ b/load/src/priority.rs
@@ -6,13 +6,17 @@
 //! The class of a route says what may be repeated. Its priority says who goes first; see
 //! `docs/design/priority.md`.
 
-use medlarspur_lib::bundle::Class;
+use medlarspur_lib::{bundle::Class, time::Millis};
 use serde::{Deserialize, Serialize};
 
 /// Maximum number of levels of a service. It bounds the counts that are kept per level at
 /// each target. Lower priorities share the last level.
 pub const MAX_LEVELS: usize = 8;
 
+/// Time for which a level counts as in use after a flow or an answer of it. Open feeds send
+/// about one request a second, so a level with open feeds stays in use.
+const USE_TIME: Millis = Millis::secs(60);
+
 /// Priority of a route as operators configure it; 0 is the highest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Priority(pub u8);
@@ -111,6 +115,47 @@
     }
 }
 
+/// The levels of one service that have had flows recently.
+///
+/// A config may have routes without traffic. If these counted, a route with a lower priority
+/// than all others would elevate every level in use, and none would be restricted in an
+/// overload; one with a higher priority would restrict requests that are alone at their
+/// service.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct LevelUse {
+    /// Times of the last use of each rank, by requests and by other flows.
+    used_at: [[Option<Millis>; 2]; MAX_LEVELS],
+    /// Rank of the lowest level in use.
+    lowest: Option<u8>,
+    /// Whether only requests of that level are in use.
+    only_requests: bool,
+}
+
+impl LevelUse {
+    /// Records a flow of a level and class, or an answer to it. Returns whether levels are to
+    /// be [restricted](Self::restrict) in another way than before.
+    pub fn record(&mut self, level: Level, class: Class, now: Millis) -> bool {
+        self.used_at[level.rank()][usize::from(class != Class::Request)] = Some(now);
+        let is_current = |at: Option<Millis>| at.is_some_and(|at| now.since(at) < USE_TIME);
+        let in_use = self.used_at.map(|times| times.map(is_current));
+        let is_used = |rank: &u8| in_use[usize::from(*rank)].contains(&true);
+        let lowest = (0..MAX_LEVELS as u8).rev().find(is_used);
+        let is_alone = (0..MAX_LEVELS as u8).filter(is_used).count() == 1;
+        let only_requests = is_alone && in_use.iter().all(|[_, others]| !others);
+        let is_changed = (lowest, only_requests) != (self.lowest, self.only_requests);
+        (self.lowest, self.only_requests) = (lowest, only_requests);
+        is_changed
+    }
+
+    /// Returns a level of the same rank that is elevated if it is above the lowest one in use,
+    /// or if only requests of it are in use.
+    pub fn restrict(&self, level: Level) -> Level {
+        let Some(lowest) = self.lowest else { return level };
+        let is_elevated = level.rank < lowest || self.only_requests && level.rank == lowest;
+        Level { is_elevated, ..level }
+    }
+}
+
 /// Returns the priority that a class stands for while no route has one.
 fn class_priority(class: Class) -> Priority {
     Priority(u8::from(class != Class::Request))
--- a/load/tests/test_priority.rs
+++ b/load/tests/test_priority.rs
@@ -4,7 +4,7 @@
 use medlarspur_load::{
     backlog::{Backlog, Waiting},
     limit::{ConcurrencyLimit, InFlight},
-    priority::{Level, Levels, MAX_LEVELS, Priority},
+    priority::{Level, LevelUse, Levels, MAX_LEVELS, Priority},
     vacancy::Vacancy,
 };
 use proptest::prelude::*;
@@ -50,6 +50,24 @@
     assert_eq!(levels.level(Class::Request, Some(Priority(3))), Level::HIGHEST);
 }
 
+/// Guards against levels in use that are restricted, or not, because of others without traffic.
+#[test]
+fn only_levels_in_use_decide_which_is_the_lowest() {
+    let [second, third, last] = [1, 2, 3].map(|rank| Level::nth(rank, 4));
+    let mut in_use = LevelUse::default();
+    let is_elevated =
+        |in_use: &LevelUse| [second, third].map(|it| in_use.restrict(it).is_elevated());
+
+    in_use.record(second, Class::Request, Millis(0));
+    assert!(is_elevated(&in_use)[0], "requests that are alone keep their treatment");
+    assert!(in_use.record(third, Class::Feed, Millis(10)));
+    assert_eq!(is_elevated(&in_use), [true, false]);
+    in_use.record(last, Class::Feed, Millis(20));
+    assert_eq!(is_elevated(&in_use), [true, true]);
+    in_use.record(third, Class::Feed, Millis(60_030));
+    assert_eq!(is_elevated(&in_use), [true, false], "the last is out of use");
+}
+
 #[test]
 fn the_backlog_serves_levels_in_order_and_follows_a_change() {
     let mut backlog = Backlog::default();
--- a/marked/src/forwarder/levels.rs
+++ b/marked/src/forwarder/levels.rs
@@ -8,8 +8,9 @@
     bundle::Class,
     collections::{Map, Set},
     ids::{ServiceName, Version},
+    time::Millis,
 };
-use medlarspur_load::priority::{Level, Levels};
+use medlarspur_load::priority::{Level, LevelUse, Levels};
 use std::net::SocketAddrV4;
 
 /// Levels of all services of a config.
@@ -20,6 +21,8 @@
     /// Whether any route of the config has a priority.
     has_priorities: bool,
     services: Map<ServiceName, Levels>,
+    /// Levels in use at each service; empty while the class decides.
+    in_use: Map<ServiceName, LevelUse>,
     /// Level of each route at each of its services.
     routes: Map<(SocketAddrV4, ServiceName), Level>,
 }
@@ -44,7 +47,15 @@
             services.insert(service.clone(), levels);
         }
         let config = Some((revision, config.version));
-        ServiceLevels { config, has_priorities, services, routes: levels_of_routes }
+        let (in_use, routes) = (Map::default(), levels_of_routes);
+        ServiceLevels { config, has_priorities, services, in_use, routes }
+    }
+
+    /// Takes over which levels were in use at services whose levels stay the same.
+    fn keep_use(&mut self, earlier: &ServiceLevels) {
+        let is_same = |service| self.services.get(service) == earlier.services.get(service);
+        let kept = earlier.in_use.iter().filter(|(service, _)| is_same(*service));
+        self.in_use = kept.map(|(service, it)| (service.clone(), *it)).collect();
     }
 
     /// Whether operators have set a priority.
@@ -61,10 +72,11 @@
         key: &FlowKey,
     ) -> Level {
         let priority = catalog.route(key.service).and_then(|route| route.priority);
-        match self.services.get(service) {
+        let level = match self.services.get(service) {
             Some(levels) => levels.level(class, priority),
             None => Levels::new([], self.has_priorities).level(class, priority),
-        }
+        };
+        self.in_use.get(service).map_or(level, |it| it.restrict(level))
     }
 
     /// Whether a service has several levels.
@@ -92,6 +104,25 @@
         entry.map(|entry| self.level(&entry.target.service, class, key)).unwrap_or_default()
     }
 
+    /// Records that a flow of a service arrived or was answered. Held flows follow if another
+    /// level is thereby the lowest one in use.
+    pub(super) fn record_level_use(
+        &mut self,
+        service: &ServiceName,
+        class: Class,
+        key: &FlowKey,
+        now: Millis,
+    ) {
+        if !self.levels.has_priorities || !self.levels.services.contains_key(service) {
+            return;
+        }
+        let level = self.level(service, class, key);
+        let in_use = self.levels.in_use.entry(service.clone()).or_default();
+        if in_use.record(level, class, now) {
+            self.update_held_levels();
+        }
+    }
+
     /// Applies the priorities of a new config to held flows, to the work in flight and to later
     /// decisions. Open flows keep their class.
     pub(super) fn update_levels(&mut self) {
@@ -99,7 +130,8 @@
         if self.levels.config == Some((revision, config.version)) {
             return;
         }
-        let levels = ServiceLevels::new(revision, config);
+        let mut levels = ServiceLevels::new(revision, config);
+        levels.keep_use(&self.levels);
         let changed = levels.changed_since(&self.levels);
         self.levels = levels;
         if changed.is_empty() {
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -286,6 +286,7 @@
     pub(super) fn record_outcome(&mut self, end: RequestEnd, now: Millis, out: &mut impl Output) {
         let Some(entry) = self.catalog.entry(end.target) else { return };
         let service = entry.target.service.clone();
+        self.record_level_use(&service, end.class, &end.key, now);
         self.record_peer_outcome(&service, end, now, out);
         self.record_rejection(&service, &end, now);
         if matches!(end.outcome, Outcome::Failed | Outcome::Unanswered) {
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -86,6 +86,7 @@
             packet: bytes.into(),
             waited: Millis(0),
         };
+        self.record_level_use(&new.service, new.class, &new.key, now);
         if let Some(new) = self.hold_if_busy(new, objective, now, out) {
             self.place(new, now, out);
         }
--- a/marked/tests/test_priority.rs
+++ b/marked/tests/test_priority.rs
@@ -1,7 +1,9 @@
 //! Order of flows by the priorities of their routes.
 
 use super::{
-    fixtures::{FEED, Instance, REQUEST, config, flow, incremental, segment, target},
+    fixtures::{
+        FEED, Instance, REQUEST, UPLOAD, config, flow, incremental, route, segment, target,
+    },
     test_waiting::{busy_instance_with, end_requests, open_until_held, opened},
 };
 use medlarspur_lib::{bundle::Class, collections::Map, time::Millis};
@@ -45,6 +47,26 @@
     assert!(none.forwarder.counts().held > 5 && none.forwarder.counts().busy > 0);
 }
 
+/// Guards against feeds that are no longer restricted because of a route without traffic.
+#[test]
+fn routes_without_traffic_change_no_decision() {
+    let with_unused = |priority| {
+        let mut config = prioritized(2, Some(1), Some(2));
+        let mut unused = route(UPLOAD, Class::Request, "desk");
+        unused.priority = Some(Priority(priority));
+        config.routes.retain(|route| route.address != UPLOAD);
+        config.routes.push(unused);
+        play_overload(config)
+    };
+
+    let without = play_overload(prioritized(2, Some(1), Some(2)));
+    for instance in [0, 9].map(with_unused) {
+        assert_eq!(opened(&instance), opened(&without));
+        assert_eq!(instance.out.sent, without.out.sent);
+        assert_eq!(instance.out.resets, without.out.resets);
+    }
+}
+
 /// Guards against a priority inversion: requests of a low priority pass held feeds.
 #[test]
 fn feeds_of_a_higher_priority_go_before_requests() {
