load: ignore reports on a target with ten own outcomes

An instance ignored reports only if its own share of bad outcomes was no higher than at the others. Beside 30 served requests, one failure by chance made four reports count, and they excluded the target, although the fault affected other callers only. From ten own outcomes on, an instance decides by these alone. The new test fails without the change.

--- a/load/src/outlier.rs
+++ b/load/src/outlier.rs
@@ -51,6 +51,9 @@
 /// Own outcomes at the others from which on these alone make up the others' share. Instances
 /// report targets with bad outcomes only, which would make the others look bad.
 const MIN_OWN_PEERS: f32 = 10.0;
+/// Own outcomes at a target from which on reports on it are ignored. With so many, a single
+/// failure by chance must not make reports of a fault that only others see count.
+const MIN_OWN_OUTCOMES: f32 = 10.0;
 /// Maximum number of outcomes for which the report of one instance counts.
 const MAX_REPORT_WEIGHT: f32 = 4.0;
 /// One in this many of a service's listed targets in a failure domain may be excluded.
@@ -312,7 +315,8 @@
         if own.exceeds(peer_share) {
             return true;
         }
-        if own.served > THREE_OUTCOMES && own.bad_share() <= peer_share {
+        let is_good = own.served > THREE_OUTCOMES && own.bad_share() <= peer_share;
+        if is_good || own.total() >= MIN_OWN_OUTCOMES {
             return false;
         }
         let all = own.plus(pool.total);
--- a/load/tests/test_outlier.rs
+++ b/load/tests/test_outlier.rs
@@ -208,6 +208,19 @@
     assert_eq!(service.excluded(0), [0; 0]);
 }
 
+/// Guards against reports that outweigh many good outcomes seen by this instance because one
+/// of its own requests failed by chance.
+#[test]
+fn one_failure_does_not_make_reports_outweigh_many_served_requests() {
+    let mut service = Service::new(6);
+    service.serve_all(30, 0);
+    service.record(1, &[Failed], 0);
+
+    service.report(1, &[(0, 4), (0, 4), (0, 4), (0, 4)]);
+
+    assert_eq!(service.excluded(0), [0; 0]);
+}
+
 /// Guards against new flows at a target that still fails, and against several trials at once.
 #[test]
 fn pauses_double_after_bad_trials() {
