--- a/marked/src/forwarder/exclusion.rs
+++ b/marked/src/forwarder/exclusion.rs
@@ -2,9 +2,10 @@
 //!
 //! Their failure domain is evacuated, or the route's requests must stay in other regions, or
 //! they [fail more than their peers](super::outliers), or they are in slow start and can take
-//! only a limited number of requests per second from all instances together. No instance sees what others open, so each target in slow start has one
-//! owner, chosen by [`warmup`], and gets nothing from other instances until it is warm. The
-//! design alternatives are in `docs/design/evacuation.md`.
+//! only a limited number of requests per second from all instances together. No instance sees
+//! what others open, so each target in slow start has one owner, chosen by [`warmup`], and gets
+//! nothing from other instances until it is warm. The design alternatives are in
+//! `docs/design/evacuation.md`.
 
 use super::Forwarder;
 use crate::{Entry, FlowKey, Incarnation, Note, Warmup};
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -282,7 +282,8 @@
     }
 
     /// Records the end of a request in outlier detection, in the estimates and in the limit of its
-    /// service. A failure is a fast answer of a bad target, and a request without an answer has no answer time.
+    /// service. A failure is a fast answer of a bad target, and a request without an answer has
+    /// no answer time.
     pub(super) fn record_outcome(&mut self, end: RequestEnd, now: Millis, out: &mut impl Output) {
         let Some(entry) = self.catalog.entry(end.target) else { return };
         let service = entry.target.service.clone();
--- a/marked/src/forwarder/outliers.rs
+++ b/marked/src/forwarder/outliers.rs
@@ -193,8 +193,8 @@
         }
     }
 
-    /// Forgets targets that no longer exist or have restarted. The remaining ones may be too few for those that
-    /// are excluded.
+    /// Forgets targets that no longer exist or have restarted. The remaining ones may be too few
+    /// for those that are excluded.
     pub(super) fn update_outliers(&mut self) {
         let (catalog, outliers) = (&self.catalog, &mut self.outliers);
         let is_known = |target: u64| {
