load, marked: shed held flows in one pass

Removing shed flows compared each held one with each shed one, and held flows were counted once for each of eight levels, twice per new flow. Decisions don't change; the tests of shedding cover them. The count of a single level is no longer used and is removed.

--- a/load/src/backlog.rs
+++ b/load/src/backlog.rs
@@ -96,11 +96,6 @@
         counts
     }
 
-    /// Returns the number of waiting openings of a level.
-    pub fn count(&self, level: Level) -> usize {
-        self.count_matching(|it| it.level.rank() == level.rank())
-    }
-
     /// Returns the number of waiting openings that match.
     pub fn count_matching(&self, is_match: impl Fn(&Waiting<K>) -> bool) -> usize {
         self.waiting.iter().filter(|it| is_match(&it.opening)).count()
@@ -181,6 +176,7 @@
         order.sort_by_key(|position| self.waiting[*position].order());
         let (mut ahead, mut ahead_in_level, mut level) = (0, 0, Level::HIGHEST);
         let mut unservable = Vec::new();
+        let mut is_kept = vec![true; self.waiting.len()];
         for position in order {
             let opening = self.waiting[position].opening;
             if opening.level != level {
@@ -191,9 +187,11 @@
                 ahead_in_level += 1;
             } else {
                 unservable.push(opening);
+                is_kept[position] = false;
             }
         }
-        self.waiting.retain(|it| !unservable.iter().any(|other| other.key == it.opening.key));
+        let mut is_kept = is_kept.into_iter();
+        self.waiting.retain(|_| is_kept.next().unwrap_or(true));
         unservable
     }
 
--- a/marked/src/forwarder/excess.rs
+++ b/marked/src/forwarder/excess.rs
@@ -115,8 +115,9 @@
     pub(super) fn record_held(&mut self, service: &ServiceName, now: Millis) {
         let is_on = self.options.capabilities.pressure;
         let Some(admission) = self.admissions.get_mut(service).filter(|_| is_on) else { return };
+        let counts = admission.backlog.count_by_level();
         for level in Level::all() {
-            let is_held = admission.backlog.count(level) > 0;
+            let is_held = counts.get(level.rank()).is_some_and(|count| *count > 0);
             admission.excess.rates.record_held(level, is_held, now);
         }
     }
