--- a/load/src/limit.rs
+++ b/load/src/limit.rs
@@ -288,8 +288,8 @@
     }
 
     /// Returns whether answers are slow over a longer time. The lowest level, which has the
-    /// feeds at most services, is then not opened: a feed admitted during a short pause stays open after it, and the feeds of several
-    /// pauses would prolong the overload by themselves.
+    /// feeds at most services, is then not opened: a feed admitted during a short pause stays
+    /// open after it, and the feeds of several pauses would prolong the overload by themselves.
     pub fn is_persistently_slow(&self, now: Millis) -> bool {
         self.is_queueing(self.long_mean, now)
     }
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -164,8 +164,9 @@
     }
 
     /// Returns the targets of this instance's subset, if no target of the service is excluded
-    /// other than as an outlier and one of the subset ranks as high as any other could. All targets are then examined for
-    /// few flows only, so that the cost of a flow does not grow with their number.
+    /// other than as an outlier and one of the subset ranks as high as any other could. All
+    /// targets are then examined for few flows only, so that the cost of a flow does not grow
+    /// with their number.
     fn subset_options(
         &self,
         service: &ServiceName,
@@ -416,8 +417,8 @@
     }
     for domain in domains.values_mut() {
         let reserved = share.reserved_targets(domain.len());
-        // Every opening outside the subset runs this, and only membership in the first part is needed,
-        // so a selection replaces a full sort.
+        // Every opening outside the subset runs this, and only membership in the first part is
+        // needed, so a selection replaces a full sort.
         if reserved < domain.len() {
             domain.select_nth_unstable(reserved);
         }
