load: refuse held flows early only at twice the measured rate

Flows that could not be opened at the measured rate were refused at once. Twice the measured rate now has to be too little.

--- a/load/src/shedding.rs
+++ b/load/src/shedding.rs
@@ -126,6 +126,11 @@
 /// the rate is that of the demand before, and a burst would be refused that fits.
 const MIN_HELD_TIME: Millis = Millis(200);
 
+/// Multiple of the measured rate at which openings may be let in within the remaining time. An
+/// overload may end before that, and a caller that is refused repeats at once and may use up its
+/// attempts in an overload that it could have waited out.
+const RATE_MARGIN: u64 = 2;
+
 /// Rates at which openings of a service are let in, by level, while others are held.
 #[derive(Debug, Default, Clone)]
 pub struct OpeningRates {
@@ -192,7 +197,7 @@
         // One opening more than was seen may just be due. At an instance whose share of the
         // slots is about one, none may have been let in for some time.
         let fits = |count: usize, openings: u32| {
-            count as u64 * elapsed <= (u64::from(openings) + 1) * remaining.0
+            count as u64 * elapsed <= (u64::from(openings) + 1) * RATE_MARGIN * remaining.0
         };
         fits(ahead, openings) && fits(ahead_in_level, openings_of_level)
     }
