--- a/daemon/tests/test_marked_store.rs
+++ b/daemon/tests/test_marked_store.rs
@@ -38,9 +38,9 @@
     for kind in ["download", "a type to come"] {
         let mut site = site(8, 2);
         let routes = [
-            (service_address(Class::Feed), kind, DESK.to_owned()),
-            (service_address(Class::Request), "non_idempotent", DESK.to_owned()),
-            (service_address(Class::Upload), kind, INGEST.to_owned()),
+            (service_address(Class::Feed), kind, 1, DESK.to_owned()),
+            (service_address(Class::Request), "non_idempotent", 1, DESK.to_owned()),
+            (service_address(Class::Upload), kind, 1, INGEST.to_owned()),
         ];
         site.store.put_config(1_000, &routes);
         wait_until("the config is in force", || {
@@ -221,7 +221,7 @@
         !lines_with(&site, &["platform restored", "to=3."]).is_empty()
     });
     let moved = Store::start().expect("a store");
-    let routes = [(service_address(Class::Feed), "idempotent", DESK.to_owned())];
+    let routes = [(service_address(Class::Feed), "idempotent", 1, DESK.to_owned())];
     moved.put_config(1_000, &routes);
     let mut setup = site.instances[0].setup.clone();
     setup.store = moved.address();
