--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -251,14 +251,20 @@
         let last = config(90, &later, 2_000);
         world.note(&format!("a config has {} routes and {} bytes", later.len(), last.len()));
         if trouble {
+            // For comparison: another pause between the configs, and twice the span.
+            let gap = std::env::var("GAP_MS").ok().and_then(|it| it.parse().ok());
+            let (gap, count) = gap.map_or((80, 25), |gap: u64| (gap, 4_000 / gap));
             let begin = Instant::now();
-            for nth in 0..25u64 {
+            for nth in 0..count {
                 let text = config(4 + nth * 3, &first, 2_001 + nth);
-                thread::sleep((ms(80) * nth as u32).saturating_sub(begin.elapsed()));
+                thread::sleep(ms(gap * nth).saturating_sub(begin.elapsed()));
                 world.store.put("op/config", Some(&text));
             }
-            world.note("25 configs that change time-outs were published in 2 s");
-            thread::sleep(ms(80));
+            let span = begin.elapsed().as_secs_f64();
+            world.note(&format!(
+                "{count} configs that change time-outs were published in {span:.1} s"
+            ));
+            thread::sleep(ms(gap));
         }
         world.store.put("op/config", Some(&last));
     };
