--- a/review/standin-2/caller.rs
+++ b/review/standin-2/caller.rs
@@ -42,8 +42,9 @@
 pub struct Try {
     pub id: String,
     pub key: Key,
-    /// When the caller sent the opening packet of the flow.
+    /// When the caller sent the opening packet of the flow, and the request.
     pub opened_at: u64,
+    pub sent_at: u64,
     pub outcome: Outcome,
 }
 
@@ -250,10 +251,13 @@
     fn end_request(&self, state: &mut State, key: Key, outcome: Outcome) {
         let Some(flow) = state.flows.get_mut(&key) else { return };
         let request = flow.request.take();
-        let id = request.map_or("unsent".to_owned(), |it| it.id);
+        let (id, sent_at) = match request {
+            Some(it) => (it.id, it.sent_at),
+            None => ("unsent".to_owned(), flow.opened_at),
+        };
         let opened_at = flow.opened_at;
         self.record.line(&format!("request {id} on {}: {outcome:?}", name(key)));
-        state.tries.push(Try { id, key, opened_at, outcome });
+        state.tries.push(Try { id, key, opened_at, sent_at, outcome });
     }
 
     fn finish(&self, state: &mut State, key: Key, outcome: Outcome) {
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -16,7 +16,8 @@
     time::Duration,
 };
 
-const HANG_UP: i32 = 1;
+const CONTINUE: i32 = 18;
+const STOP: i32 = 19;
 
 /// Option of `prctl`: the signal that a process gets when its parent ends.
 const PARENT_DEATH_SIGNAL: i32 = 1;
@@ -205,10 +206,14 @@
         }
     }
 
-    /// Sends SIGHUP to all instances.
-    pub fn hang_up(&self) {
-        self.record.say("all instances get SIGHUP");
-        self.nodes.iter().for_each(|it| it.signal(HANG_UP));
+    pub fn freeze(&self, node: &Node) {
+        self.record.say(&format!("instance {} is frozen", node.name));
+        node.signal(STOP);
+    }
+
+    pub fn wake(&self, node: &Node) {
+        self.record.say(&format!("instance {} wakes", node.name));
+        node.signal(CONTINUE);
     }
 }
 
@@ -230,10 +235,6 @@
 }
 
 impl Node {
-    pub fn is_in_rotation(&self) -> bool {
-        self.in_rotation.load(SeqCst)
-    }
-
     fn signal(&self, signal: i32) {
         let id = self.child.lock().unwrap().id() as i32;
         unsafe { kill(id, signal) };
--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -12,7 +12,7 @@
     net::{SocketAddr, SocketAddrV4, TcpListener, UdpSocket},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU32, Ordering::SeqCst},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::SeqCst},
     },
     thread,
     time::Duration,
@@ -47,7 +47,8 @@
 #[derive(Default)]
 struct Control {
     stop: AtomicBool,
-    draining: AtomicBool,
+    /// End of the slow start.
+    cold_until: AtomicU64,
 }
 
 pub struct Host {
@@ -79,6 +80,7 @@
         let listener = TcpListener::bind(spec.address).expect("a host's address is free");
         listener.set_nonblocking(true).unwrap();
         let started = record.now();
+        control.cold_until.store(started + spec.cold_ms, SeqCst);
         record.line(&format!("host {} of {} starts at {}", spec.id, spec.service, spec.address));
         let (id, stop) = (spec.id.clone(), control.clone());
         thread::spawn(move || serve_health(&listener, &id, &stop));
@@ -95,14 +97,13 @@
         thread::spawn(move || worker.run());
         let (beat_spec, beat_control) = (spec.clone(), control.clone());
         let (beat_store, beat_record) = (store.clone(), record.clone());
-        thread::spawn(move || beat(&beat_spec, &beat_control, &beat_store, &beat_record, started));
+        thread::spawn(move || beat(&beat_spec, &beat_control, &beat_store, &beat_record));
         Host { spec, started, control, store: store.clone() }
     }
 
-    /// Reports that the host is draining. The return is the store's acknowledgement.
-    pub fn drain(&self) -> bool {
-        self.control.draining.store(true, SeqCst);
-        self.store.put(&entry_key(&self.spec), &entry(&self.spec, "draining", 0, 0))
+    /// Makes the host cold. Its entry says so from its next beat on.
+    pub fn turn_cold(&self, until: u64) {
+        self.control.cold_until.store(until, SeqCst);
     }
 
     /// Ends the host without a word; its entry stays until it is removed.
@@ -119,25 +120,23 @@
     format!("servers/{}", spec.id)
 }
 
-fn entry(spec: &Spec, state: &str, cold: u64, sequence: u64) -> String {
+fn entry(spec: &Spec, cold: u64, sequence: u64) -> String {
     format!(
         "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-         \"concurrency\":{},\"state\":\"{state}\",\"coldLeftMs\":{cold},\"sequence\":{sequence}}}",
+         \"concurrency\":{},\"state\":\"ready\",\"coldLeftMs\":{cold},\"sequence\":{sequence}}}",
         spec.service, spec.address, spec.zone, spec.slots
     )
 }
 
 /// Writes the entry when more than its sequence has changed.
-fn beat(spec: &Spec, control: &Control, store: &Store, record: &Record, started: u64) {
+fn beat(spec: &Spec, control: &Control, store: &Store, record: &Record) {
     let (mut sequence, mut written) = (0, None);
     while !control.stop.load(SeqCst) {
-        let cold = (started + spec.cold_ms).saturating_sub(record.now());
-        let is_draining = control.draining.load(SeqCst);
-        if !is_draining && written != Some(cold) {
+        let cold = control.cold_until.load(SeqCst).saturating_sub(record.now());
+        if written != Some(cold) {
             sequence += 1;
-            if store.put(&entry_key(spec), &entry(spec, "ready", cold, sequence)) {
-                written = Some(cold);
-            }
+            store.put(&entry_key(spec), &entry(spec, cold, sequence));
+            written = Some(cold);
         }
         thread::sleep(Duration::from_millis(BEAT_MS));
     }
@@ -152,13 +151,9 @@
         let _ = stream.set_nonblocking(false);
         let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
         let _ = stream.read(&mut [0; 2048]);
-        let status = match control.draining.load(SeqCst) {
-            true => "503 Service Unavailable",
-            false => "200 OK",
-        };
         let _ = stream.write_all(
             format!(
-                "HTTP/1.1 {status}\r\nX-Medlarspur-Instance-Id: {id}\r\nContent-Length: 0\r\n\
+                "HTTP/1.1 200 OK\r\nX-Medlarspur-Instance-Id: {id}\r\nContent-Length: 0\r\n\
                  Connection: close\r\n\r\n"
             )
             .as_bytes(),
@@ -346,7 +341,6 @@
 
     fn answer(&mut self, key: Key, id: &str, status: &str, header: &str) {
         let now = self.record.now();
-        let is_draining = self.control.draining.load(SeqCst);
         let Some(flow) = self.flows.get_mut(&key) else { return };
         let body = format!("{id} at {}", self.spec.id);
         let text = format!(
@@ -358,11 +352,10 @@
             seq: flow.seq,
             ack: flow.expected,
             echo: flow.echo,
-            flags: if is_draining { ACK | FIN } else { ACK },
+            flags: ACK,
             data: text.into_bytes(),
         };
         flow.seq = flow.seq.wrapping_add(reply.data.len() as u32);
-        flow.ended = is_draining;
         flow.unacked = Some(reply.clone());
         (flow.resend_at, flow.resends) = (now + 200, 0);
         self.send(&reply);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,10 +4,8 @@
 mod caller;
 mod fleet;
 mod host;
-mod moved;
 mod packet;
 mod record;
-mod restart;
 mod seeds;
 mod site;
 mod store;
@@ -53,8 +51,6 @@
         std::process::exit(2);
     });
     let verdict = match case.as_str() {
-        "moved" => moved::run(&folder, has_trouble),
-        "restart" => restart::run(&folder, has_trouble),
         "seeds" => seeds::run(&folder, has_trouble),
         _ => Verdict::NotRun,
     };
--- a/review/standin-2/seeds.rs
+++ b/review/standin-2/seeds.rs
@@ -4,10 +4,10 @@
 use crate::{
     Verdict,
     caller::Outcome,
+    host::Host,
     site::{Plan, Route, Site, config, store_address, virtual_address},
 };
 use std::{
-    collections::BTreeMap,
     net::{Ipv4Addr, SocketAddrV4},
     path::Path,
 };
@@ -86,33 +86,9 @@
     if served < 500 || !all_run {
         return Verdict::NotRun;
     }
-    let sent: BTreeMap<&str, u64> =
-        tries.iter().map(|it| (it.id.as_str(), it.opened_at)).collect();
-    let runs = site.runs.lock().unwrap().clone();
     let limit = RATE * OVERRUN + SLACK;
-    let mut most = 0;
-    for host in &cold {
-        let mut times: Vec<(u64, u64)> = runs
-            .iter()
-            .filter(|it| it.host == host.spec.id && it.opened_at < host.started + COLD_MS)
-            .filter_map(|it| Some((*sent.get(it.id.as_str())?, it.opened_at)))
-            .collect();
-        times.sort_unstable();
-        // Requests that were sent and arrived inside a second that begins with one of them.
-        let within = |from: u64| {
-            times.iter().filter(|(sent, at)| *sent >= from && *at < from + 1_000).count()
-        };
-        let (count, from) =
-            times.iter().map(|(sent, _)| (within(*sent), *sent)).max().unwrap_or_default();
-        most = most.max(count);
-        record.say(&format!(
-            "cold host {}: {} requests while cold, at most {count} in one second, from {} ms \
-             after its start (FAILBACK allows {limit})",
-            host.spec.id,
-            times.len(),
-            from.saturating_sub(host.started)
-        ));
-    }
+    let hosts: Vec<(&Host, u64)> = cold.iter().map(|it| (it, it.started)).collect();
+    let most = site.most_while_cold(&hosts, COLD_MS, limit);
     match most as f64 > limit {
         true => Verdict::Broken,
         false => Verdict::Kept,
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -6,9 +6,10 @@
     host::{Host, Run, Spec},
     record::Record,
     set_caller_port,
-    store::{Service, Store},
+    store::Store,
 };
 use std::{
+    collections::BTreeMap,
     fs,
     net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket},
     path::{Path, PathBuf},
@@ -68,7 +69,6 @@
 pub struct Site {
     pub record: Record,
     pub store: Store,
-    pub service: Option<Service>,
     pub store_port: u16,
     pub fleet: Arc<Fleet>,
     pub runs: Arc<Mutex<Vec<Run>>>,
@@ -102,7 +102,7 @@
         set_caller_port(ports.datagrams);
         let (store_port, host_port) = (free_port(4), free_port(5));
         let store = Store::default();
-        let service = store.serve(store_address(store_port));
+        store.serve(store_address(store_port));
         store.put("op/config", &plan.config);
         let runs = Arc::<Mutex<Vec<Run>>>::default();
         let stop = Arc::<AtomicBool>::default();
@@ -121,7 +121,6 @@
         let mut site = Site {
             record: record.clone(),
             store,
-            service: Some(service),
             store_port,
             fleet,
             runs,
@@ -193,6 +192,40 @@
         });
     }
 
+    /// Largest number of requests that a host got in one second while it was cold. Counted are
+    /// requests that were sent and arrived inside a second that begins with one of them. Each
+    /// host is given with the time at which it became cold.
+    pub fn most_while_cold(&self, hosts: &[(&Host, u64)], cold_ms: u64, limit: f64) -> usize {
+        let tries: Vec<_> = self.callers.iter().flat_map(|it| it.tries()).collect();
+        let sent: BTreeMap<&str, u64> =
+            tries.iter().map(|it| (it.id.as_str(), it.opened_at)).collect();
+        let runs = self.runs.lock().unwrap().clone();
+        let mut most = 0;
+        for (host, cold_at) in hosts {
+            let cold = *cold_at..cold_at + cold_ms;
+            let mut times: Vec<(u64, u64)> = runs
+                .iter()
+                .filter(|it| it.host == host.spec.id && cold.contains(&it.opened_at))
+                .filter_map(|it| Some((*sent.get(it.id.as_str())?, it.opened_at)))
+                .collect();
+            times.sort_unstable();
+            let within = |from: u64| {
+                times.iter().filter(|(sent, at)| *sent >= from && *at < from + 1_000).count()
+            };
+            let counts = times.iter().map(|(sent, _)| (within(*sent), *sent));
+            let (count, from) = counts.max().unwrap_or_default();
+            most = most.max(count);
+            self.record.say(&format!(
+                "cold host {}: {} requests while cold, at most {count} in one second, from {} ms \
+                 on (FAILBACK allows {limit})",
+                host.spec.id,
+                times.len(),
+                from.saturating_sub(*cold_at)
+            ));
+        }
+        most
+    }
+
     pub fn sleep_until(&self, at: u64) {
         thread::sleep(Duration::from_millis(at.saturating_sub(self.record.now())));
     }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -4,11 +4,8 @@
 use std::{
     collections::BTreeMap,
     io::{Read, Write},
-    net::{Shutdown, SocketAddrV4, TcpListener, TcpStream},
-    sync::{
-        Arc, Condvar, Mutex,
-        atomic::{AtomicBool, Ordering::SeqCst},
-    },
+    net::{SocketAddrV4, TcpListener, TcpStream},
+    sync::{Arc, Condvar, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -33,27 +30,14 @@
 struct Shared {
     data: Mutex<Data>,
     changed: Condvar,
-    /// Whether hosts and the operator reach the store.
-    up: AtomicBool,
 }
 
-/// The content of the store, which stays when the store's address changes.
 #[derive(Clone, Default)]
 pub struct Store(Arc<Shared>);
 
-/// The store's service at one address.
-pub struct Service {
-    stop: Arc<AtomicBool>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
-    store: Store,
-}
-
 impl Store {
-    /// Writes an item. Returns false if the store is down.
-    pub fn put(&self, key: &str, value: &str) -> bool {
-        if !self.0.up.load(SeqCst) {
-            return false;
-        }
+    /// Writes an item. The return is the store's acknowledgement.
+    pub fn put(&self, key: &str, value: &str) {
         let mut data = self.0.data.lock().unwrap();
         data.revision += 1;
         let (revision, value) = (data.revision, base64(value.as_bytes()));
@@ -61,13 +45,9 @@
         data.items.insert(key.to_owned(), Item { value: value.clone(), revision, created });
         data.history.insert(revision, (key.to_owned(), Some(value)));
         self.0.changed.notify_all();
-        true
     }
 
-    pub fn delete(&self, key: &str) -> bool {
-        if !self.0.up.load(SeqCst) {
-            return false;
-        }
+    pub fn delete(&self, key: &str) {
         let mut data = self.0.data.lock().unwrap();
         if data.items.remove(key).is_some() {
             data.revision += 1;
@@ -75,36 +55,21 @@
             data.history.insert(revision, (key.to_owned(), None));
             self.0.changed.notify_all();
         }
-        true
     }
 
-    /// Serves at an address until the service is stopped.
-    pub fn serve(&self, address: SocketAddrV4) -> Service {
+    /// Serves at an address until the process ends.
+    pub fn serve(&self, address: SocketAddrV4) {
         let listener = TcpListener::bind(address).expect("the store's address is free");
-        listener.set_nonblocking(true).unwrap();
-        let stop = Arc::new(AtomicBool::new(false));
-        let connections = Arc::new(Mutex::new(Vec::new()));
-        let service =
-            Service { stop: stop.clone(), connections: connections.clone(), store: self.clone() };
-        self.0.up.store(true, SeqCst);
         let store = self.clone();
         thread::spawn(move || {
-            while !stop.load(SeqCst) {
-                match listener.accept() {
-                    Ok((stream, _)) => {
-                        let _ = stream.set_nonblocking(false);
-                        connections.lock().unwrap().push(stream.try_clone().unwrap());
-                        let (store, stop) = (store.clone(), stop.clone());
-                        thread::spawn(move || store.answer_all(stream, &stop));
-                    }
-                    Err(_) => thread::sleep(Duration::from_millis(2)),
-                }
+            for stream in listener.incoming().flatten() {
+                let store = store.clone();
+                thread::spawn(move || store.answer_all(stream));
             }
         });
-        service
     }
 
-    fn answer_all(&self, mut stream: TcpStream, stop: &AtomicBool) {
+    fn answer_all(&self, mut stream: TcpStream) {
         let mut input = Vec::new();
         loop {
             let end = loop {
@@ -133,13 +98,10 @@
                 "/kv-watch" => {
                     let after = text("after").parse().unwrap_or(0);
                     let wait = text("waitMs").parse().unwrap_or(0);
-                    ("200 OK", self.watch(&text("prefix"), after, wait, stop))
+                    ("200 OK", self.watch(&text("prefix"), after, wait))
                 }
                 _ => ("404 Not Found", "{}".to_owned()),
             };
-            if stop.load(SeqCst) {
-                return;
-            }
             let answer = format!(
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\n\
                  Content-Length: {}\r\n\r\n{body}",
@@ -165,7 +127,7 @@
         )
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: u64, stop: &AtomicBool) -> String {
+    fn watch(&self, prefix: &str, after: u64, wait: u64) -> String {
         let deadline = Instant::now() + Duration::from_millis(wait);
         let mut data = self.0.data.lock().unwrap();
         loop {
@@ -184,28 +146,15 @@
                 })
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() || stop.load(SeqCst) {
+            if !events.is_empty() || left.is_zero() {
                 let (events, revision) = (events.join(","), data.revision);
                 return format!("{{\"events\":[{events}],\"currentRev\":{revision}}}");
             }
-            let left = left.min(Duration::from_millis(50));
             data = self.0.changed.wait_timeout(data, left).unwrap().0;
         }
     }
 }
 
-impl Service {
-    /// Takes the store down: its port refuses connections, and open ones are closed.
-    pub fn stop(self) {
-        self.store.0.up.store(false, SeqCst);
-        self.stop.store(true, SeqCst);
-        for stream in self.connections.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        thread::sleep(Duration::from_millis(10));
-    }
-}
-
 fn item(key: &str, it: &Item) -> String {
     format!(
         "{{\"key\":\"{key}\",\"value\":\"{}\",\"revision\":{},\"createRevision\":{},\"lease\":0}}",
