--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod seeds;
 mod site;
 mod store;
+mod thaw;
 
 use std::{path::PathBuf, process::ExitCode, sync::OnceLock, thread, time::Duration};
 
@@ -51,6 +52,7 @@
         std::process::exit(2);
     });
     let verdict = match case.as_str() {
+        "thaw" => thaw::run(&folder, has_trouble),
         "seeds" => seeds::run(&folder, has_trouble),
         _ => Verdict::NotRun,
     };
