review: case 6, restarted instances take cold hosts for warm

All instances start again 50 ms after an evacuation was taken back, before its hosts say that they are cold: 40 to 46 requests in a second of 20 allowed.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! Usage: `standin-2 CASE FOLDER`, from the root of the repository.
 
 mod caller;
+mod evacuated;
 mod fleet;
 mod host;
 mod packet;
@@ -52,6 +53,7 @@
         std::process::exit(2);
     });
     let verdict = match case.as_str() {
+        "evacuated" => evacuated::run(&folder, has_trouble),
         "thaw" => thaw::run(&folder, has_trouble),
         "seeds" => seeds::run(&folder, has_trouble),
         _ => Verdict::NotRun,
