daemon: log how long an opening waited before it was acted on

What the logs showed fits five causes: the woken instance opens flows from its socket; it repeats openings of before the freeze; it opens flows that it held; it moves openings of targets that it finds lost; or its records of old flows divert packets.

The line "flow opened" now has waited_ms, the time since the opening arrived. The kernel stamps datagrams on arrival. The stamps are by the wall clock, so they count only if it has kept pace with the boot clock.

--- a/daemon/examples/bench/lines.rs
+++ b/daemon/examples/bench/lines.rs
@@ -70,6 +70,7 @@
         tier: Tier::Good,
         work: 2,
         candidates: 14,
+        waited: Millis(0),
     }
 }
 
--- a/daemon/src/marked/instance/mod.rs
+++ b/daemon/src/marked/instance/mod.rs
@@ -14,7 +14,7 @@
     store::StoreReader,
 };
 use crate::{clock::Clock, sink::LogSink};
-use medlarspur_fabric::{Batch, Socket, SocketError, Wire, wait_readable};
+use medlarspur_fabric::{Batch, Clocks, Socket, SocketError, Wire, wait_readable};
 use medlarspur_lib::{
     ids::{DomainName, InstanceName},
     settings::MarkedSettings,
@@ -92,7 +92,8 @@
     signal_hook::flag::register(SIGHUP, reload.clone()).context(system("handle SIGHUP"))?;
     sender.wake_on(&[SIGTERM, SIGHUP]).context(system("handle signals"))?;
     let live = Arc::new(LiveSettings::new(path, settings));
-    let socket = Socket::bind(settings.packets).context(PacketsSnafu)?;
+    let mut socket = Socket::bind(settings.packets).context(PacketsSnafu)?;
+    socket.record_ages();
     let ready = Arc::new(AtomicBool::new(false));
     let ready_address = ready::serve(settings.ready, ready.clone());
     let ready_address = ready_address.context(system("serve readiness checks"))?;
@@ -246,13 +247,16 @@
         let now = self.clock.now();
         let peers = self.peers.as_ref().map(|peers| peers.fleet.deadline(now));
         let due = self.forwarder.deadline().into_iter().chain(peers).map(|due| due.since(now));
-        let limit = due.chain(max_wait).min().map(|span| Duration::from_millis(span.0));
+        let max_wait = due.chain(max_wait).chain(self.socket.max_wait().map(Millis::from)).min();
+        let limit = max_wait.map(|span| Duration::from_millis(span.0));
+        let began = Clocks::read();
         let (packets, inbox) = (self.socket.as_fd(), self.inbox.wake_fd());
         match &self.peers {
             Some(peers) => wait_readable([packets, inbox, peers.socket.as_fd()], limit),
             None => wait_readable([packets, inbox], limit),
         }
         .context(PacketsSnafu)?;
+        self.socket.record_wait(began, Clocks::read(), limit);
         if self.reload.swap(false, Relaxed) {
             self.settings.reload();
             if let Some(peers) = &mut self.peers {
@@ -295,6 +299,7 @@
                         self.forwarder.handle_packet(
                             &segment,
                             received.bytes,
+                            received.age.into(),
                             now,
                             &mut self.output,
                         );
--- a/fabric/src/batch.rs
+++ b/fabric/src/batch.rs
@@ -1,6 +1,9 @@
 //! Received datagrams of one batch, in memory that is allocated once.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
 
 /// Maximum number of datagrams received or sent by one system call. With a full batch the system
 /// call costs less than a percent of the time spent on each packet.
@@ -17,12 +20,13 @@
     pub(crate) entries: Vec<Entry>,
 }
 
-/// Position of a datagram in the buffer, and its sender.
+/// Position of a datagram in the buffer, its sender, and its age.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Entry {
     pub(crate) slot: usize,
     pub(crate) len: usize,
     pub(crate) from: SocketAddrV4,
+    pub(crate) age: Duration,
 }
 
 /// One received datagram.
@@ -32,6 +36,9 @@
     pub from: SocketAddrV4,
     /// Payload, never empty.
     pub bytes: &'a [u8],
+    /// Maximum time for which the datagram waited in the socket; zero unless the socket
+    /// [records](crate::Socket::record_ages) it.
+    pub age: Duration,
 }
 
 impl Batch {
@@ -57,7 +64,7 @@
         }
         let start = slot * MAX_DATAGRAM;
         self.buffer[start..start + bytes.len()].copy_from_slice(bytes);
-        self.entries.push(Entry { slot, len: bytes.len(), from });
+        self.entries.push(Entry { slot, len: bytes.len(), from, age: Duration::ZERO });
         true
     }
 
@@ -65,7 +72,8 @@
     pub fn iter(&self) -> impl ExactSizeIterator<Item = Received<'_>> {
         self.entries.iter().map(|entry| {
             let start = entry.slot * MAX_DATAGRAM;
-            Received { from: entry.from, bytes: &self.buffer[start..start + entry.len] }
+            let bytes = &self.buffer[start..start + entry.len];
+            Received { from: entry.from, bytes, age: entry.age }
         })
     }
 
--- a/fabric/src/lib.rs
+++ b/fabric/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/design/edge.md` gives the reasons for forwarding packets instead of terminating
 //! connections.
 
+mod age;
 mod batch;
 mod counts;
 mod memory;
@@ -16,6 +17,7 @@
 pub mod stream;
 mod wire;
 
+pub use age::{Clocks, QueueAges, boot_time};
 pub use batch::{Batch, MAX_BATCH, MAX_DATAGRAM, Received};
 pub use counts::Counts;
 pub use memory::{MemoryError, MemoryWire};
--- a/fabric/src/socket.rs
+++ b/fabric/src/socket.rs
@@ -1,14 +1,20 @@
 //! A wire over a UDP socket, with one system call per batch.
 
 use crate::{
-    Batch, Counts, Datagram, MAX_BATCH, MAX_DATAGRAM, Wire,
+    Batch, Clocks, Counts, Datagram, MAX_BATCH, MAX_DATAGRAM, QueueAges, Wire,
+    age::MAX_UNSTAMPED_WAIT,
     batch::{Entry, NO_ADDRESS},
 };
 use nix::{
+    cmsg_space,
     errno::Errno,
-    sys::socket::{
-        MsgFlags, MultiHeaders, SockaddrIn, getsockopt, recvmmsg, setsockopt,
-        sockopt::{RcvBuf, SndBuf},
+    sys::{
+        socket::{
+            ControlMessageOwned, MsgFlags, MultiHeaders, RecvMsg, SockaddrIn, getsockopt, recvmmsg,
+            setsockopt,
+            sockopt::{RcvBuf, ReceiveTimestampns, SndBuf},
+        },
+        time::TimeSpec,
     },
 };
 use rustix::{
@@ -71,6 +77,9 @@
     headers: MultiHeaders<SockaddrIn>,
     timeout: Option<Duration>,
     addresses: Vec<SocketAddrAny>,
+    ages: Option<QueueAges>,
+    /// Whether the last datagram was stamped.
+    is_stamping: bool,
     counts: Counts,
 }
 
@@ -115,6 +124,29 @@
         self.local
     }
 
+    /// Records from now on how long datagrams wait in the socket. The kernel begins to stamp them
+    /// a moment later, or never.
+    pub fn record_ages(&mut self) {
+        if let Err(error) = setsockopt(&self.socket, ReceiveTimestampns, &true) {
+            log::warn!("datagrams are not stamped on arrival: {error}");
+        }
+        self.headers = MultiHeaders::preallocate(MAX_BATCH, Some(cmsg_space!(TimeSpec)));
+        self.ages = Some(QueueAges::new(Clocks::read()));
+    }
+
+    /// Records that the thread waited for this socket and others from `began` to `now`, and was to
+    /// wait for `limit` at most.
+    pub fn record_wait(&mut self, began: Clocks, now: Clocks, limit: Option<Duration>) {
+        if let Some(ages) = &mut self.ages {
+            ages.record_wait(began, now, limit);
+        }
+    }
+
+    /// Maximum time to wait for datagrams so that their ages are known; none if they are stamped.
+    pub fn max_wait(&self) -> Option<Duration> {
+        (self.ages.is_some() && !self.is_stamping).then_some(MAX_UNSTAMPED_WAIT)
+    }
+
     fn set_timeout(&mut self, timeout: Duration) -> Result<(), SocketError> {
         if timeout.is_zero() || self.timeout == Some(timeout) {
             return Ok(());
@@ -125,25 +157,34 @@
     }
 
     /// Fills the batch by one system call. `MSG_TRUNC` makes the kernel report the full length of a
-    /// datagram that it truncated.
-    fn receive_batch(&mut self, batch: &mut Batch, flags: MsgFlags) -> Result<(), Errno> {
+    /// datagram that it truncated. Returns the number of datagrams that were read, including
+    /// truncated and empty ones.
+    fn receive_batch(&mut self, batch: &mut Batch, flags: MsgFlags) -> Result<usize, Errno> {
         let mut slots = batch.buffer.chunks_exact_mut(MAX_DATAGRAM);
         let mut slices: [[IoSliceMut<'_>; 1]; MAX_BATCH] =
             array::from_fn(|_| [IoSliceMut::new(slots.next().unwrap_or_default())]);
         let flags = flags | MsgFlags::MSG_TRUNC;
         let fd = self.socket.as_raw_fd();
         let results = recvmmsg(fd, &mut self.headers, slices.iter_mut(), flags, None)?;
+        // Read after the call: a process suspended before it receives datagrams that arrived later.
+        let now = self.ages.map(|_| Clocks::read());
+        let mut count = 0;
         for (slot, it) in results.enumerate() {
+            count += 1;
             if it.bytes > MAX_DATAGRAM {
                 self.counts.oversize += 1;
             } else if it.bytes == 0 {
                 self.counts.empty += 1;
             } else {
                 let from = it.address.map_or(NO_ADDRESS, SocketAddrV4::from);
-                batch.entries.push(Entry { slot, len: it.bytes, from });
+                let stamp = self.ages.and_then(|_| read_stamp(&it));
+                let age = self.ages.zip(now).map(|(ages, now)| ages.max_age(stamp, now));
+                let age = age.unwrap_or_default();
+                self.is_stamping = stamp.is_some();
+                batch.entries.push(Entry { slot, len: it.bytes, from, age });
             }
         }
-        Ok(())
+        Ok(count)
     }
 
     /// Sends the datagrams after the first `skip` by one system call and returns how many the
@@ -221,6 +262,8 @@
             headers: MultiHeaders::preallocate(MAX_BATCH, None),
             timeout: None,
             addresses: Vec::with_capacity(MAX_BATCH),
+            ages: None,
+            is_stamping: false,
             counts: Counts::default(),
         }
     }
@@ -234,10 +277,18 @@
         self.set_timeout(timeout)?;
         let flags =
             if timeout.is_zero() { MsgFlags::MSG_DONTWAIT } else { MsgFlags::MSG_WAITFORONE };
-        match self.receive_batch(batch, flags) {
-            Ok(()) | Err(Errno::EAGAIN) => {}
-            Err(error) if is_transient(error) => self.counts.transient_errors += 1,
+        let before = self.ages.map(|_| Clocks::read());
+        let is_drained = match self.receive_batch(batch, flags) {
+            Ok(count) => count < MAX_BATCH,
+            Err(Errno::EAGAIN) => true,
+            Err(error) if is_transient(error) => {
+                self.counts.transient_errors += 1;
+                false
+            }
             Err(source) => return Err(SocketError::Receive { source }),
+        };
+        if let Some((ages, before)) = self.ages.as_mut().zip(before) {
+            ages.record_receipt(before, is_drained);
         }
         self.counts.received += batch.len() as u64;
         Ok(batch.len())
@@ -252,6 +303,15 @@
     }
 }
 
+/// Time of a datagram's arrival by the wall clock, if the kernel stamped it.
+fn read_stamp(message: &RecvMsg<'_, '_, SockaddrIn>) -> Option<Duration> {
+    let stamps = message.cmsgs().ok()?;
+    stamps.into_iter().find_map(|it| match it {
+        ControlMessageOwned::ScmTimestampns(stamp) => Some(stamp.into()),
+        _ => None,
+    })
+}
+
 /// Whether the socket is still usable after a receive error. An ICMP message about a datagram that
 /// was sent earlier is reported by a later receive call. If the packet thread ended because of it,
 /// one dead target would stop all flows.
--- a/fabric/tests/runner.rs
+++ b/fabric/tests/runner.rs
@@ -1,5 +1,6 @@
 //! Runs the tests of the package in one binary.
 
+mod test_age;
 mod test_memory;
 mod test_outbox;
 mod test_socket;
--- a/marked/examples/slopes.rs
+++ b/marked/examples/slopes.rs
@@ -193,7 +193,7 @@
     };
     let all: Vec<Segment> = (0..flows).map(|nth| segment(nth, 0)).collect();
     for segment in &all {
-        forwarder.handle_packet(segment, &[0; 134], Millis(1), &mut NoOutput);
+        forwarder.handle_packet(segment, &[0; 134], Millis(0), Millis(1), &mut NoOutput);
     }
     let held = (resident() - base) / flows as f64;
     row("a flow, resident (upper bound)", flows, held, "B");
@@ -203,7 +203,7 @@
         let known = all[nth % flows];
         let seq = known.seq + (nth / flows) as u32 * 100 + 100;
         let segment = Segment { seq, ..known };
-        forwarder.handle_packet(&segment, &[0; 134], Millis(2), &mut NoOutput);
+        forwarder.handle_packet(&segment, &[0; 134], Millis(0), Millis(2), &mut NoOutput);
     }
     let nanos = start.elapsed().as_nanos() as f64 / rounds.max(flows) as f64;
     row("a packet in mid-flow, 5,600 targets", flows, nanos, "ns");
@@ -228,7 +228,7 @@
         let seq = round * 100 + if len == 0 { 100 } else { 0 };
         let ack = 1 + 840 * (round + u32::from(is_answered));
         let segment = Segment { key, kind: Kind::Continue, seq, ack, len, mark };
-        forwarder.handle_packet(&segment, &[0; 134], now, &mut NoOutput);
+        forwarder.handle_packet(&segment, &[0; 134], Millis(0), now, &mut NoOutput);
         if nth.is_multiple_of(50) {
             forwarder.tick(now, &mut NoOutput);
         }
@@ -256,7 +256,7 @@
     for nth in 0..count {
         let key = flow(nth, 1);
         let open = Segment { key, kind: Kind::Open, seq: 1, ack: 0, len: 0, mark: None };
-        forwarder.handle_packet(&open, &[0; 34], Millis(nth as u64 / 50), &mut NoOutput);
+        forwarder.handle_packet(&open, &[0; 34], Millis(0), Millis(nth as u64 / 50), &mut NoOutput);
     }
     let nanos = start.elapsed().as_nanos() as f64 / count as f64;
     row("an opening, targets of its service", targets, nanos, "ns");
--- a/marked/src/forwarder/failover.rs
+++ b/marked/src/forwarder/failover.rs
@@ -65,7 +65,8 @@
         let service = route.pick_service(self.random.draw()).clone();
         self.counts.moved += 1;
         out.note(Note::Moved { flow: key, from });
-        self.place(NewFlow { key, seq: 0, class: route.class, service, packet, waited }, now, out);
+        let (seq, class, queued) = (0, route.class, Millis(0));
+        self.place(NewFlow { key, seq, class, service, packet, queued, waited }, now, out);
     }
 
     /// Removes all flows from a target that was found lost.
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -183,11 +183,12 @@
         self.catalog.revision()
     }
 
-    /// Forwards, holds, resets or drops one packet.
+    /// Forwards, holds, resets or drops one packet, which waited in the socket for `queued`.
     pub fn handle_packet(
         &mut self,
         segment: &Segment,
         bytes: &[u8],
+        queued: Millis,
         now: Millis,
         out: &mut impl Output,
     ) {
@@ -195,7 +196,7 @@
             self.sweep(now);
         }
         match segment.kind {
-            Kind::Open => self.handle_open(segment, bytes, now, out),
+            Kind::Open => self.handle_open(segment, bytes, queued, now, out),
             Kind::Continue => self.handle_continue(segment, bytes, now, out),
             Kind::Close | Kind::Abort => self.handle_close(segment, bytes, now, out),
         }
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -55,11 +55,21 @@
     warming: bool,
 }
 
+/// Properties of the target that was chosen for a flow, for the log.
+struct Choice {
+    tier: Tier,
+    /// Requests and openings in flight there.
+    work: u32,
+    /// Number of targets that could take the flow.
+    candidates: usize,
+}
+
 impl Forwarder {
     pub(super) fn handle_open(
         &mut self,
         segment: &Segment,
         bytes: &[u8],
+        queued: Millis,
         now: Millis,
         out: &mut impl Output,
     ) {
@@ -84,6 +94,7 @@
             class: route.class,
             service: route.pick_service(self.random.draw()).clone(),
             packet: bytes.into(),
+            queued,
             waited: Millis(0),
         };
         self.record_level_use(&new.service, new.class, &new.key, now);
@@ -107,21 +118,24 @@
 
     /// Chooses a target for a new flow and forwards the opening packet.
     pub(super) fn place(&mut self, it: NewFlow, now: Millis, out: &mut impl Output) {
-        let NewFlow { key, seq, class, service, packet, waited } = it;
+        let NewFlow { key, seq, class, service, packet, queued, waited } = it;
         self.settle_closed(&key, Kind::Abort, now, out);
         self.drop_flow(&key);
         let level = self.level(&service, class, &key);
-        let Some((target, note)) = self.choose(&service, Demand { class, level }, &key, now) else {
+        let demand = Demand { class, level };
+        let Some((target, choice)) = self.choose(&service, demand, &key, now) else {
             out.count(&service, level, FlowEvent::Refused);
             self.record_refusal(&service, level, &key, now);
             return self.refuse(&key, self.refusal_reason(&service, &key, now), out);
         };
         self.counts.opened += 1;
         out.count(&service, level, FlowEvent::Opened);
-        self.record_opening(&service, Demand { class, level }, &key, now);
+        self.record_opening(&service, demand, &key, now);
         self.record_warmup_opening(target, now);
         self.record_trial(&key, target, now);
-        out.note(note);
+        let Choice { tier, work, candidates } = choice;
+        let age = queued + waited;
+        out.note(Note::Opened { flow: key, target, class, tier, work, candidates, waited: age });
         self.send(target, &key, &packet, out);
         let mut flow = Flow::open(target, class, packet, seq, now);
         flow.level = level;
@@ -153,7 +167,7 @@
         demand: Demand,
         key: &FlowKey,
         now: Millis,
-    ) -> Option<(Incarnation, Note)> {
+    ) -> Option<(Incarnation, Choice)> {
         let subset = self.subset(service);
         let first = subset
             .as_ref()
@@ -252,7 +266,7 @@
         options: Options,
         demand: Demand,
         key: &FlowKey,
-    ) -> Option<(Incarnation, Note)> {
+    ) -> Option<(Incarnation, Choice)> {
         let Options { mut targets, mut candidates, evacuated, warming } = options;
         loop {
             let position = choice::choose(&candidates, demand, self.random.draw())?;
@@ -265,15 +279,8 @@
             if marked.is_some_and(|entry| entry.target.incarnation == target) {
                 self.counts.avoided += u64::from(evacuated);
                 self.counts.spared += u64::from(warming);
-                let note = Note::Opened {
-                    flow: *key,
-                    target,
-                    class: demand.class,
-                    tier: chosen.tier,
-                    work: chosen.in_flight + chosen.opening,
-                    candidates: count,
-                };
-                return Some((target, note));
+                let work = chosen.in_flight + chosen.opening;
+                return Some((target, Choice { tier: chosen.tier, work, candidates: count }));
             }
         }
     }
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -36,6 +36,8 @@
     pub(super) service: ServiceName,
     /// The opening packet.
     pub(super) packet: Box<[u8]>,
+    /// Time for which the opening packet waited in the socket.
+    pub(super) queued: Millis,
     /// Time for which the flow has been held.
     pub(super) waited: Millis,
 }
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -32,6 +32,8 @@
         work: u32,
         /// Number of targets that could take the flow.
         candidates: usize,
+        /// Time since the opening packet arrived.
+        waited: Millis,
     },
     /// A new flow is held until its service has capacity.
     Held {
@@ -337,13 +339,14 @@
     /// The fields of the log line; `name` returns the name of a target.
     pub fn fields(&self, name: impl Fn(Incarnation) -> String) -> Fields {
         match self {
-            Note::Opened { flow, target, class, tier, work, candidates } => vec![
+            Note::Opened { flow, target, class, tier, work, candidates, waited } => vec![
                 ("flow", flow.to_string()),
                 ("target", name(*target)),
                 ("class", lower(class)),
                 ("tier", lower(tier)),
                 ("work", work.to_string()),
                 ("candidates", candidates.to_string()),
+                ("waited_ms", waited.to_string()),
             ],
             Note::Held { flow, class, level, work, pressure, waiting } => vec![
                 ("flow", flow.to_string()),
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -212,7 +212,13 @@
     }
 
     pub fn packet(&mut self, segment: Segment, now: u64) {
-        self.forwarder.handle_packet(&segment, b"packet", millis(now), &mut self.out);
+        self.delayed_packet(segment, 0, now);
+    }
+
+    /// Handles a packet that waited in the socket for `queued`.
+    pub fn delayed_packet(&mut self, segment: Segment, queued: u64, now: u64) {
+        let (queued, now) = (millis(queued), millis(now));
+        self.forwarder.handle_packet(&segment, b"packet", queued, now, &mut self.out);
     }
 
     /// Sends the opening packet of a flow. Returns the target that it went to.
