marked: drop openings that a later copy supersedes

Callers saw resets of open flows, 7 s after an instance had been frozen for 3 s. It read the old openings from its socket and sent them to targets of its own choice, although the callers had opened these flows through other instances by their copies. Callers return the mark that came last, so their next request went to a target without the flow, which reset it.

A caller sends copies 200 and 600 ms after the opening and gives up after 1,400 ms; the packet says which copy it is. An opening is now dropped from 30 ms before its next copy on: the answer might reach the caller after that copy was sent, and routers may pass the copy to another instance. If they don't, the copy is in the same socket and is served at once.

--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -77,7 +77,7 @@
 /// Family and label of a series, and the function that reads its value.
 type CounterSeries = (Family, &'static str, fn(&Stats) -> u64);
 
-const COUNTERS: [CounterSeries; 43] = [
+const COUNTERS: [CounterSeries; 44] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -104,6 +104,7 @@
     (Family::Flows, "reset-target-lost", |it| it.counts.lost),
     (Family::Drops, "unmarked", |it| it.counts.unmarked),
     (Family::Drops, "unknown-mark", |it| it.counts.unknown),
+    (Family::Drops, "superseded", |it| it.counts.superseded),
     (Family::Drops, "record-clash", |it| it.collisions),
     (Family::Drops, "oversize", |it| it.wire.oversize),
     (Family::Drops, "empty", |it| it.wire.empty),
--- a/marked/examples/slopes.rs
+++ b/marked/examples/slopes.rs
@@ -189,7 +189,8 @@
         let at = target(nth % 700 + 700 * (nth % 8), 0).incarnation;
         let mark = Some(Mark::new(at, &key));
         let seq = 1_000 + round * 100;
-        Segment { key, kind: Kind::Continue, seq, ack: 1, len: 100, mark }
+        let repeated_after = Millis(0);
+        Segment { key, kind: Kind::Continue, seq, ack: 1, len: 100, mark, repeated_after }
     };
     let all: Vec<Segment> = (0..flows).map(|nth| segment(nth, 0)).collect();
     for segment in &all {
@@ -227,7 +228,9 @@
         let (key, mark) = marks[nth];
         let seq = round * 100 + if len == 0 { 100 } else { 0 };
         let ack = 1 + 840 * (round + u32::from(is_answered));
-        let segment = Segment { key, kind: Kind::Continue, seq, ack, len, mark };
+        let repeated_after = Millis(0);
+        let kind = Kind::Continue;
+        let segment = Segment { key, kind, seq, ack, len, mark, repeated_after };
         forwarder.handle_packet(&segment, &[0; 134], Millis(0), now, &mut NoOutput);
         if nth.is_multiple_of(50) {
             forwarder.tick(now, &mut NoOutput);
@@ -255,7 +258,9 @@
     let start = Instant::now();
     for nth in 0..count {
         let key = flow(nth, 1);
-        let open = Segment { key, kind: Kind::Open, seq: 1, ack: 0, len: 0, mark: None };
+        let repeated_after = Millis(200);
+        let kind = Kind::Open;
+        let open = Segment { key, kind, seq: 1, ack: 0, len: 0, mark: None, repeated_after };
         forwarder.handle_packet(&open, &[0; 34], Millis(0), Millis(nth as u64 / 50), &mut NoOutput);
     }
     let nanos = start.elapsed().as_nanos() as f64 / count as f64;
--- a/marked/src/flow.rs
+++ b/marked/src/flow.rs
@@ -4,7 +4,7 @@
 //! acknowledges. The record is an aid and not a requirement: without it a packet still finds
 //! its target by its mark.
 
-use crate::{Incarnation, Segment, segment::is_after};
+use crate::{Incarnation, Segment, last_copy::LastCopy, segment::is_after};
 use medlarspur_lib::{bundle::Class, time::Millis};
 use medlarspur_load::priority::Level;
 
@@ -66,6 +66,8 @@
     pub opened_here: bool,
     /// Whether the opening packet was forwarded more than once.
     pub resent: bool,
+    /// The last copy of the opening packet that arrived here, if any did.
+    pub(crate) last_copy: Option<LastCopy>,
     /// Number of checks while the opening was unanswered.
     pub checks: u8,
     /// Time of the next check while the opening is unanswered. In an open flow, time of the
@@ -147,6 +149,7 @@
             phase: Phase::Open,
             opened_here: false,
             resent: false,
+            last_copy: None,
             checks: 0,
             next_check: Millis(0),
             overdue: false,
--- a/marked/src/forwarder/counts.rs
+++ b/marked/src/forwarder/counts.rs
@@ -10,6 +10,8 @@
     pub opened: u64,
     /// Opening packets that were forwarded again.
     pub reopened: u64,
+    /// Opening packets dropped because their callers had sent another copy or given up.
+    pub superseded: u64,
     /// Packets that callers retransmitted because nothing had answered them.
     pub repeated: u64,
     /// Packets in mid-flow that were forwarded.
--- a/marked/src/forwarder/failover.rs
+++ b/marked/src/forwarder/failover.rs
@@ -57,6 +57,7 @@
             return self.drop_flow(&key);
         }
         let Phase::Opening { packet } = flow.phase.clone() else { return };
+        let Some(last_copy) = flow.last_copy else { return };
         let waited = if flow.overdue { OVERDUE_WAIT } else { Millis(0) };
         let Some(route) = self.catalog.route(key.service) else {
             self.drop_flow(&key);
@@ -65,8 +66,9 @@
         let service = route.pick_service(self.random.draw()).clone();
         self.counts.moved += 1;
         out.note(Note::Moved { flow: key, from });
-        let (seq, class, queued) = (0, route.class, Millis(0));
-        self.place(NewFlow { key, seq, class, service, packet, queued, waited }, now, out);
+        let (seq, class) = (0, route.class);
+        let it = NewFlow { key, seq, class, service, packet, last_copy, waited };
+        self.place(it, now, out);
     }
 
     /// Removes all flows from a target that was found lost.
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -7,7 +7,10 @@
     subset::Subset,
     waiting::{self, NewFlow},
 };
-use crate::{Entry, Flow, FlowKey, Incarnation, Kind, Mark, Note, Phase, Presence, Segment};
+use crate::{
+    Entry, Flow, FlowKey, Incarnation, Kind, Mark, Note, Phase, Presence, Segment,
+    last_copy::{ANSWER_TIME, LastCopy},
+};
 use medlarspur_lib::{
     bundle::Class,
     collections::Map,
@@ -21,9 +24,8 @@
 };
 
 /// Minimum time without the end of the handshake after which an opening packet is sent again
-/// and its target suspected. A round trip through caller and target takes up to 12 ms if
-/// failure domains are 1.4 ms apart and callers 3 ms away.
-const MIN_OPENING_TIMEOUT: Millis = Millis(30);
+/// and its target suspected.
+const MIN_OPENING_TIMEOUT: Millis = ANSWER_TIME;
 /// Maximum of the same time: callers repeat an opening after 200 ms, when some answers are
 /// already late. Between the two limits the usual upper bound of handshake times applies, so
 /// that openings of distant callers aren't all sent twice.
@@ -73,10 +75,16 @@
         now: Millis,
         out: &mut impl Output,
     ) {
+        let last_copy = LastCopy::new(segment, queued, now);
+        if last_copy.is_superseded(now) {
+            self.counts.superseded += 1;
+            return out.note(Note::Superseded { flow: segment.key, waited: queued });
+        }
         if let Some(target) = self.copy_target(&segment.key, now) {
             self.counts.reopened += 1;
             if let Some(flow) = self.flows.get_mut(&segment.key) {
                 flow.resent = true;
+                flow.last_copy = Some(last_copy);
             }
             self.send(target, &segment.key, bytes, out);
             return;
@@ -94,7 +102,7 @@
             class: route.class,
             service: route.pick_service(self.random.draw()).clone(),
             packet: bytes.into(),
-            queued,
+            last_copy,
             waited: Millis(0),
         };
         self.record_level_use(&new.service, new.class, &new.key, now);
@@ -118,7 +126,7 @@
 
     /// Chooses a target for a new flow and forwards the opening packet.
     pub(super) fn place(&mut self, it: NewFlow, now: Millis, out: &mut impl Output) {
-        let NewFlow { key, seq, class, service, packet, queued, waited } = it;
+        let NewFlow { key, seq, class, service, packet, last_copy, waited } = it;
         self.settle_closed(&key, Kind::Abort, now, out);
         self.drop_flow(&key);
         let level = self.level(&service, class, &key);
@@ -133,12 +141,13 @@
         self.record_opening(&service, demand, &key, now);
         self.record_warmup_opening(target, now);
         self.record_trial(&key, target, now);
+        let age = last_copy.age(now);
         let Choice { tier, work, candidates } = choice;
-        let age = queued + waited;
         out.note(Note::Opened { flow: key, target, class, tier, work, candidates, waited: age });
         self.send(target, &key, &packet, out);
         let mut flow = Flow::open(target, class, packet, seq, now);
         flow.level = level;
+        flow.last_copy = Some(last_copy);
         flow.overdue = waited >= OVERDUE_WAIT;
         self.insert_flow(key, flow);
         self.schedule_opening_check(key, now);
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -4,7 +4,7 @@
 //! they describe the load patterns that this is for.
 
 use super::{FlowEvent, Forwarder, Output, Refusal, excess::Excess};
-use crate::{FlowKey, Note, Route};
+use crate::{FlowKey, Note, Route, last_copy::LastCopy};
 use medlarspur_lib::{
     bundle::Class,
     collections::{Map, Set},
@@ -36,8 +36,8 @@
     pub(super) service: ServiceName,
     /// The opening packet.
     pub(super) packet: Box<[u8]>,
-    /// Time for which the opening packet waited in the socket.
-    pub(super) queued: Millis,
+    /// The last copy of the opening packet that arrived.
+    pub(super) last_copy: LastCopy,
     /// Time for which the flow has been held.
     pub(super) waited: Millis,
 }
--- a/marked/src/lib.rs
+++ b/marked/src/lib.rs
@@ -18,6 +18,7 @@
 mod forwarder;
 mod health;
 mod incarnation;
+mod last_copy;
 mod mark;
 pub mod message;
 mod note;
--- a/marked/src/note.rs
+++ b/marked/src/note.rs
@@ -79,6 +79,13 @@
         /// The packet's mark, if it has one.
         mark: Option<Mark>,
     },
+    /// An opening packet was dropped because its caller had sent another copy or given up.
+    Superseded {
+        /// Key of the packet's flow.
+        flow: FlowKey,
+        /// Time since the packet arrived.
+        waited: Millis,
+    },
     /// A target answered that it failed, or that it had no capacity.
     Failed {
         /// The target.
@@ -242,7 +249,7 @@
     Moved,
     /// [`Note::Reset`].
     Reset,
-    /// [`Note::Dropped`].
+    /// [`Note::Dropped`] and [`Note::Superseded`].
     Dropped,
     /// [`Note::Suspected`].
     Suspected,
@@ -297,7 +304,7 @@
             Note::Held { .. } => NoteKind::Held,
             Note::Moved { .. } => NoteKind::Moved,
             Note::Reset { .. } => NoteKind::Reset,
-            Note::Dropped { .. } => NoteKind::Dropped,
+            Note::Dropped { .. } | Note::Superseded { .. } => NoteKind::Dropped,
             Note::Suspected { .. } => NoteKind::Suspected,
             Note::Failed { .. } | Note::Unanswered { .. } => NoteKind::Outcome,
             Note::Lost { .. } | Note::Regained { .. } => NoteKind::Reach,
@@ -316,7 +323,7 @@
             Note::Held { .. } => "flow held",
             Note::Moved { .. } => "flow moved",
             Note::Reset { .. } => "flow reset",
-            Note::Dropped { .. } => "packet dropped",
+            Note::Dropped { .. } | Note::Superseded { .. } => "packet dropped",
             Note::Suspected { .. } => "target doubted",
             Note::Failed { .. } => "request failed",
             Note::Unanswered { .. } => "request unanswered",
@@ -371,6 +378,11 @@
                 fields.extend(mark.map(|it| ("mark", format!("{:08x}", it.to_wire()))));
                 fields
             }
+            Note::Superseded { flow, waited } => vec![
+                ("flow", flow.to_string()),
+                ("reason", "superseded".to_owned()),
+                ("waited_ms", waited.to_string()),
+            ],
             Note::Suspected { target, flow, silent } => vec![
                 ("target", name(*target)),
                 ("silent_ms", silent.to_string()),
--- a/marked/src/segment.rs
+++ b/marked/src/segment.rs
@@ -1,6 +1,7 @@
 //! The parts of a caller's packet that forwarding looks at.
 
 use crate::Mark;
+use medlarspur_lib::time::Millis;
 use std::{fmt, net::SocketAddrV4};
 
 /// The addresses and ports that identify a flow.
@@ -46,6 +47,9 @@
     pub len: u16,
     /// The mark that the caller last received on this flow, if any.
     pub mark: Option<Mark>,
+    /// Time after which the caller of an opening sends its next copy or gives up, counted from
+    /// this packet; zero for other packets.
+    pub repeated_after: Millis,
 }
 
 impl Segment {
--- a/marked/tests/fixtures.rs
+++ b/marked/tests/fixtures.rs
@@ -22,6 +22,10 @@
 /// Service address for uploads to `ingest`.
 pub const UPLOAD: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 8443);
 
+/// Times at which callers send the copies of an opening and at which they give up, counted from
+/// the opening, in milliseconds.
+pub const COPIES: [u64; 4] = [0, 200, 600, 1_400];
+
 pub fn millis(millis: u64) -> Millis {
     Millis(millis)
 }
@@ -115,7 +119,14 @@
 }
 
 pub fn segment(key: FlowKey, kind: Kind) -> Segment {
-    Segment { key, kind, seq: 1000, ack: 0, len: 0, mark: None }
+    let repeated_after = millis(if kind == Kind::Open { COPIES[1] } else { 0 });
+    Segment { key, kind, seq: 1000, ack: 0, len: 0, mark: None, repeated_after }
+}
+
+/// The opening packet of a flow of which `nth` copies were sent before.
+pub fn copy(key: FlowKey, nth: usize) -> Segment {
+    let repeated_after = millis(COPIES[nth + 1] - COPIES[nth]);
+    Segment { repeated_after, ..segment(key, Kind::Open) }
 }
 
 /// Records the output of a forwarder.
@@ -269,5 +280,5 @@
 /// A packet in mid-flow, with the mark of `target`.
 pub fn middle(key: FlowKey, target: Incarnation, seq: u32, ack: u32, len: u16) -> Segment {
     let mark = Some(Mark::new(target, &key));
-    Segment { key, kind: Kind::Continue, seq, ack, len, mark }
+    Segment { seq, ack, len, mark, ..segment(key, Kind::Continue) }
 }
--- a/marked/tests/runner.rs
+++ b/marked/tests/runner.rs
@@ -17,6 +17,7 @@
 mod test_openings;
 mod test_outcomes;
 mod test_outliers;
+mod test_pauses;
 mod test_priority;
 mod test_properties;
 mod test_regions;
--- /dev/null
+++ b/marked/tests/test_pauses.rs
@@ -0,0 +1,82 @@
+//! Openings that grew old before they were acted on, because the process did not run.
+
+use super::fixtures::{COPIES, Instance, REQUEST, copy, flow, millis, target};
+use medlarspur_marked::{FlowKey, Note};
+
+fn instance() -> Instance {
+    Instance::new(&[target(1, "desk"), target(2, "desk")])
+}
+
+/// Wakes an instance at `now` with all copies of an opening in its socket that the caller has
+/// sent since 0.
+fn wake(instance: &mut Instance, key: FlowKey, now: u64) {
+    for nth in (0..3).filter(|nth| COPIES[*nth] <= now) {
+        instance.delayed_packet(copy(key, nth), now - COPIES[nth], now);
+    }
+    instance.tick(now);
+}
+
+/// Guards against two targets that answer one opening: an instance that was frozen opens the flow
+/// that its caller has opened through another one in the meantime.
+#[test]
+fn an_instance_that_was_frozen_opens_no_flow_that_its_caller_repeated_elsewhere() {
+    let mut instance = instance();
+
+    for number in 0..20 {
+        wake(&mut instance, flow(number, REQUEST), 3_000);
+    }
+
+    assert!(instance.out.sent.is_empty() && instance.out.resets.is_empty());
+    assert_eq!(instance.forwarder.counts().superseded, 60);
+}
+
+/// Guards against openings that are lost to every pause: the last copy of each is served at once.
+#[test]
+fn an_instance_that_was_frozen_briefly_opens_each_flow_once() {
+    for (now, dropped) in [(150, 0), (220, 1), (500, 1), (620, 2), (1_350, 2)] {
+        let mut instance = instance();
+
+        wake(&mut instance, flow(1, REQUEST), now);
+
+        assert_eq!(instance.out.sent.len(), 1, "after {now} ms");
+        assert_eq!(instance.forwarder.counts().superseded, dropped, "after {now} ms");
+    }
+}
+
+/// Guards against a second target that answers a moment after the caller has sent its next copy.
+#[test]
+fn an_opening_is_dropped_from_30_ms_before_its_next_copy_on() {
+    for (nth, limit) in [(0, 170), (1, 370), (2, 770)] {
+        let mut instance = instance();
+
+        instance.delayed_packet(copy(flow(1, REQUEST), nth), limit, 5_000);
+        instance.delayed_packet(copy(flow(2, REQUEST), nth), limit + 1, 5_000);
+
+        assert_eq!(instance.out.sent.len(), 1, "copy {nth}");
+        let dropped = Note::Superseded { flow: flow(2, REQUEST), waited: millis(limit + 1) };
+        assert_eq!(instance.out.notes.last(), Some(&dropped));
+    }
+}
+
+/// Guards against a target that opens a flow again after it has forgotten it: the instance still
+/// has the record of the first copy and would send the old ones to the same target.
+#[test]
+fn old_copies_of_a_known_opening_are_not_sent_again() {
+    let mut instance = instance();
+    let key = flow(1, REQUEST);
+    instance.packet(copy(key, 0), 0);
+
+    instance.delayed_packet(copy(key, 1), 800, 1_000);
+
+    assert_eq!(instance.out.sent.len(), 1);
+}
+
+/// Guards against resets of flows that were opened through another instance.
+#[test]
+fn an_old_opening_that_no_target_can_take_is_not_reset() {
+    let mut instance = Instance::new(&[target(1, "ingest")]);
+
+    instance.delayed_packet(copy(flow(1, REQUEST), 0), 1_000, 1_000);
+
+    assert!(instance.out.resets.is_empty());
+}
--- a/marked/tests/test_properties.rs
+++ b/marked/tests/test_properties.rs
@@ -1,6 +1,6 @@
 //! Properties of forwarding that hold for any sequence of events.
 
-use super::fixtures::{FEED, Instance, REQUEST, UPLOAD, flow, incremental, target};
+use super::fixtures::{FEED, Instance, REQUEST, UPLOAD, flow, incremental, segment, target};
 use medlarspur_lib::collections::Map;
 use medlarspur_marked::{Content, FlowKey, Incarnation, Kind, Mark, ProbeResult, Segment};
 use proptest::{collection::vec, prelude::*};
@@ -74,7 +74,7 @@
                     let kinds = [Kind::Open, Kind::Continue, Kind::Close, Kind::Abort];
                     let (key, kind) = (flow(caller, service(port)), kinds[usize::from(kind)]);
                     let mark = Mark::from_wire(echo);
-                    instance.packet(Segment { key, kind, seq, ack, len, mark }, now);
+                    instance.packet(Segment { seq, ack, len, mark, ..segment(key, kind) }, now);
                     if kind == Kind::Open {
                         let numbers = if port == 2 { 5..9 } else { 1..5 };
                         let allowed: Vec<_> = numbers.map(|it| numbered(it).incarnation).collect();
@@ -85,7 +85,7 @@
                     let key = flow(caller, service(port));
                     let at = numbered(target).incarnation;
                     let mark = Some(Mark::new(at, &key));
-                    let segment = Segment { key, kind: Kind::Continue, seq, ack: 1, len, mark };
+                    let segment = Segment { seq, ack: 1, len, mark, ..segment(key, Kind::Continue) };
                     instance.packet(segment, now);
                     // A flow whose sequence numbers continue may be known to be open at another
                     // target.
