marked: open no held flow whose next copy is due

After a freeze, or when routers move the flow, the copies reach another instance, which opens it too.

A held flow is now opened only while its last copy is current. A copy that arrives here renews it and keeps its place; if the next copy should have arrived and has not, the flow is no longer refused either, since it may be open elsewhere.

The case without copies has a test of its own.

--- a/load/src/backlog.rs
+++ b/load/src/backlog.rs
@@ -151,8 +151,14 @@
 
     /// Returns the opening that goes next.
     pub fn peek(&self) -> Option<Waiting<K>> {
+        self.peek_matching(|_| true)
+    }
+
+    /// Returns the opening that goes next of those that match.
+    pub fn peek_matching(&self, is_match: impl Fn(&Waiting<K>) -> bool) -> Option<Waiting<K>> {
+        let matching = self.waiting.iter().filter(|it| is_match(&it.opening));
         // The last one of equals goes next: of those that arrived at once, it is the newest.
-        self.waiting.iter().rev().min_by_key(|it| it.order()).map(|it| it.opening)
+        matching.rev().min_by_key(|it| it.order()).map(|it| it.opening)
     }
 
     /// Removes the opening with the given key.
--- a/marked/src/forwarder/excess.rs
+++ b/marked/src/forwarder/excess.rs
@@ -141,9 +141,7 @@
             rates.can_open(it.level, ahead, ahead_in_level, it.deadline.since(now), now)
         });
         for it in shed {
-            if self.held.remove(&it.key).is_some() {
-                self.refuse_held(service, &it, Refusal::Shed, now, out);
-            }
+            self.refuse_held(service, &it, Refusal::Shed, now, out);
         }
     }
 }
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -89,7 +89,9 @@
             self.send(target, &segment.key, bytes, out);
             return;
         }
-        if self.is_held(&segment.key) {
+        if let Some(held) = self.held.get_mut(&segment.key) {
+            held.packet = bytes.into();
+            held.last_copy = last_copy;
             return;
         }
         let Some(route) = self.catalog.route(segment.key.service) else {
--- a/marked/src/forwarder/waiting.rs
+++ b/marked/src/forwarder/waiting.rs
@@ -113,7 +113,7 @@
         let waiting = Waiting { key: it.key, level, since: now, deadline };
         let (pressure, count) = (admission.limit.pressure(), admission.backlog.len());
         if admission.backlog.push_with_turn(waiting, turn).is_some() {
-            self.refuse_held(&it.service, &waiting, Refusal::Busy, now, out);
+            self.refuse_waiting(&it.service, &waiting, Refusal::Busy, now, out);
             return None;
         }
         let NewFlow { key, class, service, .. } = it.clone();
@@ -142,9 +142,7 @@
         }
         let Some(admission) = self.admissions.get_mut(service) else { return };
         let Some(evicted) = admission.backlog.make_room(level) else { return };
-        if self.held.remove(&evicted.key).is_some() {
-            self.refuse_held(service, &evicted, Refusal::Busy, now, out);
-        }
+        self.refuse_held(service, &evicted, Refusal::Busy, now, out);
     }
 
     /// Replaces the levels of held flows after a change of priorities.
@@ -197,7 +195,8 @@
         }
     }
 
-    /// Refuses a held flow, or one that can't be held.
+    /// Refuses a held flow that was removed from the backlog. If the next copy of its opening
+    /// went to another instance, the flow may be open there, and is only dropped here.
     pub(super) fn refuse_held(
         &mut self,
         service: &ServiceName,
@@ -205,6 +204,25 @@
         refusal: Refusal,
         now: Millis,
         out: &mut impl Output,
+    ) {
+        let Some(held) = self.held.remove(&it.key) else { return };
+        if held.last_copy.is_followed_elsewhere(now) {
+            self.counts.superseded += 1;
+            let waited = held.last_copy.age(now);
+            out.note(Note::Superseded { flow: it.key, waited });
+            return;
+        }
+        self.refuse_waiting(service, it, refusal, now, out);
+    }
+
+    /// Refuses a flow that can't wait, or no longer.
+    fn refuse_waiting(
+        &mut self,
+        service: &ServiceName,
+        it: &Waiting<FlowKey>,
+        refusal: Refusal,
+        now: Millis,
+        out: &mut impl Output,
     ) {
         self.record_refusal(service, it.level, &it.key, now);
         self.refuse_level(&it.key, refusal, service, it.level, out);
@@ -228,7 +246,15 @@
         loop {
             let Load { work, .. } = self.load(service);
             let Some(admission) = self.admissions.get_mut(service) else { return };
-            let Some(next) = admission.backlog.peek() else { return };
+            let Some(first) = admission.backlog.peek() else { return };
+            if !admission.limit.admits(first.level, work, now) {
+                return;
+            }
+            let held = &self.held;
+            let is_current = |it: &Waiting<FlowKey>| {
+                held.get(&it.key).is_some_and(|held| !held.last_copy.is_superseded(now))
+            };
+            let Some(next) = admission.backlog.peek_matching(is_current) else { return };
             if !admission.limit.admits(next.level, work, now) {
                 return;
             }
@@ -243,9 +269,7 @@
         loop {
             let Some(admission) = self.admissions.get_mut(service) else { return };
             let Some(late) = admission.backlog.pop_expired(now) else { return };
-            if self.held.remove(&late.key).is_some() {
-                self.refuse_held(service, &late, Refusal::Busy, now, out);
-            }
+            self.refuse_held(service, &late, Refusal::Busy, now, out);
         }
     }
 
--- a/marked/src/last_copy.rs
+++ b/marked/src/last_copy.rs
@@ -36,4 +36,10 @@
     pub(crate) fn is_superseded(self, now: Millis) -> bool {
         now + ANSWER_TIME > self.next
     }
+
+    /// Whether the next copy should have arrived here. Since it has not, it went to another
+    /// instance, or the caller has gone.
+    pub(crate) fn is_followed_elsewhere(self, now: Millis) -> bool {
+        now > self.next + ANSWER_TIME
+    }
 }
--- a/marked/tests/test_pauses.rs
+++ b/marked/tests/test_pauses.rs
@@ -1,6 +1,9 @@
 //! Openings that grew old before they were acted on, because the process did not run.
 
-use super::fixtures::{COPIES, Instance, REQUEST, copy, flow, millis, target};
+use super::{
+    fixtures::{COPIES, Decisions, Instance, REQUEST, copy, flow, millis, target},
+    test_waiting::{busy_instance, end_requests, open_until_held, opened},
+};
 use medlarspur_marked::{FlowKey, Note};
 
 fn instance() -> Instance {
@@ -80,3 +83,36 @@
 
     assert!(instance.out.resets.is_empty());
 }
+
+/// Guards against two targets that answer one opening: the copy of an opening that is held here
+/// reaches another instance, as routers move the flow there or this instance was frozen.
+#[test]
+fn a_held_opening_whose_next_copy_does_not_arrive_is_not_opened() {
+    for now in [COPIES[1] - 20, 250, 1_000] {
+        let mut instance = busy_instance(140);
+        let held = open_until_held(&mut instance, REQUEST, 500);
+        instance.out = Decisions::default();
+
+        end_requests(&mut instance, held, 500 + now);
+        instance.tick(500 + now);
+
+        assert!(opened(&instance).is_empty(), "opened after {now} ms");
+        assert!(instance.out.resets.is_empty(), "refused after {now} ms");
+    }
+}
+
+/// Guards against callers who wait for nothing: their flow is held for longer than the time to
+/// the next copy, and goes on being held when that arrives.
+#[test]
+fn a_held_opening_is_opened_when_its_next_copy_has_arrived() {
+    let mut instance = busy_instance(140);
+    let held = open_until_held(&mut instance, REQUEST, 500);
+    end_requests(&mut instance, held, 500 + COPIES[1] - 10);
+    instance.tick(500 + COPIES[1] - 10);
+    instance.out = Decisions::default();
+
+    instance.packet(copy(held, 1), 500 + COPIES[1]);
+    instance.tick(500 + COPIES[1]);
+
+    assert_eq!(opened(&instance), [held]);
+}
--- a/marked/tests/test_shedding.rs
+++ b/marked/tests/test_shedding.rs
@@ -69,6 +69,7 @@
 fn flows_that_cannot_be_opened_in_time_are_refused_early() {
     let mut it = shedding();
     let keys: Vec<FlowKey> = (0..20).map(|number| open(&mut it, number, 100, 9_410)).collect();
+    keys.iter().for_each(|key| it.packet(copy(*key, 1), 9_610));
 
     it.tick(9_700);
 
