marked: neither repeat nor move a superseded opening

An opening without an answer is sent again after 30 to 100 ms, and moves when its target is found lost or full. After a pause both were overdue at once and went by a packet that could be seconds old.

A check that comes more than 100 ms late is put off, as checks of requests are, so that queued handshakes are seen first. A superseded opening is neither sent again nor moved; its next copy opens the flow anew. An opening whose next copy did not arrive here is no reason to suspect its target.

--- a/marked/src/forwarder/failover.rs
+++ b/marked/src/forwarder/failover.rs
@@ -44,7 +44,8 @@
         }
     }
 
-    /// Moves one flow whose handshake has not ended from a target to another one.
+    /// Moves one flow whose handshake has not ended from a target to another one. If its opening
+    /// is superseded, it is dropped, and the next copy opens the flow anew.
     pub(super) fn move_opening(
         &mut self,
         key: FlowKey,
@@ -58,6 +59,11 @@
         }
         let Phase::Opening { packet } = flow.phase.clone() else { return };
         let Some(last_copy) = flow.last_copy else { return };
+        if last_copy.is_superseded(now) {
+            self.counts.superseded += 1;
+            out.note(Note::Superseded { flow: key, waited: last_copy.age(now) });
+            return self.drop_flow(&key);
+        }
         let waited = if flow.overdue { OVERDUE_WAIT } else { Millis(0) };
         let Some(route) = self.catalog.route(key.service) else {
             self.drop_flow(&key);
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -19,7 +19,7 @@
 const MAX_CHECKS: usize = 16_384;
 /// Maximum delay of a check. A later one shows that the process did not run, and
 /// acknowledgements that arrived meanwhile may still wait in its socket.
-const MAX_CHECK_DELAY: Millis = Millis(100);
+pub(super) const MAX_CHECK_DELAY: Millis = Millis(100);
 
 /// Lengths of answers by route, and scheduled checks of requests and answers.
 #[derive(Debug, Default)]
--- a/marked/src/forwarder/placing.rs
+++ b/marked/src/forwarder/placing.rs
@@ -3,6 +3,7 @@
 use super::{
     FlowEvent, Forwarder, Output, Refusal,
     exclusion::Exclusion,
+    outcomes::MAX_CHECK_DELAY,
     probing::SUSPECT_TIME,
     subset::Subset,
     waiting::{self, NewFlow},
@@ -363,6 +364,14 @@
     pub(super) fn check_opening(&mut self, key: FlowKey, now: Millis, out: &mut impl Output) {
         let Some(flow) = self.flows.get_mut(&key) else { return };
         let Phase::Opening { packet } = &flow.phase else { return };
+        if now.since(flow.next_check) > MAX_CHECK_DELAY {
+            return self.schedule_opening_check(key, now);
+        }
+        if flow.last_copy.is_some_and(|it| it.is_followed_elsewhere(now)) {
+            // The handshake has probably ended at another instance.
+            return;
+        }
+        let is_superseded = flow.last_copy.is_some_and(|it| it.is_superseded(now));
         if flow.overdue {
             return self.abandon(key, now, out);
         }
@@ -376,10 +385,12 @@
             return;
         }
         if is_first {
-            if let Some(flow) = self.flows.get_mut(&key) {
-                flow.resent = true;
+            if !is_superseded {
+                if let Some(flow) = self.flows.get_mut(&key) {
+                    flow.resent = true;
+                }
+                self.send(target, &key, &packet, out);
             }
-            self.send(target, &key, &packet, out);
             self.suspect_opening(target, key, since, now, out);
         }
         if now.since(since) < MAX_CHECK_AGE {
--- a/marked/tests/test_pauses.rs
+++ b/marked/tests/test_pauses.rs
@@ -4,7 +4,7 @@
     fixtures::{COPIES, Decisions, Instance, REQUEST, copy, flow, millis, target},
     test_waiting::{busy_instance, end_requests, open_until_held, opened},
 };
-use medlarspur_marked::{FlowKey, Note};
+use medlarspur_marked::{FlowKey, Note, ProbeResult};
 
 fn instance() -> Instance {
     Instance::new(&[target(1, "desk"), target(2, "desk")])
@@ -116,3 +116,66 @@
 
     assert_eq!(opened(&instance), [held]);
 }
+
+/// Guards against two targets that answer one opening: the process did not run when the opening's
+/// check was due, and its caller has opened the flow through another instance in the meantime.
+#[test]
+fn an_opening_is_not_sent_again_after_a_pause() {
+    for now in [180, 600, 3_000] {
+        let mut instance = instance();
+        instance.packet(copy(flow(1, REQUEST), 0), 0);
+        instance.out = Decisions::default();
+
+        for time in now..now + 150 {
+            instance.tick(time);
+        }
+
+        assert!(instance.out.sent.is_empty(), "sent again {now} ms after it arrived");
+    }
+}
+
+/// Guards against healthy targets that are probed after a pause for openings whose handshakes
+/// ended at other instances.
+#[test]
+fn an_opening_from_before_a_pause_makes_no_target_suspected() {
+    let mut instance = instance();
+    instance.packet(copy(flow(1, REQUEST), 0), 0);
+
+    for time in 3_000..3_300 {
+        instance.tick(time);
+    }
+
+    assert!(instance.out.probed.is_empty());
+}
+
+/// Guards against two targets that answer one opening: a probe that ends after the pause makes
+/// its target lost, and the opening moves although its caller has opened the flow elsewhere.
+#[test]
+fn an_opening_from_before_a_pause_moves_to_no_other_target() {
+    let mut instance = instance();
+    let first = instance.open(flow(1, REQUEST), 0);
+    instance.out = Decisions::default();
+
+    let (now, out) = (millis(3_000), &mut instance.out);
+    instance.forwarder.handle_probe_result(first, ProbeResult::Gone, now, out);
+
+    assert!(instance.out.sent.is_empty() && instance.out.resets.is_empty());
+    assert!(instance.forwarder.is_empty());
+}
+
+/// Guards against callers who wait for nothing: their opening can't move because its next copy is
+/// due, and that copy goes to another target at once.
+#[test]
+fn the_next_copy_of_an_opening_at_a_lost_target_goes_to_another_one() {
+    let mut instance = instance();
+    let key = flow(1, REQUEST);
+    let first = instance.open(key, 0);
+    let (now, out) = (millis(COPIES[1] - 10), &mut instance.out);
+    instance.forwarder.handle_probe_result(first, ProbeResult::Gone, now, out);
+    instance.out = Decisions::default();
+
+    instance.packet(copy(key, 1), COPIES[1]);
+
+    assert_eq!(instance.out.sent.len(), 1);
+    assert_ne!(instance.last_target(), first);
+}
