daemon: send each opening before the next packet is handled

Up to 64 packets were handled by one reading of the clock and sent together. An instance that is busy when it freezes is always in the middle of that, and sent the openings on when it woke. Each opening now has a reading of its own and is sent at once; what is left is a stop between the two. At 48,000 new flows a second on 1,000 nodes that is 48 system calls a second on each.

--- a/daemon/src/marked/instance/mod.rs
+++ b/daemon/src/marked/instance/mod.rs
@@ -20,7 +20,7 @@
     settings::MarkedSettings,
     time::Millis,
 };
-use medlarspur_marked::{Fleet, Forwarder, ForwarderOptions, Update};
+use medlarspur_marked::{Fleet, Forwarder, ForwarderOptions, Kind, Update};
 use medlarspur_operator::MetersError;
 use medlarspur_platform::site::{packet, ready};
 use report::Metrics;
@@ -290,19 +290,22 @@
             if count == 0 {
                 break;
             }
-            let now = self.clock.now();
-            self.last_packet = now;
+            let received_at = self.clock.now();
+            self.last_packet = received_at;
             self.stats.received += count as u64;
             for received in self.batch.iter() {
                 match packet::parse(received.bytes) {
                     Ok(segment) => {
-                        self.forwarder.handle_packet(
-                            &segment,
-                            received.bytes,
-                            received.age.into(),
-                            now,
-                            &mut self.output,
-                        );
+                        let is_opening = segment.kind == Kind::Open;
+                        let now = if is_opening { self.clock.now() } else { received_at };
+                        let queued = Millis::from(received.age) + now.since(received_at);
+                        let (bytes, out) = (received.bytes, &mut self.output);
+                        self.forwarder.handle_packet(&segment, bytes, queued, now, out);
+                        if is_opening {
+                            // The process may be suspended before the rest of the batch is
+                            // handled, and the opening would be sent when it is resumed.
+                            self.output.outbox().flush(&mut self.socket);
+                        }
                     }
                     Err(error) => {
                         self.stats.malformed[error as usize] += 1;
