daemon: count suspensions of the machine as time

The steady clock stands still while a machine is suspended. An instance that woke took its picture, its readers and its held flows for as fresh as before, and told others so. The process's clock is the boot clock now, which is never stepped and goes on.

--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -1,20 +1,25 @@
-//! The process's monotonic clock.
+//! The process's clock.
 
+use medlarspur_fabric::boot_time;
 use medlarspur_lib::time::Millis;
-use std::time::Instant;
+use std::time::Duration;
 
 /// Time on the clock at the start of the process, one week after zero. Peers report
 /// events from before the start, such as a bucket's move, whose times must not be negative.
 const START: Millis = Millis::secs(7 * 24 * 3_600);
 
-/// A monotonic clock that starts with the process.
+/// A clock that starts with the process, is never stepped and also runs while the machine is
+/// suspended. What was believed before a suspension is old after it.
 #[derive(Debug, Clone, Copy)]
-pub struct Clock(Instant);
+pub struct Clock {
+    /// Time since the start of the machine when the process started.
+    started: Duration,
+}
 
 impl Clock {
     /// Starts the clock at one week.
     pub fn start() -> Clock {
-        Clock(Instant::now())
+        Clock { started: boot_time() }
     }
 
     /// The current time.
@@ -24,6 +29,6 @@
 
     /// Time since the start of the process.
     pub fn uptime(&self) -> Millis {
-        self.0.elapsed().into()
+        boot_time().saturating_sub(self.started).into()
     }
 }
