marked: assign no seats on an old answer of the store

A reader that was frozen counted itself as the first reader when it woke, by an answer of the store from before, and gave itself and others seats, while another reader had taken its place. Two instances then own a target in slow start.

--- a/marked/src/fleet/seats.rs
+++ b/marked/src/fleet/seats.rs
@@ -64,13 +64,19 @@
     pub(super) fn assigns_seats(&self, now: Millis) -> bool {
         let is_settled = now.since(self.started) >= MIN_UPTIME;
         let has_tenure = self.reading_since.is_some_and(|since| now.since(since) >= MIN_TENURE);
-        let is_reading = has_tenure && self.last_answer.is_some();
+        let is_reading = has_tenure && self.has_recent_answer(now);
         is_settled && is_reading && self.is_first_reader(self.address, now)
     }
 
+    /// Whether the store has answered this instance as recently as others expect of a reader.
+    /// After a pause of the process another reader may have taken its place.
+    fn has_recent_answer(&self, now: Millis) -> bool {
+        self.last_answer.is_some_and(|at| now.since(at) <= READER_TIMEOUT)
+    }
+
     /// Whether no active reader with a smaller address is known, including this instance.
     fn is_first_reader(&self, at: SocketAddrV4, now: Millis) -> bool {
-        let precedes = self.is_reading() && self.last_answer.is_some() && self.address < at;
+        let precedes = self.is_reading() && self.has_recent_answer(now) && self.address < at;
         !precedes && self.readers(now).all(|it| it >= at)
     }
 }
--- a/marked/tests/test_seats.rs
+++ b/marked/tests/test_seats.rs
@@ -87,6 +87,24 @@
     assert_eq!(owners.now, TARGETS as usize);
 }
 
+/// Guards against two owners of a target in slow start: the first reader was frozen, another one
+/// has taken its place, and the woken one goes on as if it had not.
+#[test]
+fn a_reader_that_was_frozen_has_no_seat_until_the_store_answers_it() {
+    let mut net = net_with_slow_start(1, 6);
+    net.run(10_000);
+    let first = *net.readers(1).iter().min().expect("the domain has readers");
+    net.instances.get_mut(&first).expect("the instance exists").up = false;
+    net.run(3_000);
+
+    net.instances.get_mut(&first).expect("the instance exists").up = true;
+
+    assert!(net.seats().count() > 0, "another reader assigns seats");
+    assert!(!net.seats().any(|(at, _)| at == first));
+    net.run(500);
+    assert!(net.seats().any(|(at, _)| at == first));
+}
+
 /// A change of the net.
 #[derive(Debug, Clone, Copy)]
 enum Event {
