marked: count silence of targets anew after a pause

Callers go on through other instances while this one stands still, and what targets answer meanwhile isn't seen here. A woken instance took that for silence: it reset open flows of targets that had been silent for a moment before the pause, or had been lost and were back, and could use an evacuated domain as if it were cut off.

What other instances have sent is then merged before packets are handled. Silent targets are probed again, silence counts from the end of the pause, and a packet of a flow whose target was lost before goes on until a probe has failed again. Reports of other instances that waited are ignored.

--- a/daemon/src/marked/instance/mod.rs
+++ b/daemon/src/marked/instance/mod.rs
@@ -9,6 +9,7 @@
     lines::CatalogState,
     meters::{SharedStats, Stats},
     output::RoundOutput,
+    pause::PauseDetector,
     peers::Peers,
     pictures::Command,
     store::StoreReader,
@@ -130,6 +131,7 @@
         batch: Batch::new(),
         socket,
         inbox,
+        pauses: PauseDetector::new(clock.now()),
         clock,
         last_packet: Millis(0),
         last_read: None,
@@ -171,6 +173,7 @@
     socket: Socket,
     inbox: Inbox,
     clock: Clock,
+    pauses: PauseDetector,
     /// Time of the last packet.
     last_packet: Millis,
     /// Time of the store's last answer.
@@ -216,6 +219,7 @@
 
     fn serve(&mut self) -> Result<(), RunError> {
         self.ready.store(!self.should_stop(), Relaxed);
+        self.pauses = PauseDetector::new(self.clock.now());
         while !self.should_stop() {
             self.round(None)?;
         }
@@ -245,6 +249,7 @@
     /// handled first: a timer's action may depend on an answer queued in the socket.
     fn round(&mut self, max_wait: Option<Millis>) -> Result<(), RunError> {
         let now = self.clock.now();
+        let stopped = self.pauses.begin_wait(now);
         let peers = self.peers.as_ref().map(|peers| peers.fleet.deadline(now));
         let due = self.forwarder.deadline().into_iter().chain(peers).map(|due| due.since(now));
         let max_wait = due.chain(max_wait).chain(self.socket.max_wait().map(Millis::from)).min();
@@ -257,6 +262,7 @@
         }
         .context(PacketsSnafu)?;
         self.socket.record_wait(began, Clocks::read(), limit);
+        let pause = stopped.max(self.pauses.end_wait(self.clock.now(), max_wait));
         if self.reload.swap(false, Relaxed) {
             self.settings.reload();
             if let Some(peers) = &mut self.peers {
@@ -265,7 +271,7 @@
         }
         self.begin_round();
         let unknown = self.forwarder.counts().unknown;
-        self.handle_packets()?;
+        self.handle_packets(pause)?;
         if self.forwarder.counts().unknown > unknown {
             self.catch_up();
         }
@@ -284,9 +290,17 @@
         self.output.begin_round(CatalogState { revision: self.forwarder.revision(), age }, now);
     }
 
-    fn handle_packets(&mut self) -> Result<(), RunError> {
-        for _ in 0..MAX_BATCHES {
+    /// Handles received packets, after a `pause` of the process if there was one.
+    fn handle_packets(&mut self, mut pause: Option<Millis>) -> Result<(), RunError> {
+        for at in 0..MAX_BATCHES {
             let count = self.receive()?;
+            if at == 0 {
+                let oldest = self.batch.iter().map(|it| it.age.into()).max().unwrap_or_default();
+                pause = pause.max(self.pauses.check_queue(oldest));
+            }
+            if let Some(pause) = pause.take() {
+                self.resume(pause);
+            }
             if count == 0 {
                 break;
             }
@@ -321,6 +335,17 @@
         Ok(())
     }
 
+    /// Prepares for packets that arrive after a pause of the process. What other instances have
+    /// sent meanwhile is merged first, so that no target is chosen from the state before.
+    fn resume(&mut self, pause: Millis) {
+        log::warn!(slept_ms = pause.0; "resumed");
+        self.forwarder.resume(self.clock.now(), &mut self.output);
+        if let Some(peers) = &mut self.peers {
+            peers.fleet.resume();
+        }
+        self.handle_messages();
+    }
+
     fn receive(&mut self) -> Result<usize, RunError> {
         self.socket.receive(&mut self.batch, Duration::ZERO).context(PacketsSnafu)
     }
--- a/daemon/src/marked/meters.rs
+++ b/daemon/src/marked/meters.rs
@@ -77,7 +77,7 @@
 /// Family and label of a series, and the function that reads its value.
 type CounterSeries = (Family, &'static str, fn(&Stats) -> u64);
 
-const COUNTERS: [CounterSeries; 44] = [
+const COUNTERS: [CounterSeries; 45] = [
     (Family::Packets, "received", |it| it.received),
     (Family::Packets, "forwarded", |it| it.counts.passed),
     (Family::Packets, "reopened", |it| it.counts.reopened),
@@ -112,6 +112,7 @@
     (Family::Drops, "send-unreachable", |it| it.wire.unreachable),
     (Family::Drops, "send-mtu", |it| it.wire.mtu),
     (Family::Drops, "send-failed", |it| it.wire.failed),
+    (Family::Pauses, "slept", |it| it.counts.pauses),
     (Family::Platform, "restored", |it| it.counts.restores),
     (Family::Probes, "asked", |it| it.counts.asked),
     (Family::Probes, "answers", |it| it.counts.found[ProbeResult::Answers as usize]),
--- a/daemon/src/marked/mod.rs
+++ b/daemon/src/marked/mod.rs
@@ -20,6 +20,7 @@
 pub mod lines;
 mod meters;
 mod output;
+pub mod pause;
 mod peers;
 pub mod pictures;
 mod status;
--- a/daemon/tests/runner.rs
+++ b/daemon/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_marked_evacuation;
 mod test_marked_explained;
 mod test_marked_instances;
+mod test_marked_pause;
 mod test_marked_pictures;
 mod test_marked_soak;
 mod test_marked_store;
--- a/marked/src/fleet/evidence.rs
+++ b/marked/src/fleet/evidence.rs
@@ -36,8 +36,8 @@
 const MAX_REPORTERS: usize = 8;
 /// Time for which a report is held.
 const REPORT_LIFETIME: Millis = Millis::secs(5);
-/// Time without [`Fleet::tick`] after which this process was frozen. Datagrams that arrived in
-/// the meantime are of unknown age. The longest regular interval is that of a listener, 2.4 s.
+/// Time without [`Fleet::tick`] after which this process was frozen, even if that was not
+/// reported by [`Fleet::resume`]. The longest regular interval is that of a listener, 2.4 s.
 const FREEZE_TIME: Millis = Millis::secs(3);
 
 /// Reports of other instances.
@@ -50,6 +50,9 @@
     /// Time of the next check whether there is something to report.
     next_send: Millis,
     last_tick: Millis,
+    /// Whether the process was paused since then. Datagrams that arrived meanwhile are of
+    /// unknown age.
+    was_paused: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -62,6 +65,11 @@
 }
 
 impl Fleet {
+    /// Records that the process was paused.
+    pub fn resume(&mut self) {
+        self.evidence.was_paused = true;
+    }
+
     /// Whether to call [`send_reports`](Self::send_reports).
     pub fn are_reports_due(&self, now: Millis) -> bool {
         now >= self.evidence.next_send
@@ -107,7 +115,8 @@
         catalog: &Catalog,
         now: Millis,
     ) {
-        let was_frozen = now.since(self.evidence.last_tick) >= FREEZE_TIME;
+        let is_overdue = now.since(self.evidence.last_tick) >= FREEZE_TIME;
+        let was_frozen = self.evidence.was_paused || is_overdue;
         if domain != self.domain || from == self.address || was_frozen {
             return;
         }
@@ -122,6 +131,7 @@
     pub(super) fn expire_reports(&mut self, now: Millis) {
         let evidence = &mut self.evidence;
         evidence.last_tick = now;
+        evidence.was_paused = false;
         let is_expired = |it: &HeldReport| now.since(it.received_at) >= REPORT_LIFETIME;
         evidence.held.retain(|_, reports| {
             let count = reports.len();
--- a/marked/src/forwarder/counts.rs
+++ b/marked/src/forwarder/counts.rs
@@ -60,6 +60,8 @@
     pub lost: u64,
     /// Number of times that the store came back from a copy.
     pub restores: u64,
+    /// Pauses in which the process did not run.
+    pub pauses: u64,
     /// Probes sent to targets.
     pub asked: u64,
     /// Probe results, by kind.
--- a/marked/src/forwarder/full.rs
+++ b/marked/src/forwarder/full.rs
@@ -9,8 +9,8 @@
 //! break them and bring their callers back as new flows that fill the next target. The design
 //! alternatives are in `docs/design/full.md`.
 
-use super::{Forwarder, Output, TargetState};
-use crate::{Entry, Incarnation, Note, ProbeResult};
+use super::{Forwarder, Output, outcomes::MAX_CHECK_DELAY};
+use crate::{Entry, Flow, Incarnation, Note, ProbeResult};
 use medlarspur_lib::time::Millis;
 use medlarspur_load::{priority::Level, vacancy::Vacancy};
 
@@ -202,10 +202,14 @@
 
     /// Checks silent targets whose flows may have been unanswered for too long.
     pub(super) fn check_silent_targets(&mut self, now: Millis, out: &mut impl Output) {
-        let is_due = |state: &TargetState| state.check_at.is_some_and(|at| at <= now);
-        let due = self.full.iter().filter(|it| self.states.get(*it).is_some_and(is_due));
-        for target in due.copied().collect::<Vec<_>>() {
-            self.check_silent(target, now, out);
+        let check = |target: &Incarnation| self.states.get(target)?.check_at;
+        let due = self.full.iter().filter_map(|it| Some((*it, check(it)?)));
+        for (target, at) in due.filter(|(_, at)| *at <= now).collect::<Vec<_>>() {
+            if now.since(at) <= MAX_CHECK_DELAY {
+                self.check_silent(target, now, out);
+            } else if let Some(state) = self.states.get_mut(&target) {
+                state.check_at = Some(now + MAX_CHECK_DELAY);
+            }
         }
     }
 
@@ -218,8 +222,10 @@
         if !state.silent {
             return;
         }
-        let flows = self.flows.values().filter(|flow| flow.target == target);
-        let last_alive = state.health.last_alive();
+        // Callers of flows that were last seen before a pause may continue elsewhere.
+        let is_current = |flow: &&Flow| flow.target == target && flow.last_seen >= self.resumed_at;
+        let flows = self.flows.values().filter(is_current);
+        let last_alive = state.health.last_alive().max(self.resumed_at);
         let Some(since) =
             flows.filter_map(|flow| Some(flow.unanswered_since()?.max(last_alive))).min()
         else {
--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -28,6 +28,7 @@
 mod outcomes;
 mod outliers;
 mod output;
+mod pauses;
 mod placing;
 mod probing;
 mod state;
@@ -120,6 +121,8 @@
     last_alive: Millis,
     /// Time of the first unanswered probe since then, if there was one.
     isolated_since: Option<Millis>,
+    /// End of the last pause of the process.
+    resumed_at: Millis,
     last_sweep: Millis,
     options: ForwarderOptions,
     random: Random,
@@ -151,6 +154,7 @@
             stranded: false,
             last_alive: Millis(0),
             isolated_since: None,
+            resumed_at: Millis(0),
             last_sweep: Millis(0),
             random: Random::new(options.seed),
             options,
@@ -213,8 +217,7 @@
         // A copy of the opening may be held here. Opened now, the flow would get a second
         // target.
         self.cancel_held(&segment.key);
-        let is_lost = self.states.get(&target).is_some_and(|state| state.health.is_lost());
-        if is_lost {
+        if self.is_confirmed_lost(target) {
             self.reset_lost_flow(&segment.key, segment.ack, target, now, out);
             return;
         }
--- a/marked/src/forwarder/probing.rs
+++ b/marked/src/forwarder/probing.rs
@@ -234,6 +234,10 @@
         match result {
             ProbeResult::Answers => self.handle_answered_probe(target, now, out),
             ProbeResult::Declines => self.handle_declined_probe(target, now, out),
+            // Its answer may have been lost during the pause.
+            ProbeResult::Silent if self.was_probed_before_pause(target) => {
+                self.probe(target, now, out);
+            }
             ProbeResult::Silent if self.is_isolated(target, now) => {
                 self.probe_with_another(target, now, out)
             }
--- a/marked/src/forwarder/stranded.rs
+++ b/marked/src/forwarder/stranded.rs
@@ -44,8 +44,9 @@
         }
     }
 
-    /// Time since a usable target in another domain was last known to be alive; none unless
-    /// this domain is evacuated, the store is unreachable and there are such targets.
+    /// Time since a usable target in another domain was last known to be alive, without a pause
+    /// of this process before the domain was stranded; none unless this domain is evacuated, the
+    /// store is unreachable and there are such targets.
     fn silence_elsewhere(&self, now: Millis) -> Option<Millis> {
         if !self.cut_off || !self.catalog.is_evacuated(&self.options.domain) {
             return None;
@@ -53,7 +54,8 @@
         let is_elsewhere = |entry: &&Entry| !self.catalog.is_evacuated(&entry.target.domain);
         let entries = self.catalog.entries().filter(is_elsewhere);
         let states = entries.filter_map(|it| self.states.get(&it.target.incarnation));
-        states.map(|state| now.since(state.health.last_alive())).min()
+        let counted_from = if self.stranded { Millis(0) } else { self.resumed_at };
+        states.map(|state| now.since(state.health.last_alive().max(counted_from))).min()
     }
 
     /// Moves unanswered openings from other domains to this one. Their callers are still
--- a/marked/src/health.rs
+++ b/marked/src/health.rs
@@ -48,6 +48,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Lost {
     since: Millis,
+    /// Time of the last failed probe.
+    confirmed: Millis,
     next_probe: Millis,
     interval: Millis,
 }
@@ -115,7 +117,8 @@
             MAX_LOST_INTERVAL.min(lost.interval + lost.interval)
         });
         let since = self.lost.map_or(now, |lost| lost.since);
-        let before = self.lost.replace(Lost { since, next_probe: now + interval, interval });
+        let before =
+            self.lost.replace(Lost { since, confirmed: now, next_probe: now + interval, interval });
         before.is_none()
     }
 
@@ -134,6 +137,11 @@
         self.lost.map(|lost| lost.since)
     }
 
+    /// Time of the last probe that a lost target failed.
+    pub fn lost_confirmed(&self) -> Option<Millis> {
+        self.lost.map(|lost| lost.confirmed)
+    }
+
     /// Time of the next probe of a lost target. This includes targets that seem gone, because a
     /// network partition may refuse connections on behalf of a live target.
     pub fn next_probe(&self) -> Option<Millis> {
--- a/marked/tests/test_evacuation.rs
+++ b/marked/tests/test_evacuation.rs
@@ -446,6 +446,33 @@
     assert_eq!(instance.open(flow(100, REQUEST), 3_010), other);
 }
 
+/// Guards against an evacuated domain that is used because this instance was paused, and heard
+/// neither the store nor targets in other domains meanwhile.
+#[test]
+fn an_evacuated_domain_stays_unused_after_a_pause() {
+    let (mut instance, _, other) = evacuated_home();
+    instance.establish(flow(1, REQUEST), 1_000);
+    instance.forwarder.set_cut_off(true);
+
+    instance.forwarder.resume(millis(4_000), &mut instance.out);
+    instance.tick(4_000);
+
+    assert_eq!(instance.open(flow(100, REQUEST), 4_010), other);
+    instance.tick(5_100);
+    assert_ne!(instance.open(flow(101, REQUEST), 5_110), other);
+}
+
+/// Guards against callers of a partitioned domain who are refused since the instance was paused.
+#[test]
+fn a_partitioned_evacuated_domain_serves_its_callers_after_a_pause() {
+    let (mut instance, own, _) = partitioned_home();
+
+    instance.forwarder.resume(millis(7_000), &mut instance.out);
+    instance.tick(7_000);
+
+    assert_eq!(instance.open(flow(100, REQUEST), 7_010), own);
+}
+
 /// Guards against an evacuated domain that is used because no target answers elsewhere. The
 /// store does, so the end of the evacuation would have arrived.
 #[test]
--- a/marked/tests/test_evidence.rs
+++ b/marked/tests/test_evidence.rs
@@ -108,6 +108,20 @@
     assert_eq!(held(&mut net, address(1, 1)), None);
 }
 
+/// Guards against old datagrams of a pause that is too short to be noticed without being reported.
+#[test]
+fn an_instance_that_was_paused_ignores_what_waited() {
+    let mut net = settled_net(1, 3);
+    net.now += 1_000;
+    net.instances.get_mut(&address(1, 1)).expect("the instance exists").fleet.resume();
+
+    deliver(&mut net, address(1, 2), 10, counts(0, 10));
+    net.run(20);
+    deliver(&mut net, address(1, 3), 10, counts(0, 20));
+
+    assert_eq!(held(&mut net, address(1, 1)), Some(vec![counts(0, 20)]));
+}
+
 /// Guards against memory that grows with the number of senders or of targets that don't exist.
 #[test]
 fn few_reports_are_held_for_a_target_and_none_for_unknown_ones() {
--- a/marked/tests/test_pauses.rs
+++ b/marked/tests/test_pauses.rs
@@ -1,10 +1,11 @@
 //! Openings that grew old before they were acted on, because the process did not run.
 
 use super::{
-    fixtures::{COPIES, Decisions, Instance, REQUEST, copy, flow, millis, target},
+    fixtures::{COPIES, Decisions, FEED, Instance, REQUEST, copy, flow, middle, millis, target},
     test_waiting::{busy_instance, end_requests, open_until_held, opened},
 };
-use medlarspur_marked::{FlowKey, Note, ProbeResult};
+use medlarspur_lib::status::TargetUse;
+use medlarspur_marked::{FlowKey, Incarnation, Note, ProbeResult, Refusal};
 
 fn instance() -> Instance {
     Instance::new(&[target(1, "desk"), target(2, "desk")])
@@ -179,3 +180,90 @@
     assert_eq!(instance.out.sent.len(), 1);
     assert_ne!(instance.last_target(), first);
 }
+
+/// An instance with an open feed at a target, whose request was retransmitted and whose probe was
+/// left unanswered, and that is then paused until 4,000.
+fn paused_beside_silent_target() -> (Instance, FlowKey, Incarnation) {
+    let mut instance = instance();
+    instance.record_answers(FEED, 20, 600);
+    let key = flow(1, FEED);
+    let at = instance.establish(key, 100);
+    instance.packet(middle(key, at, 1001, 500, 100), 1_000);
+    instance.packet(middle(key, at, 1001, 500, 100), 1_200);
+    instance.establish(flow(2, REQUEST), 1_250);
+    report(&mut instance, at, ProbeResult::Silent, 1_500);
+    assert_eq!((instance.out.resets.len(), instance.forwarder.count_full()), (0, 1));
+    instance.out = Decisions::default();
+    instance.forwarder.resume(millis(4_000), &mut instance.out);
+    (instance, key, at)
+}
+
+fn report(instance: &mut Instance, at: Incarnation, result: ProbeResult, now: u64) {
+    instance.forwarder.handle_probe_result(at, result, millis(now), &mut instance.out);
+}
+
+/// Guards against resets of open flows at a healthy target that was silent before the pause and
+/// whose callers have continued through other instances.
+#[test]
+fn silence_before_a_pause_is_no_reason_to_reset_flows_after_it() {
+    let (mut instance, _, at) = paused_beside_silent_target();
+
+    for now in 4_000..6_000 {
+        instance.tick(now);
+    }
+
+    assert!(instance.out.resets.is_empty());
+    assert!(instance.out.probed.contains(&at));
+}
+
+/// Guards against callers who wait at a dead target because the instance was paused.
+#[test]
+fn a_target_that_is_silent_after_a_pause_is_lost() {
+    let (mut instance, key, at) = paused_beside_silent_target();
+    instance.packet(middle(key, at, 1001, 500, 100), 4_100);
+    instance.establish(flow(3, REQUEST), 4_150);
+    report(&mut instance, at, ProbeResult::Silent, 4_310);
+    assert!(instance.out.resets.is_empty());
+
+    for now in 4_310..5_300 {
+        instance.tick(now);
+    }
+
+    assert_eq!(instance.out.resets.len(), 1);
+    assert_eq!(instance.out.resets[0].2, Refusal::TargetLost);
+}
+
+/// Guards against resets of open flows whose target came back during the pause.
+#[test]
+fn a_target_lost_before_a_pause_is_probed_before_its_flows_are_reset() {
+    let mut instance = instance();
+    let key = flow(1, FEED);
+    let at = target(1, "desk").incarnation;
+    report(&mut instance, at, ProbeResult::Gone, 100);
+    instance.forwarder.resume(millis(4_000), &mut instance.out);
+    instance.out = Decisions::default();
+
+    instance.packet(middle(key, at, 1001, 500, 100), 4_000);
+    instance.tick(4_001);
+    assert_eq!((instance.out.sent.len(), instance.out.resets.len()), (1, 0));
+    assert_eq!(instance.out.probed, [at]);
+    report(&mut instance, at, ProbeResult::Silent, 4_310);
+    instance.packet(middle(key, at, 1001, 500, 100), 4_400);
+
+    assert_eq!(instance.out.resets.len(), 1);
+}
+
+/// Guards against a target that is taken for silent because its answer came during the pause.
+#[test]
+fn a_probe_from_before_a_pause_that_got_no_answer_is_repeated() {
+    let mut instance = instance();
+    let at = instance.open(flow(1, REQUEST), 0);
+    instance.tick(30);
+    assert_eq!(instance.out.probed, [at]);
+    instance.forwarder.resume(millis(4_000), &mut instance.out);
+
+    report(&mut instance, at, ProbeResult::Silent, 4_001);
+
+    assert_eq!(instance.out.probed, [at, at]);
+    assert_eq!(instance.usage(flow(9, FEED), at, 4_001), TargetUse::Good);
+}
