marked: measure no times across a pause

Answers that waited in the socket during a pause counted as slow, so a woken instance held and refused new flows.

--- a/marked/src/forwarder/mod.rs
+++ b/marked/src/forwarder/mod.rs
@@ -294,7 +294,7 @@
     fn record_times(&mut self, flow: &Flow, seen: Observation, now: Millis, out: &mut impl Output) {
         let Some(entry) = self.catalog.entry(flow.target) else { return };
         let service = entry.target.service.clone();
-        if seen.opened {
+        if seen.opened && !self.was_paused_since(flow.first_seen) {
             out.measure(&service, flow.class, Span::Handshake(now.since(flow.first_seen)));
             self.estimates.add_handshake(flow.first_seen, flow.resent, now);
         }
--- a/marked/src/forwarder/outcomes.rs
+++ b/marked/src/forwarder/outcomes.rs
@@ -290,7 +290,8 @@
         self.record_level_use(&service, end.class, &end.key, now);
         self.record_peer_outcome(&service, end, now, out);
         self.record_rejection(&service, &end, now);
-        if matches!(end.outcome, Outcome::Failed | Outcome::Unanswered) {
+        let is_timed = !self.was_paused_since(now.since(end.span));
+        if matches!(end.outcome, Outcome::Failed | Outcome::Unanswered) || !is_timed {
             return;
         }
         out.measure(&service, end.class, Span::Answer(end.span));
--- a/marked/src/forwarder/pauses.rs
+++ b/marked/src/forwarder/pauses.rs
@@ -2,7 +2,7 @@
 //!
 //! Routers pass callers' packets to other instances meanwhile, and answers of targets are not
 //! seen here. What was known of targets before the pause is therefore no reason to reset flows
-//! after it, and silence is counted anew.
+//! after it, silence is counted anew, and no times are measured across it.
 
 use super::{Forwarder, Output};
 use crate::Incarnation;
@@ -26,15 +26,21 @@
         }
     }
 
+    /// Whether the process was paused after `since`, so that the time since then says nothing about
+    /// targets.
+    pub(super) fn was_paused_since(&self, since: Millis) -> bool {
+        since < self.resumed_at
+    }
+
     /// Whether a target is known to be lost since the process runs.
     pub(super) fn is_confirmed_lost(&self, target: Incarnation) -> bool {
         let confirmed = self.states.get(&target).and_then(|it| it.health.lost_confirmed());
-        confirmed.is_some_and(|at| at >= self.resumed_at)
+        confirmed.is_some_and(|at| !self.was_paused_since(at))
     }
 
     /// Whether a target was last probed before the process was resumed.
     pub(super) fn was_probed_before_pause(&self, target: Incarnation) -> bool {
         let probed = self.states.get(&target).and_then(|it| it.health.last_probe());
-        probed.is_some_and(|at| at < self.resumed_at)
+        probed.is_some_and(|at| self.was_paused_since(at))
     }
 }
--- a/marked/tests/test_pauses.rs
+++ b/marked/tests/test_pauses.rs
@@ -1,11 +1,14 @@
 //! Openings that grew old before they were acted on, because the process did not run.
 
 use super::{
-    fixtures::{COPIES, Decisions, FEED, Instance, REQUEST, copy, flow, middle, millis, target},
+    fixtures::{
+        COPIES, Decisions, FEED, Instance, REQUEST, config, copy, flow, incremental, middle,
+        millis, target,
+    },
     test_waiting::{busy_instance, end_requests, open_until_held, opened},
 };
 use medlarspur_lib::status::TargetUse;
-use medlarspur_marked::{FlowKey, Incarnation, Note, ProbeResult, Refusal};
+use medlarspur_marked::{Content, FlowKey, Incarnation, Note, ProbeResult, Refusal};
 
 fn instance() -> Instance {
     Instance::new(&[target(1, "desk"), target(2, "desk")])
@@ -267,3 +270,28 @@
     assert_eq!(instance.out.probed, [at, at]);
     assert_eq!(instance.usage(flow(9, FEED), at, 4_001), TargetUse::Good);
 }
+
+/// Guards against new flows that are held and refused after a pause, as if the targets had been
+/// slow: their answers waited in the socket meanwhile.
+#[test]
+fn answers_that_waited_during_a_pause_do_not_make_a_service_slow() {
+    let pressure = |is_resumed: bool| {
+        let mut config = config(2);
+        config.routes.iter_mut().for_each(|route| route.objective = Some(millis(150)));
+        let mut instance = instance();
+        instance.learn(incremental(200, Content::Config(config)), 0);
+        let key = flow(1, FEED);
+        let at = instance.establish(key, 100);
+        instance.packet(middle(key, at, 1001, 500, 100), 1_000);
+        if is_resumed {
+            instance.forwarder.resume(millis(4_000), &mut instance.out);
+        }
+        instance.packet(middle(key, at, 1101, 600, 0), 4_000);
+        instance.forwarder.services(millis(4_000)).remove(0).pressure
+    };
+
+    let (unnoticed, noticed) = (pressure(false), pressure(true));
+
+    assert!(unnoticed > 100);
+    assert_eq!(noticed, 0);
+}
