--- a/daemon/tests/test_marked_soak.rs
+++ b/daemon/tests/test_marked_soak.rs
@@ -58,6 +58,12 @@
     soak(9_000);
 }
 
+/// Guards against openings that an instance sends on after a freeze.
+#[test]
+fn seed_11001_is_sound() {
+    soak(11_001);
+}
+
 /// Guards against a slow start of targets in use when one of two overlapping evacuations ends.
 #[test]
 fn seed_6103_is_sound() {
