daemon: notice pauses by waits of 250 ms

Pauses were noticed by a timer that came too late, or by old packets after a long wait. An idle instance has few timers, and its packets may all be new. The main thread now waits for 250 ms at most, so that 500 ms in which it did not run are a pause, whatever else happened. That is four wake-ups a second on an idle instance. An instance whose packets aren't stamped waited no longer before.

--- a/daemon/src/marked/instance/mod.rs
+++ b/daemon/src/marked/instance/mod.rs
@@ -9,7 +9,7 @@
     lines::CatalogState,
     meters::{SharedStats, Stats},
     output::RoundOutput,
-    pause::PauseDetector,
+    pause::{MAX_WAIT, PauseDetector},
     peers::Peers,
     pictures::Command,
     store::StoreReader,
@@ -249,20 +249,20 @@
     /// handled first: a timer's action may depend on an answer queued in the socket.
     fn round(&mut self, max_wait: Option<Millis>) -> Result<(), RunError> {
         let now = self.clock.now();
-        let stopped = self.pauses.begin_wait(now);
+        let stopped = self.pauses.record_run(now);
         let peers = self.peers.as_ref().map(|peers| peers.fleet.deadline(now));
         let due = self.forwarder.deadline().into_iter().chain(peers).map(|due| due.since(now));
-        let max_wait = due.chain(max_wait).chain(self.socket.max_wait().map(Millis::from)).min();
-        let limit = max_wait.map(|span| Duration::from_millis(span.0));
+        let max_wait = due.chain(max_wait).fold(MAX_WAIT, Millis::min);
+        let limit = Duration::from_millis(max_wait.0);
         let began = Clocks::read();
         let (packets, inbox) = (self.socket.as_fd(), self.inbox.wake_fd());
         match &self.peers {
-            Some(peers) => wait_readable([packets, inbox, peers.socket.as_fd()], limit),
-            None => wait_readable([packets, inbox], limit),
+            Some(peers) => wait_readable([packets, inbox, peers.socket.as_fd()], Some(limit)),
+            None => wait_readable([packets, inbox], Some(limit)),
         }
         .context(PacketsSnafu)?;
         self.socket.record_wait(began, Clocks::read(), limit);
-        let pause = stopped.max(self.pauses.end_wait(self.clock.now(), max_wait));
+        let pause = stopped.max(self.pauses.record_run(self.clock.now()));
         if self.reload.swap(false, Relaxed) {
             self.settings.reload();
             if let Some(peers) = &mut self.peers {
@@ -270,8 +270,11 @@
             }
         }
         self.begin_round();
+        if let Some(pause) = pause {
+            self.resume(pause);
+        }
         let unknown = self.forwarder.counts().unknown;
-        self.handle_packets(pause)?;
+        self.handle_packets()?;
         if self.forwarder.counts().unknown > unknown {
             self.catch_up();
         }
@@ -290,17 +293,9 @@
         self.output.begin_round(CatalogState { revision: self.forwarder.revision(), age }, now);
     }
 
-    /// Handles received packets, after a `pause` of the process if there was one.
-    fn handle_packets(&mut self, mut pause: Option<Millis>) -> Result<(), RunError> {
-        for at in 0..MAX_BATCHES {
+    fn handle_packets(&mut self) -> Result<(), RunError> {
+        for _ in 0..MAX_BATCHES {
             let count = self.receive()?;
-            if at == 0 {
-                let oldest = self.batch.iter().map(|it| it.age.into()).max().unwrap_or_default();
-                pause = pause.max(self.pauses.check_queue(oldest));
-            }
-            if let Some(pause) = pause.take() {
-                self.resume(pause);
-            }
             if count == 0 {
                 break;
             }
--- a/fabric/src/age.rs
+++ b/fabric/src/age.rs
@@ -7,7 +7,8 @@
 //! runs while the machine is suspended.
 //!
 //! Datagrams without a usable stamp are taken for new, except after a pause of the thread: until
-//! the socket is empty, they may be as old as the beginning of the pause.
+//! the socket is empty, they may be as old as the beginning of the pause. Pauses within a wait are
+//! only noticed beyond its limit.
 
 use rustix::time::{ClockId, clock_gettime};
 use std::time::Duration;
@@ -18,10 +19,6 @@
 /// Maximum time between the receipt of datagrams and the next wait, and maximum delay of the end of
 /// a wait. After a longer one, the thread may have been paused.
 const MAX_DELAY: Duration = Duration::from_millis(100);
-/// Maximum wait for datagrams that are not stamped. Together with twice [`MAX_DELAY`] it bounds the
-/// pauses that stay unnoticed. Routers pass packets to another instance after 500 ms at the
-/// earliest.
-pub(crate) const MAX_UNSTAMPED_WAIT: Duration = Duration::from_millis(250);
 
 /// Returns the time since the start of the machine, including suspensions.
 pub fn boot_time() -> Duration {
@@ -76,9 +73,8 @@
 
     /// Records that the thread waited for input from `began` to `now`, and was to wait for `limit`
     /// at most.
-    pub fn record_wait(&mut self, began: Clocks, now: Clocks, limit: Option<Duration>) {
-        let waited = now.boot.saturating_sub(began.boot);
-        let is_in_time = limit.is_some_and(|limit| waited <= limit + MAX_DELAY);
+    pub fn record_wait(&mut self, began: Clocks, now: Clocks, limit: Duration) {
+        let is_in_time = now.boot.saturating_sub(began.boot) <= limit + MAX_DELAY;
         self.paused_since = self.pause_before(began).or((!is_in_time).then_some(self.ran_at));
         self.ran_at = now.boot;
     }
--- a/fabric/src/socket.rs
+++ b/fabric/src/socket.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     Batch, Clocks, Counts, Datagram, MAX_BATCH, MAX_DATAGRAM, QueueAges, Wire,
-    age::MAX_UNSTAMPED_WAIT,
     batch::{Entry, NO_ADDRESS},
 };
 use nix::{
@@ -78,8 +77,6 @@
     timeout: Option<Duration>,
     addresses: Vec<SocketAddrAny>,
     ages: Option<QueueAges>,
-    /// Whether the last datagram was stamped.
-    is_stamping: bool,
     counts: Counts,
 }
 
@@ -136,17 +133,12 @@
 
     /// Records that the thread waited for this socket and others from `began` to `now`, and was to
     /// wait for `limit` at most.
-    pub fn record_wait(&mut self, began: Clocks, now: Clocks, limit: Option<Duration>) {
+    pub fn record_wait(&mut self, began: Clocks, now: Clocks, limit: Duration) {
         if let Some(ages) = &mut self.ages {
             ages.record_wait(began, now, limit);
         }
     }
 
-    /// Maximum time to wait for datagrams so that their ages are known; none if they are stamped.
-    pub fn max_wait(&self) -> Option<Duration> {
-        (self.ages.is_some() && !self.is_stamping).then_some(MAX_UNSTAMPED_WAIT)
-    }
-
     fn set_timeout(&mut self, timeout: Duration) -> Result<(), SocketError> {
         if timeout.is_zero() || self.timeout == Some(timeout) {
             return Ok(());
@@ -180,7 +172,6 @@
                 let stamp = self.ages.and_then(|_| read_stamp(&it));
                 let age = self.ages.zip(now).map(|(ages, now)| ages.max_age(stamp, now));
                 let age = age.unwrap_or_default();
-                self.is_stamping = stamp.is_some();
                 batch.entries.push(Entry { slot, len: it.bytes, from, age });
             }
         }
@@ -263,7 +254,6 @@
             timeout: None,
             addresses: Vec::with_capacity(MAX_BATCH),
             ages: None,
-            is_stamping: false,
             counts: Counts::default(),
         }
     }
--- a/fabric/tests/test_age.rs
+++ b/fabric/tests/test_age.rs
@@ -79,7 +79,7 @@
 fn age_after_wait(began: u64, now: u64, limit: u64) -> u128 {
     let mut ages = QueueAges::new(clocks(50_000, 0));
     let (began, now) = (clocks(50_000 + began, began), clocks(50_000 + now, now));
-    ages.record_wait(began, now, Some(Duration::from_millis(limit)));
+    ages.record_wait(began, now, Duration::from_millis(limit));
     ages.max_age(None, now).as_millis()
 }
 
